--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Developer entry points. `make test` is what CI runs; `make demo` shows the whole path.
+GO            ?= go
+LINT_VERSION  := v2.15.0
+TOOLS_DIR     := $(shell $(GO) env GOPATH)/bin
+LINT          := $(TOOLS_DIR)/golangci-lint
+BINARIES      := galena-entry galena-control galenactl galena-backend
+VERSION       := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+FUZZ_TIME     ?= 300x
+
+.PHONY: all build test fmt fmt-check lint generate generate-check unit fuzz demo bench tools clean
+
+all: build
+
+build:
+	$(GO) build -ldflags "-X github.com/galenalug/galenalug/internal/version.Version=$(VERSION)" -o bin/ $(addprefix ./cmd/,$(BINARIES))
+
+test: fmt-check lint generate-check unit fuzz
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+fmt-check:
+	@out=$$(gofmt -l $$(git ls-files --cached --others --exclude-standard '*.go')); \
+	if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+tools: $(LINT)
+
+$(LINT):
+	$(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT)
+	@$(LINT) version --short | grep -qF "$(LINT_VERSION:v%=%)" || $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	$(GO) vet ./...
+	$(LINT) run ./...
+
+generate:
+	bash scripts/generate.sh
+
+generate-check:
+	bash scripts/generate-check.sh
+
+unit:
+	bash scripts/unit.sh
+
+# Runs every fuzz target for a fixed number of inputs.
+fuzz:
+	bash scripts/fuzz.sh $(FUZZ_TIME)
+
+demo: build
+	bash scripts/demo.sh
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
+
+clean:
+	rm -rf bin .demo
--- /dev/null
+++ b/internal/wire/kind.go
@@ -0,0 +1,71 @@
+package wire
+
+// Kinds of Frame bodies.
+const (
+	KindRaft      = 1  // RaftBatch, one-way, control to control
+	KindWatch     = 2  // Watch, one-way, entry to control
+	KindTable     = 3  // TableUpdate, one-way, control to entry
+	KindAnnounce  = 4  // Announcement, answered by AnnouncementReply
+	KindRenew     = 5  // Renewal, answered by RenewalReply
+	KindRunBegin  = 6  // RunBegin, answered by RunReply
+	KindRunFinish = 7  // RunFinish, answered by RunReply
+	KindPropose   = 8  // Proposal, answered by ProposalReply
+	KindJoin      = 9  // Join, answered by ProposalReply
+	KindPing      = 10 // no body, answered by no body
+)
+
+// GroupGlobal is the name of the log group that all control hosts are in.
+const GroupGlobal = "global"
+
+// Error codes of failed calls, in Frame.ErrorCode.
+const (
+	CodeNotLeader   = "not-leader"  // detail: name of the leader, or empty
+	CodeUnavailable = "unavailable" // no quorum, or the process is stopping
+	CodeUnknown     = "unknown"     // the outcome of the call is not known
+	CodeInvalid     = "invalid"     // the body was refused
+	CodeConflict    = "conflict"    // another change came first
+	CodeInternal    = "internal"    // a fault of the called process
+)
+
+// Headers of callers' requests and of answers to them.
+const (
+	HeaderKey            = "Galena-Key"         // key of the request
+	HeaderCustomer       = "Galena-Customer"    // customer the request is counted for
+	HeaderClass          = "Galena-Class"       // lookup, order or upload
+	HeaderRepeatable     = "Galena-Repeatable"  // true or false; default by method
+	HeaderDeadlineMillis = "Galena-Deadline-Ms" // time left, milliseconds
+	HeaderIdempotencyKey = "Idempotency-Key"    // the caller's id of a request
+	HeaderOutcome        = "Galena-Outcome"     // answered, not-run or unknown
+)
+
+// Headers between entry hosts and backend servers.
+const (
+	HeaderSlot      = "Galena-Slot"       // slot of the key
+	HeaderToken     = "Galena-Token"      // fencing token of the grant
+	HeaderRequestID = "Galena-Request-Id" // id for logs and cancellation
+	HeaderRefused   = "Galena-Refused"    // reason why the server did not run it
+)
+
+// Reasons in HeaderRefused: the server did not run the request.
+const (
+	RefusedStaleToken = "stale-token"
+	RefusedNotOwner   = "not-owner"
+	RefusedDraining   = "draining"
+	RefusedShedding   = "shedding"
+	RefusedDeadline   = "deadline"
+)
+
+// Outcomes in HeaderOutcome and Refusal.Outcome.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+)
+
+// Paths between backend servers and entry hosts.
+const (
+	PathAnnounce = "/galena/v1/servers/announce" // POST Announcement, answered by AnnouncementReply
+	PathGrants   = "/galena/v1/servers/grants"   // GET ?name=&session=&after=&wait_ms=, answered by Grants
+	PathProbe    = "/galena/v1/probe"            // GET on a backend server: 200 when it can serve
+	PathServices = "/v1/services/"               // callers: /v1/services/{service}/{path...}
+)
--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Generates Go code from the JSON Schema files. Usage: generate.sh [OUTPUT_ROOT]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=${1:-.}
+generate() { # package, output file, schema files...
+  local package=$1 file=$2
+  shift 2
+  mkdir -p "$out/$(dirname "$file")"
+  go tool go-jsonschema --only-models --struct-name-from-title --tags json,yaml,cbor --package "$package" --output "$out/$file" "$@"
+  gofmt -w "$out/$file"
+}
+generate settings internal/settings/settings_gen.go schema/settings/*.schema.json
+generate wire internal/wire/wire_gen.go schema/wire.schema.json
+if [ -f schema/replog.schema.json ]; then generate replog replog/messages_gen.go schema/replog.schema.json; fi
