--- /dev/null
+++ b/ownership/apply.go
@@ -0,0 +1,321 @@
+package ownership
+
+import "slices"
+
+// Apply executes the command of one log entry and returns the changes for views.
+// A command that no longer fits the state changes nothing: a command may have
+// been proposed on an older state, so it is checked here again.
+func (s *State) Apply(index uint64, c Command) []Change {
+	changes := s.execute(index, c)
+	if len(changes) > 0 {
+		s.version = index
+	}
+	return changes
+}
+
+func (s *State) execute(index uint64, c Command) []Change {
+	switch {
+	case c.Register != nil:
+		return s.register(index, *c.Register)
+	case c.SetDraining != nil:
+		return s.mark(c.SetDraining.IDs, func(server *Server) { server.Draining = true })
+	case c.Suspend != nil:
+		return s.mark(c.Suspend.IDs, func(server *Server) { server.Suspended = true })
+	case c.EndSessions != nil:
+		return s.endSessions(c.EndSessions.IDs)
+	case c.Assign != nil:
+		return s.assign(index, *c.Assign)
+	case c.Release != nil:
+		return s.release(*c.Release)
+	case c.Released != nil:
+		return s.released(*c.Released)
+	case c.Adopt != nil:
+		return s.adopt(*c.Adopt)
+	case c.Retire != nil:
+		return s.retire(*c.Retire)
+	case c.Isolate != nil:
+		return s.isolate(*c.Isolate)
+	case c.Return != nil:
+		return s.returnKeys(*c.Return)
+	}
+	return nil
+}
+
+// register adds a session. A registration of an incarnation that already has a
+// session changes nothing, so that a resent one is idempotent.
+func (s *State) register(index uint64, server Server) []Change {
+	if _, ok := s.FindSession(server.Name, server.Incarnation); ok {
+		return nil
+	}
+	server.Session = index
+	server.Suspended = false
+	s.servers[index] = &server
+	return []Change{{Server: copyOf(server)}}
+}
+
+// FindSession returns the session of a server's incarnation.
+func (s *State) FindSession(name, incarnation string) (uint64, bool) {
+	for id, server := range s.servers {
+		if server.Name == name && server.Incarnation == incarnation {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func (s *State) mark(ids []uint64, set func(*Server)) []Change {
+	var changes []Change
+	for _, id := range ids {
+		server, ok := s.servers[id]
+		if !ok {
+			continue
+		}
+		set(server)
+		changes = append(changes, Change{Server: copyOf(*server)})
+	}
+	return changes
+}
+
+func (s *State) endSessions(ids []uint64) []Change {
+	var changes []Change
+	for _, id := range ids {
+		server, ok := s.servers[id]
+		if !ok {
+			continue
+		}
+		changes = append(changes, s.vacateAll(server.Service, id)...)
+		delete(s.servers, id)
+		changes = append(changes, Change{Ended: id})
+	}
+	return changes
+}
+
+func (s *State) vacateAll(name string, session uint64) []Change {
+	service := s.services[name]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for i := range service.Slots {
+		if service.Slots[i].heldBy(session) {
+			recorder.vacate(i)
+		}
+	}
+	return recorder.changes()
+}
+
+func (s *State) assign(index uint64, body SlotGrants) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, grant := range body.Grants {
+		server, ok := s.servers[grant.Session]
+		if !ok || server.Service != body.Service || server.Draining || server.Suspended {
+			continue
+		}
+		if !service.has(grant.Slot) || service.Slots[grant.Slot].Status != Vacant {
+			continue
+		}
+		slot := &service.Slots[grant.Slot]
+		slot.Status = Owned
+		slot.Owner = grant.Session
+		slot.Token = slot.Generation<<generationShift | index
+		recorder.touch(grant.Slot)
+	}
+	return recorder.changes()
+}
+
+func (s *Service) has(slot int) bool { return slot >= 0 && slot < len(s.Slots) }
+
+func (s *State) release(body SlotGrants) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, grant := range body.Grants {
+		if !service.has(grant.Slot) {
+			continue
+		}
+		slot := &service.Slots[grant.Slot]
+		if slot.Status == Owned && slot.Token == grant.Token {
+			slot.Status = Releasing
+			recorder.touch(grant.Slot)
+		}
+	}
+	return recorder.changes()
+}
+
+func (s *State) released(body SlotGrants) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, grant := range body.Grants {
+		if !service.has(grant.Slot) {
+			continue
+		}
+		slot := &service.Slots[grant.Slot]
+		if slot.heldBy(grant.Session) && slot.Token == grant.Token {
+			recorder.vacate(grant.Slot)
+		}
+	}
+	return recorder.changes()
+}
+
+func (s *State) adopt(body HomeSlots) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		service = &Service{
+			Name:    body.Service,
+			Base:    body.Slots,
+			Slots:   make([]Slot, body.Slots+HotSlots),
+			HotKeys: map[string]int{},
+		}
+		s.services[body.Service] = service
+	}
+	recorder := newRecorder(service)
+	for i, number := range body.Moved {
+		if number < 0 || number >= service.Base || i >= len(body.Generations) {
+			continue
+		}
+		slot := &service.Slots[number]
+		if slot.Status != Absent || slot.Generation >= body.Generations[i] {
+			continue
+		}
+		slot.Status = Vacant
+		slot.Generation = body.Generations[i]
+		recorder.touch(number)
+	}
+	return recorder.changes()
+}
+
+func (s *State) retire(body HomeSlots) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, number := range body.Moved {
+		if number < 0 || number >= service.Base || service.hasHotKeyIn(number) {
+			continue
+		}
+		slot := &service.Slots[number]
+		if slot.Status == Vacant {
+			slot.Status = Absent
+			recorder.touch(number)
+		}
+	}
+	return recorder.changes()
+}
+
+func (s *Service) hasHotKeyIn(slot int) bool {
+	for key := range s.HotKeys {
+		if SlotOf(s.Name, key, s.Base) == slot {
+			return true
+		}
+	}
+	return false
+}
+
+// isolate gives each key a slot of its own. The key's present slot must be
+// vacant, so that no owner may still execute requests for the key.
+func (s *State) isolate(body HotKeySet) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, key := range body.Keys {
+		base := SlotOf(service.Name, key, service.Base)
+		own, free := service.freeHotSlot()
+		if _, isolated := service.HotKeys[key]; isolated || !free || service.Slots[base].Status != Vacant {
+			continue
+		}
+		service.HotKeys[key] = own
+		slot := &service.Slots[own]
+		slot.Status = Vacant
+		slot.Generation = max(slot.Generation, service.Slots[base].Generation)
+		recorder.touch(own)
+		recorder.hotKey(key, own)
+	}
+	return recorder.changes()
+}
+
+func (s *Service) freeHotSlot() (int, bool) {
+	for number := s.Base; number < len(s.Slots); number++ {
+		if s.Slots[number].Status == Absent {
+			return number, true
+		}
+	}
+	return 0, false
+}
+
+// returnKeys ends the isolation of keys. Both the key's own slot and its ordinary
+// one must be vacant.
+func (s *State) returnKeys(body HotKeySet) []Change {
+	service := s.services[body.Service]
+	if service == nil {
+		return nil
+	}
+	recorder := newRecorder(service)
+	for _, key := range body.Keys {
+		own, isolated := service.HotKeys[key]
+		if !isolated {
+			continue
+		}
+		base := SlotOf(service.Name, key, service.Base)
+		if service.Slots[own].Status != Vacant || service.Slots[base].Status != Vacant {
+			continue
+		}
+		delete(service.HotKeys, key)
+		service.Slots[own].Status = Absent
+		recorder.touch(own)
+		recorder.hotKey(key, noSlot)
+	}
+	return recorder.changes()
+}
+
+// recorder collects the changes that one command makes to a service.
+type recorder struct {
+	service *Service
+	touched []int
+	hot     []HotKeyChange
+}
+
+func newRecorder(service *Service) *recorder { return &recorder{service: service} }
+
+func (r *recorder) touch(slot int) { r.touched = append(r.touched, slot) }
+
+func (r *recorder) hotKey(key string, slot int) {
+	r.hot = append(r.hot, HotKeyChange{Key: key, Slot: slot})
+}
+
+func (r *recorder) vacate(number int) {
+	slot := &r.service.Slots[number]
+	slot.Status = Vacant
+	slot.Owner = 0
+	r.touch(number)
+}
+
+func (r *recorder) changes() []Change {
+	if len(r.touched) == 0 && len(r.hot) == 0 {
+		return nil
+	}
+	slices.Sort(r.touched)
+	change := SlotChanges{Service: r.service.Name, Base: r.service.Base, HotKeys: r.hot}
+	for _, number := range slices.Compact(r.touched) {
+		change.Slots = append(change.Slots, r.service.change(number))
+	}
+	return []Change{{Slots: &change}}
+}
+
+func (s *Service) change(number int) SlotChange {
+	slot := s.Slots[number]
+	return SlotChange{Slot: number, Status: slot.Status, Owner: slot.Owner, Token: slot.Token, Generation: slot.Generation}
+}
+
+func copyOf(server Server) *Server { return &server }
--- /dev/null
+++ b/ownership/planning.go
@@ -0,0 +1,345 @@
+package ownership
+
+import (
+	"math"
+	"time"
+
+	"github.com/galenalug/galenalug/placement"
+)
+
+// Homes tells the home region of each slot, as the global log has it.
+type Homes interface {
+	// Names returns the names of services divided by key.
+	Names() []string
+	// Of returns the homes of a service's slots.
+	Of(service string) []Home
+}
+
+// Home is the home of one slot as the global log has it.
+type Home struct {
+	Region     string
+	To         string // region that the home moves to; empty: it stays
+	Generation uint64
+}
+
+// followHomes adopts slots whose home the region has become, and gives up those
+// that move away once they have no owner.
+func (c *Coordinator) followHomes(state *State, name string, homes []Home) []Command {
+	service := state.services[name]
+	adopt := HomeSlots{Service: name, Slots: len(homes)}
+	retire := HomeSlots{Service: name, Slots: len(homes)}
+	release := SlotGrants{Service: name}
+	for number, home := range homes {
+		slot := Slot{}
+		if service != nil {
+			slot = service.Slots[number]
+		}
+		switch c.homeStep(slot, home) {
+		case stepAdopt:
+			adopt.Moved = append(adopt.Moved, number)
+			adopt.Generations = append(adopt.Generations, home.Generation)
+		case stepRelease:
+			release.Grants = append(release.Grants, SlotGrant{Slot: number, Token: slot.Token})
+		case stepRetire:
+			retire.Moved = append(retire.Moved, number)
+			retire.Generations = append(retire.Generations, home.Generation)
+		}
+	}
+	c.returnMovingKeys(service, homes)
+	return homeCommands(adopt, retire, release)
+}
+
+// returnMovingKeys ends the isolation of keys whose ordinary slot moves away: a
+// slot is given up only with all of its keys.
+func (c *Coordinator) returnMovingKeys(service *Service, homes []Home) {
+	if service == nil {
+		return
+	}
+	for key := range service.HotKeys {
+		if homes[SlotOf(service.Name, key, service.Base)].To != "" {
+			c.ReturnKey(service.Name, key)
+		}
+	}
+}
+
+type homeStepKind int
+
+const (
+	stepNone homeStepKind = iota
+	stepAdopt
+	stepRelease
+	stepRetire
+)
+
+func (c *Coordinator) homeStep(slot Slot, home Home) homeStepKind {
+	if home.Region != c.settings.Region {
+		return stepNone
+	}
+	if slot.Status == Absent && slot.Generation < home.Generation && home.To == "" {
+		return stepAdopt
+	}
+	if home.To == "" {
+		return stepNone
+	}
+	if slot.Generation != home.Generation {
+		return stepNone // this host's copy of the global state is behind the region's
+	}
+	switch slot.Status {
+	case Owned:
+		return stepRelease
+	case Vacant:
+		return stepRetire
+	default:
+		return stepNone
+	}
+}
+
+func homeCommands(adopt, retire HomeSlots, release SlotGrants) []Command {
+	var commands []Command
+	if len(adopt.Moved) > 0 {
+		commands = append(commands, Command{Adopt: &adopt})
+	}
+	if len(retire.Moved) > 0 {
+		commands = append(commands, Command{Retire: &retire})
+	}
+	if len(release.Grants) > 0 {
+		commands = append(commands, Command{Release: &release})
+	}
+	return commands
+}
+
+// RetiredSlots returns the slots of a service that the region has given up but
+// that the global log still calls its own. The global leader must be told.
+func (s *State) RetiredSlots(region, name string, homes []Home) (slots []int, generations []uint64) {
+	service := s.services[name]
+	for number, home := range homes {
+		if home.Region != region || home.To == "" {
+			continue
+		}
+		gone := service == nil || service.Slots[number].Status == Absent
+		if gone {
+			slots = append(slots, number)
+			generations = append(generations, home.Generation)
+		}
+	}
+	return slots, generations
+}
+
+// planInterval is the time between plans of a service that has no vacant slot.
+const planInterval = time.Second
+
+// planDue reports whether a service needs a plan now.
+func (c *Coordinator) planDue(now time.Duration, state *State, service *Service) bool {
+	last, planned := c.plans[service.Name]
+	if !planned || now-last >= planInterval {
+		return true
+	}
+	for number := range service.Slots {
+		slot := &service.Slots[number]
+		if slot.Status == Vacant {
+			return true
+		}
+		if slot.Status == Owned && state.servers[slot.Owner].Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// planService returns the grants and releases that placement asks for.
+func (c *Coordinator) planService(now time.Duration, state *State, service *Service, homes []Home) []Command {
+	if commands := c.moveHotKeys(service); len(commands) > 0 {
+		return commands
+	}
+	if !c.planDue(now, state, service) {
+		return nil
+	}
+	c.plans[service.Name] = now
+	numbers, slots := c.planningSlots(now, service, homes)
+	if len(numbers) == 0 {
+		return nil
+	}
+	plan := c.planner.Plan(slots, c.planningServers(now, state, service.Name))
+	assign := SlotGrants{Service: service.Name}
+	for _, assignment := range plan.Assign {
+		number := numbers[assignment.Slot]
+		assign.Grants = append(assign.Grants, SlotGrant{Slot: number, Session: assignment.Server})
+		c.moves[slotKey{service.Name, number}] = now
+		delete(c.targets, slotKey{service.Name, number})
+	}
+	release := SlotGrants{Service: service.Name}
+	for _, move := range plan.Move {
+		number := numbers[move.Slot]
+		release.Grants = append(release.Grants, SlotGrant{Slot: number, Token: service.Slots[number].Token})
+		c.targets[slotKey{service.Name, number}] = move.To
+	}
+	var commands []Command
+	if len(assign.Grants) > 0 {
+		commands = append(commands, Command{Assign: &assign})
+	}
+	if len(release.Grants) > 0 {
+		commands = append(commands, Command{Release: &release})
+	}
+	return commands
+}
+
+// planningSlots returns the slots whose home the region is, as placement sees
+// them, and their numbers. Slots that are to stay vacant for a move of home or of
+// a hot key are left out.
+func (c *Coordinator) planningSlots(now time.Duration, service *Service, homes []Home) ([]int, []placement.Slot) {
+	var numbers []int
+	var slots []placement.Slot
+	reserved := c.reservedSlots(service)
+	for number := range service.Slots {
+		slot := &service.Slots[number]
+		if slot.Status == Absent {
+			continue
+		}
+		moving := number < len(homes) && homes[number].To != ""
+		if slot.Status == Vacant && (moving || reserved[number]) {
+			continue
+		}
+		key := slotKey{service.Name, number}
+		planned := placement.Slot{
+			Owner:     slot.Owner,
+			Moving:    slot.Status == Releasing,
+			Target:    c.targets[key],
+			Load:      c.loads.rate(now, key),
+			LastMoved: c.sinceMove(now, key),
+		}
+		numbers = append(numbers, number)
+		slots = append(slots, planned)
+	}
+	return numbers, slots
+}
+
+func (c *Coordinator) sinceMove(now time.Duration, key slotKey) time.Duration {
+	moved, ok := c.moves[key]
+	if !ok {
+		return placement.NeverMoved
+	}
+	return now - moved
+}
+
+func (c *Coordinator) planningServers(now time.Duration, state *State, service string) []placement.Server {
+	var servers []placement.Server
+	for _, id := range state.sessionIDs() {
+		server := state.servers[id]
+		if server.Service != service || server.Suspended || c.withheld[id] || !c.tracker.Live(now, id) {
+			continue
+		}
+		servers = append(servers, placement.Server{
+			ID:       id,
+			Domain:   server.Domain,
+			Capacity: float64(server.Slots),
+			Draining: server.Draining,
+			Age:      now - c.joined[id],
+			RampUp:   c.settings.RampUp,
+		})
+	}
+	return servers
+}
+
+// reservedSlots returns the slots of keys whose isolation is to end.
+func (c *Coordinator) reservedSlots(service *Service) map[int]bool {
+	reserved := map[int]bool{}
+	for key := range c.unisolate[service.Name] {
+		if own, isolated := service.HotKeys[key]; isolated {
+			reserved[own] = true
+			reserved[SlotOf(service.Name, key, service.Base)] = true
+		}
+	}
+	return reserved
+}
+
+// moveHotKeys releases the slots that a key's isolation or return needs vacant,
+// and carries it out once they are.
+func (c *Coordinator) moveHotKeys(service *Service) []Command {
+	release := SlotGrants{Service: service.Name}
+	isolate := HotKeySet{Service: service.Name}
+	unisolate := HotKeySet{Service: service.Name}
+	for _, key := range sortedKeys(c.isolate[service.Name]) {
+		if _, done := service.HotKeys[key]; done {
+			delete(c.isolate[service.Name], key)
+			continue
+		}
+		if service.ready(SlotOf(service.Name, key, service.Base), &release) {
+			isolate.Keys = append(isolate.Keys, key)
+		}
+	}
+	for _, key := range sortedKeys(c.unisolate[service.Name]) {
+		own, isolated := service.HotKeys[key]
+		if !isolated {
+			delete(c.unisolate[service.Name], key)
+			continue
+		}
+		baseReady := service.ready(SlotOf(service.Name, key, service.Base), &release)
+		if service.ready(own, &release) && baseReady {
+			unisolate.Keys = append(unisolate.Keys, key)
+		}
+	}
+	return hotKeyCommands(isolate, unisolate, release)
+}
+
+// ready reports whether a slot is vacant, and adds an owned one to release.
+func (s *Service) ready(number int, release *SlotGrants) bool {
+	slot := s.Slots[number]
+	if slot.Status == Owned {
+		release.Grants = append(release.Grants, SlotGrant{Slot: number, Token: slot.Token})
+	}
+	return slot.Status == Vacant
+}
+
+func hotKeyCommands(isolate, unisolate HotKeySet, release SlotGrants) []Command {
+	var commands []Command
+	if len(isolate.Keys) > 0 {
+		commands = append(commands, Command{Isolate: &isolate})
+	}
+	if len(unisolate.Keys) > 0 {
+		commands = append(commands, Command{Return: &unisolate})
+	}
+	if len(release.Grants) > 0 {
+		commands = append(commands, Command{Release: &release})
+	}
+	return commands
+}
+
+// loadTable keeps each slot's smoothed request rate.
+type loadTable struct {
+	slots map[slotKey]*slotLoad
+}
+
+type slotLoad struct {
+	rate float64 // requests a second
+	at   time.Duration
+}
+
+// loadHalfLife is the time after which half of an old rate is forgotten.
+const loadHalfLife = 10 * time.Second
+
+func newLoadTable() *loadTable { return &loadTable{slots: map[slotKey]*slotLoad{}} }
+
+// observe adds requests to a slot's exponentially decaying rate.
+func (t *loadTable) observe(now time.Duration, key slotKey, requests int) {
+	load := t.slots[key]
+	if load == nil {
+		load = &slotLoad{at: now}
+		t.slots[key] = load
+	}
+	load.rate = load.decayed(now) + float64(requests)*math.Ln2/loadHalfLife.Seconds()
+	load.at = now
+}
+
+func (l *slotLoad) decayed(now time.Duration) float64 {
+	halves := (now - l.at).Seconds() / loadHalfLife.Seconds()
+	return l.rate * math.Exp2(-halves)
+}
+
+// rate returns a slot's request rate, placement.UnknownLoad if none was seen.
+func (t *loadTable) rate(now time.Duration, key slotKey) float64 {
+	load := t.slots[key]
+	if load == nil {
+		return placement.UnknownLoad
+	}
+	return load.decayed(now)
+}
