--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,115 @@
+package placement_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/galenalug/galenalug/internal/workload"
+	"github.com/galenalug/galenalug/placement"
+)
+
+const (
+	benchSeed  = 1
+	benchSlots = 4096
+)
+
+// policies returns the planner and the baselines.
+func policies() []struct {
+	name string
+	make func() workload.Policy
+} {
+	planned := func(goal placement.Goal) func() workload.Policy {
+		return func() workload.Policy { return workload.Planned(placement.DefaultSettings(goal), true) }
+	}
+	return []struct {
+		name string
+		make func() workload.Policy
+	}{
+		{"modulo", workload.Modulo},
+		{"rendezvous", workload.Rendezvous},
+		{"availability", planned(placement.Availability)},
+		{"balance", planned(placement.Balance)},
+	}
+}
+
+func report(b *testing.B, r workload.Result) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(r.MeanImbalance, "imbalance")
+	b.ReportMetric(r.WorstImbalance, "worst-imbalance")
+	b.ReportMetric(r.OverIdeal, "over-ideal")
+	b.ReportMetric(float64(r.Moves), "moves")
+	b.ReportMetric(r.Churn(), "churn")
+	b.ReportMetric(r.Unavailable, "unavailable-slot-s")
+	if r.PlanTime > 0 {
+		b.ReportMetric(float64(r.PlanTime.Microseconds()), "plan-us")
+	}
+}
+
+func benchLife(b *testing.B, events func(workload.Scenario) []workload.Event) {
+	for _, s := range workload.Scenarios() {
+		for _, keys := range []struct {
+			name     string
+			exponent float64
+			limited  bool
+		}{{"zipf1.01", 1.01, false}, {"zipf1.2", 1.2, false}, {"zipf1.01limited", 1.01, true}} {
+			for _, policy := range policies() {
+				b.Run(fmt.Sprintf("%s/%s/%s", s.Name, keys.name, policy.name), func(b *testing.B) {
+					life := s.Life(keys.exponent, keys.limited, benchSlots, events(s), benchSeed)
+					for range b.N {
+						report(b, workload.Run(life, policy.make()))
+					}
+				})
+			}
+		}
+	}
+}
+
+func BenchmarkJoin(b *testing.B)   { benchLife(b, workload.Scenario.JoinEvents) }
+func BenchmarkDrain(b *testing.B)  { benchLife(b, workload.Scenario.DrainEvents) }
+func BenchmarkLoss(b *testing.B)   { benchLife(b, workload.Scenario.LossEvents) }
+func BenchmarkHot(b *testing.B)    { benchLife(b, workload.Scenario.HotEvents) }
+func BenchmarkSteady(b *testing.B) { benchLife(b, workload.Scenario.NoEvents) }
+func BenchmarkMixed(b *testing.B)  { benchLife(b, workload.Scenario.MixedEvents) }
+
+func BenchmarkSlotCount(b *testing.B) {
+	for _, s := range workload.Scenarios() {
+		for _, slots := range []int{256, 1024, 4096, 16384} {
+			for _, policy := range policies()[1:] {
+				b.Run(fmt.Sprintf("%s/%d/%s", s.Name, slots, policy.name), func(b *testing.B) {
+					life := s.Life(1.01, true, slots, s.MixedEvents(), benchSeed)
+					for range b.N {
+						report(b, workload.Run(life, policy.make()))
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkPlan times one call without anything to move, and counts the bytes of
+// the slots and servers that a leader keeps for it.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ slots, servers int }{{4096, 27}, {16384, 110}, {16384, 440}, {65536, 440}} {
+		b.Run(fmt.Sprintf("%dx%d", size.slots, size.servers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			slots := make([]placement.Slot, size.slots)
+			servers := make([]placement.Server, size.servers)
+			for i := range slots {
+				slots[i] = placement.Slot{Owner: uint64(i%size.servers) + 1, Load: 100, LastMoved: placement.NeverMoved}
+			}
+			for i := range servers {
+				servers[i] = placement.Server{ID: uint64(i) + 1, Capacity: 6}
+			}
+			runtime.ReadMemStats(&after)
+			planner := placement.NewPlanner(placement.DefaultSettings(placement.Balance))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				planner.Plan(slots, servers)
+			}
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc), "state-bytes")
+		})
+	}
+}
