Add nonce, deadline, reason, refusal and grant number to the wire schema

An entry host that loses the answer to RunBegin has to send it again, and must learn whether the record is its own or another try's: the nonce tells. The deadline lets the ledger turn a try that never finished into an unknown outcome. The reply says why an outcome is unknown and why a command was refused. A grant of an allowance share has a number, by which a holder acknowledges it. Weighed: the host's name in place of a nonce; it cannot tell two tries of one host apart.

--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -288,6 +288,13 @@
 
 	// Service.
 	Service string `json:"s" yaml:"s" cbor:"s"`
+
+	// Time within which the host sends it or not at all, and waits for its answer,
+	// milliseconds.
+	DeadlineMillis int `json:"t" yaml:"t" cbor:"t"`
+
+	// Nonce of the try, 8 to 16 bytes: a Begin sent again with it is the same Begin.
+	Nonce []byte `json:"x" yaml:"x" cbor:"x"`
 }
 
 // RunFinish records how a request ended.
@@ -316,7 +323,7 @@
 	// Service.
 	Service string `json:"s" yaml:"s" cbor:"s"`
 
-	// State: answered, unknown or not_run.
+	// State: answered, not_kept, unknown or not_run.
 	State string `json:"st" yaml:"st" cbor:"st"`
 }
 
@@ -331,9 +338,15 @@
 	// Answer's content type.
 	ContentType string `json:"ct" yaml:"ct" cbor:"ct"`
 
+	// Why the command was refused without any effect; empty when it was not.
+	Refusal string `json:"f" yaml:"f" cbor:"f"`
+
 	// Attempt number, proof of the right to finish it.
 	Attempt uint64 `json:"n" yaml:"n" cbor:"n"`
 
+	// Why the outcome is unknown: no_answer, deadline or answer_not_kept.
+	Reason string `json:"r" yaml:"r" cbor:"r"`
+
 	// State: new, running, answered, unknown or conflict.
 	State string `json:"st" yaml:"st" cbor:"st"`
 }
@@ -349,6 +362,9 @@
 	// Requests a second held.
 	Held float64 `json:"h" yaml:"h" cbor:"h"`
 
+	// Number of the grant held, or of the grant given.
+	Number uint64 `json:"n" yaml:"n" cbor:"n"`
+
 	// Service.
 	Service string `json:"s" yaml:"s" cbor:"s"`
 
