--- /dev/null
+++ b/allowance/history.go
@@ -0,0 +1,113 @@
+package allowance
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+)
+
+// historyLength is the number of changes of one list that are remembered, to
+// tell a change sent again from a stale one.
+const historyLength = 256
+
+// change is one accepted list.
+type change struct {
+	Version  uint64
+	Operator string
+	Sum      [sha256.Size]byte
+}
+
+// history is the latest changes of one list, the newest last.
+type history struct{ changes []change }
+
+func (h *history) add(c change) {
+	if len(h.changes) == historyLength {
+		h.changes = append(h.changes[:0], h.changes[1:]...)
+	}
+	h.changes = append(h.changes, c)
+}
+
+func (h *history) find(version uint64) (change, bool) {
+	for _, c := range h.changes {
+		if c.Version == version {
+			return c, true
+		}
+	}
+	return change{}, false
+}
+
+// decide answers a proposal whose version is not higher than the current one.
+func (h *history) decide(current, version uint64, sum [sha256.Size]byte) (Result, bool) {
+	if version > current || version == 0 {
+		return Result{}, false
+	}
+	earlier, known := h.find(version)
+	switch {
+	case known && bytes.Equal(earlier.Sum[:], sum[:]) && version == current:
+		return Result{Outcome: OutcomeRepeated, Version: current}, true
+	case known && bytes.Equal(earlier.Sum[:], sum[:]):
+		return Result{Outcome: OutcomeSuperseded, Version: current}, true
+	case known:
+		winner := &Winner{Version: version, Operator: earlier.Operator}
+		return Result{Outcome: OutcomeConflict, Version: current, Winner: winner}, true
+	}
+	return Result{Outcome: OutcomeStale, Version: current}, true
+}
+
+// maxDifferences bounds the entries shown to the loser of a race.
+const maxDifferences = 10
+
+func comparePlans(winner, loser PlanList) []Difference {
+	describe := func(list PlanList) map[string]string {
+		entries := make(map[string]string, len(list.Plans))
+		for _, entry := range list.Plans {
+			entries[entry.Customer] = entry.Plan
+		}
+		return entries
+	}
+	names := make([]string, 0, len(winner.Plans)+len(loser.Plans))
+	for _, entry := range append(append([]CustomerPlan{}, winner.Plans...), loser.Plans...) {
+		names = append(names, entry.Customer)
+	}
+	return compare(names, describe(winner), describe(loser))
+}
+
+func compareAllowances(winner, loser AllowanceList) []Difference {
+	describe := func(list AllowanceList) map[string]string {
+		entries := make(map[string]string, len(list.Allowances))
+		for _, entry := range list.Allowances {
+			entries[entry.Plan] = describeLimits(entry.Limits)
+		}
+		return entries
+	}
+	names := make([]string, 0, len(winner.Allowances)+len(loser.Allowances))
+	for _, entry := range append(append([]PlanAllowance{}, winner.Allowances...), loser.Allowances...) {
+		names = append(names, entry.Plan)
+	}
+	return compare(names, describe(winner), describe(loser))
+}
+
+func describeLimits(limits []Limit) string {
+	parts := make([]string, 0, len(limits))
+	for _, limit := range limits {
+		parts = append(parts, fmt.Sprintf("%s %g/s burst %g", limit.Service, limit.RequestsPerSecond, limit.Burst))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// compare returns the first differences in the order of the names.
+func compare(names []string, winner, loser map[string]string) []Difference {
+	var differences []Difference
+	seen := make(map[string]bool)
+	for _, name := range names {
+		if seen[name] || len(differences) == maxDifferences {
+			continue
+		}
+		seen[name] = true
+		if winner[name] != loser[name] {
+			differences = append(differences, Difference{Entry: name, Winner: winner[name], Loser: loser[name]})
+		}
+	}
+	return differences
+}
--- /dev/null
+++ b/allowance/parse.go
@@ -0,0 +1,58 @@
+package allowance
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
+)
+
+// MaxListBytes is the size of the longest list in YAML.
+const MaxListBytes = 64 << 20
+
+// ErrSyntax means that bytes are not one YAML document of the list's form.
+var ErrSyntax = errors.New("not a list")
+
+// ParsePlans parses and checks the list of customers' plans. It fails with
+// ErrSyntax, which names the line, or with Problems.
+func ParsePlans(data []byte) (PlanList, error) {
+	var list PlanList
+	if err := parse(ListPlans, data, &list); err != nil {
+		return PlanList{}, err
+	}
+	if problems := list.Check(); problems != nil {
+		return PlanList{}, problems
+	}
+	return list, nil
+}
+
+// ParseAllowances parses and checks the list of plans' allowances. It fails with
+// ErrSyntax, which names the line, or with Problems.
+func ParseAllowances(data []byte) (AllowanceList, error) {
+	var list AllowanceList
+	if err := parse(ListAllowances, data, &list); err != nil {
+		return AllowanceList{}, err
+	}
+	if problems := list.Check(); problems != nil {
+		return AllowanceList{}, problems
+	}
+	return list, nil
+}
+
+// parse refuses unknown and repeated fields and more than one document.
+func parse(name string, data []byte, list any) error {
+	if len(data) > MaxListBytes {
+		return errors.Wrapf(ErrSyntax, "%s: longer than %d bytes", name, MaxListBytes)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(list); err != nil {
+		return errors.Wrapf(ErrSyntax, "%s: %s", name, err)
+	}
+	var rest yaml.Node
+	if err := decoder.Decode(&rest); !errors.Is(err, io.EOF) {
+		return errors.Wrapf(ErrSyntax, "%s: more than one document", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,273 @@
+package ledger
+
+import (
+	"math"
+	"unique"
+)
+
+// Limits bounds the ledger's memory. They are part of the replicated state, so
+// that members with different settings stay alike.
+type Limits struct {
+	WindowMillis   uint64 `cbor:"w"` // time a record is kept after its last change
+	SlackMillis    uint64 `cbor:"s"` // time after a try's deadline until its outcome counts as unknown
+	AccountRecords int    `cbor:"a"` // records of one customer for one service
+	TotalRecords   int    `cbor:"t"` // records in all
+	TotalBodyBytes int    `cbor:"b"` // bytes of kept answers in all
+}
+
+// DefaultLimits returns the limits of a new ledger.
+func DefaultLimits() Limits {
+	return Limits{
+		WindowMillis:   600_000,
+		SlackMillis:    1000,
+		AccountRecords: 100_000,
+		TotalRecords:   1_000_000,
+		TotalBodyBytes: 256 << 20,
+	}
+}
+
+// maxWindowMillis is the longest window and slack, a week.
+const maxWindowMillis = 7 * 24 * 3600 * 1000
+
+func (l Limits) valid() bool {
+	return l.WindowMillis > 0 && l.WindowMillis <= maxWindowMillis && l.SlackMillis <= maxWindowMillis &&
+		l.AccountRecords > 0 && l.TotalRecords > 0 && l.TotalBodyBytes >= 0
+}
+
+type slotID struct {
+	service string
+	slot    int
+}
+
+// slotState is kept for a slot that was ever sealed or adopted.
+type slotState struct {
+	move   uint64 // number of the slot's last move
+	sealed bool
+}
+
+// Ledger is the state machine. Use New or Restore.
+type Ledger struct {
+	limits      Limits
+	now         uint64 // logical time, milliseconds
+	lastAttempt uint64
+	bodyBytes   int
+	accounts    map[accountID]*account
+	records     map[runID]*record
+	expiry      buckets
+	slots       map[slotID]slotState
+}
+
+// New returns an empty ledger with DefaultLimits.
+func New() *Ledger {
+	return &Ledger{
+		limits:   DefaultLimits(),
+		accounts: make(map[accountID]*account),
+		records:  make(map[runID]*record),
+		expiry:   buckets{heads: make(map[uint64]*record)},
+		slots:    make(map[slotID]slotState),
+	}
+}
+
+// Now returns the logical time in milliseconds.
+func (l *Ledger) Now() uint64 { return l.now }
+
+// Len returns the number of records.
+func (l *Ledger) Len() int { return len(l.records) }
+
+// BodyBytes returns the bytes of kept answers.
+func (l *Ledger) BodyBytes() int { return l.bodyBytes }
+
+// Limits returns the limits in force.
+func (l *Ledger) Limits() Limits { return l.limits }
+
+// Apply applies the command at a log index, which must be larger than that of
+// every command before it.
+func (l *Ledger) Apply(index uint64, c Command) Reply {
+	switch {
+	case c.Begin != nil:
+		return l.begin(index, c.Begin)
+	case c.Finish != nil:
+		return l.finish(c.Finish)
+	case c.Seal != nil:
+		return l.seal(c.Seal)
+	case c.Adopt != nil:
+		return l.adopt(c.Adopt.Part)
+	case c.Drop != nil:
+		return l.drop(c.Drop)
+	case c.Tick != nil:
+		l.advance(c.Tick.At)
+		return Reply{}
+	case c.Configure != nil:
+		return l.configure(*c.Configure)
+	}
+	return Reply{Refusal: RefusedInvalid}
+}
+
+// Lookup returns the state of a run without changing it, also in a sealed slot.
+func (l *Ledger) Lookup(service, customer, key string) (Reply, bool) {
+	r := l.find(service, customer, key)
+	if r == nil {
+		return Reply{}, false
+	}
+	return r.reply(l.now), true
+}
+
+func (l *Ledger) find(service, customer, key string) *record {
+	a := l.accounts[accountID{service, customer}]
+	if a == nil {
+		return nil
+	}
+	return l.records[runID{a, key}]
+}
+
+func (l *Ledger) configure(limits Limits) Reply {
+	if !limits.valid() {
+		return Reply{Refusal: RefusedInvalid}
+	}
+	l.limits = limits
+	return Reply{}
+}
+
+// maxTime keeps sums of times from overflowing.
+const maxTime = math.MaxUint64 / 4
+
+// advance moves the logical time forward and removes expired records.
+func (l *Ledger) advance(at uint64) {
+	if at <= l.now || at > maxTime {
+		return
+	}
+	l.now = at
+	for _, head := range l.expiry.expired(at) {
+		for r := head; r != nil; r = r.next {
+			l.forget(r)
+		}
+	}
+}
+
+func (l *Ledger) begin(index uint64, b *Begin) Reply {
+	l.advance(b.At)
+	if !b.valid() {
+		return Reply{Refusal: RefusedInvalid}
+	}
+	if l.slots[slotID{b.Service, b.Slot}].sealed {
+		return Reply{Refusal: RefusedSealed}
+	}
+	if r := l.find(b.Service, b.Customer, b.Key); r != nil {
+		return l.resend(r, b)
+	}
+	a := l.accounts[accountID{b.Service, b.Customer}]
+	if len(l.records) >= l.limits.TotalRecords || (a != nil && a.records >= l.limits.AccountRecords) {
+		return Reply{Refusal: RefusedFull}
+	}
+	l.lastAttempt = max(index, l.lastAttempt+1)
+	r := &record{
+		runID:       runID{key: b.Key},
+		digest:      digest(b.Digest[:MinDigestBytes]),
+		attempt:     l.lastAttempt,
+		deadline:    l.now + uint64(b.DeadlineMillis) + l.limits.SlackMillis,
+		host:        unique.Make(b.Host),
+		contentType: unique.Make(""),
+		slot:        int32(b.Slot),
+		phase:       phaseRunning,
+	}
+	copy(r.nonce[:], b.Nonce)
+	r.expires = r.deadline + l.limits.WindowMillis
+	l.insert(r, accountID{b.Service, b.Customer})
+	return Reply{State: StateNew, Attempt: r.attempt}
+}
+
+// resend answers a Begin whose run is recorded.
+func (l *Ledger) resend(r *record, b *Begin) Reply {
+	if r.digest != digest(b.Digest[:MinDigestBytes]) {
+		return Reply{State: StateConflict}
+	}
+	reply := r.reply(l.now)
+	var n nonce
+	copy(n[:], b.Nonce)
+	if reply.State == StateRunning && r.nonce == n {
+		reply.State = StateNew
+	}
+	if reply.State != StateNew {
+		reply.Attempt = 0
+	}
+	return reply
+}
+
+func (l *Ledger) finish(f *Finish) Reply {
+	l.advance(f.At)
+	if !f.valid() {
+		return Reply{Refusal: RefusedInvalid}
+	}
+	r := l.find(f.Service, f.Customer, f.Key)
+	if r == nil || r.attempt != f.Attempt {
+		return Reply{Refusal: RefusedStale}
+	}
+	if l.slots[slotID{f.Service, int(r.slot)}].sealed {
+		return Reply{Refusal: RefusedSealed}
+	}
+	if f.State == StateNotRun {
+		return l.finishNotRun(r)
+	}
+	l.replace(r, f)
+	return r.reply(l.now)
+}
+
+func (l *Ledger) finishNotRun(r *record) Reply {
+	if r.phase != phaseRunning || l.now >= r.deadline {
+		return Reply{Refusal: RefusedLate}
+	}
+	l.expiry.remove(r)
+	l.forget(r)
+	return Reply{State: StateNotRun, Attempt: r.attempt}
+}
+
+// replace takes the outcome into the record if it says more than the record.
+func (l *Ledger) replace(r *record, f *Finish) {
+	reached := f.phase()
+	if reached == phaseAnswered && !l.keepable(f) {
+		reached = phaseNotKept
+	}
+	if reached <= r.phase || (reached == phaseAnswered && r.phase == phaseNotKept) {
+		return
+	}
+	r.phase = reached
+	if reached != phaseUnknown {
+		r.status = uint16(f.Status)
+	}
+	if reached == phaseAnswered {
+		r.contentType, r.body = unique.Make(f.ContentType), string(f.Body)
+		l.bodyBytes += len(r.body)
+	}
+	l.expiry.remove(r)
+	r.expires = l.now + l.limits.WindowMillis
+	l.expiry.insert(r)
+}
+
+func (l *Ledger) keepable(f *Finish) bool {
+	return len(f.Body) <= MaxBodyBytes && len(f.ContentType) <= MaxContentType &&
+		l.bodyBytes+len(f.Body) <= l.limits.TotalBodyBytes
+}
+
+// insert adds a record to every index.
+func (l *Ledger) insert(r *record, id accountID) {
+	a := l.accounts[id]
+	if a == nil {
+		a = &account{accountID: id}
+		l.accounts[id] = a
+	}
+	a.records++
+	r.account = a
+	l.records[r.runID] = r
+	l.bodyBytes += len(r.body)
+	l.expiry.insert(r)
+}
+
+// forget removes a record from every index but the expiry buckets.
+func (l *Ledger) forget(r *record) {
+	delete(l.records, r.runID)
+	l.bodyBytes -= len(r.body)
+	r.account.records--
+	if r.account.records == 0 {
+		delete(l.accounts, r.account.accountID)
+	}
+}
--- /dev/null
+++ b/ledger/snapshot.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/envelope"
+)
+
+// Errors of Restore.
+var (
+	// ErrSnapshotCorrupt means that the snapshot is damaged or contradicts itself.
+	ErrSnapshotCorrupt = errors.New("ledger snapshot is corrupt")
+	// ErrSnapshotVersion means that the snapshot is of an unsupported format or
+	// version.
+	ErrSnapshotVersion = errors.New("ledger snapshot version is not supported")
+)
+
+const (
+	snapshotFormat  = "galenalug/ledger"
+	snapshotVersion = 1
+)
+
+type storedSlot struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Slot    int
+	Move    uint64
+	Sealed  bool
+}
+
+type snapshot struct {
+	Limits      Limits         `cbor:"l"`
+	Now         uint64         `cbor:"n"`
+	LastAttempt uint64         `cbor:"a"`
+	Slots       []storedSlot   `cbor:"s"` // sorted
+	Records     []storedRecord `cbor:"r"` // sorted
+}
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	records := make([]*record, 0, len(l.records))
+	for _, r := range l.records {
+		records = append(records, r)
+	}
+	sortRecords(records)
+	s := snapshot{Limits: l.limits, Now: l.now, LastAttempt: l.lastAttempt, Slots: l.storedSlots()}
+	s.Records = make([]storedRecord, 0, len(records))
+	for _, r := range records {
+		s.Records = append(s.Records, r.stored(l.now))
+	}
+	data, err := envelope.Encode(snapshotFormat, snapshotVersion, s)
+	return data, errors.Wrap(err, "encode ledger snapshot")
+}
+
+func (l *Ledger) storedSlots() []storedSlot {
+	slots := make([]storedSlot, 0, len(l.slots))
+	for id, s := range l.slots {
+		slots = append(slots, storedSlot{Service: id.service, Slot: id.slot, Move: s.move, Sealed: s.sealed})
+	}
+	sort.Slice(slots, func(i, j int) bool {
+		if slots[i].Service != slots[j].Service {
+			return slots[i].Service < slots[j].Service
+		}
+		return slots[i].Slot < slots[j].Slot
+	})
+	return slots
+}
+
+// Restore returns the ledger of a snapshot. It fails with ErrSnapshotCorrupt or
+// ErrSnapshotVersion.
+func Restore(data []byte) (*Ledger, error) {
+	var s snapshot
+	err := envelope.Decode(data, snapshotFormat, snapshotVersion, &s)
+	switch {
+	case errors.Is(err, envelope.ErrVersion), errors.Is(err, envelope.ErrFormat):
+		return nil, errors.Wrap(ErrSnapshotVersion, err.Error())
+	case err != nil:
+		return nil, errors.Wrap(ErrSnapshotCorrupt, err.Error())
+	}
+	if !s.Limits.valid() || s.Now > maxTime || s.LastAttempt > maxTime {
+		return nil, errors.Wrap(ErrSnapshotCorrupt, "limits or counters out of range")
+	}
+	l := New()
+	l.limits, l.now, l.lastAttempt = s.Limits, s.Now, s.LastAttempt
+	l.expiry.emptied = s.Now / bucketMillis
+	if err := l.restoreSlots(s.Slots); err != nil {
+		return nil, err
+	}
+	if err := l.restoreRecords(s.Records); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Ledger) restoreSlots(slots []storedSlot) error {
+	for _, s := range slots {
+		id := slotID{s.Service, s.Slot}
+		if _, exists := l.slots[id]; exists || !validName(s.Service) || !validSlot(s.Slot) || s.Move == 0 {
+			return errors.Wrapf(ErrSnapshotCorrupt, "slot %d of %q", s.Slot, s.Service)
+		}
+		l.slots[id] = slotState{move: s.Move, sealed: s.Sealed}
+	}
+	return nil
+}
+
+func (l *Ledger) restoreRecords(records []storedRecord) error {
+	for i := range records {
+		s := &records[i]
+		if !s.valid(l.now, l.lastAttempt) || l.find(s.Service, s.Customer, s.Key) != nil {
+			return errors.Wrapf(ErrSnapshotCorrupt, "record %d", i)
+		}
+		l.insert(s.record(l.now), accountID{s.Service, s.Customer})
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/stored.go
@@ -0,0 +1,104 @@
+package ledger
+
+import "unique"
+
+// storedRecord is a record in a snapshot or a part. Times are counted from the
+// logical time of the snapshot or part.
+type storedRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Service     string
+	Customer    string
+	Key         string
+	Slot        int
+	Digest      []byte
+	Nonce       []byte
+	Host        string
+	Attempt     uint64
+	Phase       uint8
+	Deadline    int64 // milliseconds from the time of writing; negative when passed
+	Expires     int64 // milliseconds from the time of writing
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+func (r *record) stored(now uint64) storedRecord {
+	return storedRecord{
+		Service:     r.account.service,
+		Customer:    r.account.customer,
+		Key:         r.key,
+		Slot:        int(r.slot),
+		Digest:      r.digest[:],
+		Nonce:       r.nonce[:],
+		Host:        r.host.Value(),
+		Attempt:     r.attempt,
+		Phase:       uint8(r.phase),
+		Deadline:    int64(r.deadline) - int64(now),
+		Expires:     int64(r.expires) - int64(now),
+		Status:      int(r.status),
+		ContentType: r.contentType.Value(),
+		Body:        []byte(r.body),
+	}
+}
+
+// valid reports whether the stored record can be one of a ledger at logical time
+// now whose last attempt is given.
+func (s *storedRecord) valid(now, lastAttempt uint64) bool {
+	if !validRun(s.Service, s.Customer, s.Key) || !validSlot(s.Slot) || !validName(s.Host) {
+		return false
+	}
+	if len(s.Digest) != MinDigestBytes || len(s.Nonce) != MaxNonceBytes || s.Attempt > lastAttempt {
+		return false
+	}
+	if len(s.Body) > MaxBodyBytes || len(s.ContentType) > MaxContentType || s.Status < 0 || s.Status > maxStatus {
+		return false
+	}
+	return s.validPhase() && s.validTimes(now)
+}
+
+func (s *storedRecord) validPhase() bool {
+	switch phase(s.Phase) {
+	case phaseRunning, phaseUnknown:
+		return s.Status == 0 && s.ContentType == "" && len(s.Body) == 0
+	case phaseNotKept:
+		return s.Status >= minStatus && s.ContentType == "" && len(s.Body) == 0
+	case phaseAnswered:
+		return s.Status >= minStatus
+	}
+	return false
+}
+
+func (s *storedRecord) validTimes(now uint64) bool {
+	const most = MaxDeadlineMillis + 3*maxWindowMillis
+	if s.Deadline > most || s.Expires > most || s.Deadline < -int64(now) {
+		return false
+	}
+	expires := int64(now) + s.Expires
+	return expires >= 0 && uint64(expires)/bucketMillis >= now/bucketMillis
+}
+
+// record makes the record at logical time now. Its account is set by insert.
+func (s *storedRecord) record(now uint64) *record {
+	return &record{
+		runID:       runID{key: s.Key},
+		digest:      digest(s.Digest),
+		nonce:       nonce(s.Nonce),
+		attempt:     s.Attempt,
+		deadline:    uint64(int64(now) + s.Deadline),
+		expires:     uint64(int64(now) + s.Expires),
+		host:        unique.Make(s.Host),
+		contentType: unique.Make(s.ContentType),
+		body:        string(s.Body),
+		slot:        int32(s.Slot),
+		status:      uint16(s.Status),
+		phase:       phase(s.Phase),
+	}
+}
+
+// clampTimes keeps times that had passed at the source from falling before the
+// logical time of the ledger that takes the record over.
+func (s *storedRecord) clampTimes(now uint64) *storedRecord {
+	s.Deadline = max(s.Deadline, -int64(now))
+	s.Expires = max(s.Expires, 0)
+	return s
+}
