--- /dev/null
+++ b/internal/control/globalstate.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/catalog"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+// globalEntry is one entry of the global log. One field is set.
+type globalEntry struct {
+	Catalog *catalog.Command `cbor:"1,keyasint,omitempty"`
+	Lists   []byte           `cbor:"2,keyasint,omitempty"` // allowance.Command
+}
+
+// globalSnapshot is the durable form of the global state.
+type globalSnapshot struct {
+	Catalog []byte `cbor:"1,keyasint"`
+	Lists   []byte `cbor:"2,keyasint"`
+}
+
+// globalState is the replicated state that all regions share: services and homes,
+// plans and allowances.
+//
+// Lock order: globalLeader.mu, globalState.mu, feed.mu.
+type globalState struct {
+	feed *feed
+
+	mu      sync.RWMutex
+	catalog *catalog.State
+	lists   *allowance.Lists
+
+	// cached is the catalog in the form that coordinators read, at cachedVersion.
+	cached        homes
+	cachedVersion uint64
+}
+
+func newGlobalState(group string) *globalState {
+	return &globalState{feed: newFeed(group), catalog: catalog.NewState(), lists: allowance.NewLists()}
+}
+
+// Apply executes one log entry. The result of a change of a list is its
+// allowance.Result.
+func (s *globalState) Apply(index uint64, data []byte) any {
+	var entry globalEntry
+	if err := cbor.Unmarshal(data, &entry); err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if entry.Catalog != nil {
+		s.applyCatalog(index, *entry.Catalog)
+		return nil
+	}
+	command, err := allowance.DecodeCommand(entry.Lists)
+	if err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	return s.lists.Apply(command)
+}
+
+func (s *globalState) applyCatalog(index uint64, command catalog.Command) {
+	changed := s.catalog.Apply(index, command)
+	if len(changed) == 0 {
+		return
+	}
+	body, err := s.catalog.Encode(changed...)
+	if err != nil {
+		return
+	}
+	s.feed.publish(s.catalog.Version(), body)
+}
+
+// Snapshot returns the state's durable form.
+func (s *globalState) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	services, err := s.catalog.Encode()
+	if err != nil {
+		return nil, err
+	}
+	lists, err := s.lists.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(globalSnapshot{Catalog: services, Lists: lists})
+}
+
+// Restore replaces the state by a snapshot.
+func (s *globalState) Restore(_ uint64, data []byte) error {
+	var decoded globalSnapshot
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	services := catalog.NewState()
+	if err := services.Update(decoded.Catalog); err != nil {
+		return err
+	}
+	lists, err := allowance.RestoreLists(decoded.Lists)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catalog = services
+	s.lists = lists
+	s.feed.reset(services.Version(), s.whole())
+	return nil
+}
+
+// whole returns the encoded table. The caller holds mu.
+func (s *globalState) whole() []byte {
+	body, err := s.catalog.Encode()
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// watch adds a watcher of the global table.
+func (s *globalState) watch(w watcher, held uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	s.feed.watch(w, held, s.whole)
+}
+
+// homes is the catalog as a region's coordinator reads it.
+type homes map[string][]ownership.Home
+
+// homes returns the homes of all services divided by key. The caller must not
+// change them.
+func (s *globalState) homes() homes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cached != nil && s.cachedVersion == s.catalog.Version() {
+		return s.cached
+	}
+	all := homes{}
+	for _, name := range s.catalog.Names() {
+		service := s.catalog.Service(name)
+		if !service.Keyed {
+			continue
+		}
+		list := make([]ownership.Home, len(service.Homes))
+		for i, home := range service.Homes {
+			list[i] = ownership.Home{Region: home.Region, To: home.To, Generation: home.Generation}
+		}
+		all[name] = list
+	}
+	s.cached = all
+	s.cachedVersion = s.catalog.Version()
+	return all
+}
+
+// Names returns the names of services divided by key.
+func (h homes) Names() []string {
+	names := make([]string, 0, len(h))
+	for name := range h {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Of returns the homes of a service's slots.
+func (h homes) Of(service string) []ownership.Home { return h[service] }
--- /dev/null
+++ b/internal/control/regionstate.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/ledger"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+// errInvalidEntry means that a log entry could not be decoded.
+var errInvalidEntry = errors.New("invalid log entry")
+
+// regionEntry is one entry of a region's log.
+type regionEntry struct {
+	Ownership []ownership.Command `cbor:"1,keyasint,omitempty"`
+	Ledger    []byte              `cbor:"2,keyasint,omitempty"` // ledger.Command
+	Slot      int                 `cbor:"3,keyasint,omitempty"` // of a ledger Begin
+}
+
+// regionSnapshot is the durable form of a region's state.
+type regionSnapshot struct {
+	Ownership []byte `cbor:"1,keyasint"`
+	Ledger    []byte `cbor:"2,keyasint"`
+}
+
+// regionState is the replicated state of one region's group: the owners of slots
+// and the run ledger.
+//
+// Lock order: regionLeader.mu, regionState.mu, feed.mu.
+type regionState struct {
+	feed *feed
+
+	mu    sync.RWMutex
+	owner *ownership.State
+	runs  *ledger.Ledger
+}
+
+func newRegionState(group string) *regionState {
+	return &regionState{feed: newFeed(group), owner: ownership.NewState(), runs: ledger.New()}
+}
+
+// Apply executes one log entry. The result of a ledger command is its
+// ledger.Reply.
+func (s *regionState) Apply(index uint64, data []byte) any {
+	var entry regionEntry
+	if err := cbor.Unmarshal(data, &entry); err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyOwnership(index, entry.Ownership)
+	if len(entry.Ledger) == 0 {
+		return nil
+	}
+	command, err := ledger.DecodeCommand(entry.Ledger)
+	if err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	if command.Begin != nil && !s.isHome(command.Begin.Service, entry.Slot) {
+		return ledger.Reply{Refusal: ledger.RefusedSealed}
+	}
+	return s.runs.Apply(index, command)
+}
+
+func (s *regionState) applyOwnership(index uint64, commands []ownership.Command) {
+	var changes []ownership.Change
+	for _, command := range commands {
+		changes = append(changes, s.owner.Apply(index, command)...)
+		if command.Retire != nil {
+			s.sealRetired(index, *command.Retire)
+		}
+	}
+	if len(changes) == 0 {
+		return
+	}
+	body, err := ownership.EncodeChanges(changes)
+	if err != nil {
+		return
+	}
+	s.feed.publish(s.owner.Version(), body)
+}
+
+// sealRetired stops new run records in slots that the region has given up.
+func (s *regionState) sealRetired(index uint64, retired ownership.HomeSlots) {
+	service := s.owner.Service(retired.Service)
+	if service == nil {
+		return
+	}
+	for i, number := range retired.Moved {
+		if service.Slots[number].Status != ownership.Absent {
+			continue
+		}
+		seal := ledger.Seal{Service: retired.Service, Slot: number, Move: retired.Generations[i]}
+		s.runs.Apply(index, ledger.Command{Seal: &seal})
+	}
+}
+
+// isHome reports whether the region is the home of a slot.
+func (s *regionState) isHome(name string, slot int) bool {
+	service := s.owner.Service(name)
+	if service == nil || slot < 0 || slot >= len(service.Slots) {
+		return false
+	}
+	return service.Slots[slot].Status != ownership.Absent
+}
+
+// Snapshot returns the state's durable form.
+func (s *regionState) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	owner, err := s.owner.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	runs, err := s.runs.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs})
+}
+
+// Restore replaces the state by a snapshot.
+func (s *regionState) Restore(_ uint64, data []byte) error {
+	var decoded regionSnapshot
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return errors.Wrap(errInvalidEntry, err.Error())
+	}
+	owner, err := ownership.RestoreState(decoded.Ownership)
+	if err != nil {
+		return err
+	}
+	runs, err := ledger.Restore(decoded.Ledger)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner = owner
+	s.runs = runs
+	s.feed.reset(owner.Version(), s.whole())
+	return nil
+}
+
+// whole returns the encoded table. The caller holds mu.
+func (s *regionState) whole() []byte {
+	body, err := ownership.EncodeChanges(s.owner.Changes())
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// watch adds a watcher of the region's table.
+func (s *regionState) watch(w watcher, held uint64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	s.feed.watch(w, held, s.whole)
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -224,6 +224,21 @@
 	RetryAfterMillis int `json:"retry_after_ms" yaml:"retry_after_ms" cbor:"retry_after_ms"`
 }
 
+// RegionReport tells the global leader what a region has and needs.
+type RegionReport struct {
+	// Capacity by service.
+	Capacities []ServiceCapacity `json:"c" yaml:"c" cbor:"c"`
+
+	// Group of the region.
+	Group string `json:"g" yaml:"g" cbor:"g"`
+
+	// Allowance parts held and wanted.
+	Shares []Share `json:"sh" yaml:"sh" cbor:"sh"`
+
+	// Term of the region's leader.
+	Term uint64 `json:"t" yaml:"t" cbor:"t"`
+}
+
 // Renewal renews an entry host's session and reports what it saw.
 type Renewal struct {
 	// Failure domain.
@@ -269,6 +284,15 @@
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
 
+// ReportReply answers a RegionReport.
+type ReportReply struct {
+	// Lease of the granted parts, milliseconds, from the moment the report was sent.
+	LeaseMillis int `json:"l" yaml:"l" cbor:"l"`
+
+	// Allowance parts granted.
+	Shares []Share `json:"sh" yaml:"sh" cbor:"sh"`
+}
+
 // RunBegin records a request that may not be repeated before it is sent.
 type RunBegin struct {
 	// Customer.
@@ -351,6 +375,18 @@
 	State string `json:"st" yaml:"st" cbor:"st"`
 }
 
+// ServiceCapacity is what a region has of one service.
+type ServiceCapacity struct {
+	// Sum of the servers' slots, less draining servers.
+	Capacity float64 `json:"c" yaml:"c" cbor:"c"`
+
+	// Whether the service is divided by key.
+	Keyed bool `json:"k" yaml:"k" cbor:"k"`
+
+	// Service.
+	Service string `json:"s" yaml:"s" cbor:"s"`
+}
+
 // Share is a part of a customer's allowance for one service.
 type Share struct {
 	// Customer.
