Add authenticated peer connections over WebSocket and CBOR

Cause: entry and control hosts need one bounded, authenticated transport.

Change: internal/peer with a hertz server and a gorilla client. Deadlines follow progress by chunk, so a large message on a slow link isn't silence. A call that ends before its first byte says so. hertz's Close is without effect on a hijacked connection, so a deadline in the past ends it.

--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,359 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+const (
+	chunkBytes  = 64 << 10        // written or read between two checks of progress
+	controlWait = 1 * time.Second // longest wait to send a heartbeat
+)
+
+// socket is what the client's and the server's WebSocket libraries share.
+type socket interface {
+	NextReader() (messageType int, r io.Reader, err error)
+	NextWriter(messageType int) (io.WriteCloser, error)
+	ReadMessage() (messageType int, message []byte, err error)
+	WriteMessage(messageType int, message []byte) error
+	WriteControl(messageType int, data []byte, deadline time.Time) error
+	SetReadDeadline(t time.Time) error
+	SetWriteDeadline(t time.Time) error
+	SetReadLimit(limit int64)
+	SetPingHandler(h func(data string) error)
+	SetPongHandler(h func(data string) error)
+	NetConn() net.Conn
+	Close() error
+}
+
+// States of an outgoing message.
+const (
+	statePending   int32 = iota // in the queue
+	stateWriting                // its first byte may have been written
+	stateWithdrawn              // its call ended before the first byte
+)
+
+type outgoing struct {
+	kind    int
+	message []byte
+	state   atomic.Int32
+}
+
+// withdraw reports whether the message will never be written.
+func (o *outgoing) withdraw() bool {
+	return o.state.CompareAndSwap(statePending, stateWithdrawn)
+}
+
+// Conn is one authenticated connection.
+type Conn struct {
+	socket   socket
+	identity Identity // of the peer
+	limits   Limits
+	metrics  *Metrics
+	counts   *counts
+	masks    bool // whether this side masks what it sends (the client does)
+	onCall   func(conn *Conn, frame wire.Frame)
+	onNotify func(conn *Conn, frame wire.Frame)
+
+	queue       chan *outgoing
+	queuedBytes atomic.Int64
+	ctx         context.Context
+	cancel      context.CancelFunc
+	closeOnce   sync.Once
+
+	callsMu sync.Mutex
+	calls   map[uint64]chan wire.Frame
+	lastID  uint64
+}
+
+func newConn(s socket, identity Identity, limits Limits, metrics *Metrics, masks bool) *Conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Conn{
+		socket:   s,
+		identity: identity,
+		limits:   limits,
+		metrics:  metrics,
+		counts:   newCounts(metrics),
+		masks:    masks,
+		queue:    make(chan *outgoing, limits.QueueFrames),
+		ctx:      ctx,
+		cancel:   cancel,
+		calls:    map[uint64]chan wire.Frame{},
+	}
+}
+
+// Identity returns the name and role that the peer proved.
+func (c *Conn) Identity() Identity { return c.identity }
+
+// Counts returns the connection's traffic by direction and kind.
+func (c *Conn) Counts() []Count { return c.counts.list() }
+
+// Notify queues a one-way message and never waits. When the queue is full the
+// peer does not keep up: the connection is closed, since a later message would
+// leave a gap, and ErrQueueFull is returned.
+func (c *Conn) Notify(kind int, body []byte) error {
+	_, err := c.enqueue(wire.Frame{Kind: kind, Body: body})
+	if errors.Is(err, ErrQueueFull) {
+		c.Close()
+	}
+	return err
+}
+
+// Close closes the connection.
+func (c *Conn) Close() {
+	c.closeOnce.Do(func() {
+		c.cancel()
+		// The server's library ignores Close on a connection that it took over
+		// from HTTP, so a deadline in the past ends pending reads and writes.
+		_ = c.socket.NetConn().SetDeadline(time.Unix(1, 0))
+		_ = c.socket.Close()
+	})
+}
+
+func (c *Conn) enqueue(frame wire.Frame) (*outgoing, error) {
+	message, err := EncodeFrame(frame)
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(message)) > c.limits.MessageBytes {
+		return nil, errors.Wrapf(ErrInvalidFrame, "message of %d bytes exceeds the limit of %d", len(message), c.limits.MessageBytes)
+	}
+	if c.ctx.Err() != nil {
+		return nil, ErrNotConnected
+	}
+	size := int64(len(message))
+	if c.queuedBytes.Add(size) > c.limits.QueueBytes {
+		return nil, c.overflow(size)
+	}
+	out := &outgoing{kind: frame.Kind, message: message}
+	select {
+	case c.queue <- out:
+		return out, nil
+	default:
+		return nil, c.overflow(size)
+	}
+}
+
+func (c *Conn) overflow(size int64) error {
+	c.queuedBytes.Add(-size)
+	c.metrics.overflows.Inc()
+	return ErrQueueFull
+}
+
+// call sends a call and waits for its answer.
+func (c *Conn) call(ctx context.Context, kind int, body []byte) ([]byte, error) {
+	id, answer := c.registerCall()
+	defer c.forgetCall(id)
+	out, err := c.enqueue(wire.Frame{Kind: kind, CallID: id, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case frame := <-answer:
+		return openAnswer(frame)
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	select { // an answer that came at the same moment counts
+	case frame := <-answer:
+		return openAnswer(frame)
+	default:
+	}
+	if out.withdraw() {
+		return nil, ErrNotConnected
+	}
+	return nil, ErrUnknownOutcome
+}
+
+func openAnswer(frame wire.Frame) ([]byte, error) {
+	if frame.ErrorCode != "" {
+		return nil, &Error{Code: frame.ErrorCode, Detail: frame.ErrorDetail}
+	}
+	return frame.Body, nil
+}
+
+func (c *Conn) registerCall() (uint64, chan wire.Frame) {
+	answer := make(chan wire.Frame, 1)
+	c.callsMu.Lock()
+	defer c.callsMu.Unlock()
+	c.lastID++
+	c.calls[c.lastID] = answer
+	return c.lastID, answer
+}
+
+func (c *Conn) forgetCall(id uint64) {
+	c.callsMu.Lock()
+	defer c.callsMu.Unlock()
+	delete(c.calls, id)
+}
+
+// answered hands an answer to its call, or drops it when the call has ended.
+func (c *Conn) answered(frame wire.Frame) {
+	c.callsMu.Lock()
+	answer, ok := c.calls[frame.CallID]
+	delete(c.calls, frame.CallID)
+	c.callsMu.Unlock()
+	if !ok {
+		c.metrics.lateAnswers.Inc()
+		return
+	}
+	answer <- frame
+}
+
+// serve runs the connection until it ends and returns the reason.
+func (c *Conn) serve() error {
+	var writer sync.WaitGroup
+	writer.Add(1)
+	go func() {
+		defer writer.Done()
+		defer c.Close()
+		c.writeLoop()
+	}()
+	err := c.readLoop()
+	c.Close()
+	writer.Wait()
+	return err
+}
+
+func (c *Conn) readLoop() error {
+	c.socket.SetReadLimit(c.limits.MessageBytes)
+	c.socket.SetPingHandler(c.takePing)
+	c.socket.SetPongHandler(func(string) error { return c.extendRead() })
+	for {
+		message, err := c.readMessage()
+		if err != nil {
+			return err
+		}
+		frame, err := DecodeFrame(message)
+		if err != nil {
+			return err
+		}
+		c.counts.add(DirectionReceived, frame.Kind, sizeOnWire(len(message), !c.masks))
+		c.dispatch(frame)
+	}
+}
+
+func (c *Conn) dispatch(frame wire.Frame) {
+	switch {
+	case frame.Reply:
+		c.answered(frame)
+	case frame.CallID != 0:
+		c.onCall(c, frame)
+	default:
+		c.onNotify(c, frame)
+	}
+}
+
+// readMessage reads one message. Each chunk read extends the deadline, so a
+// large message on a slow link is not taken for silence.
+func (c *Conn) readMessage() ([]byte, error) {
+	if err := c.extendRead(); err != nil {
+		return nil, err
+	}
+	messageType, reader, err := c.socket.NextReader()
+	if err != nil {
+		return nil, errors.Wrap(err, "read message")
+	}
+	if messageType != binaryMessage {
+		return nil, errors.Wrap(ErrInvalidFrame, "not a binary message")
+	}
+	var message bytes.Buffer
+	for {
+		if err := c.extendRead(); err != nil {
+			return nil, err
+		}
+		_, err := io.CopyN(&message, reader, chunkBytes)
+		if errors.Is(err, io.EOF) {
+			return message.Bytes(), nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read message body")
+		}
+	}
+}
+
+func (c *Conn) extendRead() error {
+	if c.ctx.Err() != nil {
+		return ErrNotConnected
+	}
+	err := c.socket.SetReadDeadline(time.Now().Add(c.limits.SilenceTimeout))
+	if c.ctx.Err() != nil { // Close came between and its deadline was replaced
+		return ErrNotConnected
+	}
+	return errors.Wrap(err, "set read deadline")
+}
+
+func (c *Conn) takePing(data string) error {
+	if err := c.extendRead(); err != nil {
+		return err
+	}
+	err := c.socket.WriteControl(websocket.PongMessage, []byte(data), time.Now().Add(controlWait))
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return nil // the writer is busy; its bytes show that this side lives
+	}
+	return err
+}
+
+func (c *Conn) writeLoop() {
+	ping := time.NewTicker(c.limits.PingInterval)
+	defer ping.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ping.C:
+			deadline := time.Now().Add(controlWait)
+			if err := c.socket.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
+				return
+			}
+		case out := <-c.queue:
+			if err := c.write(out); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *Conn) write(out *outgoing) error {
+	c.queuedBytes.Add(-int64(len(out.message)))
+	if !out.state.CompareAndSwap(statePending, stateWriting) {
+		return nil
+	}
+	writer, err := c.socket.NextWriter(binaryMessage)
+	if err != nil {
+		return errors.Wrap(err, "begin message")
+	}
+	for rest := out.message; len(rest) > 0; {
+		chunk := rest[:min(len(rest), chunkBytes)]
+		if err := c.extendWrite(); err != nil {
+			return err
+		}
+		if _, err := writer.Write(chunk); err != nil {
+			return errors.Wrap(err, "write message")
+		}
+		rest = rest[len(chunk):]
+	}
+	if err := writer.Close(); err != nil {
+		return errors.Wrap(err, "end message")
+	}
+	c.counts.add(DirectionSent, out.kind, sizeOnWire(len(out.message), c.masks))
+	return nil
+}
+
+func (c *Conn) extendWrite() error {
+	if c.ctx.Err() != nil {
+		return ErrNotConnected
+	}
+	return errors.Wrap(c.socket.SetWriteDeadline(time.Now().Add(c.limits.SilenceTimeout)), "set write deadline")
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// frameDecoder refuses messages that no peer of ours sends.
+var frameDecoder = mustDecoder(cbor.DecOptions{
+	DupMapKey:       cbor.DupMapKeyEnforcedAPF,
+	IndefLength:     cbor.IndefLengthForbidden,
+	MaxNestedLevels: 4,
+	MaxMapPairs:     64,
+	TagsMd:          cbor.TagsForbidden,
+})
+
+func mustDecoder(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// DecodeFrame decodes one message. It fails with ErrInvalidFrame.
+func DecodeFrame(message []byte) (wire.Frame, error) {
+	var frame wire.Frame
+	if err := frameDecoder.Unmarshal(message, &frame); err != nil {
+		return wire.Frame{}, errors.Wrap(ErrInvalidFrame, err.Error())
+	}
+	if frame.Kind <= 0 {
+		return wire.Frame{}, errors.Wrap(ErrInvalidFrame, "kind must be positive")
+	}
+	if frame.Reply && frame.CallID == 0 {
+		return wire.Frame{}, errors.Wrap(ErrInvalidFrame, "an answer needs a call id")
+	}
+	if frame.ErrorCode != "" && !frame.Reply {
+		return wire.Frame{}, errors.Wrap(ErrInvalidFrame, "only an answer may carry an error")
+	}
+	return frame, nil
+}
+
+// EncodeFrame encodes one message.
+func EncodeFrame(frame wire.Frame) ([]byte, error) {
+	message, err := cbor.Marshal(frame)
+	return message, errors.Wrap(err, "encode frame")
+}
