--- /dev/null
+++ b/internal/control/regionleader.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/ledger"
+	"github.com/galenalug/galenalug/ownership"
+	"github.com/galenalug/galenalug/placement"
+)
+
+// Times of a leader's work.
+const (
+	tickInterval   = 25 * time.Millisecond  // between looks at what time makes due
+	reportInterval = 250 * time.Millisecond // between reports to the global leader
+	commitTimeout  = 3 * time.Second        // longest wait for a commit
+	shareLease     = 2 * time.Second        // lease of an entry host's allowance share
+	maxTickRounds  = 16                     // commits that follow one another without a pause
+)
+
+// errNotLeading means that this host does not provably lead the group.
+var errNotLeading = errors.New("not the leader")
+
+// leadership is what a leader keeps in memory for one term.
+type leadership struct {
+	term        uint64
+	coordinator *ownership.Coordinator
+	clock       ledger.Clock
+	shares      *allowance.Allocator
+}
+
+// regionGroup is this host's member of one region's group, and the leader's work
+// when it leads.
+type regionGroup struct {
+	name     string
+	settings ownership.Settings
+	planner  ownership.Planner
+	runner   *group.Runner
+	state    *regionState
+	now      func() time.Duration
+
+	mu   sync.Mutex  // taken before regionState.mu
+	lead *leadership // guarded by mu; nil while not leading
+}
+
+// leading returns the leadership of the present term. It fails with
+// errNotLeading. The caller holds mu.
+func (g *regionGroup) leading() (*leadership, error) {
+	if g.lead == nil || !g.runner.Leads() || g.lead.term != g.runner.Status().Term {
+		return nil, errNotLeading
+	}
+	return g.lead, nil
+}
+
+// ensureLeadership makes the leader's state once all entries of earlier terms are
+// applied, and drops it when the term is over.
+func (g *regionGroup) ensureLeadership(ctx context.Context) bool {
+	if !g.runner.Leads() {
+		g.setLeadership(nil)
+		return false
+	}
+	term := g.runner.Status().Term
+	g.mu.Lock()
+	current := g.lead != nil && g.lead.term == term
+	g.mu.Unlock()
+	if current {
+		return true
+	}
+	if err := g.runner.ReadBarrier(ctx); err != nil {
+		return false
+	}
+	g.setLeadership(g.newLeadership(term))
+	log.WithFields(log.Fields{"group": g.name, "term": term}).Info("leading the group")
+	return true
+}
+
+func (g *regionGroup) setLeadership(lead *leadership) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lead = lead
+}
+
+func (g *regionGroup) newLeadership(term uint64) *leadership {
+	g.state.mu.RLock()
+	defer g.state.mu.RUnlock()
+	now := g.now()
+	config := allowance.AllocatorConfig{
+		Epoch: term,
+		Lease: shareLease,
+		Drift: allowance.DefaultDrift,
+		Floor: allowance.DefaultFloor,
+	}
+	return &leadership{
+		term:        term,
+		coordinator: ownership.NewCoordinator(g.settings, g.planner, now, g.state.owner),
+		clock:       ledger.NewClock(g.state.runs.Now(), now),
+		shares:      allowance.NewAllocator(config, now),
+	}
+}
+
+// tick proposes what time makes due, until nothing is.
+func (g *regionGroup) tick(ctx context.Context, homes ownership.Homes) error {
+	for range maxTickRounds {
+		commands, err := g.due(homes)
+		if err != nil || len(commands) == 0 {
+			return err
+		}
+		if err := g.propose(ctx, commands); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *regionGroup) due(homes ownership.Homes) ([]ownership.Command, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return nil, err
+	}
+	g.state.mu.RLock()
+	defer g.state.mu.RUnlock()
+	return lead.coordinator.Tick(g.now(), g.state.owner, homes), nil
+}
+
+// propose commits ownership commands.
+func (g *regionGroup) propose(ctx context.Context, commands []ownership.Command) error {
+	_, err := g.commit(ctx, regionEntry{Ownership: commands})
+	return err
+}
+
+func (g *regionGroup) commit(ctx context.Context, entry regionEntry) (any, error) {
+	data, err := cbor.Marshal(entry)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode log entry")
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	result, _, err := g.runner.Propose(ctx, data)
+	return result, err
+}
+
+// heartbeat renews a server's session, and commits what the heartbeat asks for.
+func (g *regionGroup) heartbeat(ctx context.Context, beat ownership.Heartbeat) (ownership.Answer, error) {
+	for range 2 {
+		answer, commands, err := g.renew(beat)
+		if err != nil {
+			return ownership.Answer{}, err
+		}
+		if len(commands) > 0 {
+			if err := g.propose(ctx, commands); err != nil {
+				return ownership.Answer{}, err
+			}
+		}
+		if answer.Session != 0 || len(commands) == 0 {
+			return answer, nil
+		}
+	}
+	return ownership.Answer{}, nil
+}
+
+// renew answers a heartbeat. Leadership is proved after the renewal: a later
+// leader starts its own count of the lease after that.
+func (g *regionGroup) renew(beat ownership.Heartbeat) (ownership.Answer, []ownership.Command, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return ownership.Answer{}, nil, err
+	}
+	g.state.mu.RLock()
+	answer, commands := lead.coordinator.Heartbeat(g.now(), g.state.owner, beat)
+	g.state.mu.RUnlock()
+	if _, err := g.leading(); err != nil {
+		return ownership.Answer{}, nil, err
+	}
+	return answer, commands, nil
+}
+
+// runCommand commits a ledger command and returns its reply. Slot is that of a
+// Begin.
+func (g *regionGroup) runCommand(ctx context.Context, slot int, command ledger.Command) (ledger.Reply, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return ledger.Reply{}, err
+	}
+	result, err := g.commit(ctx, regionEntry{Ledger: data, Slot: slot})
+	if err != nil {
+		return ledger.Reply{}, err
+	}
+	reply, ok := result.(ledger.Reply)
+	if !ok {
+		return ledger.Reply{}, errors.Errorf("unexpected result %T of a ledger command", result)
+	}
+	return reply, nil
+}
+
+// logicalTime returns the leader's logical time for ledger commands.
+func (g *regionGroup) logicalTime() (uint64, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return 0, err
+	}
+	return lead.clock.At(g.now()), nil
+}
+
+// capacities returns the capacity of each service in the region, draining
+// servers left out.
+func (g *regionGroup) capacities() map[string]capacity {
+	g.state.mu.RLock()
+	defer g.state.mu.RUnlock()
+	all := map[string]capacity{}
+	for _, server := range g.state.owner.Servers() {
+		entry := all[server.Service]
+		entry.keyed = server.Keyed
+		if !server.Draining && !server.Suspended {
+			entry.slots += float64(server.Slots)
+		}
+		all[server.Service] = entry
+	}
+	return all
+}
+
+type capacity struct {
+	keyed bool
+	slots float64
+}
+
+// newPlanner returns the planner of a deployment's goal.
+func newPlanner(goal string) ownership.Planner {
+	settings := placement.DefaultSettings(placement.Availability)
+	if goal == "balance" {
+		settings = placement.DefaultSettings(placement.Balance)
+	}
+	return placement.NewPlanner(settings)
+}
