Add the replicated log, its store and the runner

Cause: the control daemon needs durable state that is replicated by a log of our own, and others integrate against its API now.

Weighed: one message kind for heartbeats and appends (chosen: a lost append shows at the next heartbeat) against two; one record a batch (chosen: only the last record can be torn) against one record an entry; the leader's lease less the drift of both clocks (chosen) against the drift of one.

Change: packages replog, storage, internal/group and internal/faultfs, with the schema of the messages.

--- /dev/null
+++ b/internal/faultfs/faultfs.go
@@ -0,0 +1,229 @@
+// Package faultfs is a file system in memory that fails on demand and forgets
+// what was not synced when it crashes. It implements storage.FS.
+package faultfs
+
+import (
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/galenalug/galenalug/storage"
+)
+
+// inode is one file's content: what a reader sees, and what survives a crash.
+type inode struct {
+	data   []byte
+	synced []byte
+}
+
+// FS is a file system in memory. It is safe for concurrent use.
+type FS struct {
+	mu     sync.Mutex // guards everything below
+	files  map[string]*inode
+	synced map[string]*inode // directory entries that survive a crash
+	faults Faults
+}
+
+// Faults says which operations fail. Counters count down with each operation.
+type Faults struct {
+	// FreeBytes is what may still be written before ENOSPC, which then cuts the
+	// write short; negative for no limit.
+	FreeBytes int
+	// SyncError fails every sync of a file, DirSyncError of a directory, and
+	// RenameError every rename.
+	SyncError    error
+	DirSyncError error
+	RenameError  error
+}
+
+// New returns an empty file system without faults.
+func New() *FS {
+	return &FS{files: map[string]*inode{}, synced: map[string]*inode{}, faults: Faults{FreeBytes: -1}}
+}
+
+// SetFaults replaces the faults.
+func (f *FS) SetFaults(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
+// Crash drops what was not synced, but keeps up to tail bytes of each file
+// beyond what was synced, as a torn write does. Open files must not be used.
+func (f *FS) Crash(tail int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.files = map[string]*inode{}
+	for name, node := range f.synced {
+		data := slices.Clone(node.synced)
+		if torn := min(len(node.data), len(data)+tail); torn > len(data) {
+			data = append(data, node.data[len(data):torn]...)
+		}
+		f.files[name] = &inode{data: data, synced: slices.Clone(data)}
+	}
+	f.synced = map[string]*inode{}
+	for name, node := range f.files {
+		f.synced[name] = node
+	}
+}
+
+// Corrupt flips the bits of mask in the byte at offset of a file.
+func (f *FS) Corrupt(name string, offset int, mask byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.files[name]
+	node.data[offset] ^= mask
+	node.synced = slices.Clone(node.data)
+}
+
+// Clone returns a copy without faults.
+func (f *FS) Clone() *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := New()
+	for name, node := range f.files {
+		c.files[name] = &inode{data: slices.Clone(node.data), synced: slices.Clone(node.synced)}
+		if f.synced[name] == node {
+			c.synced[name] = c.files[name]
+		}
+	}
+	return c
+}
+
+// MkdirAll does nothing: directories exist through their files.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// ReadDir returns the names of the files in dir, sorted.
+func (f *FS) ReadDir(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.files {
+		if path.Dir(name) == path.Clean(dir) {
+			names = append(names, path.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile returns the content of a file.
+func (f *FS) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.files[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(node.data), nil
+}
+
+// Create makes a new file, or empties one.
+func (f *FS) Create(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.FreeBytes == 0 {
+		return nil, syscall.ENOSPC
+	}
+	node := &inode{}
+	f.files[name] = node
+	return &file{fs: f, node: node}, nil
+}
+
+// OpenAppend opens a file to write at its end.
+func (f *FS) OpenAppend(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.files[name]
+	if !ok {
+		return nil, os.ErrNotExist
+	}
+	return &file{fs: f, node: node}, nil
+}
+
+// Rename renames a file over another.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.RenameError != nil {
+		return f.faults.RenameError
+	}
+	node, ok := f.files[from]
+	if !ok {
+		return os.ErrNotExist
+	}
+	f.files[to] = node
+	delete(f.files, from)
+	return nil
+}
+
+// Remove removes a file.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.files, name)
+	return nil
+}
+
+// SyncDir makes the names in dir survive a crash.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.DirSyncError != nil {
+		return f.faults.DirSyncError
+	}
+	for name := range f.synced {
+		if f.files[name] == nil && strings.HasPrefix(name, path.Clean(dir)+"/") {
+			delete(f.synced, name)
+		}
+	}
+	for name, node := range f.files {
+		if path.Dir(name) == path.Clean(dir) {
+			f.synced[name] = node
+		}
+	}
+	return nil
+}
+
+type file struct {
+	fs   *FS
+	node *inode
+}
+
+func (f *file) Write(data []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	free := f.fs.faults.FreeBytes
+	if free >= 0 && len(data) > free {
+		f.node.data = append(f.node.data, data[:free]...)
+		f.fs.faults.FreeBytes = 0
+		return free, syscall.ENOSPC
+	}
+	f.node.data = append(f.node.data, data...)
+	if free >= 0 {
+		f.fs.faults.FreeBytes -= len(data)
+	}
+	return len(data), nil
+}
+
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if f.fs.faults.SyncError != nil {
+		return f.fs.faults.SyncError
+	}
+	f.node.synced = slices.Clone(f.node.data)
+	return nil
+}
+
+func (f *file) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.node.data = f.node.data[:size:size]
+	return nil
+}
+
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/internal/group/cluster_test.go
@@ -0,0 +1,173 @@
+package group
+
+import (
+	"context"
+	"encoding/binary"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/replog"
+	"github.com/galenalug/galenalug/storage"
+	"github.com/pkg/errors"
+)
+
+// counter is an Applier that adds up numbers.
+type counter struct {
+	mu    sync.Mutex // guards sum
+	sum   uint64
+	calls int
+}
+
+func (c *counter) Apply(_ uint64, data []byte) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum += binary.LittleEndian.Uint64(data)
+	c.calls++
+	return c.sum
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.LittleEndian.AppendUint64(nil, c.sum), nil
+}
+
+func (c *counter) Restore(_ uint64, data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum = binary.LittleEndian.Uint64(data)
+	return nil
+}
+
+func (c *counter) total() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sum
+}
+
+func number(n uint64) []byte { return binary.LittleEndian.AppendUint64(nil, n) }
+
+// network passes messages between runners of one process, by host name.
+type network struct {
+	mu      sync.Mutex // guards runners; never held while a runner is called
+	runners map[string]*Runner
+	observe func(messages []replog.Message)
+}
+
+func (n *network) Send(_ string, to replog.Member, messages []replog.Message) {
+	if n.observe != nil {
+		n.observe(messages)
+	}
+	n.mu.Lock()
+	runner := n.runners[to.Name]
+	n.mu.Unlock()
+	if runner != nil {
+		runner.Deliver(messages)
+	}
+}
+
+func (n *network) set(name string, runner *Runner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.runners[name] = runner
+}
+
+// cluster is a group of runners in one process.
+type cluster struct {
+	t       testing.TB
+	net     *network
+	members []replog.Member
+	runners map[string]*Runner
+	states  map[string]*counter
+	dir     string
+	entries int
+}
+
+func newCluster(t testing.TB, names ...string) *cluster {
+	c := &cluster{
+		t: t, net: &network{runners: map[string]*Runner{}}, dir: t.TempDir(),
+		runners: map[string]*Runner{}, states: map[string]*counter{}, entries: 50,
+	}
+	for i, name := range names {
+		c.members = append(c.members, replog.Member{ID: uint64(i + 1), Name: name})
+	}
+	return c
+}
+
+func (c *cluster) startAll() {
+	for _, m := range c.members {
+		c.start(m.Name, m.ID, c.members, storage.Options{})
+	}
+}
+
+func (c *cluster) start(name string, id uint64, bootstrap []replog.Member, options storage.Options) *Runner {
+	c.t.Helper()
+	state := &counter{}
+	r, err := Start(Options{
+		Name: "test", ID: id, HostName: name, Dir: filepath.Join(c.dir, name, string(rune('a'+id))),
+		Bootstrap: bootstrap, Election: 150 * time.Millisecond, Heartbeat: 30 * time.Millisecond,
+		SnapshotEntries: c.entries, Seed: 1, Applier: state, Transport: c.net, Storage: options,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.runners[name], c.states[name] = r, state
+	c.net.set(name, r)
+	return r
+}
+
+// stop ends a runner at once, as the loss of its host does for the others.
+func (c *cluster) stop(name string) {
+	c.net.set(name, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.runners[name].Stop(ctx)
+	delete(c.runners, name)
+}
+
+func (c *cluster) stopAll() {
+	for name := range c.runners {
+		c.stop(name)
+	}
+}
+
+// wait polls until the condition holds; only the test's own deadline ends it.
+func (c *cluster) wait(holds func() bool) {
+	c.t.Helper()
+	for !holds() {
+		if c.t.Context().Err() != nil {
+			c.t.Fatal("test ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *cluster) leader() *Runner {
+	c.t.Helper()
+	var leader *Runner
+	c.wait(func() bool {
+		for _, r := range c.runners {
+			if r.Leads() {
+				leader = r
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+// propose proposes until it is applied; the outcome must never be unknown.
+func (c *cluster) propose(n uint64) uint64 {
+	c.t.Helper()
+	for {
+		result, _, err := c.leader().Propose(c.t.Context(), number(n))
+		if err == nil {
+			return result.(uint64)
+		}
+		if !errors.Is(err, ErrNotLeader) {
+			c.t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/replog/node.go
@@ -0,0 +1,252 @@
+package replog
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Role is what a member does in its term.
+type Role uint8
+
+// Roles of a member.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Node is one member's state machine. It is not safe for concurrent use.
+type Node struct {
+	cfg Config
+	now time.Duration
+	log raftLog
+
+	role   Role
+	term   uint64
+	vote   uint64
+	leader uint64
+
+	members      []Member
+	membersIndex uint64 // index of the last member change in the log
+
+	lastHeard        time.Duration // when a leader was last heard of, or the start
+	electionDeadline time.Duration
+	votes            map[uint64]bool
+
+	// On the leader only.
+	heartbeatDeadline time.Duration
+	electedAt         time.Duration
+	termStart         uint64 // index of the first entry of the term
+	progress          map[uint64]*progress
+	round             uint64
+	reads             []pendingRead
+	heartbeatNow      bool
+	transferTo        uint64
+	transferDeadline  time.Duration
+
+	receiving *reception
+	installed *Snapshot
+
+	messages   []Message
+	readStates []ReadState
+	saved      HardState
+}
+
+// New returns a member that starts now from what its store holds. It answers no
+// vote request within one election timeout, since it may have acknowledged a
+// heartbeat just before it stopped.
+func New(cfg Config, restored Restored, now time.Duration) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	if err := checkMembers(restored.Snapshot.Members); err != nil {
+		return nil, err
+	}
+	log, err := restoreLog(restored)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, now: now, log: log,
+		term: restored.HardState.Term, vote: restored.HardState.Vote,
+		lastHeard: now,
+	}
+	n.saved = n.hardState()
+	if err := n.reloadMembers(); err != nil {
+		return nil, errors.Wrap(ErrInvalidState, err.Error())
+	}
+	n.resetElection()
+	return n, nil
+}
+
+func (n *Node) advanceTime(now time.Duration) { n.now = max(n.now, now) }
+
+func (n *Node) hardState() HardState {
+	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
+}
+
+// Tick lets time pass: it sends heartbeats, steps down without a quorum, or
+// stands for election.
+func (n *Node) Tick(now time.Duration) {
+	n.advanceTime(now)
+	if n.role != Leader {
+		if n.now >= n.electionDeadline {
+			n.campaign(true, false)
+		}
+		return
+	}
+	if n.now-max(n.quorumSent(), n.electedAt) >= n.cfg.ElectionTimeout {
+		n.becomeFollower(n.term, 0)
+		return
+	}
+	if n.transferTo != 0 && n.now >= n.transferDeadline {
+		n.transferTo = 0
+	}
+	if n.now >= n.heartbeatDeadline {
+		n.heartbeatNow = true
+	}
+}
+
+// NextDeadline returns when Tick should be called at the latest.
+func (n *Node) NextDeadline() time.Duration {
+	if n.role == Leader {
+		return n.heartbeatDeadline
+	}
+	return n.electionDeadline
+}
+
+// Propose appends data to the leader's log. The entry is committed once Ready
+// returns an entry of the same index and term as committed; an entry of another
+// term at that index means that the proposal is lost for good.
+func (n *Node) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
+	n.advanceTime(now)
+	if n.role != Leader || n.transferTo != 0 {
+		return 0, 0, ErrNotLeader
+	}
+	return n.appendOwn(EntryData, data), n.term, nil
+}
+
+func (n *Node) appendOwn(kind EntryKind, data []byte) uint64 {
+	index := n.log.last() + 1
+	n.log.append(Entry{Index: index, Term: n.term, Kind: kind, Data: data})
+	return index
+}
+
+// Step takes in one message. The clock must be read after the message was
+// received: a promise not to vote runs from then. Errors say why a message was
+// ignored; none is fatal.
+func (n *Node) Step(now time.Duration, m Message) error {
+	n.advanceTime(now)
+	if m.To != n.cfg.ID {
+		return ErrWrongMember
+	}
+	if isReply(m.Kind) && findMember(n.members, m.From) < 0 {
+		return ErrUnknownMember
+	}
+	switch {
+	case m.Kind == KindPreVote:
+		n.handlePreVote(m)
+		return nil
+	case m.Kind == KindPreVoteReply && !m.Reject:
+		n.handleVoteReply(m)
+		return nil
+	case m.Kind == KindVote && !m.Planned && n.hearsLeader():
+		return nil
+	}
+	if m.Term < n.term {
+		n.refuseOldTerm(m)
+		return nil
+	}
+	if m.Term > n.term {
+		n.becomeFollower(m.Term, 0)
+	}
+	return n.stepInTerm(m)
+}
+
+func isReply(kind MessageKind) bool {
+	switch kind {
+	case KindAppendReply, KindSnapshotReply, KindPreVoteReply, KindVoteReply:
+		return true
+	}
+	return false
+}
+
+// refuseOldTerm tells an old leader or candidate of the newer term.
+func (n *Node) refuseOldTerm(m Message) {
+	switch m.Kind {
+	case KindAppend, KindSnapshot:
+		n.send(Message{Kind: KindAppendReply, To: m.From, Reject: true})
+	case KindVote:
+		n.send(Message{Kind: KindVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) stepInTerm(m Message) error {
+	switch m.Kind {
+	case KindVote:
+		n.handleVote(m)
+	case KindVoteReply, KindPreVoteReply:
+		n.handleVoteReply(m)
+	case KindAppend:
+		return n.handleAppend(m)
+	case KindSnapshot:
+		return n.handleSnapshot(m)
+	case KindAppendReply:
+		return n.handleAppendReply(m)
+	case KindSnapshotReply:
+		return n.handleSnapshotReply(m)
+	case KindTimeoutNow:
+		n.handleTimeoutNow(m)
+	default:
+		return errors.Wrapf(ErrInvalidMessage, "kind %d", m.Kind)
+	}
+	return nil
+}
+
+// send queues a message in the member's term.
+func (n *Node) send(m Message) {
+	m.From = n.cfg.ID
+	if !isReply(m.Kind) {
+		m.FromName = n.cfg.Name
+	}
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
+
+// hearFrom notes a message of the term's leader.
+func (n *Node) hearFrom(leader uint64) error {
+	if n.role == Leader {
+		return errors.Wrapf(ErrInvalidMessage, "second leader %x in term %d", leader, n.term)
+	}
+	if n.role != Follower {
+		n.becomeFollower(n.term, leader)
+	}
+	n.leader = leader
+	n.lastHeard = n.now
+	n.resetElection()
+	return nil
+}
+
+func (n *Node) becomeFollower(term, leader uint64) {
+	if term > n.term {
+		n.term, n.vote = term, 0
+	}
+	if n.role != Follower {
+		n.resetElection()
+	}
+	n.role, n.leader = Follower, leader
+	n.votes, n.progress, n.receiving = nil, nil, nil
+	n.transferTo = 0
+	n.heartbeatNow = false
+	n.loseReads()
+}
--- /dev/null
+++ b/replog/ready.go
@@ -0,0 +1,115 @@
+package replog
+
+import (
+	"time"
+)
+
+// ReadState answers ReadIndex: the read may be served once the entry at Index
+// is applied, or Lost says that leadership could not be confirmed.
+type ReadState struct {
+	Context uint64
+	Index   uint64
+	Lost    bool
+}
+
+type pendingRead struct {
+	context uint64
+	round   uint64 // leadership must be confirmed by a message after this one
+	index   uint64 // 0 until the leader knows the commit index
+}
+
+// ReadIndex asks for an index at which a read is linearizable (thesis, section
+// 6.4). Ready answers with the same context once a quorum has confirmed the
+// leadership after this call.
+func (n *Node) ReadIndex(now time.Duration, context uint64) error {
+	n.advanceTime(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	n.reads = append(n.reads, pendingRead{context: context, round: n.round})
+	n.heartbeatNow = true
+	n.answerReads()
+	return nil
+}
+
+// answerReads answers reads in the order in which they were asked.
+func (n *Node) answerReads() {
+	if n.role != Leader || !n.committedInTerm() {
+		return
+	}
+	for i := range n.reads {
+		if n.reads[i].index == 0 {
+			n.reads[i].index = n.log.commit
+		}
+	}
+	alone := countVoters(n.members) == 1
+	confirmed := n.quorumRound()
+	for len(n.reads) > 0 && (alone || n.reads[0].round < confirmed) {
+		n.readStates = append(n.readStates, ReadState{Context: n.reads[0].context, Index: n.reads[0].index})
+		n.reads = n.reads[1:]
+	}
+}
+
+func (n *Node) loseReads() {
+	for _, read := range n.reads {
+		n.readStates = append(n.readStates, ReadState{Context: read.context, Lost: true})
+	}
+	n.reads = nil
+}
+
+// Ready is the work that a Node hands out. In this order: write Snapshot, then
+// HardState and Entries; sync if MustSync; only then send Messages; restore the
+// application from Snapshot; apply Committed; answer ReadStates; call Advance.
+type Ready struct {
+	HardState  *HardState // nil if unchanged
+	Snapshot   *Snapshot  // replaces the whole log; nil for none
+	Entries    []Entry    // to append, cutting off what conflicts
+	Messages   []Message
+	Committed  []Entry
+	ReadStates []ReadState
+	MustSync   bool
+}
+
+// Empty tells whether there is no work.
+func (r Ready) Empty() bool {
+	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 &&
+		len(r.Committed) == 0 && len(r.ReadStates) == 0
+}
+
+// Ready returns the work to do now. Between Ready and Advance nothing else may
+// be called. Slices in it must not be changed.
+func (n *Node) Ready() Ready {
+	n.flush()
+	ready := Ready{
+		Snapshot:   n.installed,
+		Entries:    n.log.slice(n.log.stable, n.log.last()),
+		Messages:   n.messages,
+		Committed:  n.log.slice(n.log.applied, n.log.commit),
+		ReadStates: n.readStates,
+	}
+	state := n.hardState()
+	if state != n.saved {
+		ready.HardState = &state
+	}
+	voted := state.Term != n.saved.Term || state.Vote != n.saved.Vote
+	ready.MustSync = voted || len(ready.Entries) > 0 || ready.Snapshot != nil
+	return ready
+}
+
+// Advance says that everything in the last Ready is done.
+func (n *Node) Advance() {
+	n.installed = nil
+	n.messages = nil
+	n.readStates = nil
+	n.saved = n.hardState()
+	n.log.stable = n.log.last()
+	n.log.applied = n.log.commit
+	if n.role != Leader {
+		return
+	}
+	if pr := n.progress[n.cfg.ID]; pr != nil {
+		pr.match = n.log.stable
+	}
+	n.advanceCommit()
+	n.answerReads()
+}
--- /dev/null
+++ b/replog/replication.go
@@ -0,0 +1,259 @@
+package replog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// progress is what the leader knows of one member.
+type progress struct {
+	id     uint64
+	match  uint64 // highest index known to be durable on the member
+	next   uint64 // next index to send
+	commit uint64 // commit index last sent
+
+	inflight []uint64 // last index of each append not yet acknowledged
+
+	acked       bool // whether the member answered in this term
+	ackedSent   time.Duration
+	ackedRound  uint64
+	matchRound  uint64 // round whose answer gave match
+	repairRound uint64 // refusals of messages before this round are old
+	lost        bool   // the member lost entries that it had acknowledged
+
+	transfer *snapshotTransfer
+}
+
+// reloadProgress follows the members in effect.
+func (n *Node) reloadProgress() {
+	before := n.progress
+	n.progress = make(map[uint64]*progress, len(n.members))
+	for _, m := range n.members {
+		pr := before[m.ID]
+		if pr == nil {
+			pr = &progress{id: m.ID, next: n.log.last() + 1}
+		}
+		if m.ID == n.cfg.ID {
+			pr.match = n.log.stable
+		}
+		n.progress[m.ID] = pr
+	}
+}
+
+// quorumOf returns the highest value that a quorum of the voters reaches.
+func quorumOf[T uint64 | time.Duration](n *Node, value func(id uint64) T) T {
+	var values []T
+	for _, m := range n.members {
+		if !m.Learner {
+			values = append(values, value(m.ID))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// quorumSent returns the time of sending of the newest heartbeats that a quorum
+// acknowledged, the leader itself included.
+func (n *Node) quorumSent() time.Duration {
+	return quorumOf(n, func(id uint64) time.Duration {
+		if id == n.cfg.ID {
+			return n.now
+		}
+		return n.progress[id].ackedSent
+	})
+}
+
+func (n *Node) quorumRound() uint64 {
+	return quorumOf(n, func(id uint64) uint64 {
+		if id == n.cfg.ID {
+			return n.round
+		}
+		return n.progress[id].ackedRound
+	})
+}
+
+func (n *Node) advanceCommit() {
+	match := quorumOf(n, func(id uint64) uint64 { return n.progress[id].match })
+	if match <= n.log.commit {
+		return
+	}
+	if term, ok := n.log.term(match); ok && term == n.term {
+		n.log.commit = match
+	}
+}
+
+// flush queues what each member should be sent now.
+func (n *Node) flush() {
+	if n.role != Leader {
+		return
+	}
+	heartbeat := n.heartbeatNow
+	if heartbeat {
+		n.heartbeatDeadline = n.now + n.cfg.HeartbeatInterval
+		n.heartbeatNow = false
+	}
+	for _, m := range n.members {
+		if m.ID != n.cfg.ID {
+			n.sendTo(n.progress[m.ID], heartbeat)
+		}
+	}
+}
+
+// sendTo sends a member the entries it lacks, or a heartbeat.
+func (n *Node) sendTo(pr *progress, heartbeat bool) {
+	if pr.transfer != nil {
+		n.sendChunk(pr, heartbeat)
+		return
+	}
+	// An idle member learns of a commit at once, a busy one with its next entries.
+	if pr.match == n.log.last() && pr.commit < n.log.commit {
+		heartbeat = true
+	}
+	for pr.next <= n.log.last() && len(pr.inflight) < n.cfg.MaxInflight {
+		if _, ok := n.log.term(pr.next - 1); !ok || pr.next <= n.log.offset {
+			n.startTransfer(pr)
+			n.sendChunk(pr, true)
+			return
+		}
+		n.sendAppend(pr, n.log.batch(pr.next-1, n.cfg.MaxEntriesPerMessage, n.cfg.MaxBytesPerMessage))
+		heartbeat = false
+	}
+	if heartbeat {
+		n.sendAppend(pr, nil)
+	}
+}
+
+func (n *Node) sendAppend(pr *progress, entries []Entry) {
+	m := Message{Kind: KindAppend, To: pr.id, Index: pr.next - 1, Commit: n.log.commit, Entries: entries}
+	m.LogTerm, _ = n.log.term(m.Index)
+	if len(entries) > 0 {
+		pr.next += uint64(len(entries))
+		pr.inflight = append(pr.inflight, pr.next-1)
+	}
+	pr.commit = n.log.commit
+	n.sendRound(m)
+}
+
+// sendRound sends a message whose answer proves that the leader led when it
+// was sent.
+func (n *Node) sendRound(m Message) {
+	n.round++
+	m.Round = n.round
+	m.Sent = int64(n.now)
+	n.send(m)
+}
+
+func (n *Node) handleAppend(m Message) error {
+	if err := checkEntries(m.Entries, m.Index, m.LogTerm, m.Term); err != nil {
+		return errors.Wrap(ErrInvalidMessage, err.Error())
+	}
+	if err := n.hearFrom(m.From); err != nil {
+		return err
+	}
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Sent: m.Sent}
+	if m.Index < n.log.commit {
+		reply.Index = n.log.commit
+		n.send(reply)
+		return nil
+	}
+	if term, ok := n.log.term(m.Index); !ok || term != m.LogTerm {
+		reply.Reject = true
+		reply.Index = m.Index
+		reply.Hint = n.log.hint(m.Index)
+		n.send(reply)
+		return nil
+	}
+	if fresh := n.log.conflict(m.Entries); len(fresh) > 0 {
+		if err := n.appendReceived(fresh); err != nil {
+			return err
+		}
+	}
+	reply.Index = m.Index + uint64(len(m.Entries))
+	n.log.commit = max(n.log.commit, min(m.Commit, reply.Index))
+	n.send(reply)
+	return nil
+}
+
+func (n *Node) appendReceived(entries []Entry) error {
+	changed := entries[0].Index <= n.membersIndex || slices.ContainsFunc(entries, func(e Entry) bool {
+		return e.Kind == EntryMember
+	})
+	n.log.append(entries...)
+	if !changed {
+		return nil
+	}
+	return n.reloadMembers()
+}
+
+// acknowledge notes that a member answered a message of this term.
+func (n *Node) acknowledge(m Message) (*progress, error) {
+	pr := n.progress[m.From]
+	if n.role != Leader || pr == nil {
+		return nil, ErrNotLeader
+	}
+	if m.Round > n.round || m.Sent > int64(n.now) || m.Index > n.log.last() {
+		return nil, errors.Wrap(ErrInvalidMessage, "answer to nothing that was sent")
+	}
+	if m.Round == 0 {
+		return nil, errors.Wrap(ErrInvalidMessage, "answer without a round")
+	}
+	if n.losesEntries(pr, m) {
+		pr.lost = true
+		pr.match = 0
+	}
+	if pr.lost {
+		return nil, ErrLostEntries
+	}
+	pr.acked = true
+	pr.ackedSent = max(pr.ackedSent, time.Duration(m.Sent))
+	pr.ackedRound = max(pr.ackedRound, m.Round)
+	n.answerReads()
+	return pr, nil
+}
+
+// losesEntries tells whether the member refuses what follows entries that it
+// acknowledged earlier: its disk is not the one it had.
+func (n *Node) losesEntries(pr *progress, m Message) bool {
+	return m.Kind == KindAppendReply && m.Reject && m.Round > pr.matchRound && m.Hint < pr.match
+}
+
+func (n *Node) handleAppendReply(m Message) error {
+	pr, err := n.acknowledge(m)
+	if err != nil {
+		return err
+	}
+	if m.Reject {
+		n.repair(pr, m)
+		return nil
+	}
+	if m.Index > pr.match {
+		pr.match, pr.matchRound = m.Index, m.Round
+	}
+	pr.next = max(pr.next, pr.match+1)
+	for len(pr.inflight) > 0 && pr.inflight[0] <= pr.match {
+		pr.inflight = pr.inflight[1:]
+	}
+	if pr.transfer != nil && pr.match >= pr.transfer.meta.Index {
+		pr.transfer = nil
+	}
+	n.advanceCommit()
+	n.answerReads()
+	n.finishTransfer(pr)
+	return nil
+}
+
+// repair goes back to where the member's log may match.
+func (n *Node) repair(pr *progress, m Message) {
+	if m.Round <= pr.repairRound || pr.transfer != nil {
+		return
+	}
+	pr.next = max(pr.match, min(m.Hint, n.log.last())) + 1
+	pr.inflight = nil
+	pr.repairRound = n.round
+	n.heartbeatNow = true
+}
--- /dev/null
+++ b/replog/snapshot.go
@@ -0,0 +1,157 @@
+package replog
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Snapshot is a state of the application and what it stands for.
+type Snapshot struct {
+	Meta SnapshotMeta
+	Data []byte
+}
+
+// snapshotTransfer is a snapshot on its way to one member.
+type snapshotTransfer struct {
+	meta     SnapshotMeta
+	data     []byte
+	offset   uint64 // bytes acknowledged
+	resendAt time.Duration
+}
+
+// reception is a snapshot on its way from the leader.
+type reception struct {
+	from uint64
+	meta SnapshotMeta
+	data []byte
+}
+
+func (n *Node) startTransfer(pr *progress) {
+	pr.transfer = &snapshotTransfer{meta: n.log.snapshot, data: n.log.data, resendAt: n.now}
+	pr.inflight = nil
+}
+
+// sendChunk sends the next chunk, or again one not acknowledged for long. The
+// heartbeats in between claim nothing of the member's log.
+func (n *Node) sendChunk(pr *progress, heartbeat bool) {
+	tr := pr.transfer
+	if n.now < tr.resendAt {
+		if heartbeat {
+			n.sendRound(Message{Kind: KindAppend, To: pr.id})
+		}
+		return
+	}
+	size := uint64(len(tr.data))
+	end := min(tr.offset+SnapshotChunkBytes, size)
+	tr.resendAt = n.now + n.cfg.ElectionTimeout
+	n.sendRound(Message{
+		Kind: KindSnapshot, To: pr.id, Snapshot: tr.meta,
+		Offset: tr.offset, Size: size, Data: tr.data[tr.offset:end:end],
+	})
+}
+
+func (n *Node) handleSnapshotReply(m Message) error {
+	pr, err := n.acknowledge(m)
+	if err != nil {
+		return err
+	}
+	tr := pr.transfer
+	if tr == nil || m.Index != tr.meta.Index || m.Offset > uint64(len(tr.data)) {
+		return nil
+	}
+	// The member may have restarted, and begins again.
+	if m.Offset != tr.offset {
+		tr.offset = m.Offset
+		tr.resendAt = n.now
+	}
+	return nil
+}
+
+func (n *Node) handleSnapshot(m Message) error {
+	if m.Offset+uint64(len(m.Data)) > m.Size || len(m.Data) > SnapshotChunkBytes || m.Snapshot.Term > m.Term {
+		return errors.Wrap(ErrInvalidMessage, "snapshot chunk out of bounds")
+	}
+	if err := checkMembers(m.Snapshot.Members); err != nil {
+		return errors.Wrap(ErrInvalidMessage, err.Error())
+	}
+	if err := n.hearFrom(m.From); err != nil {
+		return err
+	}
+	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Sent: m.Sent}
+	if n.holds(m.Snapshot) {
+		n.receiving = nil
+		reply.Index = n.log.commit
+		n.send(reply)
+		return nil
+	}
+	n.receive(m)
+	if uint64(len(n.receiving.data)) < m.Size {
+		reply.Kind = KindSnapshotReply
+		reply.Index = m.Snapshot.Index
+		reply.Offset = uint64(len(n.receiving.data))
+		n.send(reply)
+		return nil
+	}
+	if err := n.install(); err != nil {
+		return err
+	}
+	reply.Index = n.log.commit
+	n.send(reply)
+	return nil
+}
+
+// holds tells whether the log already has everything in the snapshot.
+func (n *Node) holds(meta SnapshotMeta) bool {
+	if meta.Index <= n.log.commit {
+		return true
+	}
+	term, ok := n.log.term(meta.Index)
+	if ok && term == meta.Term {
+		n.log.commit = meta.Index
+		return true
+	}
+	return false
+}
+
+// receive takes in a chunk if it is the next one.
+func (n *Node) receive(m Message) {
+	r := n.receiving
+	if r == nil || r.from != m.From || r.meta.Index != m.Snapshot.Index || r.meta.Term != m.Snapshot.Term {
+		r = &reception{from: m.From, meta: m.Snapshot}
+		n.receiving = r
+	}
+	if m.Offset == uint64(len(r.data)) {
+		r.data = append(r.data, m.Data...)
+	}
+}
+
+func (n *Node) install() error {
+	r := n.receiving
+	n.receiving = nil
+	n.log.install(r.meta, r.data)
+	n.installed = &Snapshot{Meta: r.meta, Data: r.data}
+	return n.reloadMembers()
+}
+
+// SnapshotMeta returns what a snapshot of the application's state after the
+// applied entry at index stands for.
+func (n *Node) SnapshotMeta(index uint64) (SnapshotMeta, error) {
+	term, ok := n.log.term(index)
+	if !ok || index > n.log.applied || index < n.log.snapshot.Index {
+		return SnapshotMeta{}, errors.Wrapf(ErrCompacted, "index %d", index)
+	}
+	members, _, err := n.membersAt(index)
+	return SnapshotMeta{Index: index, Term: term, Members: members}, err
+}
+
+// Compact replaces the log up to the snapshot by it, once the store holds the
+// snapshot. The last keep entries stay in memory for members that are a little
+// behind. The data must not be changed afterwards.
+func (n *Node) Compact(meta SnapshotMeta, data []byte, keep int) error {
+	if meta.Index < n.log.snapshot.Index || meta.Index > n.log.applied {
+		return errors.Wrapf(ErrCompacted, "index %d", meta.Index)
+	}
+	n.log.compact(meta, data, uint64(max(keep, 0)))
+	return nil
+}
--- /dev/null
+++ b/replog/status.go
@@ -0,0 +1,64 @@
+package replog
+
+import "time"
+
+// MemberStatus is what a leader knows of one member.
+type MemberStatus struct {
+	Member
+	Match      uint64
+	Next       uint64
+	Live       bool          // answered within the election timeout
+	AckedAge   time.Duration // since the sending of what it last answered
+	Lost       bool          // lost acknowledged entries, so it counts for nothing
+	InSnapshot bool          // whether a snapshot is on its way to it
+}
+
+// Status is a member's state for dumps.
+type Status struct {
+	ID            uint64
+	Name          string
+	Role          Role
+	Term          uint64
+	Leader        uint64
+	Commit        uint64
+	Applied       uint64
+	Last          uint64
+	First         uint64 // first index still in memory
+	SnapshotIndex uint64
+	Leads         bool
+	LeaderSince   time.Duration
+	Members       []MemberStatus
+}
+
+// Status returns the member's state.
+func (n *Node) Status(now time.Duration) Status {
+	status := Status{
+		ID: n.cfg.ID, Name: n.cfg.Name, Role: n.role, Term: n.term, Leader: n.leader,
+		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), First: n.log.offset + 1,
+		SnapshotIndex: n.log.snapshot.Index, Leads: n.Leads(now),
+	}
+	if n.role == Leader {
+		status.LeaderSince = n.electedAt
+	}
+	for _, m := range n.members {
+		member := MemberStatus{Member: m, Live: n.role == Leader && n.live(m.ID)}
+		if pr := n.progress[m.ID]; pr != nil {
+			member.Match, member.Next, member.InSnapshot = pr.match, pr.next, pr.transfer != nil
+			member.Lost = pr.lost
+			if pr.acked {
+				member.AckedAge = n.now - pr.ackedSent
+			}
+		}
+		status.Members = append(status.Members, member)
+	}
+	return status
+}
+
+// Leader returns the leader that the member knows of, or 0.
+func (n *Node) Leader() uint64 { return n.leader }
+
+// Term returns the member's term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Role returns the member's role.
+func (n *Node) Role() Role { return n.role }
--- /dev/null
+++ b/storage/record.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A record is a header and a body. The header, little endian: magic, length of
+// the body, xxhash64 of the body, xxhash64 of the header up to here.
+const (
+	recordMagic   = 0x474c5243 // "GLRC"
+	headerBytes   = 24
+	lengthOffset  = 4
+	sumOffset     = 8
+	headSumOffset = 16
+	sectorBytes   = 512 // a torn write leaves whole sectors unwritten
+
+	// MaxRecordBytes is the most that one record's body holds.
+	MaxRecordBytes = 64 << 20
+)
+
+type recordState int
+
+const (
+	recordWhole   recordState = iota
+	recordEnd                 // no bytes left
+	recordTorn                // cut off, or with sectors never written
+	recordCorrupt             // changed after it was written
+)
+
+// appendRecord appends the record of body to buffer.
+func appendRecord(buffer, body []byte) []byte {
+	var header [headerBytes]byte
+	binary.LittleEndian.PutUint32(header[:], recordMagic)
+	binary.LittleEndian.PutUint32(header[lengthOffset:], uint32(len(body)))
+	binary.LittleEndian.PutUint64(header[sumOffset:], xxhash.Sum64(body))
+	binary.LittleEndian.PutUint64(header[headSumOffset:], xxhash.Sum64(header[:headSumOffset]))
+	return append(append(buffer, header[:]...), body...)
+}
+
+// readRecord reads the record at the start of data, which ends where the file
+// ends and starts at offset in it.
+func readRecord(data []byte, offset int) (body []byte, size int, state recordState) {
+	if len(data) == 0 {
+		return nil, 0, recordEnd
+	}
+	if len(data) < headerBytes {
+		return nil, 0, judge(data, len(data), offset, true)
+	}
+	length, ok := readHeader(data)
+	if !ok {
+		return nil, 0, judge(data, headerBytes, offset, false)
+	}
+	size = headerBytes + length
+	if size > len(data) {
+		return nil, 0, judge(data, len(data), offset, true)
+	}
+	body = data[headerBytes:size]
+	if xxhash.Sum64(body) != binary.LittleEndian.Uint64(data[sumOffset:]) {
+		return nil, 0, judge(data, size, offset, false)
+	}
+	return body, size, recordWhole
+}
+
+func readHeader(data []byte) (length int, ok bool) {
+	if len(data) < headerBytes ||
+		binary.LittleEndian.Uint32(data) != recordMagic ||
+		binary.LittleEndian.Uint64(data[headSumOffset:]) != xxhash.Sum64(data[:headSumOffset]) {
+		return 0, false
+	}
+	length = int(binary.LittleEndian.Uint32(data[lengthOffset:]))
+	return length, length <= MaxRecordBytes
+}
+
+// judge tells a torn record from a corrupt one. A whole record after it proves
+// corruption, since records are written in order. Without one, the record is
+// torn if it is cut off, or a sector of it was never written.
+func judge(data []byte, size, offset int, cutOff bool) recordState {
+	if wholeRecordAfter(data) {
+		return recordCorrupt
+	}
+	if cutOff || hasZeroSector(data[:size], offset) {
+		return recordTorn
+	}
+	return recordCorrupt
+}
+
+func wholeRecordAfter(data []byte) bool {
+	var magic [lengthOffset]byte
+	binary.LittleEndian.PutUint32(magic[:], recordMagic)
+	for at := 1; at < len(data); at++ {
+		next := bytes.Index(data[at:], magic[:])
+		if next < 0 {
+			return false
+		}
+		at += next
+		length, ok := readHeader(data[at:])
+		if !ok || at+headerBytes+length > len(data) {
+			continue
+		}
+		body := data[at+headerBytes : at+headerBytes+length]
+		if xxhash.Sum64(body) == binary.LittleEndian.Uint64(data[at+sumOffset:]) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasZeroSector tells whether the part of any sector that the record fills is
+// all zero (the way etcd's write-ahead log tells a torn write).
+func hasZeroSector(record []byte, offset int) bool {
+	for len(record) > 0 {
+		part := min(sectorBytes-offset%sectorBytes, len(record))
+		if len(bytes.Trim(record[:part], "\x00")) == 0 {
+			return true
+		}
+		record = record[part:]
+		offset += part
+	}
+	return false
+}
--- /dev/null
+++ b/storage/recover.go
@@ -0,0 +1,237 @@
+package storage
+
+import (
+	"path/filepath"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/galenalug/galenalug/replog"
+)
+
+// Recovered is what Open found.
+type Recovered struct {
+	Identity     uint64
+	HardState    replog.HardState
+	SnapshotMeta replog.SnapshotMeta
+	SnapshotData []byte
+	Entries      []replog.Entry // after the snapshot, without a gap
+	CutBytes     int64          // of a torn record that was cut off
+}
+
+// Restored returns what a replog.Node starts from.
+func (r Recovered) Restored() replog.Restored {
+	return replog.Restored{
+		HardState: r.HardState, Snapshot: r.SnapshotMeta, SnapshotData: r.SnapshotData, Entries: r.Entries,
+	}
+}
+
+// Empty tells whether nothing was ever appended.
+func (r Recovered) Empty() bool {
+	return r.HardState == replog.HardState{} && r.SnapshotMeta.Index == 0 && len(r.Entries) == 0
+}
+
+// recovery reads segments in order.
+type recovery struct {
+	fs       FS
+	dir      string
+	creating bool // whether the first segment may be torn at its start
+	entries  []replog.Entry
+	hard     replog.HardState
+	segments []segment
+	size     int64 // whole records of the last segment, bytes
+	cut      int64 // bytes of it to cut off
+}
+
+// Open reads the store in dir. A torn last record is cut off; anything else
+// that does not fit is a CorruptError.
+func Open(dir string, options Options) (*Store, Recovered, error) {
+	s := &Store{options: options.withDefaults(), dir: dir}
+	fs := s.options.FS
+	identity, err := readIdentity(fs, dir)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	s.identity = identity
+	names, err := fs.ReadDir(dir)
+	if err != nil {
+		return nil, Recovered{}, translate(err, "read directory")
+	}
+	if err := removeTemps(fs, dir, names); err != nil {
+		return nil, Recovered{}, err
+	}
+	r := recovery{fs: fs, dir: dir}
+	if err := r.readSegments(numbers(names, segmentFormat)); err != nil {
+		return nil, Recovered{}, err
+	}
+	found := Recovered{Identity: identity, HardState: r.hard, CutBytes: r.cut}
+	if snapshots := numbers(names, snapshotFormat); len(snapshots) > 0 {
+		found.SnapshotMeta, found.SnapshotData, err = readSnapshot(fs, s.snapshotPath(slices.Max(snapshots)))
+		if err != nil {
+			return nil, Recovered{}, err
+		}
+	}
+	if found.Entries, err = r.after(found.SnapshotMeta); err != nil {
+		return nil, Recovered{}, err
+	}
+	found.fitHardState()
+	return s, found, s.resume(r, found.HardState)
+}
+
+func removeTemps(fs FS, dir string, names []string) error {
+	for _, name := range names {
+		if !isTemp(name) {
+			continue
+		}
+		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+			return translate(err, "remove "+name)
+		}
+	}
+	return nil
+}
+
+func (r *recovery) readSegments(found []uint64) error {
+	if len(found) == 0 {
+		return &CorruptError{File: r.dir, Detail: "no segment"}
+	}
+	for i, number := range found {
+		if number != found[0]+uint64(i) {
+			return &CorruptError{File: r.path(found[0] + uint64(i)), Detail: "segment is missing"}
+		}
+		if err := r.readSegment(number, i == len(found)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *recovery) path(number uint64) string {
+	s := Store{dir: r.dir}
+	return s.segmentPath(number)
+}
+
+func (r *recovery) readSegment(number uint64, last bool) error {
+	path := r.path(number)
+	data, err := r.fs.ReadFile(path)
+	if err != nil {
+		return translate(err, "read segment")
+	}
+	r.segments = append(r.segments, segment{number: number})
+	for offset := 0; ; {
+		body, size, state := readRecord(data[offset:], offset)
+		if state == recordEnd && offset > 0 {
+			r.size = int64(offset)
+			return nil
+		}
+		torn := state == recordTorn || state == recordEnd
+		if torn && last && (offset > 0 || len(r.segments) > 1 || r.creating) {
+			r.size = int64(offset)
+			r.cut = int64(len(data) - offset)
+			return nil
+		}
+		if state != recordWhole {
+			return &CorruptError{File: path, Offset: int64(offset), Detail: "record"}
+		}
+		if detail := r.take(body, number, offset == 0); detail != "" {
+			return &CorruptError{File: path, Offset: int64(offset), Detail: detail}
+		}
+		offset += size
+	}
+}
+
+// take takes in one record and returns what is wrong with it, if anything.
+func (r *recovery) take(body []byte, number uint64, first bool) string {
+	var b batch
+	if err := cbor.Unmarshal(body, &b); err != nil {
+		return "record does not decode"
+	}
+	if first != (b.Segment == number) {
+		return "segment number"
+	}
+	if b.HardState != nil {
+		commit := max(r.hard.Commit, b.HardState.Commit)
+		r.hard = *b.HardState
+		r.hard.Commit = commit
+	}
+	if b.Reset {
+		r.entries = nil
+	}
+	for _, e := range b.Entries {
+		if !r.add(e) {
+			return "entries leave a gap"
+		}
+	}
+	return ""
+}
+
+// add appends an entry, cutting off what it replaces.
+func (r *recovery) add(e replog.Entry) bool {
+	active := &r.segments[len(r.segments)-1]
+	active.lastIndex = max(active.lastIndex, e.Index)
+	if len(r.entries) == 0 {
+		r.entries = append(r.entries, e)
+		return true
+	}
+	first := r.entries[0].Index
+	if e.Index > first+uint64(len(r.entries)) {
+		return false
+	}
+	keep := uint64(0)
+	if e.Index > first {
+		keep = e.Index - first
+	}
+	r.entries = append(r.entries[:keep], e)
+	return true
+}
+
+// after returns the entries after the snapshot. If the log holds another entry
+// in place of the snapshot's last one, a crash came between the writing of a
+// leader's snapshot and the reset of the log: the whole log is void.
+func (r *recovery) after(meta replog.SnapshotMeta) ([]replog.Entry, error) {
+	if len(r.entries) == 0 || r.entries[len(r.entries)-1].Index <= meta.Index {
+		return nil, nil
+	}
+	first := r.entries[0].Index
+	if first > meta.Index+1 {
+		return nil, &CorruptError{File: r.path(r.segments[0].number), Detail: "entries after the snapshot are missing"}
+	}
+	if first == meta.Index+1 {
+		return r.entries, nil
+	}
+	if r.entries[meta.Index-first].Term != meta.Term {
+		return nil, nil
+	}
+	return r.entries[meta.Index-first+1:], nil
+}
+
+// fitHardState takes in what a snapshot proves, if a crash came before the
+// record that says so. No vote was given in the snapshot's term then, since
+// votes are written before they are sent.
+func (r *Recovered) fitHardState() {
+	if r.SnapshotMeta.Term > r.HardState.Term {
+		r.HardState.Term, r.HardState.Vote = r.SnapshotMeta.Term, 0
+	}
+	r.HardState.Commit = max(r.HardState.Commit, r.SnapshotMeta.Index)
+}
+
+// resume opens the last segment for writing, without its torn record.
+func (s *Store) resume(r recovery, hard replog.HardState) error {
+	s.hard = hard
+	s.segments = r.segments
+	last := r.segments[len(r.segments)-1]
+	if r.size == 0 {
+		s.segments = s.segments[:len(s.segments)-1]
+		return s.beginSegment(last.number)
+	}
+	file, err := s.options.FS.OpenAppend(s.segmentPath(last.number))
+	if err != nil {
+		return translate(err, "open segment")
+	}
+	s.file, s.size = file, r.size
+	if r.cut == 0 {
+		return nil
+	}
+	if err := file.Truncate(r.size); err != nil {
+		return translate(err, "cut torn record")
+	}
+	return translate(file.Sync(), "sync")
+}
