--- a/allowance/history.go
+++ b/allowance/history.go
@@ -43,16 +43,20 @@
 		return Result{}, false
 	}
 	earlier, known := h.find(version)
+	same := known && bytes.Equal(earlier.Sum[:], sum[:])
+	result := Result{Outcome: OutcomeStale, Version: current}
 	switch {
-	case known && bytes.Equal(earlier.Sum[:], sum[:]) && version == current:
-		return Result{Outcome: OutcomeRepeated, Version: current}, true
-	case known && bytes.Equal(earlier.Sum[:], sum[:]):
-		return Result{Outcome: OutcomeSuperseded, Version: current}, true
-	case known:
-		winner := &Winner{Version: version, Operator: earlier.Operator}
-		return Result{Outcome: OutcomeConflict, Version: current, Winner: winner}, true
+	case same && version == current:
+		result.Outcome = OutcomeRepeated
+	case same:
+		result.Outcome = OutcomeSuperseded
+	case version == current:
+		result.Outcome = OutcomeConflict
 	}
-	return Result{Outcome: OutcomeStale, Version: current}, true
+	if known && !same {
+		result.Winner = &Winner{Version: version, Operator: earlier.Operator}
+	}
+	return result, true
 }
 
 // maxDifferences bounds the entries shown to the loser of a race.
--- a/allowance/lists.go
+++ b/allowance/lists.go
@@ -132,6 +132,11 @@
 
 // Apply applies a command.
 func (l *Lists) Apply(c Command) Result {
+	if len(c.Operator) > MaxNameBytes {
+		var problems Problems
+		problems.add("command", "", "operator", "is longer than %d bytes", MaxNameBytes)
+		return Result{Outcome: OutcomeInvalid, Problems: problems}
+	}
 	switch {
 	case c.Plans != nil:
 		return l.setPlans(c.Operator, c.Plans.sorted())
@@ -145,7 +150,7 @@
 	sum := contentSum(list.Plans)
 	current := l.plans.Version
 	if result, decided := l.planHistory.decide(current, list.Version, sum); decided {
-		if result.Outcome == OutcomeConflict && list.Version == current {
+		if result.Outcome == OutcomeConflict {
 			result.Winner.Differences = comparePlans(l.plans, list)
 		}
 		return result
@@ -173,7 +178,7 @@
 	sum := contentSum(list.Allowances)
 	current := l.allowances.Version
 	if result, decided := l.allowanceHistory.decide(current, list.Version, sum); decided {
-		if result.Outcome == OutcomeConflict && list.Version == current {
+		if result.Outcome == OutcomeConflict {
 			result.Winner.Differences = compareAllowances(l.allowances, list)
 		}
 		return result
