--- /dev/null
+++ b/ledger/bench_test.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// BenchmarkBeginFinish measures the two commands of one request, with decoding.
+func BenchmarkBeginFinish(b *testing.B) {
+	l := New()
+	index := uint64(0)
+	apply := func(c Command) Reply {
+		data, _ := c.Encode()
+		decoded, _ := DecodeCommand(data)
+		index++
+		return l.Apply(index, decoded)
+	}
+	for i := range b.N {
+		y := newTry(i, i%1000)
+		y.begin.Customer = fmt.Sprint("customer-", i%1000)
+		y.begin.At = uint64(i) // 1000 requests a second
+		reply := apply(Command{Begin: &y.begin})
+		apply(Command{Finish: &Finish{Service: "orders", Customer: y.begin.Customer, Key: y.begin.Key, Attempt: reply.Attempt,
+			State: StateAnswered, Status: 200, ContentType: "application/json", Body: make([]byte, 200), At: uint64(i)}})
+	}
+	b.ReportMetric(2*float64(b.N)/b.Elapsed().Seconds(), "commands/s")
+}
+
+// BenchmarkMemory reports the bytes of a record in memory and in a snapshot. One
+// record in two has an answer of 200 bytes.
+func BenchmarkMemory(b *testing.B) {
+	for _, records := range []int{10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprint(records), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				l := filled(records, 200)
+				b.ReportMetric(float64(heap()-before)/float64(records), "bytes/record")
+				data, _ := l.Snapshot()
+				b.ReportMetric(float64(len(data))/float64(records), "snapshot-bytes/record")
+				if _, err := Restore(data); err != nil {
+					b.Fatal(err)
+				}
+				runtime.KeepAlive(l)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
