Add the control daemon's groups, leaders, calls and operators' interface

Cause: the thin whole path needs a control host. Change: internal/control runs the members of the log groups, keeps the leaders' sessions, homes and runs, feeds tables, and serves operators.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -191,3 +191,11 @@
 	}
 	return []string{body.Service}
 }
+
+// Destination returns the region that the home is in or moves to.
+func (h Home) Destination() string {
+	if h.To != "" {
+		return h.To
+	}
+	return h.Region
+}
--- /dev/null
+++ b/internal/control/admin.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"gopkg.in/yaml.v3"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// Paths of the operators' interface.
+const (
+	pathPlans      = "/galena/v1/plans"      // GET, PUT: YAML
+	pathAllowances = "/galena/v1/allowances" // GET, PUT: YAML
+	pathStatus     = "/galena/v1/status"     // GET: JSON
+	pathDump       = "/dump"                 // GET: JSON
+	pathMetrics    = "/metrics"              // GET, without a credential
+	pathReady      = "/ready"                // GET, without a credential
+)
+
+// Limits of the operators' interface.
+const (
+	maxListBytes  = 16 << 20
+	changeTimeout = 5 * time.Second
+	headerOp      = "Galena-Operator" // name of the operator, shown to the loser of a race
+)
+
+// adminServer is the operators' HTTP interface.
+type adminServer struct {
+	host   *Host
+	engine *server.Hertz
+}
+
+func (h *Host) startAdmin() error {
+	a := &adminServer{host: h}
+	a.engine = server.New(
+		server.WithHostPorts(h.settings.AdminListen),
+		server.WithMaxRequestBodySize(maxListBytes),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(0),
+	)
+	a.engine.GET(pathPlans, a.authenticated(a.getPlans))
+	a.engine.PUT(pathPlans, a.authenticated(a.putPlans))
+	a.engine.GET(pathAllowances, a.authenticated(a.getAllowances))
+	a.engine.PUT(pathAllowances, a.authenticated(a.putAllowances))
+	a.engine.GET(pathStatus, a.authenticated(a.status))
+	a.engine.GET(pathDump, a.authenticated(a.dump))
+	a.engine.GET(pathReady, func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusOK) })
+	if h.options.Registry != nil {
+		metrics := promhttp.HandlerFor(h.options.Registry, promhttp.HandlerOpts{})
+		a.engine.GET(pathMetrics, adaptor.HertzHandler(metrics))
+	}
+	h.admin = a
+	h.done.Go(func() {
+		if err := a.engine.Run(); err != nil {
+			log.WithError(err).Error("operators' listener ended")
+		}
+	})
+	return nil
+}
+
+func (a *adminServer) stop(ctx context.Context) {
+	if err := a.engine.Shutdown(ctx); err != nil {
+		log.WithError(err).Debug("operators' listener shutdown")
+	}
+}
+
+// authenticated refuses requests without the operators' credential.
+func (a *adminServer) authenticated(next app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		given := strings.TrimPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(given), a.host.options.OperatorSecret) != 1 {
+			refuse(c, http.StatusUnauthorized, "unauthorized", "the operators' credential is missing or wrong")
+			return
+		}
+		next(ctx, c)
+	}
+}
+
+func refuse(c *app.RequestContext, status int, reason, detail string) {
+	c.JSON(status, wire.Refusal{Outcome: wire.OutcomeNotRun, Reason: reason, Detail: detail})
+}
+
+func (a *adminServer) getPlans(_ context.Context, c *app.RequestContext) {
+	state := a.host.global.state
+	state.mu.RLock()
+	defer state.mu.RUnlock()
+	writeYAML(c, state.lists.Plans())
+}
+
+func (a *adminServer) getAllowances(_ context.Context, c *app.RequestContext) {
+	state := a.host.global.state
+	state.mu.RLock()
+	defer state.mu.RUnlock()
+	writeYAML(c, state.lists.Allowances())
+}
+
+func writeYAML(c *app.RequestContext, value any) {
+	body, err := yaml.Marshal(value)
+	if err != nil {
+		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	c.Data(http.StatusOK, "application/yaml", body)
+}
+
+func (a *adminServer) putPlans(ctx context.Context, c *app.RequestContext) {
+	list, err := allowance.ParsePlans(c.Request.Body())
+	if err != nil {
+		refuse(c, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	a.change(ctx, c, allowance.Command{Plans: &list})
+}
+
+func (a *adminServer) putAllowances(ctx context.Context, c *app.RequestContext) {
+	list, err := allowance.ParseAllowances(c.Request.Body())
+	if err != nil {
+		refuse(c, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	a.change(ctx, c, allowance.Command{Allowances: &list})
+}
+
+// change commits a new list and answers with the result. A change whose outcome
+// is not known may be sent again as it is.
+func (a *adminServer) change(ctx context.Context, c *app.RequestContext, command allowance.Command) {
+	command.Operator = string(c.GetHeader(headerOp))
+	data, err := encodeLists(command)
+	if err != nil {
+		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	reply, err := a.host.proposeTo(ctx, wire.GroupGlobal, data)
+	if err != nil {
+		c.JSON(http.StatusServiceUnavailable, wire.Refusal{
+			Outcome: wire.OutcomeUnknown,
+			Reason:  "unavailable",
+			Detail:  "the change may or may not be accepted; send it again as it is: " + err.Error(),
+		})
+		return
+	}
+	var result allowance.Result
+	if err := cbor.Unmarshal(reply.Result, &result); err != nil {
+		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	c.JSON(statusOf(result), result)
+}
+
+func statusOf(result allowance.Result) int {
+	switch {
+	case result.Succeeded():
+		return http.StatusOK
+	case result.Outcome == allowance.OutcomeInvalid:
+		return http.StatusBadRequest
+	default:
+		return http.StatusConflict
+	}
+}
+
+// groupStatus is one group in the status.
+type groupStatus struct {
+	Group  string       `json:"group"`
+	Leader string       `json:"leader"`
+	Leads  bool         `json:"leads"`
+	Member group.Status `json:"member"`
+}
+
+// hostStatus answers a request for the status.
+type hostStatus struct {
+	Host              string        `json:"host"`
+	PlansVersion      uint64        `json:"plans_version"`
+	AllowancesVersion uint64        `json:"allowances_version"`
+	Groups            []groupStatus `json:"groups"`
+}
+
+func (h *Host) status() hostStatus {
+	status := hostStatus{Host: h.settings.Name}
+	h.global.state.mu.RLock()
+	status.PlansVersion = h.global.state.lists.Plans().Version
+	status.AllowancesVersion = h.global.state.lists.Allowances().Version
+	h.global.state.mu.RUnlock()
+	for _, g := range h.plan {
+		runner, ok := h.runners[g.Name]
+		if !ok {
+			continue
+		}
+		status.Groups = append(status.Groups, groupStatus{
+			Group:  g.Name,
+			Leader: runner.Leader(),
+			Leads:  runner.Leads(),
+			Member: runner.Status(),
+		})
+	}
+	return status
+}
+
+func (a *adminServer) status(_ context.Context, c *app.RequestContext) {
+	c.JSON(http.StatusOK, a.host.status())
+}
+
+func (a *adminServer) dump(_ context.Context, c *app.RequestContext) {
+	body, err := a.host.Dump()
+	if err != nil {
+		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+		return
+	}
+	c.Data(http.StatusOK, "application/json", body)
+}
+
+// Dump returns the host's whole state as JSON.
+func (h *Host) Dump() ([]byte, error) {
+	dump := hostDump{Status: h.status(), Services: h.global.state.dump()}
+	for _, g := range h.plan {
+		if region, ok := h.regions[g.Name]; ok {
+			dump.Regions = append(dump.Regions, region.dump())
+		}
+	}
+	body, err := json.MarshalIndent(dump, "", "  ")
+	return body, errors.Wrap(err, "encode state dump")
+}
--- /dev/null
+++ b/internal/control/host.go
@@ -0,0 +1,340 @@
+// Package control is the control host: its members of the log groups, the
+// leaders' work, the calls of entry hosts and other control hosts, and the
+// operators' HTTP interface.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/groupcall"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/membership"
+	"github.com/galenalug/galenalug/ownership"
+	"github.com/galenalug/galenalug/replog"
+)
+
+// rampUp is the age at which a backend server counts with its whole capacity.
+const rampUp = 10 * time.Second
+
+// Options of a Host.
+type Options struct {
+	Settings       *settings.ControlSettings
+	PeerSecret     []byte
+	OperatorSecret []byte
+	Registry       *prometheus.Registry
+}
+
+// Host is one control host.
+type Host struct {
+	options  Options
+	settings *settings.ControlSettings
+	started  time.Time
+	plan     []membership.Group
+	hosts    []membership.Host
+
+	server  *peer.Server
+	admin   *adminServer
+	clients map[string]*peer.Client
+	caller  *groupcall.Caller
+	global  *globalGroup // nil on a host outside the global group
+	regions map[string]*regionGroup
+	runners map[string]*group.Runner
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New makes a host. Start starts it.
+func New(options Options) (*Host, error) {
+	h := &Host{
+		options:  options,
+		settings: options.Settings,
+		started:  time.Now(),
+		clients:  map[string]*peer.Client{},
+		regions:  map[string]*regionGroup{},
+		runners:  map[string]*group.Runner{},
+	}
+	for _, control := range options.Settings.Controls {
+		h.hosts = append(h.hosts, membership.Host{Name: control.Name, Region: control.Region, Domain: control.Domain})
+	}
+	h.plan = membership.Plan(h.hosts)
+	var err error
+	h.server, err = peer.NewServer(peer.ServerOptions{
+		Listen:  options.Settings.PeerListen,
+		Self:    h.identity(),
+		Secret:  options.PeerSecret,
+		Handler: &handler{host: h},
+		Workers: options.Settings.Workers,
+	})
+	return h, errors.Wrap(err, "peer listener")
+}
+
+func (h *Host) identity() peer.Identity {
+	return peer.Identity{Name: h.settings.Name, Role: peer.RoleControl}
+}
+
+// now is the host's monotonic clock.
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// InitializeData makes the durable state of a first start in the data folder of
+// every group that the host is a member of. It must be run once on each initial
+// host, and never on a host whose disk was lost: a new disk is a new member, which
+// Start admits by itself.
+func InitializeData(s *settings.ControlSettings) error {
+	h, err := New(Options{Settings: s, PeerSecret: []byte("unused")})
+	if err != nil {
+		return err
+	}
+	for _, g := range h.plan {
+		if !slices.Contains(g.Hosts, s.Name) {
+			continue
+		}
+		runner, err := h.startRunner(g, true, noState{})
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		runner.Stop(ctx)
+	}
+	return nil
+}
+
+// noState takes the place of a group's state while the store is made.
+type noState struct{}
+
+func (noState) Apply(uint64, []byte) any                     { return nil }
+func (noState) Snapshot() ([]byte, error)                    { return nil, nil }
+func (noState) Restore(uint64, []byte) error                 { return nil }
+func (noState) Send(string, replog.Member, []replog.Message) {}
+
+// memberID is the identity of an initial member's disk.
+func memberID(groupName, host string) uint64 {
+	return xxhash.Sum64String(groupName + "/" + host)
+}
+
+func initialMembers(g membership.Group) []replog.Member {
+	var members []replog.Member
+	for _, host := range g.Hosts {
+		members = append(members, replog.Member{ID: memberID(g.Name, host), Name: host})
+	}
+	return members
+}
+
+// startRunner starts the host's member of a group. An empty folder gets the
+// initial member's identity at a first start, and a new one otherwise.
+func (h *Host) startRunner(g membership.Group, first bool, state group.Applier) (*group.Runner, error) {
+	options := group.Options{
+		Name:            g.Name,
+		HostName:        h.settings.Name,
+		Dir:             filepath.Join(h.settings.DataDir, g.Name),
+		Election:        milliseconds(h.settings.RaftElectionMs),
+		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
+		SnapshotEntries: h.settings.SnapshotEntries,
+		Seed:            rand.Uint64(),
+		Applier:         state,
+		Transport:       h,
+	}
+	if first {
+		options.ID = memberID(g.Name, h.settings.Name)
+		options.Bootstrap = initialMembers(g)
+	} else if !holdsStore(options.Dir) {
+		options.ID = rand.Uint64()
+	}
+	runner, err := group.Start(options)
+	return runner, errors.Wrapf(err, "group %s", g.Name)
+}
+
+// holdsStore reports whether a folder holds a member's store.
+func holdsStore(dir string) bool {
+	entries, err := os.ReadDir(dir)
+	return err == nil && len(entries) > 0
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Start starts the host's groups and listeners.
+func (h *Host) Start() error {
+	h.connect()
+	if err := h.startGroups(); err != nil {
+		return err
+	}
+	if err := h.server.Start(); err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	if err := h.startAdmin(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.startWork(ctx)
+	return nil
+}
+
+// connect opens the connections to the other control hosts.
+func (h *Host) connect() {
+	targets := map[string]groupcall.Target{h.settings.Name: &localTarget{host: h}}
+	order := []string{h.settings.Name}
+	for _, control := range h.settings.Controls {
+		if control.Name == h.settings.Name {
+			continue
+		}
+		client := peer.NewClient(peer.ClientOptions{
+			Address: control.Address,
+			Self:    h.identity(),
+			Expect:  control.Name,
+			Secret:  h.options.PeerSecret,
+			Seed:    rand.Uint64(),
+		})
+		h.clients[control.Name] = client
+		targets[control.Name] = client
+		order = append(order, control.Name)
+	}
+	h.caller = groupcall.New(targets, order)
+}
+
+func (h *Host) startGroups() error {
+	for _, g := range h.plan {
+		if !slices.Contains(g.Hosts, h.settings.Name) {
+			continue
+		}
+		if err := h.startGroup(g); err != nil {
+			return err
+		}
+	}
+	if h.global == nil {
+		return errors.Errorf("control host %q is outside the global group", h.settings.Name)
+	}
+	return nil
+}
+
+func (h *Host) startGroup(g membership.Group) error {
+	if g.Name == membership.GroupGlobal {
+		state := newGlobalState(g.Name)
+		runner, err := h.startRunner(g, false, state)
+		if err != nil {
+			return err
+		}
+		h.runners[g.Name] = runner
+		h.global = &globalGroup{runner: runner, state: state, regions: membership.Regions(h.hosts), now: h.now}
+		return nil
+	}
+	state := newRegionState(g.Name)
+	runner, err := h.startRunner(g, false, state)
+	if err != nil {
+		return err
+	}
+	h.runners[g.Name] = runner
+	h.regions[g.Name] = &regionGroup{
+		name: g.Name,
+		settings: ownership.Settings{
+			Region:      g.Name,
+			Lease:       milliseconds(h.settings.LeaseMs),
+			MaxDeadline: milliseconds(h.settings.MaxDeadlineMs),
+			RampUp:      rampUp,
+		},
+		planner: newPlanner(string(h.settings.Placement)),
+		runner:  runner,
+		state:   state,
+		now:     h.now,
+	}
+	return nil
+}
+
+// startWork starts the leaders' work of every group.
+func (h *Host) startWork(ctx context.Context) {
+	h.every(ctx, reportInterval, func() { h.globalWork(ctx) })
+	for _, g := range h.regions {
+		h.every(ctx, tickInterval, func() { h.regionWork(ctx, g) })
+		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
+	}
+	for name := range h.runners {
+		h.every(ctx, joinInterval, func() { h.joinWork(ctx, name) })
+	}
+}
+
+// every calls work again and again until the context ends.
+func (h *Host) every(ctx context.Context, interval time.Duration, work func()) {
+	h.done.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				work()
+			}
+		}
+	})
+}
+
+func (h *Host) globalWork(ctx context.Context) {
+	if err := h.global.tick(ctx); err != nil && ctx.Err() == nil {
+		log.WithError(err).Warn("global leader's work failed")
+	}
+}
+
+func (h *Host) regionWork(ctx context.Context, g *regionGroup) {
+	if !g.ensureLeadership(ctx) {
+		return
+	}
+	err := g.tick(ctx, h.global.state.homes())
+	if err != nil && !errors.Is(err, errNotLeading) && ctx.Err() == nil {
+		log.WithError(err).WithField("group", g.name).Warn("leader's work failed")
+	}
+}
+
+// Stop hands leadership over and stops the host.
+func (h *Host) Stop(ctx context.Context) error {
+	if h.cancel != nil {
+		h.cancel()
+	}
+	for _, runner := range h.runners {
+		runner.Stop(ctx)
+	}
+	h.done.Wait()
+	err := h.server.Stop(ctx)
+	if h.admin != nil {
+		h.admin.stop(ctx)
+	}
+	for _, client := range h.clients {
+		client.Close()
+	}
+	return err
+}
+
+// Send passes messages of a group's log to another member.
+func (h *Host) Send(groupName string, to replog.Member, messages []replog.Message) {
+	client, ok := h.clients[to.Name]
+	if !ok {
+		return
+	}
+	encoded, err := cbor.Marshal(messages)
+	if err != nil {
+		log.WithError(err).Error("encode log messages")
+		return
+	}
+	body, err := cbor.Marshal(wire.RaftBatch{Group: groupName, Messages: encoded})
+	if err != nil {
+		log.WithError(err).Error("encode log messages")
+		return
+	}
+	// A lost message is sent again by the log.
+	_ = client.Notify(wire.KindRaft, body)
+}
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -53,7 +53,7 @@
 // leading returns the leadership of the present term. It fails with
 // errNotLeading. The caller holds mu.
 func (g *regionGroup) leading() (*leadership, error) {
-	if g.lead == nil || !g.runner.Leads() || g.lead.term != g.runner.Status().Term {
+	if g.lead == nil || !g.runner.Leads() || g.lead.term != g.runner.Status().Node.Term {
 		return nil, errNotLeading
 	}
 	return g.lead, nil
@@ -66,7 +66,7 @@
 		g.setLeadership(nil)
 		return false
 	}
-	term := g.runner.Status().Term
+	term := g.runner.Status().Node.Term
 	g.mu.Lock()
 	current := g.lead != nil && g.lead.term == term
 	g.mu.Unlock()
@@ -185,14 +185,13 @@
 	return answer, commands, nil
 }
 
-// runCommand commits a ledger command and returns its reply. Slot is that of a
-// Begin.
-func (g *regionGroup) runCommand(ctx context.Context, slot int, command ledger.Command) (ledger.Reply, error) {
+// runCommand commits a ledger command and returns its reply.
+func (g *regionGroup) runCommand(ctx context.Context, command ledger.Command) (ledger.Reply, error) {
 	data, err := command.Encode()
 	if err != nil {
 		return ledger.Reply{}, err
 	}
-	result, err := g.commit(ctx, regionEntry{Ledger: data, Slot: slot})
+	result, err := g.commit(ctx, regionEntry{Ledger: data})
 	if err != nil {
 		return ledger.Reply{}, err
 	}
--- a/internal/control/regionstate.go
+++ b/internal/control/regionstate.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ledger"
 	"github.com/galenalug/galenalug/ownership"
 )
@@ -17,7 +18,6 @@
 type regionEntry struct {
 	Ownership []ownership.Command `cbor:"1,keyasint,omitempty"`
 	Ledger    []byte              `cbor:"2,keyasint,omitempty"` // ledger.Command
-	Slot      int                 `cbor:"3,keyasint,omitempty"` // of a ledger Begin
 }
 
 // regionSnapshot is the durable form of a region's state.
@@ -59,7 +59,7 @@
 	if err != nil {
 		return errors.Wrap(errInvalidEntry, err.Error())
 	}
-	if command.Begin != nil && !s.isHome(command.Begin.Service, entry.Slot) {
+	if begin := command.Begin; begin != nil && !s.isHome(begin.Service, begin.Slot) {
 		return ledger.Reply{Refusal: ledger.RefusedSealed}
 	}
 	return s.runs.Apply(index, command)
@@ -98,10 +98,15 @@
 	}
 }
 
-// isHome reports whether the region is the home of a slot.
+// isHome reports whether the region is the home of a slot. Services that are not
+// divided by key have no slots; their runs are in the ledger that the entry host
+// chose by the idempotency key.
 func (s *regionState) isHome(name string, slot int) bool {
 	service := s.owner.Service(name)
-	if service == nil || slot < 0 || slot >= len(service.Slots) {
+	if service == nil {
+		return slot == wire.NoSlot
+	}
+	if slot < 0 || slot >= len(service.Slots) {
 		return false
 	}
 	return service.Slots[slot].Status != ownership.Absent
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -18,6 +18,9 @@
 // GroupGlobal is the name of the log group that all control hosts are in.
 const GroupGlobal = "global"
 
+// NoSlot is the slot of runs of services that are not divided by key.
+const NoSlot = 0
+
 // Error codes of failed calls, in Frame.ErrorCode.
 const (
 	CodeNotLeader   = "not-leader"  // detail: name of the leader, or empty
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -304,6 +304,9 @@
 	// Entry host that will send it.
 	Host string `json:"e" yaml:"e" cbor:"e"`
 
+	// Group whose ledger holds the run.
+	Group string `json:"g" yaml:"g" cbor:"g"`
+
 	// Idempotency key.
 	Key string `json:"i" yaml:"i" cbor:"i"`
 
@@ -335,6 +338,9 @@
 	// Customer.
 	Customer string `json:"cu" yaml:"cu" cbor:"cu"`
 
+	// Group whose ledger holds the run.
+	Group string `json:"g" yaml:"g" cbor:"g"`
+
 	// Idempotency key.
 	Key string `json:"i" yaml:"i" cbor:"i"`
 
