--- /dev/null
+++ b/cmd/galena-control/main.go
@@ -0,0 +1,74 @@
+// Command galena-control runs a control host: the replicated logs, ownership,
+// membership, and the operators' interface.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/config"
+	"github.com/galenalug/galenalug/internal/control"
+	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/logging"
+)
+
+// stopTimeout is the longest wait for the hand-over of leadership at a stop.
+const stopTimeout = 10 * time.Second
+
+func main() {
+	os.Exit(daemon.Main(daemon.Program{
+		Name:        "galena-control",
+		Usage:       "control host of galenalug",
+		Kind:        config.KindControl,
+		StopTimeout: func() time.Duration { return stopTimeout },
+		Open:        open,
+		Commands:    []*cli.Command{initCommand()},
+	}, os.Args, os.Stderr))
+}
+
+func open(path string) (daemon.Process, error) {
+	s, err := config.LoadControl(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := logging.Setup(s.Log, os.Stderr); err != nil {
+		return nil, err
+	}
+	peerSecret, err := config.ReadSecret(s.PeerSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	operatorSecret, err := config.ReadSecret(s.OperatorSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	host, err := control.New(control.Options{
+		Settings:       &s,
+		PeerSecret:     peerSecret,
+		OperatorSecret: operatorSecret,
+		Registry:       prometheus.NewRegistry(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return host, nil
+}
+
+func initCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "init",
+		Usage: "make the data folder of an initial control host; once, and never after a disk was lost",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`", Required: true}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := config.LoadControl(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return control.InitializeData(&s)
+		},
+	}
+}
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"gopkg.in/yaml.v3"
 
@@ -217,22 +215,16 @@
 }
 
 func (a *adminServer) dump(_ context.Context, c *app.RequestContext) {
-	body, err := a.host.Dump()
-	if err != nil {
-		refuse(c, http.StatusInternalServerError, "internal", err.Error())
-		return
-	}
-	c.Data(http.StatusOK, "application/json", body)
+	c.JSON(http.StatusOK, a.host.Dump())
 }
 
-// Dump returns the host's whole state as JSON.
-func (h *Host) Dump() ([]byte, error) {
+// Dump returns the host's whole state, for JSON.
+func (h *Host) Dump() any {
 	dump := hostDump{Status: h.status(), Services: h.global.state.dump()}
 	for _, g := range h.plan {
 		if region, ok := h.regions[g.Name]; ok {
 			dump.Regions = append(dump.Regions, region.dump())
 		}
 	}
-	body, err := json.MarshalIndent(dump, "", "  ")
-	return body, errors.Wrap(err, "encode state dump")
+	return dump
 }
