--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,198 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Queue admits requests to one backend server.
+type Queue struct {
+	config  Config
+	limiter limiter
+	queues  [Classes]*fairQueue
+	waiting map[ID]*entry
+	running map[ID]Class
+	active  [Classes]int
+	service [Classes]time.Duration // moving average of the service time
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	q := &Queue{
+		config:  config,
+		limiter: newLimiter(config),
+		waiting: map[ID]*entry{},
+		running: map[ID]Class{},
+	}
+	for class := range q.queues {
+		q.queues[class] = newFairQueue()
+	}
+	return q
+}
+
+// Enqueue accepts a request into its class's queue or refuses it. It starts
+// nothing; call Next afterwards.
+func (q *Queue) Enqueue(now time.Duration, request Request) Verdict {
+	class := request.Class
+	wait := q.estimateWait(class, request.Customer)
+	if q.tooLate(now+wait, request) {
+		return Verdict{Reason: ReasonDeadline, Wait: wait}
+	}
+	verdict := Verdict{Accepted: true, Wait: wait}
+	queue := q.queues[class]
+	if len(queue.heap) >= q.config.QueueLength {
+		victim := queue.largest()
+		if victim == nil || queue.queued(victim.request.Customer) <= queue.queued(request.Customer)+1 {
+			return Verdict{Reason: ReasonQueueFull, Wait: wait}
+		}
+		q.drop(victim)
+		verdict.Evicted = []ID{victim.request.ID}
+	}
+	q.waiting[request.ID] = queue.push(request)
+	return verdict
+}
+
+// Next returns the requests to start now. Each must be finished with Finish.
+func (q *Queue) Next(_ time.Duration) []ID {
+	var started []ID
+	for len(q.running) < q.Limit() {
+		class, found := q.nextClass()
+		if !found {
+			break
+		}
+		e := q.queues[class].pop()
+		delete(q.waiting, e.request.ID)
+		q.running[e.request.ID] = class
+		q.active[class]++
+		started = append(started, e.request.ID)
+	}
+	return started
+}
+
+// Finish frees the slot of a started request. latency is the time from its start.
+func (q *Queue) Finish(now time.Duration, id ID, outcome Outcome, latency time.Duration) {
+	class, found := q.running[id]
+	if !found {
+		return
+	}
+	full := len(q.running) >= q.Limit()
+	delete(q.running, id)
+	q.active[class]--
+	if outcome == Succeeded {
+		q.observeService(class, latency)
+	}
+	if class != Upload { // an upload's time is its caller's, not the server's
+		q.limiter.observe(now, outcome, latency, full)
+	}
+}
+
+// Cancel takes back a request, waiting or started.
+func (q *Queue) Cancel(now time.Duration, id ID) {
+	if e, found := q.waiting[id]; found {
+		q.drop(e)
+		return
+	}
+	q.Finish(now, id, Failed, 0)
+}
+
+// Expire removes and returns the waiting requests that can no longer finish
+// before their deadlines, in the order of their ids.
+func (q *Queue) Expire(now time.Duration) []ID {
+	var expired []ID
+	for id, e := range q.waiting {
+		if q.tooLate(now, e.request) {
+			expired = append(expired, id)
+		}
+	}
+	slices.SortFunc(expired, cmp.Compare[ID])
+	for _, id := range expired {
+		q.drop(q.waiting[id])
+	}
+	return expired
+}
+
+// Limit returns the number of requests that may run at the same time.
+func (q *Queue) Limit() int { return int(q.limiter.limit) }
+
+// Running returns the number of started requests of a class.
+func (q *Queue) Running(class Class) int { return q.active[class] }
+
+// Waiting returns the number of waiting requests of a class.
+func (q *Queue) Waiting(class Class) int { return len(q.queues[class].heap) }
+
+func (q *Queue) drop(e *entry) {
+	q.queues[e.request.Class].remove(e)
+	delete(q.waiting, e.request.ID)
+}
+
+// nextClass picks the class that uses the least of its share, so that each
+// class gets its share when it wants it, and borrows idle slots otherwise.
+func (q *Queue) nextClass() (Class, bool) {
+	best, found := Lookup, false
+	for class := Lookup; class < Classes; class++ {
+		if q.Waiting(class) == 0 || class == Upload && q.active[Upload] >= q.uploadLimit() {
+			continue
+		}
+		if !found || q.use(class) < q.use(best) {
+			best, found = class, true
+		}
+	}
+	return best, found
+}
+
+func (q *Queue) use(class Class) float64 {
+	return float64(q.active[class]+1) / q.config.Shares[class]
+}
+
+func (q *Queue) uploadLimit() int {
+	return max(1, int(q.limiter.limit*q.config.Shares[Upload]))
+}
+
+// tooLate reports whether a request that starts at a time would end after its
+// deadline. A class with nothing running judges by the start alone: its service
+// time may be outdated, and a first request must find out.
+func (q *Queue) tooLate(start time.Duration, request Request) bool {
+	if request.Deadline == 0 {
+		return false
+	}
+	end := start
+	if q.active[request.Class] > 0 {
+		end += q.service[request.Class]
+	}
+	return end >= request.Deadline
+}
+
+// estimateWait returns the time until a customer's next request would start.
+func (q *Queue) estimateWait(class Class, customer string) time.Duration {
+	if len(q.running) < q.Limit() && q.Waiting(class) == 0 {
+		return 0
+	}
+	queue := q.queues[class]
+	ahead := queue.ahead(queue.startTag(customer)) + 1
+	return time.Duration(float64(ahead) * float64(q.service[class]) / q.concurrency(class))
+}
+
+// concurrency estimates the slots that a class gets while the classes that are
+// busy now stay busy.
+func (q *Queue) concurrency(class Class) float64 {
+	total := q.config.Shares[class]
+	for other := Lookup; other < Classes; other++ {
+		if other != class && q.active[other]+q.Waiting(other) > 0 {
+			total += q.config.Shares[other]
+		}
+	}
+	slots := q.limiter.limit * q.config.Shares[class] / total
+	if class == Upload {
+		slots = min(slots, float64(q.uploadLimit()))
+	}
+	return max(1, slots)
+}
+
+func (q *Queue) observeService(class Class, latency time.Duration) {
+	if q.service[class] == 0 {
+		q.service[class] = latency
+		return
+	}
+	q.service[class] += time.Duration(latencyWeight * float64(latency-q.service[class]))
+}
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"github.com/galenalug/galenalug/internal/forward"
+)
+
+// readBounded reads a body of at most a number of bytes.
+func readBounded(caller *app.RequestContext, most int) ([]byte, error) {
+	stream := caller.Request.BodyStream()
+	if stream == nil {
+		return caller.Request.Body(), nil
+	}
+	if length := caller.Request.Header.ContentLength(); length >= 0 {
+		stream = io.LimitReader(stream, int64(length))
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(most)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > most {
+		return nil, errors.Errorf("more than %d bytes", most)
+	}
+	return body, nil
+}
+
+func (h *Host) handleReady(_ context.Context, caller *app.RequestContext) {
+	if h.stopping.Load() {
+		caller.String(503, "stopping\n")
+		return
+	}
+	caller.String(200, "ready\n")
+}
+
+func (h *Host) handleMetrics(_ context.Context, caller *app.RequestContext) {
+	text, err := metricsText(h.registry)
+	if err != nil {
+		caller.String(500, "%v\n", err)
+		return
+	}
+	caller.Data(200, string(expfmt.NewFormat(expfmt.TypeTextPlain)), text)
+}
+
+func metricsText(gatherer prometheus.Gatherer) ([]byte, error) {
+	families, err := gatherer.Gather()
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	for _, family := range families {
+		if _, err := expfmt.MetricFamilyToText(&out, family); err != nil {
+			return nil, err
+		}
+	}
+	return out.Bytes(), nil
+}
+
+// dump is the state of the process.
+type dump struct {
+	Name         string         `json:"name"`
+	Stopping     bool           `json:"stopping"`
+	InFlight     int64          `json:"in_flight"`
+	OwnerWaiters int64          `json:"owner_waiters"`
+	Connections  *forward.Stats `json:"connections,omitempty"`
+	Gates        []gateDump     `json:"gates"`
+	Rest         any            `json:"rest,omitempty"`
+}
+
+type gateDump struct {
+	Group   string `json:"group"`
+	Session uint64 `json:"session"`
+	gateState
+}
+
+func (h *Host) handleDump(_ context.Context, caller *app.RequestContext) {
+	if !authorized(caller, h.operatorSecret) {
+		h.refuse(caller, nil, notRun(401, "unauthorized", "the operators' credential is missing or wrong"))
+		return
+	}
+	caller.JSON(200, h.dump())
+}
+
+func (h *Host) dump() dump {
+	state := dump{
+		Name:         h.settings.Name,
+		Stopping:     h.stopping.Load(),
+		InFlight:     h.inFlight.Load(),
+		OwnerWaiters: h.ownerWaiters.Load(),
+	}
+	if client, ok := h.sender.(*forward.Client); ok {
+		stats := client.Stats()
+		state.Connections = &stats
+	}
+	h.gates.each(func(key gateKey, one gateState) {
+		state.Gates = append(state.Gates, gateDump{Group: key.group, Session: key.session, gateState: one})
+	})
+	if h.dumpRest != nil {
+		state.Rest = h.dumpRest()
+	}
+	return state
+}
--- /dev/null
+++ b/internal/entry/budgets.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenalug/galenalug/retry"
+)
+
+var retryPolicy = retry.Policy{MaxTries: 3, BackoffBase: 10 * time.Millisecond, BackoffMax: 200 * time.Millisecond}
+
+var retryBudget = retry.BudgetConfig{Ratio: 0.1, FloorPerSecond: 1, Burst: 20}
+
+// budgets holds the retry budget of each service.
+type budgets struct {
+	mu        sync.Mutex // guards byService
+	byService map[string]*retry.Budget
+}
+
+func newBudgets() *budgets { return &budgets{byService: map[string]*retry.Budget{}} }
+
+func (b *budgets) of(service string) *retry.Budget {
+	found := b.byService[service]
+	if found == nil {
+		found = retry.NewBudget(retryBudget)
+		b.byService[service] = found
+	}
+	return found
+}
+
+func (b *budgets) firstAttempt(service string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).FirstAttempt(now)
+}
+
+// decideRetry takes budgets.mu, then randomMu.
+func (h *Host) decideRetry(service string, attempt retry.Attempt) retry.Decision {
+	h.budgets.mu.Lock()
+	defer h.budgets.mu.Unlock()
+	h.randomMu.Lock()
+	defer h.randomMu.Unlock()
+	return retryPolicy.Decide(h.now(), attempt, h.budgets.of(service), h.random)
+}
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,276 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// fakePorts implements every port. One service, "orders", is divided by key;
+// "photos" is not.
+type fakePorts struct {
+	mu       sync.Mutex
+	owner    *Server
+	token    uint64
+	photos   []Server
+	changed  chan struct{}
+	records  map[string]wire.RunReply
+	digests  map[string]string
+	finished chan wire.RunFinish
+	begun    []wire.RunBegin
+	refused  bool // Admit
+	writable func() bool
+	announce wire.Announcement
+	timedOut int
+	failed   int
+}
+
+func newFakePorts() *fakePorts {
+	return &fakePorts{
+		token: 7, changed: make(chan struct{}), records: map[string]wire.RunReply{},
+		digests: map[string]string{}, finished: make(chan wire.RunFinish, 100), writable: func() bool { return true },
+	}
+}
+
+func (f *fakePorts) setOwner(address string, token uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owner = &Server{Session: token, Group: "norte", Name: "s", Service: "orders", Address: address, Region: "norte", Slots: 6, Connections: 110, Fencing: true}
+	f.token = token
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakePorts) Service(name string) (bool, error) {
+	switch name {
+	case "orders":
+		return true, nil
+	case "photos":
+		return false, nil
+	}
+	return false, ErrUnknownService
+}
+
+func (f *fakePorts) Home(string, string) (string, int, error) { return "norte", 3, nil }
+
+func (f *fakePorts) Route(string, string) (Route, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.owner == nil {
+		return Route{}, ErrNoOwner
+	}
+	return Route{Slot: 3, Token: f.token, Server: *f.owner, Writable: f.writable}, nil
+}
+
+func (f *fakePorts) Servers(string) []Server { return f.photos }
+
+func (f *fakePorts) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakePorts) Begin(_ context.Context, _ string, begin wire.RunBegin) (wire.RunReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, begin)
+	if reply, found := f.records[begin.Key]; found && reply.State != stateNotRun {
+		if f.digests[begin.Key] != string(begin.Digest) {
+			return wire.RunReply{State: stateConflict}, nil
+		}
+		return reply, nil
+	}
+	f.records[begin.Key] = wire.RunReply{State: stateRunning, Attempt: 1}
+	f.digests[begin.Key] = string(begin.Digest)
+	return wire.RunReply{State: stateNew, Attempt: 1}, nil
+}
+
+func (f *fakePorts) Finish(_ context.Context, _ string, finish wire.RunFinish) (wire.RunReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := wire.RunReply{State: finish.State, Status: finish.Status, Body: finish.Body, ContentType: finish.ContentType}
+	f.records[finish.Key] = reply
+	f.finished <- finish
+	return reply, nil
+}
+
+func (f *fakePorts) Admit(string, string) (bool, time.Duration) { return !f.refused, 3 * time.Second }
+
+func (f *fakePorts) Announce(_ context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
+	f.announce = a
+	return wire.AnnouncementReply{Session: 5, LeaseMillis: 800}, nil
+}
+
+func (f *fakePorts) Grants(_ context.Context, _ string, session, after uint64, _ time.Duration) (wire.Grants, error) {
+	return wire.Grants{Session: session, Version: after + 1}, nil
+}
+
+func (f *fakePorts) Answered(Server, time.Duration) {}
+func (f *fakePorts) TimedOut(Server)                { f.mu.Lock(); f.timedOut++; f.mu.Unlock() }
+func (f *fakePorts) ConnectionFailed(Server)        { f.mu.Lock(); f.failed++; f.mu.Unlock() }
+func (f *fakePorts) Routed(string, int, string)     {}
+
+// startHost runs a host until the test ends.
+func startHost(t testing.TB, ports *fakePorts, change func(*settings.EntrySettings)) *Host {
+	t.Helper()
+	s := &settings.EntrySettings{Name: "e1", Region: "norte", Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", DrainSeconds: 20}
+	if change != nil {
+		change(s)
+	}
+	host, err := New(Options{
+		Settings: s, Table: ports, Runs: ports, Limits: ports, Sessions: ports, Observer: ports,
+		ServerSecret: "server", OperatorSecret: "operator",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = host.Stop(ctx)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	awaitServing(t, host)
+	return host
+}
+
+// awaitServing returns once both listeners answer.
+func awaitServing(t testing.TB, host *Host) {
+	t.Helper()
+	for _, url := range []string{"http://" + host.AdminAddr() + "/ready", "http://" + host.Addr() + "/"} {
+		response, err := http.Get(url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+	}
+}
+
+// rawServer is a backend server whose every exchange is scripted: it reads one
+// request and lets the script write and close.
+type rawServer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	seen     []*http.Request
+	bodies   []string
+	bodyErrs []error
+}
+
+type script func(server *rawServer, c net.Conn, request *http.Request, number int) bool
+
+func startRaw(t testing.TB, play script) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &rawServer{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.serve(c, play)
+		}
+	}()
+	return server
+}
+
+func (s *rawServer) serve(c net.Conn, play script) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		probe := request.URL.Path == wire.PathProbe
+		number := 0
+		if !probe {
+			s.mu.Lock()
+			s.seen = append(s.seen, request)
+			s.bodies = append(s.bodies, string(body))
+			s.bodyErrs = append(s.bodyErrs, err)
+			number = len(s.seen)
+			s.mu.Unlock()
+		}
+		if probe {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !play(s, c, request, number) {
+			return
+		}
+	}
+}
+
+func (s *rawServer) address() string { return s.listener.Addr().String() }
+
+func (s *rawServer) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+// say writes an answer and keeps the connection.
+func say(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+	return err == nil
+}
+
+const okAnswer = "HTTP/1.1 200 OK\nContent-Type: text/plain\nContent-Length: 2\n\nok"
+
+func answerOK(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool { return say(c, okAnswer) }
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	outcome string
+	body    string
+	header  http.Header
+	err     error // of reading the body
+}
+
+func call(t testing.TB, host *Host, method, path, body string, header ...string) reply {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+host.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body == "" {
+		request.Body = nil
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return do(t, request)
+}
+
+func do(t testing.TB, request *http.Request) reply {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header.Get(wire.HeaderOutcome), string(text), response.Header, err}
+}
--- /dev/null
+++ b/internal/entry/gates.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// gateKeep is how long an unused gate is kept.
+const gateKeep = time.Minute
+
+// gates holds the gate of each backend server session.
+// Lock order: gates.mu before gate.mu.
+type gates struct {
+	now         func() time.Duration
+	queueLength int
+
+	mu        sync.Mutex // guards bySession
+	bySession map[gateKey]*gate
+}
+
+// gateKey identifies a session; session ids are unique within a group only.
+type gateKey struct {
+	group   string
+	session uint64
+}
+
+func keyOf(server Server) gateKey { return gateKey{server.Group, server.Session} }
+
+func newGates(now func() time.Duration, queueLength int) *gates {
+	return &gates{now: now, queueLength: queueLength, bySession: map[gateKey]*gate{}}
+}
+
+func (g *gates) of(server Server) *gate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := keyOf(server)
+	found := g.bySession[key]
+	if found == nil {
+		found = newGate(server, g.queueLength, g.now)
+		found.lastUsed = g.now()
+		g.bySession[key] = found
+	}
+	return found
+}
+
+// outstanding returns the requests running or waiting at a server.
+func (g *gates) outstanding(server Server) int {
+	g.mu.Lock()
+	found := g.bySession[keyOf(server)]
+	g.mu.Unlock()
+	if found == nil {
+		return 0
+	}
+	return found.outstanding()
+}
+
+func (g *gates) has(group string, session uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bySession[gateKey{group, session}] != nil
+}
+
+// sweep forgets gates of servers that nothing was sent to of late.
+func (g *gates) sweep() {
+	before := g.now() - gateKeep
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, one := range g.bySession {
+		if one.unusedSince(before) {
+			delete(g.bySession, key)
+		}
+	}
+}
+
+func (g *gates) each(visit func(key gateKey, state gateState)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, one := range g.bySession {
+		visit(key, one.state())
+	}
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/internal/forward"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// sweepInterval is how often unused connections and gates are dropped.
+const sweepInterval = 5 * time.Second
+
+// Host is an entry host. Locks are leaves, but for these orders: gates.mu before
+// gate.mu; budgets.mu before randomMu; randomMu (in choose) before gates.mu.
+type Host struct {
+	settings       *settings.EntrySettings
+	bounds         bounds
+	table          Table
+	runs           Runs
+	limits         Limits
+	sessions       Sessions
+	observer       Observer
+	serverSecret   string
+	operatorSecret string
+	logger         log.Interface
+	registry       *prometheus.Registry
+	metrics        *metrics
+	sender         forward.Sender
+	chooser        Chooser
+	dumpRest       func() any
+
+	origin   time.Time
+	idPrefix string
+	lastID   atomic.Uint64
+	gates    *gates
+	budgets  *budgets
+	randomMu sync.Mutex // guards random and the chooser
+	random   *rand.Rand
+	probing  sync.Map // gateKey of servers being probed
+
+	workers      *ants.Pool
+	finishers    *ants.Pool
+	background   sync.WaitGroup // records being finished and probes
+	inFlight     atomic.Int64
+	ownerWaiters atomic.Int64
+
+	stopping atomic.Bool
+	stopOnce sync.Once
+	unready  chan struct{} // closed when the stop begins
+	closed   chan struct{} // closed when the stop ends
+
+	callers, admin                *server.Hertz
+	callerListener, adminListener net.Listener
+}
+
+// New returns a host that listens on its addresses but does not serve yet.
+func New(options Options) (*Host, error) {
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	h := newHost(options)
+	var err error
+	if h.metrics, err = newMetrics(options.Registry, h); err != nil {
+		return nil, errors.Wrap(err, "entry: metrics")
+	}
+	if h.workers, err = ants.NewPool(h.bounds.workers, ants.WithNonblocking(true)); err != nil {
+		return nil, errors.Wrap(err, "entry: worker pool")
+	}
+	if h.finishers, err = ants.NewPool(finishWorkers, ants.WithNonblocking(true)); err != nil {
+		return nil, errors.Wrap(err, "entry: worker pool")
+	}
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func newHost(options Options) *Host {
+	h := &Host{
+		settings:       options.Settings,
+		bounds:         newBounds(options.Settings),
+		table:          options.Table,
+		runs:           options.Runs,
+		limits:         options.Limits,
+		sessions:       options.Sessions,
+		observer:       options.Observer,
+		serverSecret:   options.ServerSecret,
+		operatorSecret: options.OperatorSecret,
+		logger:         options.Logger,
+		registry:       options.Registry,
+		sender:         options.Sender,
+		chooser:        options.Chooser,
+		dumpRest:       options.Dump,
+		origin:         time.Now(),
+		budgets:        newBudgets(),
+		random:         rand.New(rand.NewPCG(options.Seed, 1)),
+		unready:        make(chan struct{}),
+		closed:         make(chan struct{}),
+	}
+	h.idPrefix = h.settings.Name + "-" + strconv.FormatInt(h.origin.UnixMilli(), 36) + "-"
+	h.gates = newGates(h.now, h.bounds.queueLength)
+	if h.sender == nil {
+		h.sender = forward.NewClient(nil)
+	}
+	if h.chooser == nil {
+		h.chooser = leastOutstanding{random: h.random}
+	}
+	return h
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.origin) }
+
+func (h *Host) sinceOrigin(t time.Time) time.Duration { return t.Sub(h.origin) }
+
+func (h *Host) nextRequestID() string {
+	return h.idPrefix + strconv.FormatUint(h.lastID.Add(1), 36)
+}
+
+func (h *Host) listen() error {
+	var err error
+	if h.callerListener, err = net.Listen("tcp", h.settings.Listen); err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	if h.adminListener, err = net.Listen("tcp", h.settings.AdminListen); err != nil {
+		_ = h.callerListener.Close()
+		return errors.Wrap(err, "entry: listen for operators")
+	}
+	h.callers = h.newCallerServer()
+	h.admin = h.newAdminServer()
+	return nil
+}
+
+// newCallerServer streams bodies, bounds the time without progress, and cancels
+// a request's context when its caller goes away.
+func (h *Host) newCallerServer() *server.Hertz {
+	engine := server.New(
+		server.WithListener(h.callerListener),
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithMaxRequestBodySize(h.bounds.maxUploadBytes),
+		server.WithSenseClientDisconnection(true),
+		server.WithReadTimeout(h.bounds.uploadIdle),
+		server.WithWriteTimeout(h.bounds.uploadIdle),
+		server.WithExitWaitTime(h.bounds.drain),
+		server.WithRedirectTrailingSlash(false),
+		server.WithDisablePrintRoute(true),
+		server.WithDisableDefaultContentType(true),
+	)
+	engine.POST(wire.PathAnnounce, h.handleAnnounce)
+	engine.GET(wire.PathGrants, h.handleGrants)
+	engine.Any(wire.PathServices+":service/*path", h.handleCaller)
+	engine.NoRoute(h.handleNoRoute)
+	return engine
+}
+
+func (h *Host) newAdminServer() *server.Hertz {
+	engine := server.New(
+		server.WithListener(h.adminListener),
+		server.WithExitWaitTime(time.Second),
+		server.WithDisablePrintRoute(true),
+	)
+	engine.GET("/ready", h.handleReady)
+	engine.GET("/metrics", h.handleMetrics)
+	engine.GET("/dump", h.handleDump)
+	return engine
+}
+
+// Addr returns the address for callers and backend servers.
+func (h *Host) Addr() string { return h.callerListener.Addr().String() }
+
+// AdminAddr returns the address for operators.
+func (h *Host) AdminAddr() string { return h.adminListener.Addr().String() }
+
+// Run serves until Stop ends.
+func (h *Host) Run() error {
+	failed := make(chan error, 2)
+	go func() { failed <- h.callers.Run() }()
+	go func() { failed <- h.admin.Run() }()
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.closed:
+			return nil
+		case err := <-failed:
+			if err != nil && !h.stopping.Load() {
+				return errors.Wrap(err, "entry: serve")
+			}
+		case <-ticker.C:
+			h.sweep()
+		}
+	}
+}
+
+func (h *Host) sweep() {
+	h.gates.sweep()
+	if client, ok := h.sender.(*forward.Client); ok {
+		client.Keep(func(target forward.Target) bool { return h.gates.has(target.Group, target.Session) })
+	}
+}
--- /dev/null
+++ b/internal/entry/input.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+const (
+	maxNameBytes           = 128 // service, customer and server names
+	maxKeyBytes            = 512
+	maxIdempotencyKeyBytes = 256
+	// reservedPath is the part of a backend server's paths that is ours.
+	reservedPath = "/galena/"
+)
+
+// input is a caller's request, checked.
+type input struct {
+	id             string // request id
+	method         string
+	service        string
+	target         string // path and query at the backend server
+	key            string
+	customer       string
+	class          admission.Class
+	repeatable     bool
+	idempotencyKey string
+	digestHeader   string
+	arrived        time.Time
+	deadline       time.Time // zero for an upload that names none
+	header         *protocol.RequestHeader
+	contentLength  int
+	body           []byte
+	stream         *countedReader  // body of an upload
+	caller         context.Context // canceled when the caller goes away
+}
+
+// parseInput checks the header of a caller's request. The values are copied,
+// since hertz reuses its memory.
+func parseInput(header *protocol.RequestHeader, now time.Time, limits bounds) (*input, *refusal) {
+	in := &input{header: header, arrived: now, method: string(header.Method()), contentLength: header.ContentLength()}
+	steps := []func(*input, bounds) *refusal{parseTarget, parseNames, parseClass, parseRepeatable, parseDeadline, checkBody}
+	for _, step := range steps {
+		if failure := step(in, limits); failure != nil {
+			return nil, failure
+		}
+	}
+	return in, nil
+}
+
+func badRequest(format string, arguments ...any) *refusal {
+	return notRun(400, reasonBadRequest, format, arguments...)
+}
+
+// parseTarget takes service and path from the raw request line, so that the
+// backend server gets the path as the caller wrote it.
+func parseTarget(in *input, _ bounds) *refusal {
+	if in.method == "CONNECT" || in.method == "TRACE" {
+		return badRequest("method %s is not supported", in.method)
+	}
+	rest, found := bytes.CutPrefix(in.header.RequestURI(), []byte(wire.PathServices))
+	if !found {
+		return badRequest("the path must start with %s", wire.PathServices)
+	}
+	service, target, found := bytes.Cut(rest, []byte("/"))
+	if !found || !validName(string(service)) {
+		return badRequest("the path must be %s{service}/{path}", wire.PathServices)
+	}
+	in.service, in.target = string(service), "/"+string(target)
+	if strings.HasPrefix(in.target, reservedPath) {
+		return badRequest("paths under %s are reserved", reservedPath)
+	}
+	for _, b := range target {
+		if b <= ' ' || b >= utf8.RuneSelf || b == '#' {
+			return badRequest("the path must be percent-encoded")
+		}
+	}
+	return nil
+}
+
+func parseNames(in *input, _ bounds) *refusal {
+	in.key = in.header.Get(wire.HeaderKey)
+	in.customer = in.header.Get(wire.HeaderCustomer)
+	in.idempotencyKey = in.header.Get(wire.HeaderIdempotencyKey)
+	in.digestHeader = in.header.Get("Digest")
+	switch {
+	case !validText(in.key, maxKeyBytes):
+		return badRequest("%s must be printable and at most %d bytes", wire.HeaderKey, maxKeyBytes)
+	case in.customer != "" && !validName(in.customer):
+		return badRequest("%s must be at most %d letters, digits, '.', '_' or '-'", wire.HeaderCustomer, maxNameBytes)
+	case !validText(in.idempotencyKey, maxIdempotencyKeyBytes):
+		return badRequest("%s must be printable and at most %d bytes", wire.HeaderIdempotencyKey, maxIdempotencyKeyBytes)
+	}
+	return nil
+}
+
+func parseClass(in *input, _ bounds) *refusal {
+	switch value := in.header.Get(wire.HeaderClass); value {
+	case "":
+		in.class = admission.Order
+		if in.method == "GET" || in.method == "HEAD" {
+			in.class = admission.Lookup
+		}
+	case admission.Lookup.String():
+		in.class = admission.Lookup
+	case admission.Order.String():
+		in.class = admission.Order
+	case admission.Upload.String():
+		in.class = admission.Upload
+	default:
+		return badRequest("%s must be lookup, order or upload", wire.HeaderClass)
+	}
+	return nil
+}
+
+func parseRepeatable(in *input, _ bounds) *refusal {
+	switch value := in.header.Get(wire.HeaderRepeatable); value {
+	case "":
+		in.repeatable = in.method == "GET" || in.method == "HEAD"
+	case "true", "false":
+		in.repeatable = value == "true"
+	default:
+		return badRequest("%s must be true or false", wire.HeaderRepeatable)
+	}
+	return nil
+}
+
+func parseDeadline(in *input, limits bounds) *refusal {
+	value := in.header.Get(wire.HeaderDeadlineMillis)
+	if value == "" {
+		if in.class != admission.Upload {
+			in.deadline = in.arrived.Add(limits.deadline)
+		}
+		return nil
+	}
+	millis, err := strconv.ParseUint(value, 10, 31)
+	if err != nil || millis == 0 {
+		return badRequest("%s must be a whole number above 0", wire.HeaderDeadlineMillis)
+	}
+	left := time.Duration(millis) * time.Millisecond
+	if in.class != admission.Upload {
+		left = min(left, limits.maxDeadline)
+	}
+	in.deadline = in.arrived.Add(left)
+	return nil
+}
+
+func checkBody(in *input, limits bounds) *refusal {
+	most := limits.maxBodyBytes
+	if in.class == admission.Upload {
+		most = limits.maxUploadBytes
+	}
+	if in.contentLength > most {
+		return notRun(413, reasonTooLarge, "the body has %d bytes, at most %d are allowed", in.contentLength, most)
+	}
+	if in.header.IgnoreBody() && (in.contentLength > 0 || in.contentLength == -1) {
+		return badRequest("a %s request may not have a body", in.method)
+	}
+	return nil
+}
+
+// validName accepts names of services, customers and servers.
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		if !letter && (r < '0' || r > '9') && !strings.ContainsRune("._-", r) {
+			return false
+		}
+	}
+	return true
+}
+
+// validText accepts printable UTF-8, and the empty text.
+func validText(text string, most int) bool {
+	if len(text) > most || !utf8.ValidString(text) {
+		return false
+	}
+	for _, r := range text {
+		if !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// validAddress accepts IP:port.
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
--- /dev/null
+++ b/internal/entry/outcome_test.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+func order(t *testing.T, host *Host, header ...string) reply {
+	t.Helper()
+	return call(t, host, "POST", "/v1/services/orders/place?x=1", "two buttons", append([]string{wire.HeaderKey, "k"}, header...)...)
+}
+
+func reset(c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// TestOutcomes compares what the caller was told with what the server ran.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		play    script
+		method  string
+		status  int
+		outcome string
+		runs    int // requests that reached the server
+	}{
+		{"answered", answerOK, "POST", 200, "answered", 1},
+		{"server error is an answer", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 500 Oops\nContent-Length: 4\n\noops")
+		}, "POST", 500, "answered", 1},
+		{"shedding", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 503 No\nGalena-Refused: shedding\nContent-Length: 0\n\n")
+		}, "POST", 503, "not-run", 1},
+		{"reset after the request", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			return reset(c)
+		}, "POST", 502, "unknown", 1},
+		{"closed after the request", func(_ *rawServer, _ net.Conn, _ *http.Request, _ int) bool {
+			return false
+		}, "POST", 502, "unknown", 1},
+		{"half an answer", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			say(c, "HTTP/1.1 200 OK\nContent-Length: 10\n\nhalf")
+			return false
+		}, "POST", 502, "unknown", 1},
+		{"broken chunked answer", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			say(c, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n4\nhalf\n")
+			return false
+		}, "POST", 502, "unknown", 1},
+		{"answer without a length", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			say(c, "HTTP/1.1 200 OK\n\nmaybe half")
+			return false
+		}, "POST", 502, "unknown", 1},
+		{"not HTTP", func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "nonsense\n\n")
+		}, "POST", 502, "unknown", 1},
+		{"a lookup is repeated", func(_ *rawServer, c net.Conn, _ *http.Request, n int) bool {
+			if n == 1 {
+				return false
+			}
+			return say(c, okAnswer)
+		}, "GET", 200, "answered", 2},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			server := startRaw(t, one.play)
+			ports := newFakePorts()
+			ports.setOwner(server.address(), 7)
+			host := startHost(t, ports, nil)
+			body := ""
+			if one.method == "POST" {
+				body = "two buttons"
+			}
+			got := call(t, host, one.method, "/v1/services/orders/place", body, wire.HeaderKey, "k")
+			if got.status != one.status || got.outcome != one.outcome || server.runs() != one.runs {
+				t.Fatalf("got %d %q (%s), %d runs; want %d %q, %d", got.status, got.outcome, got.body, server.runs(), one.status, one.outcome, one.runs)
+			}
+		})
+	}
+}
+
+func TestRequestAsTheServerSeesIt(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	got := order(t, host, "X-Own", "1", "Connection", "x-hop", "X-Hop", "2", wire.HeaderCustomer, "maker", wire.HeaderToken, "99")
+	if got.outcome != "answered" || got.body != "ok" || got.header.Get("Content-Type") != "text/plain" {
+		t.Fatalf("got %+v", got)
+	}
+	seen := server.seen[0]
+	for name, want := range map[string]string{
+		"X-Own": "1", "X-Hop": "", "Connection": "", wire.HeaderCustomer: "maker", wire.HeaderToken: "7", wire.HeaderSlot: "3", wire.HeaderKey: "k",
+	} {
+		if seen.Header.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, seen.Header.Get(name), want)
+		}
+	}
+	if seen.RequestURI != "/place?x=1" || server.bodies[0] != "two buttons" || seen.Header.Get(wire.HeaderDeadlineMillis) == "" {
+		t.Errorf("request line %q, body %q, header %v", seen.RequestURI, server.bodies[0], seen.Header)
+	}
+}
+
+func TestDialRefusedIsNotRun(t *testing.T) {
+	listener, _ := net.Listen("tcp", "127.0.0.1:0")
+	address := listener.Addr().String()
+	_ = listener.Close()
+	ports := newFakePorts()
+	ports.setOwner(address, 7)
+	host := startHost(t, ports, nil)
+	got := order(t, host, wire.HeaderDeadlineMillis, "250")
+	if got.outcome != "not-run" || ports.failed == 0 {
+		t.Fatalf("got %+v, %d failures reported", got, ports.failed)
+	}
+}
+
+// TestLateAnswer lets the first answer come after its request gave up.
+func TestLateAnswer(t *testing.T) {
+	release := make(chan struct{})
+	server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http.Request, n int) bool {
+		if n == 1 {
+			<-release
+			return say(c, "HTTP/1.1 200 OK\nContent-Length: 5\n\nfirst")
+		}
+		return say(c, "HTTP/1.1 200 OK\nContent-Length: 6\n\nsecond")
+	})
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	if got := order(t, host, wire.HeaderDeadlineMillis, "100"); got.status != 504 || got.outcome != "unknown" {
+		t.Fatalf("got %+v", got)
+	}
+	close(release)
+	if got := order(t, host); got.body != "second" {
+		t.Fatalf("got the answer %q", got.body)
+	}
+	if ports.timedOut != 1 || server.runs() != 2 {
+		t.Fatalf("%d timeouts reported, %d runs", ports.timedOut, server.runs())
+	}
+}
+
+func TestStaleTokenIsRoutedAgain(t *testing.T) {
+	var ports *fakePorts
+	second := startRaw(t, answerOK)
+	first := startRaw(t, func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+		defer ports.setOwner(second.address(), 8)
+		return say(c, "HTTP/1.1 409 No\nGalena-Refused: stale-token\nContent-Length: 0\n\n")
+	})
+	ports = newFakePorts()
+	ports.setOwner(first.address(), 7)
+	host := startHost(t, ports, nil)
+	if got := order(t, host); got.outcome != "answered" || second.seen[0].Header.Get(wire.HeaderToken) != "8" {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// TestBrokenStreamIsNotWhole streams an answer that is too long to be held, and
+// breaks it.
+func TestBrokenStreamIsNotWhole(t *testing.T) {
+	for name, head := range map[string]string{
+		"fixed":   "Content-Length: 4000000\n\n",
+		"chunked": "Transfer-Encoding: chunked\n\n1e8480\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+				say(c, "HTTP/1.1 200 OK\n"+head+strings.Repeat("x", 2000000))
+				if name == "chunked" {
+					say(c, "\n")
+				}
+				return false
+			})
+			ports := newFakePorts()
+			ports.setOwner(server.address(), 7)
+			host := startHost(t, ports, nil)
+			got := order(t, host)
+			if got.status != 200 || got.err == nil {
+				t.Fatalf("the caller read %d bytes as a whole body", len(got.body))
+			}
+		})
+	}
+}
+
+// TestBrokenCallerBody breaks off a caller's upload: the server must not take it
+// for whole.
+func TestBrokenCallerBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"fixed":   "Content-Length: 100000\r\n\r\n",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n186A0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken := make(chan error, 1)
+			server := startRawStream(t, func(body io.Reader) {
+				_, err := io.Copy(io.Discard, body)
+				broken <- err
+			})
+			ports := newFakePorts()
+			ports.setOwner(server, 7)
+			host := startHost(t, ports, nil)
+			c, err := net.Dial("tcp", host.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(c, "PUT /v1/services/orders/batch HTTP/1.1\r\nHost: x\r\nGalena-Key: k\r\nGalena-Class: upload\r\n"+head+strings.Repeat("p", 20000))
+			_ = c.Close()
+			if err := <-broken; err == nil {
+				t.Fatal("the server took half a body for a whole one")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/probe.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/forward"
+)
+
+// probeTimeout bounds a probe over a new connection, which takes about 6 ms.
+const probeTimeout = 500 * time.Millisecond
+
+// ProbeObserver is implemented by Observers that take the results of probes. A
+// probe over a new connection tells a silent connection from a silent server.
+type ProbeObserver interface {
+	// Probed reports whether a backend server answered a probe.
+	Probed(server Server, answered bool)
+}
+
+type prober interface {
+	Probe(ctx context.Context, target forward.Target) error
+}
+
+// probe asks a server over a new connection whether it can serve, unless a probe
+// of it is under way.
+func (h *Host) probe(server Server) {
+	p, ok := h.sender.(prober)
+	if !ok {
+		return
+	}
+	key := keyOf(server)
+	if _, running := h.probing.LoadOrStore(key, true); running {
+		return
+	}
+	h.background.Add(1)
+	err := h.finishers.Submit(func() {
+		defer h.background.Done()
+		defer h.probing.Delete(key)
+		h.probeNow(p, server)
+	})
+	if err != nil {
+		h.probing.Delete(key)
+		h.background.Done()
+	}
+}
+
+func (h *Host) probeNow(p prober, server Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := p.Probe(ctx, destination{server: server}.target())
+	if observer, ok := h.observer.(ProbeObserver); ok {
+		observer.Probed(server, err == nil)
+		return
+	}
+	if err != nil {
+		h.observer.ConnectionFailed(server)
+	}
+}
--- /dev/null
+++ b/internal/entry/routing.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/forward"
+)
+
+const (
+	// maxOwnerWaiters bounds the requests that wait for an owner.
+	maxOwnerWaiters = 1024
+	// ownerRetry is the longest wait for a table change before an owner that
+	// could not be reached is tried again.
+	ownerRetry = 100 * time.Millisecond
+)
+
+// destination is where the next attempt goes.
+type destination struct {
+	server   Server
+	keyed    bool
+	slot     int
+	token    uint64
+	writable func() bool
+}
+
+func (d destination) target() forward.Target {
+	return forward.Target{
+		Group:       d.server.Group,
+		Session:     d.server.Session,
+		Address:     d.server.Address,
+		Connections: d.server.Connections,
+	}
+}
+
+// sameGrant reports whether two destinations are the same owner by the same grant.
+func (d destination) sameGrant(other destination) bool {
+	return keyOf(d.server) == keyOf(other.server) && d.token == other.token
+}
+
+// route finds where to send a request. refused, when not nil, is the grant that
+// refused it: another one is waited for.
+func (h *Host) route(ctx context.Context, r *run) (destination, *refusal) {
+	if !r.keyed {
+		return h.choose(r)
+	}
+	for {
+		changed := h.table.Changed()
+		found, failure := h.owner(r)
+		if failure == nil && (r.refusedBy == nil || !found.sameGrant(*r.refusedBy)) {
+			return found, nil
+		}
+		if failure != nil && failure.status != 503 {
+			return destination{}, failure
+		}
+		if failure := h.waitForTable(ctx, r, changed); failure != nil {
+			return destination{}, failure
+		}
+	}
+}
+
+func (h *Host) owner(r *run) (destination, *refusal) {
+	route, err := h.table.Route(r.in.service, r.in.key)
+	if err != nil {
+		return destination{}, routeRefusal(err)
+	}
+	return destination{server: route.Server, keyed: true, slot: route.Slot, token: route.Token, writable: route.Writable}, nil
+}
+
+func routeRefusal(err error) *refusal {
+	if errors.Is(err, ErrUnknownService) {
+		return notRun(404, reasonUnknownService, "no backend server announced the service")
+	}
+	return notRun(503, reasonNoOwner, "%v", err)
+}
+
+// waitForTable waits for a table change, or for a moment when the owner itself
+// stands but could not be reached.
+func (h *Host) waitForTable(ctx context.Context, r *run, changed <-chan struct{}) *refusal {
+	if h.ownerWaiters.Add(1) > maxOwnerWaiters {
+		h.ownerWaiters.Add(-1)
+		return notRun(503, reasonWaiters, "too many requests wait for an owner")
+	}
+	defer h.ownerWaiters.Add(-1)
+	var again <-chan time.Time
+	if r.retrySameGrant {
+		timer := time.NewTimer(ownerRetry)
+		defer timer.Stop()
+		again = timer.C
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-again:
+		r.refusedBy = nil
+		return nil
+	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // Err returns it unwrapped
+			return notRun(503, reasonNoOwner, "the key got no owner before the deadline")
+		}
+		return contextRefusal(ctx)
+	}
+}
+
+// choose picks a server of a service that is not divided by key, one that was
+// not tried yet if there is any.
+func (h *Host) choose(r *run) (destination, *refusal) {
+	servers := h.table.Servers(r.in.service)
+	untried := make([]Server, 0, len(servers))
+	for _, server := range servers {
+		if !r.tried[keyOf(server)] {
+			untried = append(untried, server)
+		}
+	}
+	if len(untried) == 0 {
+		untried = servers
+	}
+	h.randomMu.Lock()
+	index := h.chooser.Choose(untried, h.gates.outstanding)
+	h.randomMu.Unlock()
+	if index < 0 || index >= len(untried) {
+		return destination{}, notRun(503, reasonNoServer, "no backend server takes requests of the service")
+	}
+	return destination{server: untried[index]}, nil
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/forward"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/retry"
+)
+
+// maxReroutes bounds the attempts of one request that ended as not run because
+// the owner changed or could not be reached.
+const maxReroutes = 16
+
+// run is one request on its way through the host.
+type run struct {
+	in             *input
+	keyed          bool
+	record         *record // in the run ledger; nil without one
+	tries          int
+	tried          map[gateKey]bool
+	refusedBy      *destination // grant that did not run it
+	retrySameGrant bool         // the grant may be tried again after a moment
+	lastRegion     string
+}
+
+// execute sends a request until it ends, and records the end.
+func (h *Host) execute(ctx context.Context, in *input) (*forward.Answer, *refusal) {
+	keyed, err := h.table.Service(in.service)
+	if err != nil {
+		return nil, routeRefusal(err)
+	}
+	r := &run{in: in, keyed: keyed, tried: map[gateKey]bool{}}
+	if failure := h.admit(r); failure != nil {
+		return nil, failure
+	}
+	if !in.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, in.deadline)
+		defer cancel()
+	}
+	kept, failure := h.begin(ctx, r)
+	if kept != nil || failure != nil {
+		return kept, failure
+	}
+	h.budgets.firstAttempt(in.service, h.now())
+	answer, failure := h.sendUntilDone(ctx, r)
+	h.finish(r, answer, failure)
+	return answer, failure
+}
+
+// admit checks what must hold before anything is recorded or sent.
+func (h *Host) admit(r *run) *refusal {
+	if r.keyed && r.in.key == "" {
+		return badRequest("%s is missing: the service is divided by key", wire.HeaderKey)
+	}
+	admitted, retryAfter := h.limits.Admit(r.in.customer, r.in.service)
+	if !admitted {
+		failure := notRun(429, reasonAllowance, "the customer's allowance is spent")
+		failure.retryAfter = retryAfter
+		return failure
+	}
+	return nil
+}
+
+func (h *Host) sendUntilDone(ctx context.Context, r *run) (*forward.Answer, *refusal) {
+	for {
+		to, failure := h.route(ctx, r)
+		if failure != nil {
+			return nil, failure
+		}
+		answer, attemptErr, failure := h.attempt(ctx, r, to)
+		if failure != nil {
+			return nil, failure
+		}
+		if attemptErr == nil {
+			return answer, nil
+		}
+		again, delay := h.again(r, to, attemptErr)
+		if !again {
+			return nil, attemptRefusal(attemptErr)
+		}
+		h.metrics.retries.WithLabelValues(attemptErr.Reason).Inc()
+		if failure := sleep(ctx, delay, attemptErr); failure != nil {
+			return nil, failure
+		}
+	}
+}
+
+// attempt waits for a slot of the server and sends the request once.
+func (h *Host) attempt(ctx context.Context, r *run, to destination) (*forward.Answer, *forward.Error, *refusal) {
+	var deadline time.Duration
+	if !r.in.deadline.IsZero() {
+		deadline = h.sinceOrigin(r.in.deadline)
+	}
+	hold, failure := h.gates.of(to.server).enter(ctx, r.in.class, r.in.customer, deadline)
+	if failure != nil {
+		return nil, nil, failure
+	}
+	if to.keyed {
+		h.observer.Routed(r.in.service, to.slot, r.in.key)
+	}
+	r.tries++
+	r.tried[keyOf(to.server)] = true
+	started := time.Now()
+	answer, err := h.sender.Send(r.attemptContext(), h.newRequest(r, to))
+	if err == nil {
+		h.observer.Answered(to.server, time.Since(started))
+		holdUntilClosed(answer, hold)
+		return answer, nil, nil
+	}
+	attemptErr := asAttemptError(err)
+	hold.finish(admissionOutcome(attemptErr))
+	h.observeFailure(to.server, attemptErr)
+	return nil, attemptErr, nil
+}
+
+func asAttemptError(err error) *forward.Error {
+	var attemptErr *forward.Error
+	if errors.As(err, &attemptErr) {
+		return attemptErr
+	}
+	return &forward.Error{Outcome: retry.Unknown, Reason: forward.ReasonBroken, Err: err}
+}
+
+func admissionOutcome(err *forward.Error) admission.Outcome {
+	switch err.Reason {
+	case wire.RefusedShedding:
+		return admission.Shed
+	case forward.ReasonTimeout:
+		return admission.TimedOut
+	default:
+		return admission.Failed
+	}
+}
+
+// holdUntilClosed keeps the slot until the caller has the whole answer.
+func holdUntilClosed(answer *forward.Answer, hold *ticket) {
+	if answer.Stream == nil {
+		hold.finish(admission.Succeeded)
+		return
+	}
+	answer.Stream = &heldStream{ReadCloser: answer.Stream, hold: hold}
+}
+
+// again decides whether to send a request once more.
+func (h *Host) again(r *run, to destination, err *forward.Error) (bool, time.Duration) {
+	if r.in.stream != nil && r.in.stream.started() {
+		return false, 0 // the body can't be sent a second time
+	}
+	rerouted := to.keyed && err.Outcome == retry.NotRun && ownerMayChange(err.Reason)
+	if rerouted && r.tries < maxReroutes {
+		r.refusedBy = &to
+		r.retrySameGrant = err.Reason == forward.ReasonConnect
+		return true, 0
+	}
+	r.refusedBy = nil
+	attempt := retry.Attempt{
+		Outcome:     err.Outcome,
+		Tries:       r.tries,
+		Repeatable:  r.in.repeatable,
+		Overloaded:  err.Reason == wire.RefusedShedding || err.Reason == forward.ReasonConnections,
+		Bulk:        r.in.class == admission.Upload,
+		CrossRegion: to.server.Region != h.settings.Region,
+		TimeLeft:    h.timeLeft(r.in),
+	}
+	if err.Reason == forward.ReasonCanceled || err.Reason == forward.ReasonDeadline {
+		return false, 0
+	}
+	decision := h.decideRetry(r.in.service, attempt)
+	return decision.Retry, decision.Delay
+}
+
+// ownerMayChange reports whether a refusal may end with another grant.
+func ownerMayChange(reason string) bool {
+	switch reason {
+	case wire.RefusedStaleToken, wire.RefusedNotOwner, wire.RefusedDraining,
+		forward.ReasonNotWritable, forward.ReasonConnect:
+		return true
+	default:
+		return false
+	}
+}
+
+// unboundedTime stands for the time left of a request without a deadline.
+const unboundedTime = time.Hour
+
+func (h *Host) timeLeft(in *input) time.Duration {
+	if in.deadline.IsZero() {
+		return unboundedTime
+	}
+	return time.Until(in.deadline)
+}
+
+func sleep(ctx context.Context, delay time.Duration, last *forward.Error) *refusal {
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return attemptRefusal(last)
+	}
+}
+
+// attemptRefusal turns the end of the last attempt into what the caller sees.
+func attemptRefusal(err *forward.Error) *refusal {
+	if err.Outcome != retry.NotRun {
+		return unknownAttempt(err)
+	}
+	failure := notRun(503, err.Reason, "%v", err)
+	switch err.Reason {
+	case forward.ReasonDeadline: // equals wire.RefusedDeadline
+		failure.status = 504
+	case wire.RefusedShedding, forward.ReasonConnections:
+		failure.retryAfter = shedRetryAfter
+	case forward.ReasonCallerBody:
+		failure.status = 400
+	}
+	return failure
+}
+
+func unknownAttempt(err *forward.Error) *refusal {
+	if err.Reason == forward.ReasonTimeout {
+		return unknown(504, err.Reason, "%v", err)
+	}
+	return unknown(502, err.Reason, "%v", err)
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/admission"
+)
+
+var errUploadTooLarge = errors.New("the upload is larger than allowed")
+
+// countedReader bounds a body and knows whether any of it was read.
+type countedReader struct {
+	reader io.Reader
+	most   int64
+	read   atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	if c.read.Add(int64(n)) > c.most {
+		return 0, errUploadTooLarge
+	}
+	return n, err
+}
+
+func (c *countedReader) started() bool { return c.read.Load() > 0 }
+
+// heldStream is a streamed answer that holds its slot at the server.
+type heldStream struct {
+	io.ReadCloser
+	hold *ticket
+}
+
+// Close frees the slot.
+func (s *heldStream) Close() error {
+	err := s.ReadCloser.Close()
+	s.hold.finish(admission.Succeeded)
+	return err
+}
+
+// callerStream passes a streamed answer to hertz. Hertz ends a chunked body
+// properly also when its reader fails, so the caller's connection is closed
+// before a failure is returned: the caller must see that the body broke off.
+type callerStream struct {
+	io.ReadCloser
+	caller *app.RequestContext
+}
+
+// Read implements io.Reader.
+func (s *callerStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		_ = s.caller.GetConn().Close()
+		return 0, err
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/entry/upload_test.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// startRawStream serves one request, handing its body on as it arrives.
+func startRawStream(t *testing.T, take func(body io.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			take(bytes.NewReader(nil))
+			return
+		}
+		take(request.Body)
+		say(c, okAnswer)
+	}()
+	return listener.Addr().String()
+}
+
+// TestPlannedStopFinishesUpload stops the host in the middle of an upload of
+// several megabytes.
+func TestPlannedStopFinishesUpload(t *testing.T) {
+	const size = 8 << 20
+	half := make(chan struct{})
+	sums := make(chan string, 1)
+	server := startRawStream(t, func(body io.Reader) {
+		hash := sha256.New()
+		_, _ = io.CopyN(hash, body, size/2)
+		close(half)
+		_, _ = io.Copy(hash, body)
+		sums <- fmt.Sprintf("%x", hash.Sum(nil))
+	})
+	ports := newFakePorts()
+	ports.setOwner(server, 7)
+	host := startHost(t, ports, func(s *settings.EntrySettings) { s.UnreadySeconds = 1 })
+	content := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+	reader, writer := io.Pipe()
+	request, _ := http.NewRequest("PUT", "http://"+host.Addr()+"/v1/services/orders/batch", reader)
+	request.ContentLength = size
+	request.Header.Set(wire.HeaderKey, "k")
+	request.Header.Set(wire.HeaderClass, "upload")
+	replies := make(chan reply, 1)
+	go func() { replies <- do(t, request) }()
+	_, _ = writer.Write(content[:size/2])
+	<-half
+	stopped := make(chan error, 1)
+	go func() { stopped <- host.Stop(context.Background()) }()
+	<-host.unready
+	if ready := do(t, mustGet(t, "http://"+host.AdminAddr()+"/ready")); ready.status != 503 {
+		t.Errorf("ready answered %d at a stop", ready.status)
+	}
+	if _, err := net.Dial("tcp", host.Addr()); err != nil {
+		t.Errorf("the listener closed before the balancer could see it: %v", err)
+	}
+	for refusesConnections(host.Addr()) == nil {
+		time.Sleep(time.Millisecond) // waits for the state, proves nothing by itself
+	}
+	_, _ = writer.Write(content[size/2:])
+	_ = writer.Close()
+	if got := <-replies; got.status != 200 || got.outcome != "answered" {
+		t.Errorf("the upload got %+v", got)
+	}
+	if want := fmt.Sprintf("%x", sha256.Sum256(content)); <-sums != want {
+		t.Error("the server got other bytes")
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func refusesConnections(address string) error {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err
+}
+
+func mustGet(t *testing.T, url string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest("GET", url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return request
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+// readBufferBytes bounds the header of an answer, too.
+const readBufferBytes = 16 << 10
+
+// conn is a connection to a backend server. It implements hertz's
+// network.Reader over a bufio.Reader.
+type conn struct {
+	net.Conn
+	reader   *bufio.Reader
+	written  int64     // bytes of the current request
+	answered time.Time // when the last whole answer arrived; the dial time at first
+	fresh    bool      // no request was sent yet
+}
+
+func newConn(c net.Conn, now time.Time) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), answered: now, fresh: true}
+}
+
+// Write counts the bytes that the network took.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// Read reads through the buffer.
+func (c *conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// Peek implements network.Reader.
+func (c *conn) Peek(n int) ([]byte, error) { return c.reader.Peek(n) }
+
+// Skip implements network.Reader.
+func (c *conn) Skip(n int) error {
+	_, err := c.reader.Discard(n)
+	return err
+}
+
+// Release implements network.Reader; the buffer lives as long as the connection.
+func (c *conn) Release() error { return nil }
+
+// Len implements network.Reader.
+func (c *conn) Len() int { return c.reader.Buffered() }
+
+// ReadByte implements network.Reader.
+func (c *conn) ReadByte() (byte, error) { return c.reader.ReadByte() }
+
+// ReadBinary implements network.Reader.
+func (c *conn) ReadBinary(n int) ([]byte, error) {
+	p := make([]byte, n)
+	for read := 0; read < n; {
+		m, err := c.reader.Read(p[read:])
+		if err != nil {
+			return nil, err
+		}
+		read += m
+	}
+	return p, nil
+}
+
+// idleState is what a look at an idle connection shows.
+type idleState int
+
+const (
+	idleQuiet  idleState = iota // open, nothing to read
+	idleClosed                  // closed or broken
+	idleLate                    // bytes that no request asked for
+)
+
+// peekIdle looks at an idle connection without blocking and without taking
+// bytes from it.
+func (c *conn) peekIdle() idleState {
+	if c.reader.Buffered() > 0 {
+		return idleLate
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return idleClosed
+	}
+	state := idleQuiet
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			state = idleLate
+		case peekErr != syscall.EAGAIN && peekErr != syscall.EINTR:
+			state = idleClosed
+		}
+		return true
+	})
+	if err != nil {
+		return idleClosed
+	}
+	return state
+}
