Give each ledger record a nonce and a deadline

Cause: orders were answered as unknown: the entry host sent RunBegin without the nonce and the deadline that the ledger requires, so each Begin was refused as invalid, and the refusal was read as an unknown state. Change: both fields are set, and a refusal is answered as not run.

--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"strconv"
 	"time"
@@ -10,23 +11,22 @@
 
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/ledger"
 	"github.com/galenalug/galenalug/retry"
 )
 
 // States of wire.RunReply and wire.RunFinish.
 const (
-	stateNew      = "new"
-	stateRunning  = "running"
-	stateAnswered = "answered"
-	stateUnknown  = "unknown"
-	stateNotRun   = "not_run"
-	stateConflict = "conflict"
+	stateNew      = string(ledger.StateNew)
+	stateRunning  = string(ledger.StateRunning)
+	stateAnswered = string(ledger.StateAnswered)
+	stateNotKept  = string(ledger.StateNotKept)
+	stateUnknown  = string(ledger.StateUnknown)
+	stateNotRun   = string(ledger.StateNotRun)
+	stateConflict = string(ledger.StateConflict)
 )
 
 const (
-	// maxKeptBytes is the longest answer that the ledger keeps. A longer one is
-	// recorded as unknown, since a resend could not be given it.
-	maxKeptBytes = 64 << 10
 	// finishTimeout bounds one try to record how a request ended.
 	finishTimeout = time.Second
 	// finishTries bounds the tries.
@@ -56,17 +56,22 @@
 		return nil, routeRefusal(err)
 	}
 	begin := wire.RunBegin{
-		Customer: in.customer,
-		Digest:   in.digest(),
-		Host:     h.settings.Name,
-		Key:      in.idempotencyKey,
-		Slot:     slot,
-		Service:  in.service,
+		Customer:       in.customer,
+		Digest:         in.digest(),
+		Host:           h.settings.Name,
+		Key:            in.idempotencyKey,
+		Slot:           slot,
+		Service:        in.service,
+		Nonce:          newNonce(),
+		DeadlineMillis: min(int(h.timeLeft(in).Milliseconds()), ledger.MaxDeadlineMillis),
 	}
 	reply, err := h.runs.Begin(ctx, group, begin)
 	if err != nil {
 		return nil, notRun(503, reasonLedger, "the run ledger could not record the request: %v", err)
 	}
+	if reply.Refusal != "" {
+		return nil, notRun(503, reasonLedger, "the run ledger refused the request: %s", reply.Refusal)
+	}
 	if reply.State == stateNew {
 		r.record = &record{group: group, slot: slot, attempt: reply.Attempt}
 		return nil, nil
@@ -74,6 +79,13 @@
 	return earlierRun(reply)
 }
 
+// newNonce returns a number that tells this try from every other one.
+func newNonce() []byte {
+	nonce := make([]byte, ledger.MaxNonceBytes)
+	_, _ = rand.Read(nonce) // never fails, by its contract
+	return nonce
+}
+
 // earlierRun answers a resend from the record of the first try.
 func earlierRun(reply wire.RunReply) (*forward.Answer, *refusal) {
 	switch reply.State {
@@ -151,8 +163,10 @@
 	switch {
 	case failure != nil && failure.outcome == retry.NotRun:
 		return stateNotRun
-	case answer != nil && answer.Stream == nil && len(answer.Body) <= maxKeptBytes:
+	case answer != nil && answer.Stream == nil && len(answer.Body) <= ledger.MaxBodyBytes:
 		return stateAnswered
+	case answer != nil:
+		return stateNotKept
 	default:
 		return stateUnknown
 	}
