--- a/replog/election.go
+++ b/replog/election.go
@@ -149,7 +149,7 @@
 		return ErrNotLeader
 	}
 	if to == n.cfg.ID || !isVoter(n.members, to) {
-		return errors.Wrapf(ErrUnknownMember, "transfer to %x", to)
+		return errors.Wrapf(ErrInvalidChange, "transfer to %x", to)
 	}
 	n.transferTo = to
 	n.transferDeadline = n.now + n.cfg.ElectionTimeout
--- /dev/null
+++ b/replog/random_test.go
@@ -0,0 +1,181 @@
+package replog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// schedule draws what happens to the hosts of a sim.
+type schedule struct {
+	*sim
+	t       *rapid.T
+	context uint64
+	nextID  uint64
+	lost    *host // the one host whose new disk is not admitted yet
+}
+
+// TestRandomSchedules checks the invariants (see sim.check, apply and work) in
+// random schedules with clocks that drift as far as MaxDrift allows, and that
+// the group works again once everything is healed.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := []Member{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}, {ID: 3, Name: "c"}}
+		rate := rapid.SampledFrom([]float64{1 - DefaultMaxDrift, 1, 1 + DefaultMaxDrift})
+		s := &schedule{t: t, nextID: 10}
+		s.sim = newSim(t.Fatalf, members, rate.Draw(t, "rate a"), rate.Draw(t, "rate b"), rate.Draw(t, "rate c"))
+		s.run(300 * time.Millisecond)
+		t.Repeat(map[string]func(*rapid.T){
+			"run": s.drawRun, "deliver": s.drawDeliver, "repeat": s.drawRepeat, "drop": s.drawDrop,
+			"pass": s.drawPass, "cut": s.drawCut, "pause": s.drawPause, "restart": s.drawRestart,
+			"propose": s.drawPropose, "read": s.drawRead, "transfer": s.drawTransfer,
+			"compact": s.drawCompact, "lose disk": s.drawLoseDisk, "admit": s.drawAdmit,
+		})
+		s.settle()
+	})
+}
+
+func (s *schedule) host(t *rapid.T) *host {
+	return rapid.SampledFrom(s.hosts).Draw(t, "host")
+}
+
+func (s *schedule) drawRun(t *rapid.T) {
+	s.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (s *schedule) drawPass(t *rapid.T) {
+	s.pass(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond)
+}
+
+// drawMessage returns the place of a message in the queue.
+func (s *schedule) drawMessage(t *rapid.T) int {
+	if len(s.queue) == 0 {
+		t.Skip("no message")
+	}
+	return rapid.IntRange(0, len(s.queue)-1).Draw(t, "message")
+}
+
+func (s *schedule) drawDeliver(t *rapid.T) { s.deliver(s.drawMessage(t), false) }
+func (s *schedule) drawRepeat(t *rapid.T)  { s.deliver(s.drawMessage(t), true) }
+func (s *schedule) drawDrop(t *rapid.T) {
+	i := s.drawMessage(t)
+	s.queue = append(s.queue[:i], s.queue[i+1:]...)
+}
+
+func (s *schedule) drawCut(t *rapid.T) {
+	s.cut[[2]string{s.host(t).name, s.host(t).name}] = rapid.Bool().Draw(t, "cut")
+}
+
+func (s *schedule) drawPause(t *rapid.T) { s.host(t).paused = rapid.Bool().Draw(t, "pause") }
+
+// drawRestart restarts a host from its disk, maybe losing what it sent last.
+func (s *schedule) drawRestart(t *rapid.T) {
+	s.start(s.host(t))
+	if len(s.queue) > 0 && rapid.Bool().Draw(t, "lose") {
+		s.queue = s.queue[:len(s.queue)-1]
+	}
+}
+
+// drawPropose may propose without doing the work, as before a crash.
+func (s *schedule) drawPropose(t *rapid.T) {
+	h := s.host(t)
+	for i := range rapid.IntRange(1, 20).Draw(t, "count") {
+		_ = s.propose(h, fmt.Sprint(s.now, i))
+	}
+	if rapid.Bool().Draw(t, "work") {
+		s.work(h)
+	}
+}
+
+func (s *schedule) drawRead(t *rapid.T) {
+	h := s.host(t)
+	s.context++
+	_ = s.read(h, s.context)
+	s.work(h)
+}
+
+func (s *schedule) drawTransfer(t *rapid.T) {
+	h := s.host(t)
+	_ = h.node.TransferLeadership(s.clock(h), s.host(t).id)
+	s.work(h)
+}
+
+func (s *schedule) drawCompact(t *rapid.T) {
+	h := s.host(t)
+	s.work(h)
+	_ = s.compact(h, rapid.IntRange(0, 10).Draw(t, "keep"))
+}
+
+// drawLoseDisk loses a disk only while the others are all voters, so that what
+// is committed has a copy left.
+func (s *schedule) drawLoseDisk(t *rapid.T) {
+	leader := s.find("leader")
+	if s.lost != nil || leader == nil {
+		t.Skip("a disk is lost already, or no leader")
+	}
+	h := s.host(t)
+	for _, o := range s.hosts {
+		if o != leader && !leader.node.CaughtUp(s.clock(leader), o.id) {
+			t.Skip("not all are caught up")
+		}
+	}
+	s.nextID++
+	s.lost = h
+	s.loseDisk(h, s.nextID)
+}
+
+// drawAdmit takes the next step to admit the new disk, as a runner does.
+func (s *schedule) drawAdmit(*rapid.T) { s.admit() }
+
+func (s *schedule) admit() {
+	leader := s.find("leader")
+	if leader == nil || s.lost == nil {
+		return
+	}
+	new := Member{ID: s.lost.id, Name: s.lost.name}
+	change := MemberChange{Kind: AddLearner, Member: new}
+	members := leader.node.Members()
+	if i := findMember(members, new.ID); i >= 0 {
+		change.Kind = Promote
+		if !members[i].Learner && !leader.node.ChangeInFlight() {
+			s.lost = nil
+			return
+		}
+	}
+	for _, m := range members {
+		if m.Name == new.Name && m.ID != new.ID && change.Kind == Promote && leader.node.CaughtUp(s.clock(leader), new.ID) {
+			change = MemberChange{Kind: Remove, Member: m}
+		}
+	}
+	_, _, _ = leader.node.ProposeMember(s.clock(leader), change)
+	s.work(leader)
+}
+
+// settle heals everything: the group must elect a leader, admit a new disk,
+// commit, and give all the same state.
+func (s *schedule) settle() {
+	clear(s.cut)
+	for _, h := range s.hosts {
+		h.paused = false
+	}
+	for range 100 {
+		s.run(50 * time.Millisecond)
+		s.admit()
+	}
+	leader := s.find("leader")
+	if leader == nil || s.lost != nil {
+		s.t.Fatalf("leader %v, lost disk %v", leader, s.lost)
+	}
+	before := s.highest
+	if err := s.propose(leader, "last"); err != nil {
+		s.t.Fatal(err)
+	}
+	s.run(200 * time.Millisecond)
+	for _, h := range s.hosts {
+		if h.at <= before || h.at != leader.at {
+			s.t.Fatalf("%s applied %d, the leader %d", h.name, h.at, leader.at)
+		}
+	}
+}
--- /dev/null
+++ b/replog/sim_test.go
@@ -0,0 +1,270 @@
+package replog
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204") // the same schedules on each run
+	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	testElection  = 100 * time.Millisecond
+	testHeartbeat = 20 * time.Millisecond
+	stepTime      = time.Millisecond // messages take one step
+)
+
+// host is one member, its disk and its application: a hash of what it applied.
+type host struct {
+	name   string
+	id     uint64
+	node   *Node
+	disk   Restored
+	rate   float64 // of its clock
+	paused bool
+	hash   uint64
+	at     uint64   // index that hash stands for
+	reads  []string // answers
+}
+
+// sim drives hosts in virtual time and checks the invariants at each step.
+type sim struct {
+	fatalf func(format string, args ...any)
+	now    time.Duration
+	hosts  []*host // in the order of their names
+	queue  []Message
+	cut    map[[2]string]bool
+	pad    int // bytes added to each snapshot
+
+	leaders   map[uint64]uint64 // by term
+	entries   map[uint64]Entry  // applied, by index
+	hashes    map[uint64]uint64 // application states, by index
+	highest   uint64            // highest index known to be committed
+	readFloor map[uint64]uint64 // by read context
+	starts    uint64
+}
+
+func newSim(fatalf func(string, ...any), members []Member, rates ...float64) *sim {
+	s := &sim{
+		fatalf: fatalf, cut: map[[2]string]bool{}, leaders: map[uint64]uint64{},
+		entries: map[uint64]Entry{}, hashes: map[uint64]uint64{}, readFloor: map[uint64]uint64{},
+	}
+	for i, m := range members {
+		h := &host{name: m.Name, id: m.ID, disk: Bootstrap(members), rate: 1}
+		if i < len(rates) {
+			h.rate = rates[i]
+		}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+	}
+	return s
+}
+
+func (s *sim) clock(h *host) time.Duration { return time.Duration(float64(s.now) * h.rate) }
+
+// start starts the host from its disk.
+func (s *sim) start(h *host) {
+	s.starts++
+	config := Config{
+		ID: h.id, Name: h.name, ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat,
+		MaxEntriesPerMessage: 8, MaxInflight: 4, Rand: rand.New(rand.NewPCG(7, s.starts)),
+	}
+	restored := h.disk
+	restored.Entries = slices.Clone(h.disk.Entries)
+	node, err := New(config, restored, s.clock(h))
+	if err != nil {
+		s.fatalf("start %s: %v", h.name, err)
+	}
+	h.node, h.paused = node, false
+	h.restore(h.disk.Snapshot.Index, h.disk.SnapshotData)
+}
+
+// restore takes in an application state; the initial one is empty.
+func (h *host) restore(index uint64, data []byte) {
+	h.at, h.hash = index, 0
+	if len(data) > 0 {
+		h.hash = binary.LittleEndian.Uint64(data)
+	}
+}
+
+// loseDisk starts the host with an empty disk under an identity.
+func (s *sim) loseDisk(h *host, id uint64) {
+	h.id, h.disk = id, Restored{}
+	s.start(h)
+}
+
+func (s *sim) find(name string) *host {
+	for _, h := range s.hosts {
+		if h.name == name || name == "leader" && h.node.Role() == Leader && !h.paused {
+			return h
+		}
+	}
+	return nil
+}
+
+// work does the host's work, in the order that Ready asks for.
+func (s *sim) work(h *host) {
+	for {
+		ready := h.node.Ready()
+		if ready.Empty() {
+			break
+		}
+		h.write(ready)
+		s.queue = append(s.queue, ready.Messages...)
+		if snap := ready.Snapshot; snap != nil {
+			h.restore(snap.Meta.Index, snap.Data)
+			s.checkHash(h)
+		}
+		for _, e := range ready.Committed {
+			s.apply(h, e)
+		}
+		for _, read := range ready.ReadStates {
+			h.reads = append(h.reads, fmt.Sprintf("read %d index=%d lost=%v", read.Context, read.Index, read.Lost))
+			if !read.Lost && read.Index < s.readFloor[read.Context] {
+				s.fatalf("%s: read at %d, committed before %d", h.name, read.Index, s.readFloor[read.Context])
+			}
+		}
+		h.node.Advance()
+	}
+	s.check()
+}
+
+func (h *host) write(ready Ready) {
+	if ready.Snapshot != nil {
+		h.disk.Snapshot, h.disk.SnapshotData, h.disk.Entries = ready.Snapshot.Meta, ready.Snapshot.Data, nil
+	}
+	if len(ready.Entries) > 0 {
+		keep := ready.Entries[0].Index - 1 - h.disk.Snapshot.Index
+		h.disk.Entries = append(slices.Clone(h.disk.Entries[:keep]), ready.Entries...)
+	}
+	if ready.HardState != nil {
+		h.disk.HardState = *ready.HardState
+	}
+}
+
+func (s *sim) apply(h *host, e Entry) {
+	if e.Index != h.at+1 {
+		s.fatalf("%s: applies %d after %d", h.name, e.Index, h.at)
+	}
+	known, ok := s.entries[e.Index]
+	if ok && (known.Term != e.Term || string(known.Data) != string(e.Data)) {
+		s.fatalf("%s: entry %d is %v, was %v", h.name, e.Index, e, known)
+	}
+	s.entries[e.Index] = e
+	s.highest = max(s.highest, e.Index)
+	h.at = e.Index
+	h.hash = xxhash.Sum64(append(binary.LittleEndian.AppendUint64(nil, h.hash), e.Data...))
+	s.checkHash(h)
+}
+
+func (s *sim) checkHash(h *host) {
+	if known, ok := s.hashes[h.at]; ok && known != h.hash {
+		s.fatalf("%s: state at %d differs", h.name, h.at)
+	}
+	s.hashes[h.at] = h.hash
+}
+
+// check: at most one leader a term, at most one member with a lease.
+func (s *sim) check() {
+	var leading []string
+	for _, h := range s.hosts {
+		if s.clock(h) < h.node.LeaseUntil() {
+			leading = append(leading, h.name)
+		}
+		if h.node.Role() != Leader {
+			continue
+		}
+		term := h.node.Term()
+		if known := s.leaders[term]; known != 0 && known != h.id {
+			s.fatalf("term %d has leaders %x and %x", term, known, h.id)
+		}
+		s.leaders[term] = h.id
+	}
+	if len(leading) > 1 {
+		s.fatalf("%v all lead", leading)
+	}
+}
+
+// deliver hands over the i-th message in the queue, if its way is open.
+func (s *sim) deliver(i int, again bool) {
+	m := s.queue[i]
+	if !again {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+	from, to := s.byID(m.From), s.byID(m.To)
+	if from == nil || to == nil || to.paused || s.cut[[2]string{from.name, to.name}] {
+		return
+	}
+	_ = to.node.Step(s.clock(to), m)
+	s.work(to)
+}
+
+func (s *sim) byID(id uint64) *host {
+	for _, h := range s.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// pass lets time pass, without messages.
+func (s *sim) pass(d time.Duration) {
+	s.now += d
+	for _, h := range s.hosts {
+		if !h.paused {
+			h.node.Tick(s.clock(h))
+			s.work(h)
+		}
+	}
+	s.check()
+}
+
+// run lets time pass with messages in order.
+func (s *sim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.pass(stepTime)
+		for waiting := len(s.queue); waiting > 0; waiting-- {
+			s.deliver(0, false)
+		}
+	}
+}
+
+func (s *sim) propose(h *host, data string) error {
+	_, _, err := h.node.Propose(s.clock(h), []byte(data))
+	return err
+}
+
+func (s *sim) read(h *host, context uint64) error {
+	s.readFloor[context] = s.highest
+	return h.node.ReadIndex(s.clock(h), context)
+}
+
+// compact takes a snapshot of the host's application.
+func (s *sim) compact(h *host, keep int) error {
+	meta, err := h.node.SnapshotMeta(h.at)
+	if err != nil {
+		return err
+	}
+	data := append(binary.LittleEndian.AppendUint64(nil, h.hash), make([]byte, s.pad)...)
+	h.disk.Entries = slices.Clone(h.disk.Entries[meta.Index-h.disk.Snapshot.Index:])
+	h.disk.Snapshot, h.disk.SnapshotData = meta, data
+	return h.node.Compact(meta, data, keep)
+}
+
+func (s *sim) setCut(a, b string, cut bool) {
+	s.cut[[2]string{a, b}] = cut
+	s.cut[[2]string{b, a}] = cut
+}
--- a/storage/store.go
+++ b/storage/store.go
@@ -319,6 +319,6 @@
 		err = translate(closing, "close")
 	}
 	s.file = nil
-	s.fail(errors.Wrap(ErrUnusable, "closed"))
+	_ = s.fail(errors.Wrap(ErrUnusable, "closed"))
 	return err
 }
