--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/galenalug/galenalug/internal/faultfs"
+	"github.com/galenalug/galenalug/replog"
 	"github.com/galenalug/galenalug/storage"
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
@@ -130,3 +132,65 @@
 		t.Fatal(err)
 	}
 }
+
+// A leader that hears of nobody steps down: what it proposed may be committed by
+// the next leader, and is here, so the outcome is unknown; a read is refused.
+func TestOutcomeIsUnknownWhenTheLeaderIsCutOff(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	defer c.stopAll()
+	c.startAll()
+	c.propose(1)
+	old := c.leader()
+	name := old.options.HostName
+	c.net.set(name, nil)
+	read := make(chan error, 1)
+	go func() { read <- old.ReadBarrier(t.Context()) }()
+	if _, _, err := old.Propose(t.Context(), number(1)); !errors.Is(err, ErrUnknownOutcome) {
+		t.Fatal(err)
+	}
+	if err := <-read; !errors.Is(err, ErrNotLeader) {
+		t.Fatal(err)
+	}
+	if old.Leads() {
+		t.Fatal("leads without a quorum")
+	}
+	if _, _, err := old.Propose(t.Context(), number(1)); !errors.Is(err, ErrNotLeader) {
+		t.Fatal(err)
+	}
+	if got := c.propose(1); got != 3 {
+		t.Fatalf("sum %d", got)
+	}
+	c.net.set(name, old)
+	c.wait(func() bool { return c.states[name].total() == 3 })
+}
+
+// OnLeader and Leads agree: no lease before OnLeader(true), none after
+// OnLeader(false).
+func TestOnLeaderEnclosesTheLease(t *testing.T) {
+	var r *Runner
+	var told []bool
+	started := make(chan struct{})
+	o := Options{
+		Name: "test", ID: 1, HostName: "a", Dir: t.TempDir(), Bootstrap: []replog.Member{{ID: 1, Name: "a"}},
+		Election: 20 * time.Millisecond, Heartbeat: 5 * time.Millisecond, Applier: &counter{}, Transport: &network{},
+		OnLeader: func(leads bool, _ uint64) {
+			<-started
+			told = append(told, leads)
+			if r.Leads() {
+				t.Error("a lease while OnLeader is told")
+			}
+		},
+	}
+	r, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	close(started)
+	for !r.Leads() {
+		time.Sleep(time.Millisecond)
+	}
+	r.Stop(t.Context())
+	if len(told) != 2 || !told[0] || told[1] {
+		t.Fatal(told)
+	}
+}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -70,6 +70,8 @@
 	r.tasks = append(r.tasks, work.tasks...)
 	r.runTasks(now)
 	r.drain()
+	r.runTasks(now) // what the work may have finished
+	r.drain()
 	r.tellLeadership()
 	r.failLostWaiters()
 }
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -54,7 +54,8 @@
 	config := replog.Config{
 		ID: recovered.Identity, Name: o.HostName,
 		ElectionTimeout: o.Election, HeartbeatInterval: o.Heartbeat,
-		Rand: rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
+		MaxInflight: maxInflight,
+		Rand:        rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
 	}
 	node, err := replog.New(config, restored, 0)
 	return node, errors.Wrapf(err, "group %s", o.Name)
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -26,6 +26,7 @@
 
 	maxQueuedRequests = 16384 // requests beyond get ErrUnavailable
 	maxQueuedMessages = 4096  // messages beyond are dropped
+	maxInflight       = 16    // appends, of up to 1 MiB each, that a member has not answered
 	keptEntries       = 4096  // kept in memory after a snapshot, for members a little behind
 
 	defaultSnapshotEntries = 10000
--- a/replog/election.go
+++ b/replog/election.go
@@ -22,10 +22,10 @@
 // term (thesis, section 9.6), or with a vote.
 func (n *Node) campaign(pre, planned bool) {
 	n.resetElection()
+	n.leader = 0
 	if !isVoter(n.members, n.cfg.ID) {
 		return
 	}
-	n.leader = 0
 	n.receiving = nil
 	n.votes = map[uint64]bool{n.cfg.ID: true}
 	request := Message{Kind: KindPreVote, Term: n.term + 1}
--- a/replog/replication.go
+++ b/replog/replication.go
@@ -19,7 +19,7 @@
 	acked       bool // whether the member answered in this term
 	ackedSent   time.Duration
 	ackedRound  uint64
-	matchRound  uint64 // round whose answer gave match
+	matchRound  uint64 // last round sent before match was known
 	repairRound uint64 // refusals of messages before this round are old
 	lost        bool   // the member lost entries that it had acknowledged
 
@@ -216,8 +216,9 @@
 	return pr, nil
 }
 
-// losesEntries tells whether the member refuses what follows entries that it
-// acknowledged earlier: its disk is not the one it had.
+// losesEntries tells whether the member refuses a message that was sent after
+// the leader knew of entries that the member now lacks: its disk is not the one
+// it had. Refusals of earlier messages may only have been overtaken.
 func (n *Node) losesEntries(pr *progress, m Message) bool {
 	return m.Kind == KindAppendReply && m.Reject && m.Round > pr.matchRound && m.Hint < pr.match
 }
@@ -232,7 +233,7 @@
 		return nil
 	}
 	if m.Index > pr.match {
-		pr.match, pr.matchRound = m.Index, m.Round
+		pr.match, pr.matchRound = m.Index, n.round
 	}
 	pr.next = max(pr.next, pr.match+1)
 	for len(pr.inflight) > 0 && pr.inflight[0] <= pr.match {
