--- a/internal/workload/life.go
+++ b/internal/workload/life.go
@@ -49,6 +49,9 @@
 	reportedKeys = 256
 	// loadSmoothing is the weight of the newest measurement of a load.
 	loadSmoothing = 0.2
+	// overloadFactor is the load over the mean one from which a server counts as
+	// overloaded.
+	overloadFactor = 1.5
 	// slotsPerServer is the number of requests a server runs at one time.
 	slotsPerServer = 6
 )
@@ -64,7 +67,10 @@
 	Least     float64 // fewest changes of owner that the events ask for
 	// Unavailable is the time without an owner, summed over slots, in seconds.
 	Unavailable float64
-	PlanTime    time.Duration // mean of a call of the planner
+	// Overloaded is the time that servers spent above overloadFactor times the
+	// mean load, summed over servers, in seconds.
+	Overloaded float64
+	PlanTime   time.Duration // mean of a call of the planner
 }
 
 // Churn is the changes of owner over the fewest possible.
@@ -251,11 +257,14 @@
 			carried[owner] += l.keys.loads[rank]
 		}
 	}
+	mean := l.settings.Keys.Total / float64(len(l.servers))
 	var busiest float64
 	for _, load := range carried {
 		busiest = max(busiest, load)
+		if load > overloadFactor*mean {
+			l.result.Overloaded++
+		}
 	}
-	mean := l.settings.Keys.Total / float64(len(l.servers))
 	l.result.MeanImbalance += busiest / mean
 	l.result.WorstImbalance = max(l.result.WorstImbalance, busiest/mean)
 	l.result.OverIdeal += busiest / max(mean, l.keys.loads[0])
--- a/internal/workload/scenario.go
+++ b/internal/workload/scenario.go
@@ -68,9 +68,13 @@
 	return []Event{{Second: 60, Kind: Drain, Server: 3}}
 }
 
-// LossEvents is one server lost for good.
+// LossEvents is several servers lost for good, one after the other.
 func (s Scenario) LossEvents() []Event {
-	return []Event{{Second: 60, Kind: Lose, Server: 5}}
+	var events []Event
+	for i := range 5 {
+		events = append(events, Event{Second: 60 + 160*i, Kind: Lose, Server: uint64(5 + 4*i)})
+	}
+	return events
 }
 
 // HotEvents is the hottest keys changing every few minutes.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -14,25 +14,6 @@
 	benchSlots = 4096
 )
 
-// policies returns the planner and the baselines.
-func policies() []struct {
-	name string
-	make func() workload.Policy
-} {
-	planned := func(goal placement.Goal) func() workload.Policy {
-		return func() workload.Policy { return workload.Planned(placement.DefaultSettings(goal), true) }
-	}
-	return []struct {
-		name string
-		make func() workload.Policy
-	}{
-		{"modulo", workload.Modulo},
-		{"rendezvous", workload.Rendezvous},
-		{"availability", planned(placement.Availability)},
-		{"balance", planned(placement.Balance)},
-	}
-}
-
 func report(b *testing.B, r workload.Result) {
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(r.MeanImbalance, "imbalance")
@@ -41,6 +22,7 @@
 	b.ReportMetric(float64(r.Moves), "moves")
 	b.ReportMetric(r.Churn(), "churn")
 	b.ReportMetric(r.Unavailable, "unavailable-slot-s")
+	b.ReportMetric(r.Overloaded, "overloaded-server-s")
 	if r.PlanTime > 0 {
 		b.ReportMetric(float64(r.PlanTime.Microseconds()), "plan-us")
 	}
@@ -48,16 +30,12 @@
 
 func benchLife(b *testing.B, events func(workload.Scenario) []workload.Event) {
 	for _, s := range workload.Scenarios() {
-		for _, keys := range []struct {
-			name     string
-			exponent float64
-			limited  bool
-		}{{"zipf1.01", 1.01, false}, {"zipf1.2", 1.2, false}, {"zipf1.01limited", 1.01, true}} {
-			for _, policy := range policies() {
-				b.Run(fmt.Sprintf("%s/%s/%s", s.Name, keys.name, policy.name), func(b *testing.B) {
-					life := s.Life(keys.exponent, keys.limited, benchSlots, events(s), benchSeed)
+		for _, keys := range workload.KeyShapes() {
+			for _, policy := range workload.Policies() {
+				b.Run(s.Name+"/"+keys.Name+"/"+policy.Name, func(b *testing.B) {
+					life := s.Life(keys.Exponent, keys.Limited, benchSlots, events(s), benchSeed)
 					for range b.N {
-						report(b, workload.Run(life, policy.make()))
+						report(b, workload.Run(life, policy.New()))
 					}
 				})
 			}
@@ -75,11 +53,11 @@
 func BenchmarkSlotCount(b *testing.B) {
 	for _, s := range workload.Scenarios() {
 		for _, slots := range []int{256, 1024, 4096, 16384} {
-			for _, policy := range policies()[1:] {
-				b.Run(fmt.Sprintf("%s/%d/%s", s.Name, slots, policy.name), func(b *testing.B) {
+			for _, policy := range workload.Policies()[1:] {
+				b.Run(fmt.Sprintf("%s/%d/%s", s.Name, slots, policy.Name), func(b *testing.B) {
 					life := s.Life(1.01, true, slots, s.MixedEvents(), benchSeed)
 					for range b.N {
-						report(b, workload.Run(life, policy.make()))
+						report(b, workload.Run(life, policy.New()))
 					}
 				})
 			}
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -10,6 +10,10 @@
 // Home is the home region of one slot; empty when it has none yet.
 type Home struct {
 	Region string
+	// CallerRegion is the region that a clear majority of the slot's requests
+	// come from (two thirds of its load over minutes); empty when there is none.
+	// Slots of many keys rarely have one, keys in slots of their own often do.
+	CallerRegion string
 }
 
 // Region is one region that may be the home of slots.
@@ -37,24 +41,32 @@
 	// EmptyAfter is the time after which a region without capacity loses its
 	// slots.
 	EmptyAfter time.Duration
+	// MaxCallerMoves bounds the slots that move to their callers in one call.
+	MaxCallerMoves int
 }
 
 // Defaults of HomeSettings.
 const (
 	defaultHomeThreshold  = 0.25
 	defaultHomeEmptyAfter = 5 * time.Minute
+	defaultMaxCallerMoves = 16
 )
 
 // DefaultHomeSettings returns the defaults.
 func DefaultHomeSettings() HomeSettings {
-	return HomeSettings{Threshold: defaultHomeThreshold, EmptyAfter: defaultHomeEmptyAfter}
+	return HomeSettings{
+		Threshold:      defaultHomeThreshold,
+		EmptyAfter:     defaultHomeEmptyAfter,
+		MaxCallerMoves: defaultMaxCallerMoves,
+	}
 }
 
 // PlanHomes decides which slots change their home region, the lowest slots
 // first. A slot without a home gets one in proportion to capacity. Others move
 // only if a region's share is off by the threshold or more, and then as few as
 // reach the shares. A region that is empty for a short time keeps its slots.
-// It returns nothing when no region has capacity.
+// When nothing else is to do, slots move to the region of their callers as far
+// as the shares stay within half the threshold. It returns nothing when no region has capacity.
 func PlanHomes(slots []Home, regions []Region, settings HomeSettings) []HomeMove {
 	counts := make(map[string]int, len(regions))
 	for _, home := range slots {
@@ -76,6 +88,31 @@
 		counts[to]++
 		moves = append(moves, HomeMove{Slot: slot, To: to})
 	}
+	if len(moves) > 0 {
+		return moves
+	}
+	return moveToCallers(slots, counts, quotas, settings)
+}
+
+// moveToCallers moves slots to the region that most of their requests come from.
+// The narrower band leaves the wider one to changes of capacity.
+func moveToCallers(slots []Home, counts, quotas map[string]int, settings HomeSettings) []HomeMove {
+	band := settings.Threshold / 2
+	var moves []HomeMove
+	for slot, home := range slots {
+		to := home.CallerRegion
+		if to == "" || to == home.Region || quotas[to] == 0 || len(moves) >= settings.MaxCallerMoves {
+			continue
+		}
+		fits := float64(counts[to]+1) <= (1+band)*float64(quotas[to])
+		spared := float64(counts[home.Region]-1) >= (1-band)*float64(quotas[home.Region])
+		if !fits || !spared {
+			continue
+		}
+		counts[home.Region]--
+		counts[to]++
+		moves = append(moves, HomeMove{Slot: slot, To: to})
+	}
 	return moves
 }
 
--- a/placement/hotkeys.go
+++ b/placement/hotkeys.go
@@ -112,3 +112,27 @@
 func hottestFirst(a, b KeyLoad) int {
 	return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Key, b.Key))
 }
+
+// MergeKeyLoads sums the loads that several entry hosts report for the same keys,
+// and returns the n hottest, the hottest first. A host that does not report a
+// key adds nothing, so that a merged load is never above the sum of what was
+// seen by more than its Error.
+func MergeKeyLoads(reports [][]KeyLoad, n int) []KeyLoad {
+	sums := make(map[keyName]KeyLoad)
+	for _, report := range reports {
+		for _, k := range report {
+			name := keyName{k.Service, k.Key}
+			sum := sums[name]
+			sum.Service, sum.Key = k.Service, k.Key
+			sum.Load += k.Load
+			sum.Error += k.Error
+			sums[name] = sum
+		}
+	}
+	merged := make([]KeyLoad, 0, len(sums))
+	for _, sum := range sums {
+		merged = append(merged, sum)
+	}
+	slices.SortFunc(merged, hottestFirst)
+	return merged[:min(max(0, n), len(merged))]
+}
--- /dev/null
+++ b/placement/session_test.go
@@ -0,0 +1,123 @@
+package placement_test
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/galenalug/galenalug/placement"
+)
+
+// session is one service's life: isolated keys stand behind the other slots.
+type session struct {
+	cluster
+	isolation *placement.IsolationPlanner
+	slotCount int
+	keys      []string // isolated ones, by slot
+	hot       map[string]float64
+	now       time.Duration
+}
+
+// TestSession plays testdata/life. Commands: server id=; drain id=; lose id=;
+// load slot= value=; key name= value=; run seconds=, which prints what changed.
+func TestSession(t *testing.T) {
+	s := newSession(0)
+	datadriven.RunTest(t, "testdata/life", func(t *testing.T, d *datadriven.TestData) string {
+		return s.command(t, d)
+	})
+}
+
+func (s *session) command(t *testing.T, d *datadriven.TestData) string {
+	var id, slot, value, seconds int
+	var name string
+	for _, arg := range []struct {
+		name string
+		to   any
+	}{{"id", &id}, {"slot", &slot}, {"value", &value}, {"seconds", &seconds}, {"name", &name}} {
+		d.MaybeScanArgs(t, arg.name, arg.to)
+	}
+	switch d.Cmd {
+	case "new":
+		*s = *newSession(value)
+	case "server":
+		s.servers = append(s.servers, placement.Server{ID: uint64(id), Capacity: 6, RampUp: 10 * time.Second})
+	case "drain":
+		s.servers[s.find(id)].Draining = true
+	case "lose":
+		i := s.find(id)
+		s.servers = append(s.servers[:i], s.servers[i+1:]...)
+	case "load":
+		s.slots[slot].Load = float64(value)
+	case "key":
+		s.hot[name] = float64(value)
+	case "run":
+		return s.play(seconds)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return ""
+}
+
+func newSession(slots int) *session {
+	s := &session{slotCount: slots, hot: map[string]float64{}}
+	s.planner = placement.NewPlanner(placement.DefaultSettings(placement.Balance))
+	s.isolation = placement.NewIsolationPlanner(placement.DefaultIsolationSettings())
+	for range slots {
+		s.slots = append(s.slots, placement.Slot{Load: 10, LastMoved: placement.NeverMoved})
+	}
+	return s
+}
+
+func (s *session) find(id int) int {
+	return sort.Search(len(s.servers), func(i int) bool { return s.servers[i].ID >= uint64(id) })
+}
+
+func (s *session) play(seconds int) string {
+	var out strings.Builder
+	for range seconds {
+		s.now += time.Second
+		s.isolate(&out)
+		before := append([]placement.Slot(nil), s.slots...)
+		s.step(s.slots)
+		for i := range s.slots {
+			if from, to := before[i].Owner, s.slots[i].Owner; from != to {
+				fmt.Fprintf(&out, "%v slot %d: %d -> %d\n", s.now, i, from, to)
+			}
+		}
+	}
+	loads := map[uint64]float64{}
+	for _, slot := range s.slots {
+		loads[slot.Owner] += slot.Load
+	}
+	fmt.Fprintf(&out, "%v loads: %v\n", s.now, loads)
+	return out.String()
+}
+
+func (s *session) isolate(out *strings.Builder) {
+	var loads []placement.KeyLoad
+	total := 0.0
+	for key, load := range s.hot {
+		loads = append(loads, placement.KeyLoad{Key: key, Load: load})
+	}
+	for i := range s.slots {
+		total += s.slots[i].Load
+	}
+	plan := s.isolation.Plan(s.now, loads, total/float64(max(1, len(s.servers))))
+	for _, key := range plan.Isolate {
+		home := &s.slots[placement.SlotOf("orders", key, s.slotCount)]
+		home.Load -= s.hot[key]
+		s.slots = append(s.slots, placement.Slot{Owner: home.Owner, Load: s.hot[key], LastMoved: placement.NeverMoved})
+		s.keys = append(s.keys, key)
+		fmt.Fprintf(out, "%v isolate %s\n", s.now, key)
+	}
+	for _, key := range plan.Return {
+		last := len(s.slots) - 1 // the session has one isolated key at a time
+		s.slots[placement.SlotOf("orders", key, s.slotCount)].Load += s.slots[last].Load
+		s.slots = s.slots[:last]
+		fmt.Fprintf(out, "%v return %s\n", s.now, key)
+	}
+}
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -44,16 +44,17 @@
 
 // Defaults of Settings.
 const (
-	defaultNoiseMargin = 0.35
-	defaultCoolDown    = time.Minute
-	defaultDrainSteps  = 16
+	defaultCoolDown   = time.Minute
+	defaultDrainSteps = 16
 
 	availabilityThreshold     = 0.25
+	availabilityNoiseMargin   = 0.35
 	availabilityMinGain       = 1.0
 	availabilityMaxMoves      = 16
 	availabilityMaxMovingLoad = 0.02
 
 	balanceThreshold     = 0.08
+	balanceNoiseMargin   = 0.2
 	balanceMinGain       = 0.5
 	balanceMaxMoves      = 64
 	balanceMaxMovingLoad = 0.05
@@ -77,7 +78,7 @@
 	settings := Settings{
 		Goal:          goal,
 		Threshold:     availabilityThreshold,
-		NoiseMargin:   defaultNoiseMargin,
+		NoiseMargin:   availabilityNoiseMargin,
 		MinGain:       availabilityMinGain,
 		MaxMoves:      availabilityMaxMoves,
 		MaxMovingLoad: availabilityMaxMovingLoad,
@@ -86,6 +87,7 @@
 	}
 	if goal == Balance {
 		settings.Threshold = balanceThreshold
+		settings.NoiseMargin = balanceNoiseMargin
 		settings.MinGain = balanceMinGain
 		settings.MaxMoves = balanceMaxMoves
 		settings.MaxMovingLoad = balanceMaxMovingLoad
--- a/placement/slot_test.go
+++ b/placement/slot_test.go
@@ -12,13 +12,13 @@
 		service, key string
 		slots, want  int
 	}{
-		{"orders", "workshop-17", 4096, 0},
-		{"orders", "", 4096, 0},
-		{"", "orders", 4096, 0},
-		{"wheel-swap", "Hải Châu/pram 9", 4096, 0},
-		{"orders", "workshop-17", 16384, 0},
-		{"a", "bc", 1 << 16, 0},
-		{"ab", "c", 1 << 16, 0},
+		{"orders", "workshop-17", 4096, 3278},
+		{"orders", "", 4096, 1401},
+		{"", "orders", 4096, 552},
+		{"wheel-swap", "Hải Châu/pram 9", 4096, 3468},
+		{"orders", "workshop-17", 16384, 15566},
+		{"a", "bc", 1 << 16, 34471},
+		{"ab", "c", 1 << 16, 21773},
 	} {
 		if got := placement.SlotOf(c.service, c.key, c.slots); got != c.want {
 			t.Errorf("SlotOf(%q, %q, %d) = %d, want %d", c.service, c.key, c.slots, got, c.want)
