--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -17,6 +17,8 @@
 	Share  float64 // requests a second
 }
 
+func (g Grant) epoch() uint64 { return g.Number >> epochShift }
+
 // Renewal is a child's request for a share.
 type Renewal struct {
 	Child  string // unique to one incarnation of the child
@@ -122,7 +124,7 @@
 	d.setLimit(limit)
 	c := d.child(r.Child)
 	d.want(c, r.Wanted)
-	if r.Held.Number>>epochShift == a.config.Epoch {
+	if r.Held.epoch() == a.config.Epoch {
 		d.acknowledge(c, r.Held.Number)
 	}
 	share := d.offer(c, a.config.Floor)
--- a/allowance/division.go
+++ b/allowance/division.go
@@ -199,7 +199,7 @@
 // claim returns what a child may keep of a share that it holds from an earlier
 // allocator, or from this one.
 func (d *division) claim(c *child, held Grant) float64 {
-	if held.Number == 0 || !(held.Share > 0) {
+	if !(held.Share > 0) {
 		return 0
 	}
 	return math.Min(held.Share, d.available(c))
--- /dev/null
+++ b/allowance/fuzz_test.go
@@ -0,0 +1,91 @@
+package allowance
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"race", "invalid"} {
+		data, _ := os.ReadFile("testdata/lists/" + name)
+		for _, list := range bytes.Split(data, []byte("----")) {
+			f.Add(list)
+		}
+	}
+	f.Add([]byte("version: 1\nplans:\n  - {customer: uniform, plan: gold}\n"))
+	f.Add([]byte("version: 1\nallowances:\n  - plan: gold\n    limits: [{service: a, requests_per_second: 1, burst: 1}]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := NewLists()
+		allowances, err := ParseAllowances(data)
+		checkTyped(t, err)
+		if err == nil && !l.Apply(Command{Allowances: &allowances}).Succeeded() {
+			t.Fatal("a parsed list was refused")
+		}
+		plans, err := ParsePlans(data)
+		checkTyped(t, err)
+		if err == nil {
+			l.Apply(Command{Plans: &plans})
+		}
+		restored(t, l)
+	})
+}
+
+func checkTyped(t *testing.T, err error) {
+	var problems Problems
+	if err != nil && !errors.Is(err, ErrSyntax) && !errors.As(err, &problems) {
+		t.Fatalf("untyped error %v", err)
+	}
+}
+
+func listsOf(t testing.TB) *Lists {
+	l := NewLists()
+	l.Apply(Command{Allowances: &LimitList{Version: 3, Allowances: []PlanAllowance{{Plan: "gold", Limits: []Limit{{Service: "orders", RequestsPerSecond: 500, Burst: 50}}}}}})
+	if r := l.Apply(Command{Operator: "an", Plans: &PlanList{Version: 9, Plans: []CustomerPlan{{Customer: "uniform", Plan: "gold"}}}}); !r.Succeeded() {
+		t.Fatal(describe(r))
+	}
+	return l
+}
+
+func FuzzRestoreLists(f *testing.F) {
+	whole, _ := listsOf(f).Snapshot()
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := RestoreLists(data)
+		if err != nil {
+			if !errors.Is(err, ErrSnapshotCorrupt) && !errors.Is(err, ErrSnapshotVersion) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		first, _ := l.Snapshot()
+		second, _ := restored(t, l).Snapshot()
+		if !bytes.Equal(first, second) {
+			t.Fatal("snapshot is not deterministic")
+		}
+	})
+}
+
+func FuzzListCommand(f *testing.F) {
+	l := listsOf(f)
+	plans, allowances := l.Plans(), l.Allowances()
+	for _, c := range []Command{{Operator: "an", Plans: &plans}, {Allowances: &allowances}} {
+		data, _ := c.Encode()
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := DecodeCommand(data)
+		if err != nil {
+			if !errors.Is(err, ErrCommand) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		l := listsOf(t)
+		l.Apply(c)
+		restored(t, l)
+	})
+}
--- a/allowance/history.go
+++ b/allowance/history.go
@@ -77,8 +77,8 @@
 	return compare(names, describe(winner), describe(loser))
 }
 
-func compareAllowances(winner, loser AllowanceList) []Difference {
-	describe := func(list AllowanceList) map[string]string {
+func compareAllowances(winner, loser LimitList) []Difference {
+	describe := func(list LimitList) map[string]string {
 		entries := make(map[string]string, len(list.Allowances))
 		for _, entry := range list.Allowances {
 			entries[entry.Plan] = describeLimits(entry.Limits)
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -12,26 +12,27 @@
 	grant        Grant
 	until        time.Duration // end of the lease
 	acknowledged uint64        // latest grant to which use has been lowered
-	held         float64       // largest share that may still be in use
 }
 
 // Sent is a renewal on its way. It belongs to the reply that answers it.
 type Sent struct {
-	At   time.Duration
-	Held Grant // for Renewal.Held
+	At     time.Duration
+	Held   Grant  // for Renewal.Held
+	latest uint64 // number of the holder's latest grant
 }
 
 // Prepare starts a renewal at now, just before it is sent. inUse is the sum that
 // the child's own children may hold, and 0 for a child that has none.
 func (h *Holder) Prepare(now time.Duration, inUse float64) Sent {
+	sent := Sent{At: now, latest: h.grant.Number}
 	if now >= h.until {
-		h.held = 0
-		return Sent{At: now}
+		return sent
 	}
 	if inUse <= h.grant.Share {
-		h.acknowledged, h.held = h.grant.Number, h.grant.Share
+		h.acknowledged = h.grant.Number
 	}
-	return Sent{At: now, Held: Grant{Number: h.acknowledged, Share: h.held}}
+	sent.Held = Grant{Number: h.acknowledged, Share: h.grant.Share}
+	return sent
 }
 
 // Accept takes the reply to a renewal. It returns false if it leaves the share as
@@ -42,14 +43,14 @@
 	if now >= until || grant.Number <= h.grant.Number {
 		return false
 	}
-	if sent.Held.Number != 0 && now >= h.until {
+	if sent.Held.Share > 0 && now >= h.until {
 		return false
 	}
-	if now >= h.until {
-		h.held = 0
+	// Another allocator answers on the strength of what the renewal claimed.
+	if grant.epoch() != sent.latest>>epochShift && h.grant.Number != sent.latest {
+		return false
 	}
 	h.grant, h.until = grant, until
-	h.held = max(h.held, grant.Share)
 	return true
 }
 
--- a/allowance/list.go
+++ b/allowance/list.go
@@ -48,8 +48,8 @@
 	Plans   []CustomerPlan `yaml:"plans" json:"plans" cbor:"p"`
 }
 
-// AllowanceList is the list of what each plan allows.
-type AllowanceList struct {
+// LimitList is the list of what each plan allows.
+type LimitList struct {
 	Version    uint64          `yaml:"version" json:"version" cbor:"v"`
 	Allowances []PlanAllowance `yaml:"allowances" json:"allowances" cbor:"a"`
 }
@@ -135,7 +135,7 @@
 }
 
 // Check returns the faults of the list that need no other list.
-func (l AllowanceList) Check() Problems {
+func (l LimitList) Check() Problems {
 	var problems Problems
 	problems.checkSize(ListAllowances, l.Version, len(l.Allowances))
 	seen := make(map[string]bool, len(l.Allowances))
@@ -192,7 +192,7 @@
 }
 
 // sorted returns a copy in the order in which lists are kept and compared.
-func (l AllowanceList) sorted() AllowanceList {
+func (l LimitList) sorted() LimitList {
 	l.Allowances = append([]PlanAllowance{}, l.Allowances...)
 	sort.Slice(l.Allowances, func(i, j int) bool { return l.Allowances[i].Plan < l.Allowances[j].Plan })
 	for i := range l.Allowances {
--- a/allowance/lists.go
+++ b/allowance/lists.go
@@ -22,9 +22,9 @@
 
 // Command is one entry of the log. One of Plans and Allowances is set.
 type Command struct {
-	Operator   string         `cbor:"o"` // who proposes the change; shown to the loser of a race
-	Plans      *PlanList      `cbor:"p,omitempty"`
-	Allowances *AllowanceList `cbor:"a,omitempty"`
+	Operator   string     `cbor:"o"` // who proposes the change; shown to the loser of a race
+	Plans      *PlanList  `cbor:"p,omitempty"`
+	Allowances *LimitList `cbor:"a,omitempty"`
 }
 
 // Encode returns the command's CBOR.
@@ -89,7 +89,7 @@
 // Lists is the state machine of the two lists. Use NewLists or RestoreLists.
 type Lists struct {
 	plans            PlanList
-	allowances       AllowanceList
+	allowances       LimitList
 	planHistory      history
 	allowanceHistory history
 	planOf           map[string]string           // by customer
@@ -107,7 +107,7 @@
 func (l *Lists) Plans() PlanList { return l.plans }
 
 // Allowances returns the list of allowances in force. It must not be changed.
-func (l *Lists) Allowances() AllowanceList { return l.allowances }
+func (l *Lists) Allowances() LimitList { return l.allowances }
 
 // Limit returns what the customer may use of the service. It fails with
 // ErrNoPlan or ErrNotAllowed.
@@ -139,15 +139,15 @@
 	}
 	switch {
 	case c.Plans != nil:
-		return l.setPlans(c.Operator, c.Plans.sorted())
+		return l.setPlans(c.Operator, *c.Plans)
 	case c.Allowances != nil:
-		return l.setAllowances(c.Operator, c.Allowances.sorted())
+		return l.setAllowances(c.Operator, *c.Allowances)
 	}
 	return Result{Outcome: OutcomeInvalid}
 }
 
 func (l *Lists) setPlans(operator string, list PlanList) Result {
-	sum := contentSum(list.Plans)
+	sum := contentSum(list.sorted().Plans)
 	current := l.plans.Version
 	if result, decided := l.planHistory.decide(current, list.Version, sum); decided {
 		if result.Outcome == OutcomeConflict {
@@ -160,7 +160,7 @@
 	if problems != nil {
 		return Result{Outcome: OutcomeInvalid, Version: current, Problems: problems}
 	}
-	l.plans = list
+	l.plans = list.sorted()
 	l.planHistory.add(change{Version: list.Version, Operator: operator, Sum: sum})
 	l.index()
 	return Result{Outcome: OutcomeAccepted, Version: list.Version}
@@ -174,8 +174,8 @@
 	}
 }
 
-func (l *Lists) setAllowances(operator string, list AllowanceList) Result {
-	sum := contentSum(list.Allowances)
+func (l *Lists) setAllowances(operator string, list LimitList) Result {
+	sum := contentSum(list.sorted().Allowances)
 	current := l.allowances.Version
 	if result, decided := l.allowanceHistory.decide(current, list.Version, sum); decided {
 		if result.Outcome == OutcomeConflict {
@@ -188,14 +188,14 @@
 	if problems != nil {
 		return Result{Outcome: OutcomeInvalid, Version: current, Problems: problems}
 	}
-	l.allowances = list
+	l.allowances = list.sorted()
 	l.allowanceHistory.add(change{Version: list.Version, Operator: operator, Sum: sum})
 	l.index()
 	return Result{Outcome: OutcomeAccepted, Version: list.Version}
 }
 
 // checkPlansKept refuses a list without a plan that a customer holds.
-func (l *Lists) checkPlansKept(list AllowanceList, problems *Problems) {
+func (l *Lists) checkPlansKept(list LimitList, problems *Problems) {
 	kept := make(map[string]bool, len(list.Allowances))
 	for _, entry := range list.Allowances {
 		kept[entry.Plan] = true
--- a/allowance/parse.go
+++ b/allowance/parse.go
@@ -29,13 +29,13 @@
 
 // ParseAllowances parses and checks the list of plans' allowances. It fails with
 // ErrSyntax, which names the line, or with Problems.
-func ParseAllowances(data []byte) (AllowanceList, error) {
-	var list AllowanceList
+func ParseAllowances(data []byte) (LimitList, error) {
+	var list LimitList
 	if err := parse(ListAllowances, data, &list); err != nil {
-		return AllowanceList{}, err
+		return LimitList{}, err
 	}
 	if problems := list.Check(); problems != nil {
-		return AllowanceList{}, problems
+		return LimitList{}, problems
 	}
 	return list, nil
 }
--- a/allowance/snapshot.go
+++ b/allowance/snapshot.go
@@ -29,7 +29,7 @@
 
 type snapshot struct {
 	Plans            PlanList       `cbor:"p"`
-	Allowances       AllowanceList  `cbor:"a"`
+	Allowances       LimitList      `cbor:"a"`
 	PlanHistory      []storedChange `cbor:"ph"`
 	AllowanceHistory []storedChange `cbor:"ah"`
 }
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 )
 
 // BenchmarkBeginFinish measures the two commands of one request, with decoding.
@@ -36,11 +37,15 @@
 				before := heap()
 				l := filled(records, 200)
 				b.ReportMetric(float64(heap()-before)/float64(records), "bytes/record")
+				started := time.Now()
 				data, _ := l.Snapshot()
+				b.ReportMetric(float64(time.Since(started).Milliseconds()), "snapshot-ms")
 				b.ReportMetric(float64(len(data))/float64(records), "snapshot-bytes/record")
+				started = time.Now()
 				if _, err := Restore(data); err != nil {
 					b.Fatal(err)
 				}
+				b.ReportMetric(float64(time.Since(started).Milliseconds()), "restore-ms")
 				runtime.KeepAlive(l)
 			}
 		})
