--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -209,19 +209,19 @@
 		return l.finishNotRun(r)
 	}
 	l.replace(r, f)
-	return r.reply(l.now)
+	return l.records[r.runID].reply(l.now)
 }
 
 func (l *Ledger) finishNotRun(r *record) Reply {
 	if r.phase != phaseRunning || l.now >= r.deadline {
 		return Reply{Refusal: RefusedLate}
 	}
-	l.expiry.remove(r)
-	l.forget(r)
+	l.remove(r)
 	return Reply{State: StateNotRun, Attempt: r.attempt}
 }
 
-// replace takes the outcome into the record if it says more than the record.
+// replace takes the outcome into the record if it says more than the record. A
+// record itself never changes, so that a Frozen ledger may be read meanwhile.
 func (l *Ledger) replace(r *record, f *Finish) {
 	reached := f.phase()
 	if reached == phaseAnswered && !l.keepable(f) {
@@ -230,17 +230,19 @@
 	if reached <= r.phase || (reached == phaseAnswered && r.phase == phaseNotKept) {
 		return
 	}
-	r.phase = reached
+	changed := *r
+	changed.phase = reached
 	if reached != phaseUnknown {
-		r.status = uint16(f.Status)
+		changed.status = uint16(f.Status)
 	}
 	if reached == phaseAnswered {
-		r.contentType, r.body = unique.Make(f.ContentType), string(f.Body)
-		l.bodyBytes += len(r.body)
+		changed.contentType, changed.body = unique.Make(f.ContentType), string(f.Body)
 	}
+	changed.expires = l.now + l.limits.WindowMillis
 	l.expiry.remove(r)
-	r.expires = l.now + l.limits.WindowMillis
-	l.expiry.insert(r)
+	l.expiry.insert(&changed)
+	l.records[r.runID] = &changed
+	l.bodyBytes += len(changed.body) - len(r.body)
 }
 
 func (l *Ledger) keepable(f *Finish) bool {
@@ -262,6 +264,12 @@
 	l.expiry.insert(r)
 }
 
+// remove removes a record from every index.
+func (l *Ledger) remove(r *record) {
+	l.expiry.remove(r)
+	l.forget(r)
+}
+
 // forget removes a record from every index but the expiry buckets.
 func (l *Ledger) forget(r *record) {
 	delete(l.records, r.runID)
--- a/ledger/part.go
+++ b/ledger/part.go
@@ -82,8 +82,7 @@
 
 func (l *Ledger) removeSlot(service string, slot int) {
 	for _, r := range l.inSlot(service, slot) {
-		l.expiry.remove(r)
-		l.forget(r)
+		l.remove(r)
 	}
 }
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -1,7 +1,8 @@
 package ledger
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"unique"
 )
 
@@ -35,6 +36,7 @@
 	key     string
 }
 
+// record is one run. Its fields but for the list pointers never change.
 type record struct {
 	runID
 	digest      digest
@@ -140,15 +142,15 @@
 	return heads
 }
 
+// sortRecords sorts by attempt. Only records that came from another group may
+// have the same one.
 func sortRecords(records []*record) {
-	sort.Slice(records, func(i, j int) bool {
-		a, b := records[i], records[j]
-		if a.account.service != b.account.service {
-			return a.account.service < b.account.service
-		}
-		if a.account.customer != b.account.customer {
-			return a.account.customer < b.account.customer
-		}
-		return a.key < b.key
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(
+			cmp.Compare(a.attempt, b.attempt),
+			cmp.Compare(a.account.service, b.account.service),
+			cmp.Compare(a.account.customer, b.account.customer),
+			cmp.Compare(a.key, b.key),
+		)
 	})
 }
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -38,22 +38,41 @@
 	Records     []storedRecord `cbor:"r"` // sorted
 }
 
-// Snapshot returns the whole state. Equal states give equal bytes.
-func (l *Ledger) Snapshot() ([]byte, error) {
-	records := make([]*record, 0, len(l.records))
+// Frozen is the state of a ledger at one command. It may be encoded on another
+// goroutine while the ledger goes on.
+type Frozen struct {
+	state   snapshot // without records
+	records []*record
+}
+
+// Freeze returns the state as it is. It copies a pointer for each record.
+func (l *Ledger) Freeze() *Frozen {
+	f := &Frozen{
+		state:   snapshot{Limits: l.limits, Now: l.now, LastAttempt: l.lastAttempt, Slots: l.storedSlots()},
+		records: make([]*record, 0, len(l.records)),
+	}
 	for _, r := range l.records {
-		records = append(records, r)
+		f.records = append(f.records, r)
 	}
-	sortRecords(records)
-	s := snapshot{Limits: l.limits, Now: l.now, LastAttempt: l.lastAttempt, Slots: l.storedSlots()}
-	s.Records = make([]storedRecord, 0, len(records))
-	for _, r := range records {
-		s.Records = append(s.Records, r.stored(l.now))
+	return f
+}
+
+// Encode returns the snapshot. Equal states give equal bytes. It must be called
+// once.
+func (f *Frozen) Encode() ([]byte, error) {
+	sortRecords(f.records)
+	f.state.Records = make([]storedRecord, 0, len(f.records))
+	for _, r := range f.records {
+		f.state.Records = append(f.state.Records, r.stored(f.state.Now))
 	}
-	data, err := envelope.Encode(snapshotFormat, snapshotVersion, s)
+	data, err := envelope.Encode(snapshotFormat, snapshotVersion, f.state)
 	return data, errors.Wrap(err, "encode ledger snapshot")
 }
 
+// Snapshot returns the whole state at once. For a large ledger, Freeze holds up
+// its owner less.
+func (l *Ledger) Snapshot() ([]byte, error) { return l.Freeze().Encode() }
+
 func (l *Ledger) storedSlots() []storedSlot {
 	slots := make([]storedSlot, 0, len(l.slots))
 	for id, s := range l.slots {
