--- a/ledger/command.go
+++ b/ledger/command.go
@@ -73,7 +73,8 @@
 }
 
 // Seal stops new records and changes in a slot before it moves to another group.
-// Move is the number of the move: one more than the slot's last move.
+// Move is the number of the move, higher than that of each earlier move of the
+// slot between any groups.
 type Seal struct {
 	Service string `cbor:"s"`
 	Slot    int    `cbor:"p"`
@@ -164,7 +165,7 @@
 	RefusedFull    Refusal = "full"          // the customer or the ledger has too many records
 	RefusedStale   Refusal = "stale_attempt" // the attempt does not own the run, or the record has expired
 	RefusedLate    Refusal = "late"          // not run came after the outcome was declared unknown
-	RefusedMove    Refusal = "stale_move"    // the move's number is not the next one
+	RefusedMove    Refusal = "stale_move"    // the move's number is not higher than the last one, or the slot is not sealed
 )
 
 // Error returns the refusal's text.
--- a/ledger/part.go
+++ b/ledger/part.go
@@ -64,7 +64,7 @@
 	if current.sealed && current.move == s.Move {
 		return Reply{}
 	}
-	if current.sealed || s.Move != current.move+1 {
+	if current.sealed || s.Move <= current.move {
 		return Reply{Refusal: RefusedMove}
 	}
 	l.slots[id] = slotState{move: s.Move, sealed: true}
