--- a/ledger/part.go
+++ b/ledger/part.go
@@ -64,7 +64,7 @@
 	if current.sealed && current.move == s.Move {
 		return Reply{}
 	}
-	if current.sealed || s.Move != current.move+1 {
+	if current.sealed || s.Move <= current.move {
 		return Reply{Refusal: RefusedMove}
 	}
 	l.slots[id] = slotState{move: s.Move, sealed: true}
@@ -82,8 +82,7 @@
 
 func (l *Ledger) removeSlot(service string, slot int) {
 	for _, r := range l.inSlot(service, slot) {
-		l.expiry.remove(r)
-		l.forget(r)
+		l.remove(r)
 	}
 }
 
