Add galenactl

Cause: operators drive the system by two lists, and must be able to tell a refused change from one whose outcome is unknown.

Weighed: stopping at the first host without an answer. A change carries its version, so sending it to the next host is safe and answers the question in most cases. A conflict after such a try doesn't tell what became of it, so that is reported as unknown.

`control replace` calls /galena/v1/control/replace, which no control host serves yet.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,298 @@
+// Package ctl is the operator's command line, galenactl.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/config"
+	"github.com/galenalug/galenalug/internal/version"
+)
+
+// Exit codes of galenactl.
+const (
+	ExitDone    = 0
+	ExitRefused = 1 // refused, or nothing was sent
+	ExitUsage   = 2 // wrong command line or settings
+	ExitUnknown = 3 // the change may be in force; it is safe to send it again
+)
+
+var errUsage = errors.New("wrong command line")
+
+// program writes to the streams that it is given.
+type program struct {
+	stdout, stderr io.Writer
+}
+
+// Main runs galenactl and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	p := &program{stdout: stdout, stderr: stderr}
+	err := p.command().Run(context.Background(), arguments)
+	if err == nil {
+		return ExitDone
+	}
+	_, _ = fmt.Fprintln(stderr, err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var wrongSettings *config.Error
+	switch {
+	case errors.Is(err, errUnknown):
+		return ExitUnknown
+	case errors.Is(err, errUsage), errors.As(err, &wrongSettings):
+		return ExitUsage
+	default:
+		return ExitRefused
+	}
+}
+
+func (p *program) command() *cli.Command {
+	root := &cli.Command{
+		Name:      "galenactl",
+		Usage:     "operate galenalug",
+		Version:   version.Version,
+		Writer:    p.stdout,
+		ErrWriter: p.stderr,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`", Sources: cli.EnvVars("GALENACTL_SETTINGS")},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			p.listCommand("plans", "the plan of each customer", pathPlans),
+			p.listCommand("allowances", "what each plan may use", pathAllowances),
+			{Name: "status", Usage: "print a control host's status", Action: p.status},
+			{Name: "dump", Usage: "print the state of the process at an admin address", ArgsUsage: "ADDRESS", Action: p.dump},
+			{Name: "settings", Usage: "settings files", Action: group, Commands: []*cli.Command{
+				{Name: "check", Usage: "check a settings file; KIND is entry, control, backend or ctl", ArgsUsage: "KIND FILE", Action: p.checkSettings},
+			}},
+			{Name: "control", Usage: "control hosts", Action: group, Commands: []*cli.Command{
+				{Name: "status", Usage: "print each control host's view of the log groups", Action: p.controlStatus},
+				{Name: "replace", Usage: "admit a control host's new disk as a new member", ArgsUsage: "NAME", Action: p.replace},
+			}},
+		},
+		Action: group,
+	}
+	setUsageErrors(root)
+	return root
+}
+
+// setUsageErrors turns the library's usage errors into errUsage.
+func setUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return errors.Wrap(errUsage, err.Error())
+	}
+	for _, child := range c.Commands {
+		setUsageErrors(child)
+	}
+}
+
+// group is the action of a command that needs a subcommand.
+func group(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return errors.Wrapf(errUsage, "a subcommand is missing; see %s --help", c.FullName())
+	}
+	return errors.Wrapf(errUsage, "unknown subcommand %q; see %s --help", c.Args().First(), c.FullName())
+}
+
+func (p *program) listCommand(name, usage, path string) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: group, Commands: []*cli.Command{
+		{Name: "get", Usage: "print the list in force as YAML", Action: func(ctx context.Context, c *cli.Command) error {
+			return p.printAnswer(ctx, c, path)
+		}},
+		{Name: "set", Usage: "replace the list by the one in FILE, which carries a higher version", ArgsUsage: "FILE",
+			Action: func(ctx context.Context, c *cli.Command) error { return p.set(ctx, c, path) }},
+	}}
+}
+
+func (p *program) set(ctx context.Context, c *cli.Command, path string) error {
+	if err := needArguments(c, 1); err != nil {
+		return err
+	}
+	body, err := os.ReadFile(c.Args().First())
+	if err != nil {
+		return errors.Wrap(errUsage, err.Error())
+	}
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	result, err := hosts.change(ctx, consts.MethodPut, path, body)
+	if err != nil {
+		return err
+	}
+	return p.printJSON(result)
+}
+
+func (p *program) replace(ctx context.Context, c *cli.Command) error {
+	if err := needArguments(c, 1); err != nil {
+		return err
+	}
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	result, err := hosts.change(ctx, consts.MethodPost, replacePath(c.Args().First()), nil)
+	if err != nil {
+		return err
+	}
+	return p.printJSON(result)
+}
+
+func (p *program) status(ctx context.Context, c *cli.Command) error {
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	body, err := hosts.ask(ctx, pathStatus)
+	if err != nil {
+		return err
+	}
+	return p.printJSON(body)
+}
+
+func (p *program) dump(ctx context.Context, c *cli.Command) error {
+	if err := needArguments(c, 1); err != nil {
+		return err
+	}
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	hosts.addresses = []string{c.Args().First()}
+	body, err := hosts.ask(ctx, pathDump)
+	if err != nil {
+		return err
+	}
+	return p.printJSON(body)
+}
+
+func (p *program) checkSettings(_ context.Context, c *cli.Command) error {
+	if err := needArguments(c, 2); err != nil {
+		return err
+	}
+	return config.Check(c.Args().Get(0), c.Args().Get(1), true)
+}
+
+// hostStatus is the part of a control host's status that the table shows.
+type hostStatus struct {
+	Host   string `json:"host"`
+	Groups []struct {
+		Group  string `json:"group"`
+		Leader string `json:"leader"`
+		Leads  bool   `json:"leads"`
+	} `json:"groups"`
+}
+
+// controlStatus asks every control host and prints one line a host and group.
+// It fails if no host answers.
+func (p *program) controlStatus(ctx context.Context, c *cli.Command) error {
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "ADDRESS\tHOST\tGROUP\tLEADER\tLEADS")
+	answered := 0
+	for _, address := range hosts.addresses {
+		status, err := askStatus(ctx, hosts, address)
+		if err != nil {
+			_, _ = fmt.Fprintln(p.stderr, err)
+			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\tno answer\n", address)
+			continue
+		}
+		answered++
+		for _, g := range status.Groups {
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%t\n", address, status.Host, g.Group, orDash(g.Leader), g.Leads)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "print table")
+	}
+	if answered == 0 {
+		return errors.Wrap(errRefused, "no control host answered")
+	}
+	return nil
+}
+
+func askStatus(ctx context.Context, hosts *hostClient, address string) (hostStatus, error) {
+	var status hostStatus
+	got, err := hosts.send(ctx, consts.MethodGet, address, pathStatus, nil)
+	if err != nil {
+		return status, err
+	}
+	if !got.ok() {
+		return status, errors.Errorf("%s: %s", address, got.detail())
+	}
+	return status, errors.Wrap(json.Unmarshal(got.body, &status), address)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func needArguments(c *cli.Command, count int) error {
+	if c.Args().Len() == count {
+		return nil
+	}
+	return errors.Wrapf(errUsage, "usage: %s %s", c.FullName(), c.ArgsUsage)
+}
+
+// open loads the settings and returns the client for their control hosts.
+func open(c *cli.Command) (*hostClient, error) {
+	path := c.String("settings")
+	if path == "" {
+		return nil, errors.Wrap(errUsage, "--settings FILE is missing")
+	}
+	s, err := config.LoadCtl(path)
+	if err != nil {
+		return nil, err
+	}
+	secret, err := config.ReadSecret(s.OperatorSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	operator := "unknown"
+	if account, err := user.Current(); err == nil {
+		operator = account.Username
+	}
+	return newHostClient(s.Controls, secret, operator, time.Duration(s.TimeoutMs)*time.Millisecond)
+}
+
+func (p *program) printAnswer(ctx context.Context, c *cli.Command, path string) error {
+	hosts, err := open(c)
+	if err != nil {
+		return err
+	}
+	body, err := hosts.ask(ctx, path)
+	if err != nil {
+		return err
+	}
+	_, err = p.stdout.Write(body)
+	return errors.Wrap(err, "print")
+}
+
+func (p *program) printJSON(body []byte) error {
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, body, "", "  "); err != nil {
+		indented.Reset()
+		indented.Write(body)
+	}
+	indented.WriteByte('\n')
+	_, err := p.stdout.Write(indented.Bytes())
+	return errors.Wrap(err, "print")
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,83 @@
+package ctl
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+var (
+	addresses = regexp.MustCompile(`127\.0\.0\.1:[0-9]+`)
+	spaces    = regexp.MustCompile(` +`)
+)
+
+// TestSessions runs galenactl against fake control hosts. The command hosts sets
+// one answer a host, as STATUS BODY; "cut" breaks the connection off after the
+// request, "down" refuses connections.
+func TestSessions(t *testing.T) {
+	dir := t.TempDir()
+	secret, list := filepath.Join(dir, "secret"), filepath.Join(dir, "list.yaml")
+	write(t, secret, "0123456789abcdef")
+	write(t, list, "version: 2\n")
+	settings := filepath.Join(dir, "ctl.yaml")
+	datadriven.RunTest(t, "testdata/sessions", func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "hosts":
+			var hosts []string
+			for _, line := range strings.Split(d.Input, "\n") {
+				hosts = append(hosts, startHost(t, line))
+			}
+			write(t, settings, fmt.Sprintf("operator_secret_file: %s\ncontrols: [%s]\n", secret, strings.Join(hosts, ", ")))
+			return ""
+		case "run":
+			arguments := []string{"galenactl", "--settings", settings}
+			for _, argument := range strings.Fields(d.Input) {
+				arguments = append(arguments, strings.ReplaceAll(argument, "LIST", list))
+			}
+			var output bytes.Buffer
+			code := Main(arguments, &output, &output)
+			text := strings.ReplaceAll(output.String(), dir+"/", "")
+			text = spaces.ReplaceAllString(addresses.ReplaceAllString(text, "HOST"), " ")
+			return fmt.Sprintf("%sexit %d\n", text, code)
+		default:
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		}
+	})
+}
+
+func write(t *testing.T, path, content string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func startHost(t *testing.T, line string) string {
+	word, body, _ := strings.Cut(line, " ")
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer 0123456789abcdef" || word == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+		var status int
+		if _, err := fmt.Sscan(word, &status); err != nil {
+			t.Error(err)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	if word == "down" {
+		server.Close()
+	} else {
+		t.Cleanup(server.Close)
+	}
+	return strings.TrimPrefix(server.URL, "http://")
+}
