Add the demo's script, load driver and history check

Cause: one command must show the whole path under load with a planned stop of a backend server and a kill of the control leader.

Weighed: judging the owner by the answers' tokens; ruled out, since a wrong run whose answer was lost would go unseen. The servers' histories are read instead, on the host's shared monotonic clock. An order refused as not run isn't sent again under its key, so that a run found for it is an untruthful refusal; one whose outcome is unknown is, through the other entry host.

Change: internal/demo, scripts/demoload, scripts/demo.sh.

The check's unit tests pass.

--- /dev/null
+++ b/internal/demo/check_test.go
@@ -0,0 +1,94 @@
+package demo
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/backend"
+)
+
+func run(server string, slot int, token uint64, start, end int64, key string) backend.Run {
+	return backend.Run{Server: server, Incarnation: server, Slot: slot, Token: token, StartNanos: start, EndNanos: end, IdempotencyKey: key}
+}
+
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name   string
+		orders []Order
+		runs   []backend.Run
+		want   Faults
+	}{
+		{
+			name:   "no fault: a handover, runs side by side on one server, an unknown order that ran",
+			orders: []Order{{"a", Answered}, {"b", Unknown}, {"c", NotRun}, {"d", Unknown}},
+			runs: []backend.Run{
+				run("s1", 1, 10, 0, 5, "a"), run("s1", 1, 10, 2, 6, ""), run("s2", 1, 11, 6, 7, "b"), run("s2", 2, 3, 0, 9, ""),
+			},
+		},
+		{
+			name: "two servers overlap",
+			runs: []backend.Run{run("s1", 1, 10, 0, 5, ""), run("s2", 1, 11, 4, 7, "")},
+			want: Faults{WrongOwner: 1},
+		},
+		{
+			name: "a short run between does not hide an overlap with a long one",
+			runs: []backend.Run{run("s1", 1, 10, 0, 9, ""), run("s1", 1, 10, 1, 2, ""), run("s2", 1, 11, 4, 7, "")},
+			want: Faults{WrongOwner: 1},
+		},
+		{
+			name: "a former owner runs after its successor",
+			runs: []backend.Run{run("s2", 1, 11, 0, 1, ""), run("s1", 1, 10, 2, 3, "")},
+			want: Faults{WrongOwner: 1},
+		},
+		{
+			name: "two incarnations of one server are two owners",
+			runs: []backend.Run{
+				{Server: "s1", Incarnation: "first", Slot: 1, Token: 10, StartNanos: 0, EndNanos: 5},
+				{Server: "s1", Incarnation: "second", Slot: 1, Token: 11, StartNanos: 4, EndNanos: 7},
+			},
+			want: Faults{WrongOwner: 1},
+		},
+		{
+			name:   "doubled, untruthful, missing and stray",
+			orders: []Order{{"a", Answered}, {"b", NotRun}, {"c", Answered}},
+			runs: []backend.Run{
+				run("s1", 1, 10, 0, 1, "a"), run("s1", 1, 10, 2, 3, "a"), run("s1", 1, 10, 4, 5, "b"), run("s1", 1, 10, 6, 7, "x"),
+			},
+			want: Faults{Doubled: 1, Untruthful: 1, Missing: 1, Stray: 1},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Check(test.orders, test.runs); got != test.want {
+				t.Fatalf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestUnavailableTime(t *testing.T) {
+	counted := newTally()
+	at := func(millis int) time.Time { return time.UnixMilli(int64(millis)) }
+	counted.request("a", result{outcome: Answered}, at(0), at(5))
+	counted.request("a", result{outcome: NotRun}, at(10), at(20))
+	counted.request("a", result{outcome: Unknown}, at(30), at(40))
+	counted.request("b", result{outcome: Answered}, at(10), at(50))
+	counted.request("a", result{outcome: Answered}, at(100), at(110))
+	counted.request("b", result{outcome: NotRun}, at(120), at(130))
+	report := counted.report()
+	if report.Longest != 100*time.Millisecond || report.StillFailing != 1 || !report.Failed() {
+		t.Fatalf("report %+v", report)
+	}
+}
+
+func TestReadHistory(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "history")
+	if err := os.WriteFile(path, []byte("{\"server\":\"s1\",\"slot\":3}\n{\"server\":"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadHistory(path); err == nil {
+		t.Fatal("a torn line was accepted")
+	}
+}
--- /dev/null
+++ b/internal/demo/tally.go
@@ -0,0 +1,115 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// tally collects the outcomes of all requests.
+type tally struct {
+	mu           sync.Mutex
+	counts       map[Outcome]int
+	reasons      map[string]int // of requests that were not answered
+	orders       []Order
+	wrongAnswers int
+	failingSince map[string]time.Time // by key, while its requests fail
+	longest      time.Duration
+}
+
+func newTally() *tally {
+	return &tally{counts: map[Outcome]int{}, reasons: map[string]int{}, failingSince: map[string]time.Time{}}
+}
+
+// request records one request for a key. A key counts as unavailable from the
+// sending of the first failed request, or of the answered one, to the answer.
+func (t *tally) request(key string, result result, sent, ended time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[result.outcome]++
+	if result.wrong {
+		t.wrongAnswers++
+	}
+	since, failing := t.failingSince[key]
+	if result.outcome != Answered {
+		t.reasons[result.reason]++
+		if !failing || sent.Before(since) {
+			t.failingSince[key] = sent
+		}
+		return
+	}
+	if !failing || sent.Before(since) {
+		since = sent
+	}
+	t.longest = max(t.longest, ended.Sub(since))
+	delete(t.failingSince, key)
+}
+
+func (t *tally) order(order Order) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.orders = append(t.orders, order)
+}
+
+// Report is the result of the demo.
+type Report struct {
+	Counts       map[Outcome]int // requests by outcome
+	Reasons      map[string]int  // of requests that were not answered
+	Orders       []Order
+	WrongAnswers int // answers that belong to another request
+	Longest      time.Duration
+	StillFailing int // keys without an answer at the end
+	Runs         int // runs found in the histories
+	Faults       Faults
+}
+
+func (t *tally) report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Report{
+		Counts:       t.counts,
+		Reasons:      t.reasons,
+		Orders:       t.orders,
+		WrongAnswers: t.wrongAnswers,
+		Longest:      t.longest,
+		StillFailing: len(t.failingSince),
+	}
+}
+
+// Failed reports whether the demo found a fault, or no traffic.
+func (r Report) Failed() bool {
+	return r.Faults.Any() || r.WrongAnswers > 0 || r.Counts[Answered] == 0 || r.Runs == 0
+}
+
+// Print writes the table.
+func (r Report) Print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(table, "%s\t%v\t\n", name, value) }
+	row("requests sent", r.Counts[Answered]+r.Counts[NotRun]+r.Counts[Unknown])
+	row("answered", r.Counts[Answered])
+	row("refused as not run", r.Counts[NotRun])
+	row("unknown", r.Counts[Unknown])
+	row("orders", len(r.Orders))
+	row("runs found on the servers", r.Runs)
+	row("wrong owner", r.Faults.WrongOwner)
+	row("doubled", r.Faults.Doubled)
+	row("refused as not run, but ran", r.Faults.Untruthful)
+	row("answered, but no run found", r.Faults.Missing)
+	row("runs that nobody sent", r.Faults.Stray)
+	row("answers to another request", r.WrongAnswers)
+	row("keys without an answer at the end", r.StillFailing)
+	row("longest time a key was unavailable", r.Longest.Round(time.Millisecond))
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "print table")
+	}
+	for reason, count := range r.Reasons {
+		if _, err := fmt.Fprintf(w, "not answered: %d times %s\n", count, reason); err != nil {
+			return errors.Wrap(err, "print reasons")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/demoload/main.go
@@ -0,0 +1,92 @@
+// Command demoload is the demo's caller. It is built by scripts/demo.sh and is
+// none of the shipped programs.
+//
+//	demoload ports COUNT
+//	demoload run --entries A,B --history F,G ...
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/demo"
+)
+
+var errFaults = errors.New("the demo found faults")
+
+func main() {
+	hlog.SetLevel(hlog.LevelError)
+	app := &cli.Command{
+		Name:  "demoload",
+		Usage: "caller of the demo",
+		Commands: []*cli.Command{
+			{Name: "ports", Usage: "print COUNT free loopback ports", ArgsUsage: "COUNT", Action: ports},
+			{Name: "run", Usage: "send load and check the histories", Action: run, Flags: []cli.Flag{
+				&cli.StringSliceFlag{Name: "entries", Usage: "addresses of entry hosts", Required: true},
+				&cli.StringSliceFlag{Name: "history", Usage: "history files of the servers", Required: true},
+				&cli.StringFlag{Name: "service", Value: "wheel-swap"},
+				&cli.IntFlag{Name: "keys", Value: 64},
+				&cli.IntFlag{Name: "workers", Value: 8},
+				&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
+				&cli.DurationFlag{Name: "warm-up", Value: 20 * time.Second},
+				&cli.Uint64Flag{Name: "seed", Value: 1},
+			}},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// ports holds all ports open until each is chosen, so that they differ.
+func ports(_ context.Context, c *cli.Command) error {
+	count, err := strconv.Atoi(c.Args().First())
+	if err != nil {
+		return errors.Wrap(err, "COUNT")
+	}
+	listeners := make([]net.Listener, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, listener)
+	}
+	for _, listener := range listeners {
+		fmt.Println(listener.Addr().(*net.TCPAddr).Port)
+		_ = listener.Close() // only its number is wanted
+	}
+	return nil
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	report, err := demo.Run(ctx, demo.Options{
+		Entries:   c.StringSlice("entries"),
+		Service:   c.String("service"),
+		Keys:      c.Int("keys"),
+		Workers:   c.Int("workers"),
+		Duration:  c.Duration("duration"),
+		WarmUp:    c.Duration("warm-up"),
+		Histories: c.StringSlice("history"),
+		Seed:      c.Uint64("seed"),
+	})
+	if err != nil {
+		return err
+	}
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if report.Failed() {
+		return errFaults
+	}
+	return nil
+}
