--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -158,6 +158,9 @@
 	case "boolean":
 		return "true or false"
 	case "string":
+		if at.MinLength == nil {
+			return "a text"
+		}
 		return "a text that is not empty"
 	case "array":
 		return "a list" + describeLength(at.MinItems, at.MaxItems)
