Tell when the demo's longest unavailability began

Cause: the table alone didn't show whether the planned stop or the kill of the leader left a key unserved longest.

Change: the report carries the begin, counted from the start of the load.

--- a/internal/demo/check_test.go
+++ b/internal/demo/check_test.go
@@ -69,7 +69,7 @@
 }
 
 func TestUnavailableTime(t *testing.T) {
-	counted := newTally()
+	counted := newTally(time.UnixMilli(0))
 	at := func(millis int) time.Time { return time.UnixMilli(int64(millis)) }
 	counted.request("a", result{outcome: Answered}, at(0), at(5))
 	counted.request("a", result{outcome: NotRun}, at(10), at(20))
@@ -78,7 +78,7 @@
 	counted.request("a", result{outcome: Answered}, at(100), at(110))
 	counted.request("b", result{outcome: NotRun}, at(120), at(130))
 	report := counted.report()
-	if report.Longest != 100*time.Millisecond || report.StillFailing != 1 || !report.Failed() {
+	if report.Longest != 100*time.Millisecond || report.LongestAt != 10*time.Millisecond || report.StillFailing != 1 || !report.Failed() {
 		t.Fatalf("report %+v", report) // it failed because no order was answered
 	}
 	counted.order(Order{"order-1", Answered})
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -68,11 +68,12 @@
 	if err != nil {
 		return Report{}, errors.Wrap(err, "make HTTP client")
 	}
-	d := &driver{options: options, http: http, tally: newTally()}
+	d := &driver{options: options, http: http}
 	if err := d.warmUp(ctx); err != nil {
 		return Report{}, err
 	}
 	fmt.Println("load starts")
+	d.tally = newTally(time.Now())
 	loadCtx, cancel := context.WithTimeout(ctx, options.Duration)
 	defer cancel()
 	var workers sync.WaitGroup
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -19,10 +19,12 @@
 	wrongAnswers int
 	failingSince map[string]time.Time // by key, while its requests fail
 	longest      time.Duration
+	longestAt    time.Time // when the longest unavailability began
+	started      time.Time
 }
 
-func newTally() *tally {
-	return &tally{counts: map[Outcome]int{}, reasons: map[string]int{}, failingSince: map[string]time.Time{}}
+func newTally(started time.Time) *tally {
+	return &tally{started: started, counts: map[Outcome]int{}, reasons: map[string]int{}, failingSince: map[string]time.Time{}}
 }
 
 // request records one request for a key. A key counts as unavailable from the
@@ -45,7 +47,10 @@
 	if !failing || sent.Before(since) {
 		since = sent
 	}
-	t.longest = max(t.longest, ended.Sub(since))
+	if unavailable := ended.Sub(since); unavailable > t.longest {
+		t.longest = unavailable
+		t.longestAt = since
+	}
 	delete(t.failingSince, key)
 }
 
@@ -62,6 +67,7 @@
 	Orders       []Order
 	WrongAnswers int // answers that belong to another request
 	Longest      time.Duration
+	LongestAt    time.Duration // when it began, since the start of the load
 	StillFailing int // keys without an answer at the end
 	Runs         int // runs found in the histories
 	Faults       Faults
@@ -76,6 +82,7 @@
 		Orders:       t.orders,
 		WrongAnswers: t.wrongAnswers,
 		Longest:      t.longest,
+		LongestAt:    t.longestAt.Sub(t.started),
 		StillFailing: len(t.failingSince),
 	}
 }
@@ -115,6 +122,7 @@
 	row("answers to another request", r.WrongAnswers)
 	row("keys without an answer at the end", r.StillFailing)
 	row("longest time a key was unavailable", r.Longest.Round(time.Millisecond))
+	row("which began after", r.LongestAt.Round(time.Millisecond))
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "print table")
 	}
