--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -68,8 +68,8 @@
 	WrongAnswers int // answers that belong to another request
 	Longest      time.Duration
 	LongestAt    time.Duration // when it began, since the start of the load
-	StillFailing int // keys without an answer at the end
-	Runs         int // runs found in the histories
+	StillFailing int           // keys without an answer at the end
+	Runs         int           // runs found in the histories
 	Faults       Faults
 }
 
