Stop a control host in time, and move run records in batches

Cause: after SIGTERM a control host never ended: Stop waited for the operators' listener before telling it to end. Found when a second start met 'address already in use'. Also, init opened the peer listener it does not need. Change: the listener is ended first; init opens none; run records of many slots move in one proposal, since 128 slots at once took 128 commits.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -59,8 +59,21 @@
 	done   sync.WaitGroup
 }
 
-// New makes a host. Start starts it.
+// New makes a host and opens its listener for peers. Start starts it.
 func New(options Options) (*Host, error) {
+	h := newHost(options)
+	var err error
+	h.server, err = peer.NewServer(peer.ServerOptions{
+		Listen:  options.Settings.PeerListen,
+		Self:    h.identity(),
+		Secret:  options.PeerSecret,
+		Handler: &handler{host: h},
+		Workers: options.Settings.Workers,
+	})
+	return h, errors.Wrap(err, "peer listener")
+}
+
+func newHost(options Options) *Host {
 	h := &Host{
 		options:  options,
 		settings: options.Settings,
@@ -73,15 +86,7 @@
 		h.hosts = append(h.hosts, membership.Host{Name: control.Name, Region: control.Region, Domain: control.Domain})
 	}
 	h.plan = membership.Plan(h.hosts)
-	var err error
-	h.server, err = peer.NewServer(peer.ServerOptions{
-		Listen:  options.Settings.PeerListen,
-		Self:    h.identity(),
-		Secret:  options.PeerSecret,
-		Handler: &handler{host: h},
-		Workers: options.Settings.Workers,
-	})
-	return h, errors.Wrap(err, "peer listener")
+	return h
 }
 
 func (h *Host) identity() peer.Identity {
@@ -96,10 +101,7 @@
 // host, and never on a host whose disk was lost: a new disk is a new member, which
 // Start admits by itself.
 func InitializeData(s *settings.ControlSettings) error {
-	h, err := New(Options{Settings: s, PeerSecret: []byte("unused")})
-	if err != nil {
-		return err
-	}
+	h := newHost(Options{Settings: s})
 	for _, g := range h.plan {
 		if !slices.Contains(g.Hosts, s.Name) {
 			continue
@@ -262,6 +264,7 @@
 	for _, g := range h.regions {
 		h.every(ctx, tickInterval, func() { h.regionWork(ctx, g) })
 		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
+		h.every(ctx, tickInterval, func() { h.retireWork(ctx, g) })
 	}
 	for name := range h.runners {
 		h.every(ctx, joinInterval, func() { h.joinWork(ctx, name) })
@@ -308,11 +311,11 @@
 	for _, runner := range h.runners {
 		runner.Stop(ctx)
 	}
-	h.done.Wait()
 	err := h.server.Stop(ctx)
 	if h.admin != nil {
 		h.admin.stop(ctx)
 	}
+	h.done.Wait()
 	for _, client := range h.clients {
 		client.Close()
 	}
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return ledger.Reply{}, err
 	}
-	result, err := g.commit(ctx, regionEntry{Ledger: data})
+	result, err := g.commit(ctx, regionEntry{Ledger: [][]byte{data}})
 	if err != nil {
 		return ledger.Reply{}, err
 	}
--- a/internal/control/regionstate.go
+++ b/internal/control/regionstate.go
@@ -17,7 +17,7 @@
 // regionEntry is one entry of a region's log.
 type regionEntry struct {
 	Ownership []ownership.Command `cbor:"1,keyasint,omitempty"`
-	Ledger    []byte              `cbor:"2,keyasint,omitempty"` // ledger.Command
+	Ledger    [][]byte            `cbor:"2,keyasint,omitempty"` // list of ledger.Command
 }
 
 // regionSnapshot is the durable form of a region's state.
@@ -42,8 +42,8 @@
 	return &regionState{feed: newFeed(group), owner: ownership.NewState(), runs: ledger.New()}
 }
 
-// Apply executes one log entry. The result of a ledger command is its
-// ledger.Reply.
+// Apply executes one log entry. The result is the ledger.Reply of the entry's last
+// ledger command, or an error for an entry that could not be decoded.
 func (s *regionState) Apply(index uint64, data []byte) any {
 	var entry regionEntry
 	if err := cbor.Unmarshal(data, &entry); err != nil {
@@ -52,13 +52,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyOwnership(index, entry.Ownership)
-	if len(entry.Ledger) == 0 {
-		return nil
-	}
-	command, err := ledger.DecodeCommand(entry.Ledger)
-	if err != nil {
-		return errors.Wrap(errInvalidEntry, err.Error())
+	var result any
+	for _, encoded := range entry.Ledger {
+		command, err := ledger.DecodeCommand(encoded)
+		if err != nil {
+			return errors.Wrap(errInvalidEntry, err.Error())
+		}
+		result = s.applyLedger(index, command)
 	}
+	return result
+}
+
+func (s *regionState) applyLedger(index uint64, command ledger.Command) ledger.Reply {
 	if begin := command.Begin; begin != nil && !s.isHome(begin.Service, begin.Slot) {
 		return ledger.Reply{Refusal: ledger.RefusedSealed}
 	}
--- a/internal/control/regionwork.go
+++ b/internal/control/regionwork.go
@@ -35,6 +35,15 @@
 		return
 	}
 	h.addServices(ctx, capacities)
+}
+
+// retireWork follows moves of homes away from the region.
+func (h *Host) retireWork(ctx context.Context, g *regionGroup) {
+	if !g.runner.Leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
 	h.confirmRetired(ctx, g)
 }
 
@@ -82,18 +91,12 @@
 		if len(slots) == 0 {
 			continue
 		}
-		retired := catalog.Retired{Service: name, Region: g.name}
-		for i, slot := range slots {
-			if err := h.moveRuns(ctx, g, name, slot, generations[i], homes.Of(name)[slot].To); err != nil {
-				log.WithError(err).WithField("service", name).Warn("run records not moved; the move is tried again")
-				break
-			}
-			retired.Slots = append(retired.Slots, slot)
-			retired.Generations = append(retired.Generations, generations[i])
-		}
-		if len(retired.Slots) > 0 {
-			h.proposeGlobal(ctx, catalog.Command{Retired: &retired})
+		if err := h.moveRuns(ctx, g, name, slots, homes.Of(name)); err != nil {
+			log.WithError(err).WithField("service", name).Warn("run records not moved; the move is tried again")
+			continue
 		}
+		retired := catalog.Retired{Service: name, Region: g.name, Slots: slots, Generations: generations}
+		h.proposeGlobal(ctx, catalog.Command{Retired: &retired})
 	}
 }
 
@@ -103,17 +106,52 @@
 	return g.state.owner.RetiredSlots(g.name, service, homes)
 }
 
-// moveRuns copies a retired slot's run records to the group of its next home.
-func (h *Host) moveRuns(ctx context.Context, g *regionGroup, service string, slot int, generation uint64, to string) error {
-	part, err := g.sealedPart(service, slot, generation)
-	if err != nil || part == nil {
-		return err
+// maxMoveBytes bounds the run records in one proposal.
+const maxMoveBytes = 1 << 20
+
+// moveRuns copies retired slots' run records to the groups of their next homes,
+// many slots in one proposal.
+func (h *Host) moveRuns(ctx context.Context, g *regionGroup, service string, slots []int, homes []ownership.Home) error {
+	batches := map[string]*regionEntry{}
+	sizes := map[string]int{}
+	for _, slot := range slots {
+		part, err := g.sealedPart(service, slot, homes[slot].Generation)
+		if err != nil {
+			return err
+		}
+		if part == nil {
+			continue
+		}
+		command, err := ledger.Command{Adopt: &ledger.Adopt{Part: *part}}.Encode()
+		if err != nil {
+			return err
+		}
+		to := homes[slot].To
+		if batches[to] != nil && sizes[to]+len(command) > maxMoveBytes {
+			if err := h.proposeRuns(ctx, to, *batches[to]); err != nil {
+				return err
+			}
+			batches[to], sizes[to] = nil, 0
+		}
+		if batches[to] == nil {
+			batches[to] = &regionEntry{}
+		}
+		batches[to].Ledger = append(batches[to].Ledger, command)
+		sizes[to] += len(command)
 	}
-	command, err := ledger.Command{Adopt: &ledger.Adopt{Part: *part}}.Encode()
-	if err != nil {
-		return err
+	for to, batch := range batches {
+		if batch == nil {
+			continue
+		}
+		if err := h.proposeRuns(ctx, to, *batch); err != nil {
+			return err
+		}
 	}
-	data, err := cbor.Marshal(regionEntry{Ledger: command})
+	return nil
+}
+
+func (h *Host) proposeRuns(ctx context.Context, to string, entry regionEntry) error {
+	data, err := cbor.Marshal(entry)
 	if err != nil {
 		return errors.Wrap(err, "encode log entry")
 	}
