--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BudgetConfig bounds the retries of one service.
 type BudgetConfig struct {
@@ -9,45 +12,51 @@
 	Burst          float64 // most retries saved up
 }
 
+// tokenUnit is one retry. Tokens are counted in whole units of a billionth, so
+// that ten tenths are one, and a nanosecond of the floor is not lost.
+const tokenUnit = 1_000_000_000
+
 // Budget is a token bucket filled by first attempts and by a small floor.
 type Budget struct {
 	config BudgetConfig
-	tokens float64
+	tokens int64 // billionths of a retry
 	last   time.Duration
 }
 
 // NewBudget returns a full budget.
 func NewBudget(config BudgetConfig) *Budget {
-	return &Budget{config: config, tokens: config.Burst}
+	return &Budget{config: config, tokens: units(config.Burst)}
 }
 
 // FirstAttempt adds the share of one first attempt.
 func (b *Budget) FirstAttempt(now time.Duration) {
 	b.refill(now)
-	b.add(b.config.Ratio)
+	b.add(units(b.config.Ratio))
 }
 
 // Spend takes one retry from the budget, or returns false.
 func (b *Budget) Spend(now time.Duration) bool {
 	b.refill(now)
-	if b.tokens < 1 {
+	if b.tokens < tokenUnit {
 		return false
 	}
-	b.tokens--
+	b.tokens -= tokenUnit
 	return true
 }
 
 // Tokens returns the number of retries left.
-func (b *Budget) Tokens() float64 { return b.tokens }
+func (b *Budget) Tokens() float64 { return float64(b.tokens) / tokenUnit }
 
 func (b *Budget) refill(now time.Duration) {
 	if now <= b.last {
 		return
 	}
-	b.add(b.config.FloorPerSecond * (now - b.last).Seconds())
+	b.add(units(b.config.FloorPerSecond * (now - b.last).Seconds()))
 	b.last = now
 }
 
-func (b *Budget) add(tokens float64) {
-	b.tokens = min(b.tokens+tokens, b.config.Burst)
+func (b *Budget) add(tokens int64) {
+	b.tokens = min(b.tokens+tokens, units(b.config.Burst))
 }
+
+func units(retries float64) int64 { return int64(math.Round(retries * tokenUnit)) }
