--- /dev/null
+++ b/admission/session_test.go
@@ -0,0 +1,150 @@
+package admission
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+// TestSessions runs the golden sessions. Each command names its time in
+// milliseconds, e.g. "enqueue at=3 id=1 class=order customer=a deadline=50".
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var q *Queue
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "new" {
+				q = New(Config{Slots: number(t, d, "slots"), MaxLimit: number(t, d, "max"), QueueLength: number(t, d, "queue"), Shares: DefaultShares()})
+				return fmt.Sprintf("limit %d\n", q.Limit())
+			}
+			return command(t, d, q)
+		})
+	})
+}
+
+func command(t *testing.T, d *datadriven.TestData, q *Queue) string {
+	now := millis(number(t, d, "at"))
+	switch d.Cmd {
+	case "enqueue":
+		var out strings.Builder
+		for range max(1, number(t, d, "count")) {
+			request := Request{ID: ID(number(t, d, "id")), Customer: text(d, "customer"), Deadline: millis(number(t, d, "deadline"))}
+			request.Class = class(t, text(d, "class"))
+			request.ID += ID(strings.Count(out.String(), "\n"))
+			v := q.Enqueue(now, request)
+			fmt.Fprintf(&out, "%d accepted=%t %s wait=%v evicted=%v\n", request.ID, v.Accepted, v.Reason, v.Wait, v.Evicted)
+		}
+		return out.String()
+	case "next":
+		return fmt.Sprintf("start %v\n", q.Next(now))
+	case "finish":
+		outcome := map[string]Outcome{"": Succeeded, "shed": Shed, "timeout": TimedOut, "failed": Failed}[text(d, "outcome")]
+		q.Finish(now, ID(number(t, d, "id")), outcome, millis(number(t, d, "took")))
+		return fmt.Sprintf("limit %d running %v\n", q.Limit(), q.active)
+	case "cancel":
+		q.Cancel(now, ID(number(t, d, "id")))
+		return fmt.Sprintf("running %v\n", q.active)
+	case "expire":
+		return fmt.Sprintf("expired %v\n", q.Expire(now))
+	}
+	d.Fatalf(t, "unknown command %s", d.Cmd)
+	return ""
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func text(d *datadriven.TestData, key string) string {
+	var value string
+	if d.HasArg(key) {
+		value = d.CmdArgs[argIndex(d, key)].Vals[0]
+	}
+	return value
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string) int {
+	var value int
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &value)
+	}
+	return value
+}
+
+func class(t *testing.T, name string) Class {
+	for c := Lookup; c < Classes; c++ {
+		if c.String() == name {
+			return c
+		}
+	}
+	t.Fatalf("unknown class %q", name)
+	return 0
+}
+
+// TestInvariants checks the contract over random schedules.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		q := New(Config{Slots: 6, MaxLimit: 12, QueueLength: 4, Shares: DefaultShares()})
+		var now time.Duration
+		running, waiting := map[ID]bool{}, map[ID]Request{}
+		for id := ID(1); id < 120; id++ {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(r, "pause")) * time.Millisecond
+			request := Request{ID: id, Class: Class(rapid.IntRange(0, 2).Draw(r, "class")), Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "customer")}
+			if rapid.Bool().Draw(r, "bounded") {
+				request.Deadline = now + time.Duration(rapid.IntRange(1, 40).Draw(r, "left"))*time.Millisecond
+			}
+			verdict := q.Enqueue(now, request)
+			for _, evicted := range verdict.Evicted {
+				delete(waiting, evicted)
+			}
+			if verdict.Accepted {
+				waiting[id] = request
+			}
+			for _, expired := range q.Expire(now) {
+				if waiting[expired].Deadline == 0 {
+					r.Fatalf("%d expired without a deadline", expired)
+				}
+				delete(waiting, expired)
+			}
+			for _, started := range q.Next(now) {
+				if _, found := waiting[started]; !found {
+					r.Fatalf("%d started without waiting", started)
+				}
+				delete(waiting, started)
+				running[started] = true
+			}
+			check(r, q, running, waiting)
+			for one := range running {
+				if rapid.IntRange(0, 2).Draw(r, "end") == 0 {
+					q.Finish(now, one, Outcome(rapid.IntRange(1, 4).Draw(r, "outcome")), 2*time.Millisecond)
+					delete(running, one)
+					break
+				}
+			}
+		}
+	})
+}
+
+func check(r *rapid.T, q *Queue, running map[ID]bool, waiting map[ID]Request) {
+	if len(q.running) != len(running) || len(q.waiting) != len(waiting) {
+		r.Fatalf("%d running and %d waiting, want %d and %d", len(q.running), len(q.waiting), len(running), len(waiting))
+	}
+	for c := Lookup; c < Classes; c++ {
+		if q.Waiting(c) > q.config.QueueLength {
+			r.Fatalf("%d requests wait in class %v", q.Waiting(c), c)
+		}
+	}
+	if q.Limit() < minLimit || q.Limit() > 12 {
+		r.Fatalf("the limit is %d", q.Limit())
+	}
+}
+
+func argIndex(d *datadriven.TestData, key string) int {
+	for i, arg := range d.CmdArgs {
+		if arg.Key == key {
+			return i
+		}
+	}
+	return -1
+}
