--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // readBufferBytes bounds the header of an answer, too.
@@ -18,10 +20,31 @@
 	written  int64     // bytes of the current request
 	answered time.Time // when the last whole answer arrived; the dial time at first
 	fresh    bool      // no request was sent yet
+	readErr  error     // of the last read; hertz's codec hides it
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), answered: now, fresh: true}
+	wrapped := &conn{Conn: c, answered: now, fresh: true}
+	wrapped.reader = bufio.NewReaderSize(rawReader{wrapped}, readBufferBytes)
+	return wrapped
+}
+
+// rawReader reads from the network and keeps the error.
+type rawReader struct{ conn *conn }
+
+func (r rawReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Conn.Read(p)
+	r.conn.readErr = err
+	return n, err
+}
+
+// timedOut reports whether an error, or the last read, is a time-out.
+func (c *conn) timedOut(err error) bool {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return true
+	}
+	return errors.As(c.readErr, &netErr) && netErr.Timeout()
 }
 
 // Write counts the bytes that the network took.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http/httputil"
 	"strconv"
 	"time"
@@ -280,13 +279,12 @@
 	}
 	reason := ReasonBroken
 	var fromCaller *callerError
-	var netErr net.Error
 	switch {
 	case ctx.Err() != nil:
 		reason = ReasonCanceled
 	case errors.As(err, &fromCaller):
 		reason = ReasonCallerBody
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case e.conn.timedOut(err):
 		reason = ReasonTimeout
 		e.counts.timeouts.Add(1)
 	}
