--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// benchClient sends lookups on one connection.
+type benchClient struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	wire   []byte
+}
+
+func newBenchClient(b *testing.B, address, path string) *benchClient {
+	b.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close() })
+	return &benchClient{c, bufio.NewReader(c), []byte("GET " + path + " HTTP/1.1\r\nHost: x\r\nGalena-Key: k\r\n\r\n")}
+}
+
+func (c *benchClient) call(b *testing.B) {
+	if _, err := c.conn.Write(c.wire); err != nil {
+		b.Error(err)
+		return
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	if response.StatusCode != 200 {
+		b.Errorf("status %d", response.StatusCode)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+}
+
+// BenchmarkAddedLatency measures a lookup through the host beside a direct call
+// to the same server, alternating, in one run.
+func BenchmarkAddedLatency(b *testing.B) {
+	server := startRaw(b, answerBench)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(b, ports, nil)
+	through := newBenchClient(b, host.Addr(), "/v1/services/orders/x")
+	direct := newBenchClient(b, server.address(), "/x")
+	times := map[*benchClient]*hdrhistogram.Histogram{
+		through: hdrhistogram.New(1, 10_000_000, 3), direct: hdrhistogram.New(1, 10_000_000, 3),
+	}
+	b.ResetTimer()
+	for range b.N {
+		for client, histogram := range times {
+			started := time.Now()
+			client.call(b)
+			_ = histogram.RecordValue(time.Since(started).Microseconds())
+		}
+	}
+	b.ReportMetric(float64(times[direct].ValueAtQuantile(50)), "direct-p50-us")
+	b.ReportMetric(float64(times[direct].ValueAtQuantile(99)), "direct-p99-us")
+	b.ReportMetric(float64(times[through].ValueAtQuantile(50)), "host-p50-us")
+	b.ReportMetric(float64(times[through].ValueAtQuantile(99)), "host-p99-us")
+}
+
+func answerBench(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return err == nil
+}
+
+// BenchmarkRequestsPerCore measures processor time a request: with the host, and
+// without it. The difference is the host's own.
+func BenchmarkRequestsPerCore(b *testing.B) {
+	server := startRaw(b, answerBench)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(b, ports, nil)
+	direct := processorTime(b, server.address(), "/x")
+	through := processorTime(b, host.Addr(), "/v1/services/orders/x")
+	own := max(through-direct, time.Nanosecond)
+	b.ReportMetric(float64(own.Nanoseconds())/1000, "host-cpu-us/request")
+	b.ReportMetric(float64(time.Second)/float64(own), "requests/s/core")
+}
+
+// processorTime returns the processor time of this process for one request.
+func processorTime(b *testing.B, address, path string) time.Duration {
+	const clients, requests = 4, 2000
+	var all sync.WaitGroup
+	before := usage(b)
+	for range clients {
+		client := newBenchClient(b, address, path)
+		all.Go(func() {
+			for range requests {
+				client.call(b)
+			}
+		})
+	}
+	all.Wait()
+	return (usage(b) - before) / (clients * requests)
+}
+
+func usage(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -45,11 +45,14 @@
 		return
 	}
 	<-done
-	if failure != nil {
+	switch {
+	case failure != nil:
 		h.refuse(caller, in, failure)
-		return
+	case answer == nil: // the worker panicked; the pool logged it
+		h.refuse(caller, in, unknown(500, reasonInternal, "the host failed"))
+	default:
+		h.answer(caller, in, answer)
 	}
-	h.answer(caller, in, answer)
 }
 
 // readBody reads the body of a lookup or order whole, and leaves that of an
@@ -62,6 +65,8 @@
 	if in.contentLength > 0 {
 		// Hertz's stream may read past the body into the next request.
 		reader = io.LimitReader(reader, int64(in.contentLength))
+	} else {
+		reader = &promptReader{reader: reader, buffered: caller.GetConn().Len}
 	}
 	if in.class == admission.Upload {
 		in.stream = &countedReader{reader: reader, most: int64(h.bounds.maxUploadBytes)}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 	digests  map[string]string
 	finished chan wire.RunFinish
 	begun    []wire.RunBegin
-	refused  bool // Admit
+	refused  atomic.Bool // Admit
 	writable func() bool
 	announce wire.Announcement
 	timedOut int
@@ -103,7 +104,9 @@
 	return reply, nil
 }
 
-func (f *fakePorts) Admit(string, string) (bool, time.Duration) { return !f.refused, 3 * time.Second }
+func (f *fakePorts) Admit(string, string) (bool, time.Duration) {
+	return !f.refused.Load(), 3 * time.Second
+}
 
 func (f *fakePorts) Announce(_ context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
 	f.announce = a
@@ -119,6 +122,12 @@
 func (f *fakePorts) ConnectionFailed(Server)        { f.mu.Lock(); f.failed++; f.mu.Unlock() }
 func (f *fakePorts) Routed(string, int, string)     {}
 
+func (f *fakePorts) failures() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
+
 // startHost runs a host until the test ends.
 func startHost(t testing.TB, ports *fakePorts, change func(*settings.EntrySettings)) *Host {
 	t.Helper()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -70,6 +71,7 @@
 	if err := options.check(); err != nil {
 		return nil, err
 	}
+	hlog.SetLevel(hlog.LevelWarn) // hertz logs each start and stop otherwise
 	h := newHost(options)
 	var err error
 	if h.metrics, err = newMetrics(options.Registry, h); err != nil {
--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -93,6 +93,8 @@
 		return keptAnswer(reply), nil
 	case stateRunning:
 		return nil, unknown(409, reasonInProgress, "the request with this %s is in progress", wire.HeaderIdempotencyKey)
+	case stateNotKept:
+		return nil, unknown(409, reasonNotKept, "the first try was answered; its answer was too long to keep")
 	case stateConflict:
 		return nil, notRun(422, reasonConflict, "the %s was used for another request", wire.HeaderIdempotencyKey)
 	default:
--- /dev/null
+++ b/internal/entry/ledger_test.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// TestRecordedRuns resends a recorded request after each way it can end. The
+// server counts the runs.
+func TestRecordedRuns(t *testing.T) {
+	cases := []struct {
+		name   string
+		play   script
+		first  string // outcome of the first try
+		state  string // recorded
+		status int    // of the resend
+		second string // outcome of the resend
+		runs   int
+	}{
+		{"answered", answerOK, "answered", stateAnswered, 200, "answered", 1},
+		{"reset", func(_ *rawServer, c net.Conn, _ *http1, _ int) bool { return reset(c) }, "unknown", stateUnknown, 502, "unknown", 1},
+		{"long answer", func(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+			return say(c, "HTTP/1.1 200 OK\nContent-Length: 300000\n\n"+strings.Repeat("x", 300000))
+		}, "answered", stateNotKept, 409, "unknown", 1},
+		{"refused", func(_ *rawServer, c net.Conn, _ *http1, n int) bool {
+			if n > 1 {
+				return say(c, okAnswer)
+			}
+			return say(c, "HTTP/1.1 503 No\nGalena-Refused: shedding\nContent-Length: 0\n\n")
+		}, "not-run", stateNotRun, 200, "answered", 2},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			server := startRaw(t, one.play)
+			ports := newFakePorts()
+			ports.setOwner(server.address(), 7)
+			host := startHost(t, ports, nil)
+			if got := order(t, host, wire.HeaderIdempotencyKey, "a"); got.outcome != one.first {
+				t.Fatalf("the first try got %+v", got)
+			}
+			if finish := <-ports.finished; finish.State != one.state || finish.Attempt != 1 {
+				t.Fatalf("recorded %+v", finish)
+			}
+			got := order(t, host, wire.HeaderIdempotencyKey, "a")
+			if got.status != one.status || got.outcome != one.second || server.runs() != one.runs {
+				t.Fatalf("the resend got %+v, %d runs", got, server.runs())
+			}
+			if one.second == "answered" && got.body != "ok" {
+				t.Fatalf("the resend got the body %q", got.body)
+			}
+		})
+	}
+}
+
+// TestResendWhileRunning resends a request that is at the server, and the same
+// id with another body.
+func TestResendWhileRunning(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+		close(arrived)
+		<-release
+		return say(c, okAnswer)
+	})
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	first := make(chan reply, 1)
+	go func() { first <- order(t, host, wire.HeaderIdempotencyKey, "a") }()
+	<-arrived
+	if got := order(t, host, wire.HeaderIdempotencyKey, "a"); got.status != 409 || got.outcome != "unknown" {
+		t.Errorf("the resend got %+v", got)
+	}
+	other := call(t, host, "POST", "/v1/services/orders/place?x=1", "three buttons", wire.HeaderKey, "k", wire.HeaderIdempotencyKey, "a")
+	if other.status != 422 || other.outcome != "not-run" {
+		t.Errorf("the other body got %+v", other)
+	}
+	close(release)
+	if got := <-first; got.outcome != "answered" || server.runs() != 1 {
+		t.Errorf("the first try got %+v, %d runs", got, server.runs())
+	}
+}
+
+// TestCallerLeaves loses the caller of a recorded request: it goes on, and the
+// resend finds its answer.
+func TestCallerLeaves(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+		close(arrived)
+		<-release
+		return say(c, okAnswer)
+	})
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	c, err := net.Dial("tcp", host.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	say(c, "POST /v1/services/orders/place?x=1 HTTP/1.1\nHost: x\nGalena-Key: k\nIdempotency-Key: a\nContent-Length: 11\n\ntwo buttons")
+	<-arrived
+	_ = c.Close()
+	close(release)
+	if finish := <-ports.finished; finish.State != stateAnswered {
+		t.Fatalf("recorded %+v", finish)
+	}
+	if got := order(t, host, wire.HeaderIdempotencyKey, "a"); got.body != "ok" || server.runs() != 1 {
+		t.Fatalf("the resend got %+v, %d runs", got, server.runs())
+	}
+}
+
+// TestNotWritable lets the lease end before the first byte.
+func TestNotWritable(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.writable = func() bool { return false }
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	got := order(t, host, wire.HeaderDeadlineMillis, "100")
+	if got.outcome != "not-run" || server.runs() != 0 {
+		t.Fatalf("got %+v, %d runs", got, server.runs())
+	}
+}
+
+// TestWaitForOwner holds a request until its key has an owner.
+func TestWaitForOwner(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	host := startHost(t, ports, nil)
+	got := make(chan reply, 1)
+	go func() { got <- order(t, host) }()
+	for host.ownerWaiters.Load() == 0 {
+		<-pollAgain()
+	}
+	ports.setOwner(server.address(), 7)
+	if one := <-got; one.outcome != "answered" {
+		t.Fatalf("got %+v", one)
+	}
+}
+
+func TestRefusedBeforeSending(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	cases := []struct {
+		method, path, body string
+		header             []string
+		status             int
+	}{
+		{"POST", "/v1/services/orders/p", "x", nil, 400},
+		{"POST", "/v1/services/nobody/p", "x", nil, 404},
+		{"POST", "/v1/services/orders/galena/v1/probe", "x", []string{wire.HeaderKey, "k"}, 400},
+		{"GET", "/v1/services/orders/p", "", []string{wire.HeaderKey, "k", wire.HeaderDeadlineMillis, "soon"}, 400},
+		{"GET", "/v1/services/orders/p", "", []string{wire.HeaderKey, "k", wire.HeaderClass, "bulk"}, 400},
+		{"GET", "/v1/services/orders/p", "", []string{wire.HeaderKey, "k", wire.HeaderRepeatable, "maybe"}, 400},
+		{"GET", "/nowhere", "", nil, 404},
+		{"POST", "/v1/services/photos/p", "x", nil, 503},
+	}
+	for _, one := range cases {
+		got := call(t, host, one.method, one.path, one.body, one.header...)
+		if got.status != one.status || got.outcome != "not-run" {
+			t.Errorf("%s %s %v: got %+v", one.method, one.path, one.header, got)
+		}
+	}
+	ports.refused.Store(true)
+	if got := order(t, host); got.status != 429 || got.header.Get("Retry-After") != "3" {
+		t.Errorf("without allowance: got %+v", got)
+	}
+	if server.runs() != 0 {
+		t.Errorf("%d requests reached the server", server.runs())
+	}
+}
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -113,8 +113,8 @@
 	ports.setOwner(address, 7)
 	host := startHost(t, ports, nil)
 	got := order(t, host, wire.HeaderDeadlineMillis, "250")
-	if got.outcome != "not-run" || ports.failed == 0 {
-		t.Fatalf("got %+v, %d failures reported", got, ports.failed)
+	if got.outcome != "not-run" || ports.failures() == 0 {
+		t.Fatalf("got %+v, %d failures reported", got, ports.failures())
 	}
 }
 
@@ -192,8 +192,10 @@
 		"chunked": "Transfer-Encoding: chunked\r\n\r\n186A0\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			broken := make(chan error, 1)
+			broken, started := make(chan error, 1), make(chan struct{})
 			server := startRawStream(t, func(body io.Reader) {
+				_, _ = io.CopyN(io.Discard, body, 10000)
+				close(started)
 				_, err := io.Copy(io.Discard, body)
 				broken <- err
 			})
@@ -205,6 +207,7 @@
 				t.Fatal(err)
 			}
 			_, _ = io.WriteString(c, "PUT /v1/services/orders/batch HTTP/1.1\r\nHost: x\r\nGalena-Key: k\r\nGalena-Class: upload\r\n"+head+strings.Repeat("p", 20000))
+			<-started
 			_ = c.Close()
 			if err := <-broken; err == nil {
 				t.Fatal("the server took half a body for a whole one")
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -25,7 +25,9 @@
 	reasonConflict       = "idempotency-conflict"
 	reasonInProgress     = "in-progress"
 	reasonEarlierUnknown = "earlier-unknown"
+	reasonNotKept        = "answer-not-kept"
 	reasonCanceled       = "canceled"
+	reasonInternal       = "internal"
 )
 
 // refusal is a request that ends without a backend server's answer.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -25,7 +25,6 @@
 	tried          map[gateKey]bool
 	refusedBy      *destination // grant that did not run it
 	retrySameGrant bool         // the grant may be tried again after a moment
-	lastRegion     string
 }
 
 // execute sends a request until it ends, and records the end.
--- /dev/null
+++ b/internal/entry/servers_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+type http1 = http.Request
+
+// pollAgain paces a loop that waits for a state; it proves nothing by itself.
+func pollAgain() <-chan time.Time { return time.After(time.Millisecond) }
+
+const goodAnnouncement = `{"name":"s1","service":"orders","region":"norte","domain":"norte-a","incarnation":"i1",` +
+	`"address":"10.0.0.1:80","slots":6,"connections":110,"keyed":true,"fencing":true}`
+
+func TestServersEndpoints(t *testing.T) {
+	ports := newFakePorts()
+	host := startHost(t, ports, nil)
+	grants := wire.PathGrants + "?name=s1&session=5&after=2"
+	cases := []struct {
+		method, path, body, secret string
+		status                     int
+		contains                   string
+	}{
+		{"POST", wire.PathAnnounce, goodAnnouncement, "server", 200, `"session":5`},
+		{"POST", wire.PathAnnounce, goodAnnouncement, "wrong", 401, "credential"},
+		{"POST", wire.PathAnnounce, goodAnnouncement, "", 401, "credential"},
+		{"POST", wire.PathAnnounce, "{", "server", 400, "JSON"},
+		{"POST", wire.PathAnnounce, strings.Replace(goodAnnouncement, "10.0.0.1:80", "host:80", 1), "server", 400, "address"},
+		{"POST", wire.PathAnnounce, strings.Replace(goodAnnouncement, `"slots":6`, `"slots":0`, 1), "server", 400, "slots"},
+		{"POST", wire.PathAnnounce, strings.Replace(goodAnnouncement, `"s1"`, `"s 1"`, 1), "server", 400, "name"},
+		{"POST", wire.PathAnnounce, strings.Repeat(" ", maxAnnouncementBytes+1), "server", 413, "bytes"},
+		{"GET", grants, "", "server", 200, `"version":3`},
+		{"GET", grants, "", "wrong", 401, "credential"},
+		{"GET", wire.PathGrants + "?name=s1&session=0", "", "server", 400, "session"},
+		{"GET", grants + "&wait_ms=99999999", "", "server", 400, "wait_ms"},
+	}
+	for _, one := range cases {
+		got := call(t, host, one.method, one.path, one.body, "Authorization", "Bearer "+one.secret)
+		if got.status != one.status || !strings.Contains(got.body, one.contains) {
+			t.Errorf("%s %s with %q: got %d %s", one.method, one.path, one.secret, got.status, got.body)
+		}
+	}
+	if ports.announce.Slots != 6 || !ports.announce.Fencing {
+		t.Errorf("announced %+v", ports.announce)
+	}
+}
+
+func TestOperatorsEndpoints(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	order(t, host)
+	for path, want := range map[string]string{
+		"/ready":   "ready",
+		"/metrics": `galena_entry_requests_total{class="order",outcome="answered",service="orders"} 1`,
+		"/dump":    `"session":7`,
+	} {
+		request := mustGet(t, "http://"+host.AdminAddr()+path)
+		request.Header.Set("Authorization", "Bearer operator")
+		if got := do(t, request); got.status != 200 || !strings.Contains(got.body, want) {
+			t.Errorf("%s: got %+v", path, got)
+		}
+	}
+	if got := do(t, mustGet(t, "http://"+host.AdminAddr()+"/dump")); got.status != 401 {
+		t.Errorf("the dump without a credential got %d", got.status)
+	}
+}
+
+// FuzzParseInput checks that no header makes parsing fail, and that what it
+// accepts keeps to the bounds.
+func FuzzParseInput(f *testing.F) {
+	f.Add("GET", "/v1/services/orders/a?b=c", "k", "maker", "lookup", "true", "100", "id")
+	f.Add("POST", "//v1/services/", "\x00", "a b", "", "", "-1", "")
+	limits := bounds{deadline: time.Second, maxDeadline: 2 * time.Second, maxBodyBytes: 10, maxUploadBytes: 20}
+	f.Fuzz(func(t *testing.T, method, uri, key, customer, class, repeatable, deadline, id string) {
+		header := &protocol.RequestHeader{}
+		header.SetMethod(method)
+		header.SetRequestURI(uri)
+		for name, value := range map[string]string{
+			wire.HeaderKey: key, wire.HeaderCustomer: customer, wire.HeaderClass: class,
+			wire.HeaderRepeatable: repeatable, wire.HeaderDeadlineMillis: deadline, wire.HeaderIdempotencyKey: id,
+		} {
+			header.Set(name, value)
+		}
+		now := time.Unix(0, 0)
+		in, failure := parseInput(header, now, limits)
+		if failure != nil {
+			if failure.outcome.String() != wire.OutcomeNotRun || failure.status < 400 {
+				t.Fatalf("refused with %+v", failure)
+			}
+			return
+		}
+		if !validName(in.service) || in.target[0] != '/' || strings.ContainsAny(in.target, " \r\n") {
+			t.Fatalf("accepted service %q, target %q", in.service, in.target)
+		}
+		if in.class.String() != "upload" && in.deadline.Sub(now) > limits.maxDeadline {
+			t.Fatalf("accepted the deadline %v", in.deadline)
+		}
+	})
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -30,7 +30,26 @@
 
 func (c *countedReader) started() bool { return c.read.Load() > 0 }
 
-// heldStream is a streamed answer that holds its slot at the server.
+// chunkHeaderRoom is left unread of what is buffered, because a read of a
+// chunked body may take a chunk's header besides the bytes asked for.
+const chunkHeaderRoom = 32
+
+// promptReader reads a caller's chunked body as it arrives. Hertz's stream waits
+// until it can fill the buffer given to it, so that a slow upload would not be
+// seen to progress.
+type promptReader struct {
+	reader   io.Reader
+	buffered func() int // bytes received and not read yet
+}
+
+// Read implements io.Reader.
+func (r *promptReader) Read(p []byte) (int, error) {
+	ready := max(1, r.buffered()-chunkHeaderRoom)
+	return r.reader.Read(p[:min(len(p), ready)])
+}
+
+// heldStream is a streamed answer that holds its slot at the server. Its time is
+// its caller's, so it says nothing of the server's load.
 type heldStream struct {
 	io.ReadCloser
 	hold *ticket
@@ -39,7 +58,7 @@
 // Close frees the slot.
 func (s *heldStream) Close() error {
 	err := s.ReadCloser.Close()
-	s.hold.finish(admission.Succeeded)
+	s.hold.finish(admission.Failed)
 	return err
 }
 
