Check directly which requests end with their caller

TestCallerLeaves also passed with the guard taken out (context.WithoutCancel), because the answer usually came before the host saw the caller leave. The new test doesn't depend on that order.

--- a/internal/entry/ledger_test.go
+++ b/internal/entry/ledger_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"strings"
 	"testing"
@@ -173,3 +174,16 @@
 		t.Errorf("%d requests reached the server", server.runs())
 	}
 }
+
+// TestAttemptContext checks which requests end with their caller.
+func TestAttemptContext(t *testing.T) {
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	in := &input{caller: gone}
+	if (&run{in: in}).attemptContext().Err() == nil {
+		t.Error("a request goes on without its caller")
+	}
+	if err := (&run{in: in, record: &record{}}).attemptContext().Err(); err != nil {
+		t.Errorf("a recorded request ends with its caller: %v", err)
+	}
+}
