Tell callers to leave their connections during a planned stop

Idle connections are closed once the listener closes, which could meet a request just sent. From the failing of the balancer check on, each answer asks the caller to close. Also tests that an upload with an id runs once.

--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -22,6 +22,10 @@
 func (h *Host) handleCaller(ctx context.Context, caller *app.RequestContext) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	if h.stopping.Load() {
+		// Callers leave on their own before idle connections are closed on them.
+		caller.SetConnectionClose()
+	}
 	arrived := time.Now()
 	in, failure := parseInput(&caller.Request.Header, arrived, h.bounds)
 	if failure != nil {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -254,6 +254,7 @@
 	body    string
 	header  http.Header
 	err     error // of reading the body
+	closes  bool  // whether the caller was told to leave the connection
 }
 
 func call(t testing.TB, host *Host, method, path, body string, header ...string) reply {
@@ -281,5 +282,5 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header.Get(wire.HeaderOutcome), string(text), response.Header, err}
+	return reply{response.StatusCode, response.Header.Get(wire.HeaderOutcome), string(text), response.Header, err, response.Close}
 }
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -73,8 +73,9 @@
 	if ready := do(t, mustGet(t, "http://"+host.AdminAddr()+"/ready")); ready.status != 503 {
 		t.Errorf("ready answered %d at a stop", ready.status)
 	}
-	if _, err := net.Dial("tcp", host.Addr()); err != nil {
-		t.Errorf("the listener closed before the balancer could see it: %v", err)
+	// The listener is still open, and tells callers to leave.
+	if got := call(t, host, "GET", "/v1/services/nobody/x", ""); got.status != 404 || !got.closes {
+		t.Errorf("during the unready time a caller got %+v", got)
 	}
 	for refusesConnections(host.Addr()) == nil {
 		time.Sleep(time.Millisecond) // waits for the state, proves nothing by itself
@@ -108,3 +109,29 @@
 	}
 	return request
 }
+
+// TestRecordedUploadRunsOnce sends an upload with an id twice, and once with
+// another Digest.
+func TestRecordedUploadRunsOnce(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	upload := func(digest string) reply {
+		return call(t, host, "PUT", "/v1/services/orders/batch", string(bytes.Repeat([]byte("p"), 3<<20)),
+			wire.HeaderKey, "k", wire.HeaderClass, "upload", wire.HeaderIdempotencyKey, "a", "Digest", digest)
+	}
+	if got := upload("sha-256=1"); got.outcome != "answered" {
+		t.Fatalf("the upload got %+v", got)
+	}
+	<-ports.finished
+	if got := upload("sha-256=1"); got.body != "ok" {
+		t.Errorf("the resend got %+v", got)
+	}
+	if got := upload("sha-256=2"); got.status != 422 {
+		t.Errorf("another batch with the id got %+v", got)
+	}
+	if server.runs() != 1 {
+		t.Errorf("%d runs", server.runs())
+	}
+}
