--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -301,14 +301,14 @@
 // disturb changes what works, now and then.
 func (w *world) disturb() {
 	s := w.servers[w.rand.IntN(len(w.servers))]
-	switch {
-	case w.chance(0.01):
+	switch draw := w.rand.Float64(); {
+	case draw < 0.010:
 		s.frozen = !s.frozen
-	case w.chance(0.002):
+	case draw < 0.012:
 		w.elect()
-	case w.chance(0.003):
+	case draw < 0.015:
 		s.draining = !s.draining
-	case w.chance(0.01):
+	case draw < 0.025:
 		w.feedCut = !w.feedCut
 	}
 }
