Try a grant again whose owner has not heard of it yet

Cause: at a planned stop the new owner of a slot answered not-owner, because its grants had not reached it yet; the entry host then waited for a different grant, which never came, until the request's deadline. With table changes going on, the wait for an owner that could not be reached began anew at each change, too. Ruled out: the moves of homes (batching them changed nothing) and the run records' moves. Change: a refused grant is tried again after 5 ms, doubling to 80 ms, counted from the refusal; draining servers excepted.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -51,6 +51,14 @@
 	f.changed = make(chan struct{})
 }
 
+// changeTable tells of a change that leaves the owner as it is.
+func (f *fakePorts) changeTable() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *fakePorts) Service(name string) (bool, error) {
 	switch name {
 	case "orders":
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// TestNewOwnerHearsOfItsGrantLate routes by a grant that its owner does not know
+// yet. No other grant follows, and table changes of other slots go on.
+func TestNewOwnerHearsOfItsGrantLate(t *testing.T) {
+	var ports *fakePorts
+	server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http.Request, n int) bool {
+		if n <= 2 {
+			defer ports.changeTable()
+			return say(c, "HTTP/1.1 503 No\nGalena-Refused: not-owner\nContent-Length: 0\n\n")
+		}
+		return say(c, okAnswer)
+	})
+	ports = newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	if got := order(t, host); got.outcome != "answered" || server.runs() != 3 {
+		t.Fatalf("got %+v after %d tries", got, server.runs())
+	}
+}
+
 // TestBrokenStreamIsNotWhole streams an answer that is too long to be held, and
 // breaks it.
 func TestBrokenStreamIsNotWhole(t *testing.T) {
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -12,9 +12,10 @@
 const (
 	// maxOwnerWaiters bounds the requests that wait for an owner.
 	maxOwnerWaiters = 1024
-	// ownerRetry is the longest wait for a table change before an owner that
-	// could not be reached is tried again.
-	ownerRetry = 100 * time.Millisecond
+	// minOwnerRetry and maxOwnerRetry bound the wait for another grant before a
+	// grant that was refused is tried again; it doubles with each try.
+	minOwnerRetry = 5 * time.Millisecond
+	maxOwnerRetry = 80 * time.Millisecond
 )
 
 // destination is where the next attempt goes.
@@ -76,8 +77,17 @@
 	return notRun(503, reasonNoOwner, "%v", err)
 }
 
-// waitForTable waits for a table change, or for a moment when the owner itself
-// stands but could not be reached.
+// ownerRetryDelay is the wait after a number of tries.
+func ownerRetryDelay(tries int) time.Duration {
+	delay := minOwnerRetry
+	for range tries - 1 {
+		delay = min(2*delay, maxOwnerRetry)
+	}
+	return delay
+}
+
+// waitForTable waits for a table change, or until the grant that was refused may
+// be tried again.
 func (h *Host) waitForTable(ctx context.Context, r *run, changed <-chan struct{}) *refusal {
 	if h.ownerWaiters.Add(1) > maxOwnerWaiters {
 		h.ownerWaiters.Add(-1)
@@ -85,8 +95,8 @@
 	}
 	defer h.ownerWaiters.Add(-1)
 	var again <-chan time.Time
-	if r.retrySameGrant {
-		timer := time.NewTimer(ownerRetry)
+	if r.refusedBy != nil && r.retrySameGrant {
+		timer := time.NewTimer(time.Until(r.retryAt))
 		defer timer.Stop()
 		again = timer.C
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -14,7 +14,7 @@
 
 // maxReroutes bounds the attempts of one request that ended as not run because
 // the owner changed or could not be reached.
-const maxReroutes = 16
+const maxReroutes = 64
 
 // run is one request on its way through the host.
 type run struct {
@@ -24,7 +24,8 @@
 	tries          int
 	tried          map[gateKey]bool
 	refusedBy      *destination // grant that did not run it
-	retrySameGrant bool         // the grant may be tried again after a moment
+	retrySameGrant bool         // the grant may be tried again at retryAt
+	retryAt        time.Time
 }
 
 // execute sends a request until it ends, and records the end.
@@ -154,7 +155,8 @@
 	rerouted := to.keyed && err.Outcome == retry.NotRun && ownerMayChange(err.Reason)
 	if rerouted && r.tries < maxReroutes {
 		r.refusedBy = &to
-		r.retrySameGrant = err.Reason == forward.ReasonConnect
+		r.retrySameGrant = err.Reason != wire.RefusedDraining
+		r.retryAt = time.Now().Add(ownerRetryDelay(r.tries))
 		return true, 0
 	}
 	r.refusedBy = nil
@@ -174,7 +176,8 @@
 	return decision.Retry, decision.Delay
 }
 
-// ownerMayChange reports whether a refusal may end with another grant.
+// ownerMayChange reports whether a refusal may end with another grant, or with the
+// owner hearing of the grant that the table shows already.
 func ownerMayChange(reason string) bool {
 	switch reason {
 	case wire.RefusedStaleToken, wire.RefusedNotOwner, wire.RefusedDraining,
