--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -103,7 +103,7 @@
 func InitializeData(s *settings.ControlSettings) error {
 	h := newHost(Options{Settings: s})
 	for _, g := range h.plan {
-		if !slices.Contains(g.Hosts, s.Name) {
+		if !slices.Contains(g.Holders(), s.Name) {
 			continue
 		}
 		runner, err := h.startRunner(g, true, noState{})
@@ -132,8 +132,9 @@
 
 func initialMembers(g membership.Group) []replog.Member {
 	var members []replog.Member
-	for _, host := range g.Hosts {
-		members = append(members, replog.Member{ID: memberID(g.Name, host), Name: host})
+	for _, host := range g.Holders() {
+		learner := slices.Contains(g.Learners, host)
+		members = append(members, replog.Member{ID: memberID(g.Name, host), Name: host, Learner: learner})
 	}
 	return members
 }
@@ -212,16 +213,13 @@
 
 func (h *Host) startGroups() error {
 	for _, g := range h.plan {
-		if !slices.Contains(g.Hosts, h.settings.Name) {
+		if !slices.Contains(g.Holders(), h.settings.Name) {
 			continue
 		}
 		if err := h.startGroup(g); err != nil {
 			return err
 		}
 	}
-	if h.global == nil {
-		return errors.Errorf("control host %q is outside the global group", h.settings.Name)
-	}
 	return nil
 }
 
@@ -266,8 +264,10 @@
 		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
 		h.every(ctx, tickInterval, func() { h.retireWork(ctx, g) })
 	}
-	for name := range h.runners {
-		h.every(ctx, joinInterval, func() { h.joinWork(ctx, name) })
+	for _, g := range h.plan {
+		if _, ok := h.runners[g.Name]; ok {
+			h.every(ctx, joinInterval, func() { h.joinWork(ctx, g) })
+		}
 	}
 }
 
--- a/internal/control/regionwork.go
+++ b/internal/control/regionwork.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,7 +12,9 @@
 	"github.com/galenalug/galenalug/catalog"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ledger"
+	"github.com/galenalug/galenalug/membership"
 	"github.com/galenalug/galenalug/ownership"
+	"github.com/galenalug/galenalug/replog"
 )
 
 // Times of calls between groups.
@@ -172,21 +175,27 @@
 }
 
 // joinWork asks for the admission of a disk that is not a member yet.
-func (h *Host) joinWork(ctx context.Context, name string) {
-	status := h.runners[name].Status()
-	if status.Failed != nil {
+func (h *Host) joinWork(ctx context.Context, g membership.Group) {
+	status := h.runners[g.Name].Status()
+	if status.Failed != nil || h.admitted(g, status.Node) {
 		return
 	}
-	for _, member := range status.Node.Members {
-		if member.ID == status.Node.ID && !member.Learner {
-			return
-		}
-	}
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	join := wire.Join{Group: name, Name: h.settings.Name, ID: status.Node.ID}
+	join := wire.Join{Group: g.Name, Name: h.settings.Name, ID: status.Node.ID}
 	var reply wire.ProposalReply
-	if err := h.caller.Call(ctx, name, wire.KindJoin, join, &reply); err != nil {
-		log.WithError(err).WithField("group", name).Warn("new disk not admitted yet")
+	if err := h.caller.Call(ctx, g.Name, wire.KindJoin, join, &reply); err != nil {
+		log.WithError(err).WithField("group", g.Name).Warn("new disk not admitted yet")
+	}
+}
+
+// admitted reports whether this host's disk is the member that the plan wants.
+func (h *Host) admitted(g membership.Group, status replog.Status) bool {
+	planned := slices.Contains(g.Learners, h.settings.Name)
+	for _, member := range status.Members {
+		if member.ID == status.ID && (planned || !member.Learner) {
+			return true
+		}
 	}
+	return false
 }
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -77,7 +77,7 @@
 	l.observer = newObserver(l.table)
 	l.limits = newLimits(l.now)
 	for _, group := range l.plan {
-		l.watches[group.Name] = &subscription{candidates: l.nearest(group.Hosts)}
+		l.watches[group.Name] = &subscription{candidates: l.nearest(group.Holders())}
 	}
 	return l
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -21,17 +21,21 @@
 	Domain string // failure domain
 }
 
-// Group is a log group and the hosts of its members.
+// Group is a log group and the hosts that hold its log.
 type Group struct {
-	Name  string
-	Hosts []string // in ascending order
+	Name     string
+	Hosts    []string // voting members, in ascending order
+	Learners []string // hosts that hold the log without a vote, in ascending order
 }
 
+// Holders returns the hosts that hold the group's log, voting members first.
+func (g Group) Holders() []string { return slices.Concat(g.Hosts, g.Learners) }
+
 // Plan returns the groups of the given hosts: the global one, then one for each
 // region that has a host, in ascending order.
 func Plan(hosts []Host) []Group {
 	sorted := slices.SortedFunc(slices.Values(hosts), compareHosts)
-	groups := []Group{{Name: GroupGlobal, Hosts: globalMembers(sorted)}}
+	groups := []Group{globalGroup(sorted)}
 	for _, region := range Regions(sorted) {
 		groups = append(groups, Group{Name: region, Hosts: regionMembers(sorted, region)})
 	}
@@ -62,13 +66,16 @@
 	return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Name, b.Name))
 }
 
-// globalMembers takes all hosts, less one of the fullest failure domain if their
-// number is even: an even group tolerates no more losses than one less.
-func globalMembers(hosts []Host) []string {
+// globalGroup takes all hosts. If their number is even, one of the fullest failure
+// domain has no vote: an even group tolerates no more losses than one less, but
+// every control host needs the global state.
+func globalGroup(hosts []Host) Group {
+	voters := names(hosts)
 	if len(hosts)%2 == 0 {
-		hosts = spread(hosts, len(hosts)-1, nil)
+		voters = names(spread(hosts, len(hosts)-1, nil))
 	}
-	return names(hosts)
+	learners := filter(hosts, func(h Host) bool { return !slices.Contains(voters, h.Name) })
+	return Group{Name: GroupGlobal, Hosts: voters, Learners: names(learners)}
 }
 
 // regionMembers takes hosts of the region, and witnesses of other regions so that
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -167,6 +167,9 @@
 }
 
 func (s *State) adopt(body HomeSlots) []Change {
+	if body.Slots <= 0 || body.Slots > maxSlots {
+		return nil
+	}
 	service := s.services[body.Service]
 	if service == nil {
 		service = &Service{
@@ -199,12 +202,12 @@
 		return nil
 	}
 	recorder := newRecorder(service)
-	for _, number := range body.Moved {
-		if number < 0 || number >= service.Base || service.hasHotKeyIn(number) {
+	for i, number := range body.Moved {
+		if number < 0 || number >= service.Base || i >= len(body.Generations) || service.hasHotKeyIn(number) {
 			continue
 		}
 		slot := &service.Slots[number]
-		if slot.Status == Vacant {
+		if slot.Status == Vacant && slot.Generation == body.Generations[i] {
 			slot.Status = Absent
 			recorder.touch(number)
 		}
