Move a slot's run records in several commands, found by a list of the slot

Cause: Extract and Drop passed over the whole ledger for each slot, and a slot whose records exceed one log entry could not move at all. Weighed: one pass for many slots (holds the group's lock for the whole ledger still), and a list of records for each slot (chosen: 16 bytes a record, and the cost is what the slot holds). Change: Part names the source's logical time and the place of its records; Part.Split; a slot stays sealed until the last part is in, and parts of two extractions do not mix.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -41,8 +41,11 @@
 
 // slotState is kept for a slot that was ever sealed or adopted.
 type slotState struct {
-	move   uint64 // number of the slot's last move
-	sealed bool
+	move     uint64 // number of the slot's last move
+	sealed   bool   // no record is made or changed
+	adopting bool   // sealed because parts of an adoption are still missing
+	source   uint64 // logical time of the source in the adopted parts; while adopting
+	adopted  int    // records taken over so far; while adopting
 }
 
 // Ledger is the state machine. Use New or Restore.
@@ -54,6 +57,7 @@
 	accounts    map[accountID]*account
 	records     map[runID]*record
 	expiry      buckets
+	inSlots     slotLists
 	slots       map[slotID]slotState
 }
 
@@ -64,6 +68,7 @@
 		accounts: make(map[accountID]*account),
 		records:  make(map[runID]*record),
 		expiry:   buckets{heads: make(map[uint64]*record)},
+		inSlots:  make(slotLists),
 		slots:    make(map[slotID]slotState),
 	}
 }
@@ -240,7 +245,9 @@
 	}
 	changed.expires = l.now + l.limits.WindowMillis
 	l.expiry.remove(r)
+	l.inSlots.remove(r)
 	l.expiry.insert(&changed)
+	l.inSlots.insert(&changed)
 	l.records[r.runID] = &changed
 	l.bodyBytes += len(changed.body) - len(r.body)
 }
@@ -262,6 +269,7 @@
 	l.records[r.runID] = r
 	l.bodyBytes += len(r.body)
 	l.expiry.insert(r)
+	l.inSlots.insert(r)
 }
 
 // remove removes a record from every index.
@@ -273,6 +281,7 @@
 // forget removes a record from every index but the expiry buckets.
 func (l *Ledger) forget(r *record) {
 	delete(l.records, r.runID)
+	l.inSlots.remove(r)
 	l.bodyBytes -= len(r.body)
 	r.account.records--
 	if r.account.records == 0 {
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -134,8 +134,22 @@
 		t.Fatal(err)
 	}
 	c.leader, c.follower, c.index, c.clock = New(), New(), 0, NewClock(0, c.now)
-	if r := c.commit(t, Command{Adopt: &Adopt{Part: part}}); r.Refusal != "" {
-		t.Fatal(r.Refusal)
+	parts := part.Split(rapid.IntRange(1, 1000).Draw(t, "bytes"))
+	for next := 0; next < len(parts); {
+		sent := rapid.IntRange(0, next).Draw(t, "part") // also copies of earlier parts
+		if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+			c.leader, c.follower = restored(t, c.follower), c.leader
+		}
+		r := c.commit(t, Command{Adopt: &Adopt{Part: parts[sent]}})
+		if r.Refusal != "" {
+			t.Fatal(r.Refusal)
+		}
+		if sent == next {
+			next++
+		}
+	}
+	if state := c.leader.Slot("orders", 5); state.Sealed || c.leader.Len() < len(part.Records) {
+		t.Fatalf("%+v with %d of %d records", state, c.leader.Len(), len(part.Records))
 	}
 }
 
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -49,6 +49,8 @@
 	body        string
 	previous    *record // in the expiry bucket
 	next        *record
+	slotBefore  *record // in the list of its slot
+	slotAfter   *record
 	slot        int32
 	status      uint16
 	phase       phase
@@ -142,6 +144,37 @@
 	return heads
 }
 
+// slotLists holds records by their slot, so that a slot moves without a pass
+// over the whole ledger.
+type slotLists map[slotID]*record
+
+func (l slotLists) insert(r *record) {
+	id := r.slotID()
+	head := l[id]
+	r.slotBefore, r.slotAfter = nil, head
+	if head != nil {
+		head.slotBefore = r
+	}
+	l[id] = r
+}
+
+func (l slotLists) remove(r *record) {
+	if r.slotAfter != nil {
+		r.slotAfter.slotBefore = r.slotBefore
+	}
+	switch {
+	case r.slotBefore != nil:
+		r.slotBefore.slotAfter = r.slotAfter
+	case r.slotAfter != nil:
+		l[r.slotID()] = r.slotAfter
+	default:
+		delete(l, r.slotID())
+	}
+	r.slotBefore, r.slotAfter = nil, nil
+}
+
+func (r *record) slotID() slotID { return slotID{r.account.service, int(r.slot)} }
+
 // sortRecords sorts by attempt. Only records that came from another group may
 // have the same one.
 func sortRecords(records []*record) {
--- a/ledger/session_test.go
+++ b/ledger/session_test.go
@@ -50,10 +50,10 @@
 
 func (s *session) run(t *testing.T, d *datadriven.TestData) string {
 	group, key, digest, nonce, host, state := "norte", "k1", "digest-of-request", "nonce-01", "entry-1", "answered"
-	at, attempt, slot, move, body, total := uint64(0), uint64(0), 5, uint64(1), 2, 100
+	at, attempt, slot, move, body, total, part := uint64(0), uint64(0), 5, uint64(1), 2, 100, -1
 	for name, value := range map[string]any{
 		"group": &group, "key": &key, "digest": &digest, "nonce": &nonce, "host": &host, "state": &state,
-		"at": &at, "attempt": &attempt, "slot": &slot, "move": &move, "body": &body, "total": &total,
+		"at": &at, "attempt": &attempt, "slot": &slot, "move": &move, "body": &body, "total": &total, "part": &part,
 	} {
 		d.MaybeScanArgs(t, name, value)
 	}
@@ -79,6 +79,9 @@
 		c.Drop = &Drop{Service: "orders", Slot: slot, Move: move}
 	case "adopt":
 		c.Adopt = &Adopt{Part: s.parts[slot]}
+		if part >= 0 {
+			c.Adopt.Part = s.parts[slot].Split(1)[part] // parts of one record
+		}
 	case "limits":
 		limits := l.Limits()
 		limits.AccountRecords, limits.TotalBodyBytes = total, total*1000
@@ -97,7 +100,9 @@
 		return fmt.Sprintf("%v %s", found, describe(r))
 	case "extract":
 		part, err := l.Extract("orders", slot)
-		s.parts[slot] = part
+		if err == nil {
+			s.parts[slot] = part
+		}
 		return fmt.Sprintf("records=%d move=%d err=%v", len(part.Records), part.Move, err)
 	case "restore":
 		s.groups[group] = restored(t, l)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -19,15 +19,18 @@
 
 const (
 	snapshotFormat  = "galenalug/ledger"
-	snapshotVersion = 1
+	snapshotVersion = 2
 )
 
 type storedSlot struct {
-	_       struct{} `cbor:",toarray"`
-	Service string
-	Slot    int
-	Move    uint64
-	Sealed  bool
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Slot     int
+	Move     uint64
+	Sealed   bool
+	Adopting bool
+	Source   uint64
+	Adopted  int
 }
 
 type snapshot struct {
@@ -76,7 +79,10 @@
 func (l *Ledger) storedSlots() []storedSlot {
 	slots := make([]storedSlot, 0, len(l.slots))
 	for id, s := range l.slots {
-		slots = append(slots, storedSlot{Service: id.service, Slot: id.slot, Move: s.move, Sealed: s.sealed})
+		slots = append(slots, storedSlot{
+			Service: id.service, Slot: id.slot, Move: s.move,
+			Sealed: s.sealed, Adopting: s.adopting, Source: s.source, Adopted: s.adopted,
+		})
 	}
 	sort.Slice(slots, func(i, j int) bool {
 		if slots[i].Service != slots[j].Service {
@@ -119,7 +125,10 @@
 		if _, exists := l.slots[id]; exists || !validName(s.Service) || !validSlot(s.Slot) || s.Move == 0 {
 			return errors.Wrapf(ErrSnapshotCorrupt, "slot %d of %q", s.Slot, s.Service)
 		}
-		l.slots[id] = slotState{move: s.Move, sealed: s.Sealed}
+		if s.Adopting && (!s.Sealed || s.Adopted <= 0) {
+			return errors.Wrapf(ErrSnapshotCorrupt, "slot %d of %q is half adopted", s.Slot, s.Service)
+		}
+		l.slots[id] = slotState{move: s.Move, sealed: s.Sealed, adopting: s.Adopting, source: s.Source, adopted: s.Adopted}
 	}
 	return nil
 }
