Fail a move of run records that is not sealed or is refused, and drop moved records

Cause: a retired slot whose seal was refused or missing counted as one without records, so a slot that left a region before the region took it up lost its records silently; a refused adoption was answered by the result of the last command of its proposal and passed for success; the old home kept the records. Change: runMove seals what the retirement did not, fails on any refusal, splits large slots over proposals, and drops the records once adopted. Empty slots are adopted too, so that a slot that comes back is open. An entry's result is its first refused ledger command.

--- a/internal/control/regionstate.go
+++ b/internal/control/regionstate.go
@@ -42,8 +42,9 @@
 	return &regionState{feed: newFeed(group), owner: ownership.NewState(), runs: ledger.New()}
 }
 
-// Apply executes one log entry. The result is the ledger.Reply of the entry's last
-// ledger command, or an error for an entry that could not be decoded.
+// Apply executes one log entry. The result is the ledger.Reply of the entry's first
+// refused ledger command, of its last one if none is refused, or an error for an
+// entry that could not be decoded.
 func (s *regionState) Apply(index uint64, data []byte) any {
 	var entry regionEntry
 	if err := cbor.Unmarshal(data, &entry); err != nil {
@@ -52,13 +53,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyOwnership(index, entry.Ownership)
-	var result any
-	for _, encoded := range entry.Ledger {
+	if len(entry.Ledger) == 0 {
+		return nil
+	}
+	return s.applyRuns(index, entry.Ledger)
+}
+
+func (s *regionState) applyRuns(index uint64, commands [][]byte) any {
+	var result ledger.Reply
+	for _, encoded := range commands {
 		command, err := ledger.DecodeCommand(encoded)
 		if err != nil {
 			return errors.Wrap(errInvalidEntry, err.Error())
 		}
-		result = s.applyLedger(index, command)
+		if reply := s.applyLedger(index, command); result.Refusal == "" {
+			result = reply
+		}
 	}
 	return result
 }
@@ -119,17 +129,30 @@
 
 // Snapshot returns the state's durable form.
 func (s *regionState) Snapshot() ([]byte, error) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	owner, err := s.owner.Snapshot()
+	encode, err := s.Freeze()
 	if err != nil {
 		return nil, err
 	}
-	runs, err := s.runs.Snapshot()
+	return encode()
+}
+
+// Freeze returns a function that encodes the state as it is now. The run ledger
+// may be large, so it is encoded outside the lock, and beside the log's loop.
+func (s *regionState) Freeze() (func() ([]byte, error), error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	owner, err := s.owner.Snapshot()
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs})
+	frozen := s.runs.Freeze()
+	return func() ([]byte, error) {
+		runs, err := frozen.Encode()
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs})
+	}, nil
 }
 
 // Restore replaces the state by a snapshot.
--- a/internal/control/regionwork.go
+++ b/internal/control/regionwork.go
@@ -91,8 +91,9 @@
 		if len(slots) == 0 {
 			continue
 		}
-		if err := h.moveRuns(ctx, g, name, slots, homes.Of(name)); err != nil {
-			log.WithError(err).WithField("service", name).Warn("run records not moved; the move is tried again")
+		move := runMove{group: g.name, service: name, state: g.state, propose: h.proposeRuns}
+		if err := move.move(ctx, slots, homes.Of(name)); err != nil {
+			log.WithError(err).WithField("service", name).Warn("run records not moved yet; the move is tried again")
 			continue
 		}
 		retired := catalog.Retired{Service: name, Region: g.name, Slots: slots, Generations: generations}
@@ -106,69 +107,22 @@
 	return g.state.owner.RetiredSlots(g.name, service, homes)
 }
 
-// maxMoveBytes bounds the run records in one proposal.
-const maxMoveBytes = 1 << 20
-
-// moveRuns copies retired slots' run records to the groups of their next homes,
-// many slots in one proposal.
-func (h *Host) moveRuns(ctx context.Context, g *regionGroup, service string, slots []int, homes []ownership.Home) error {
-	batches := map[string]*regionEntry{}
-	sizes := map[string]int{}
-	for _, slot := range slots {
-		part, err := g.sealedPart(service, slot, homes[slot].Generation)
-		if err != nil {
-			return err
-		}
-		if part == nil {
-			continue
-		}
-		command, err := ledger.Command{Adopt: &ledger.Adopt{Part: *part}}.Encode()
-		if err != nil {
-			return err
-		}
-		to := homes[slot].To
-		if batches[to] != nil && sizes[to]+len(command) > maxMoveBytes {
-			if err := h.proposeRuns(ctx, to, *batches[to]); err != nil {
-				return err
-			}
-			batches[to], sizes[to] = nil, 0
-		}
-		if batches[to] == nil {
-			batches[to] = &regionEntry{}
-		}
-		batches[to].Ledger = append(batches[to].Ledger, command)
-		sizes[to] += len(command)
-	}
-	for to, batch := range batches {
-		if batch == nil {
-			continue
-		}
-		if err := h.proposeRuns(ctx, to, *batch); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (h *Host) proposeRuns(ctx context.Context, to string, entry regionEntry) error {
-	data, err := cbor.Marshal(entry)
+// proposeRuns commits ledger commands in a group, wherever its leader stands. It
+// fails if one is refused.
+func (h *Host) proposeRuns(ctx context.Context, to string, commands [][]byte) error {
+	data, err := cbor.Marshal(regionEntry{Ledger: commands})
 	if err != nil {
 		return errors.Wrap(err, "encode log entry")
 	}
-	_, err = h.proposeTo(ctx, to, data)
-	return err
-}
-
-// sealedPart returns the records of a retired slot, nil for a slot that the
-// region never adopted.
-func (g *regionGroup) sealedPart(service string, slot int, generation uint64) (*ledger.Part, error) {
-	g.state.mu.RLock()
-	defer g.state.mu.RUnlock()
-	if state := g.state.runs.Slot(service, slot); !state.Sealed || state.Move != generation {
-		return nil, nil
+	reply, err := h.proposeTo(ctx, to, data)
+	if err != nil {
+		return err
+	}
+	var result ledger.Reply
+	if err := cbor.Unmarshal(reply.Result, &result); err != nil {
+		return errors.Wrap(err, "decode result")
 	}
-	part, err := g.state.runs.Extract(service, slot)
-	return &part, err
+	return result.Err()
 }
 
 // joinWork asks for the admission of a disk that is not a member yet.
--- /dev/null
+++ b/internal/control/runmove.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/ledger"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+// errNotSealed means that a slot's run records cannot move, because new ones may
+// still be made.
+var errNotSealed = errors.New("run records of a slot are not sealed")
+
+// maxMoveBytes bounds the run records in one proposal, about. It is well below
+// group.MaxProposalBytes.
+const maxMoveBytes = 1 << 20
+
+// runMove moves the run records of retired slots of a service to the slots' next
+// homes. Each step may be repeated, also by a later leader.
+type runMove struct {
+	group   string // that gives the slots up
+	service string
+	state   *regionState
+	// propose commits ledger commands in a group. It fails if one is refused.
+	propose func(ctx context.Context, group string, commands [][]byte) error
+}
+
+// move copies the records and then removes them here. After an error the move
+// must not be confirmed; it is tried again.
+func (m *runMove) move(ctx context.Context, slots []int, homes []ownership.Home) error {
+	if err := m.seal(ctx, slots, homes); err != nil {
+		return err
+	}
+	if err := m.copy(ctx, slots, homes); err != nil {
+		return err
+	}
+	return m.drop(ctx, slots, homes)
+}
+
+// seal seals the slots that the retirement did not: those that came and went
+// before the region took them up.
+func (m *runMove) seal(ctx context.Context, slots []int, homes []ownership.Home) error {
+	batch := runBatch{move: m, group: m.group}
+	for _, slot := range slots {
+		generation := homes[slot].Generation
+		if m.sealed(slot, generation) {
+			continue
+		}
+		seal := ledger.Seal{Service: m.service, Slot: slot, Move: generation}
+		if err := batch.add(ctx, ledger.Command{Seal: &seal}); err != nil {
+			return err
+		}
+	}
+	return batch.flush(ctx)
+}
+
+func (m *runMove) sealed(slot int, generation uint64) bool {
+	m.state.mu.RLock()
+	defer m.state.mu.RUnlock()
+	return isSealed(m.state.runs.Slot(m.service, slot), generation)
+}
+
+func isSealed(state ledger.Slot, generation uint64) bool {
+	return state.Sealed && !state.Adopting && state.Move == generation
+}
+
+// copy has every slot adopted by the group of its next home, many slots in one
+// proposal, and a large slot in several.
+func (m *runMove) copy(ctx context.Context, slots []int, homes []ownership.Home) error {
+	batches := map[string]*runBatch{}
+	for _, slot := range slots {
+		to := homes[slot].To
+		if batches[to] == nil {
+			batches[to] = &runBatch{move: m, group: to}
+		}
+		if err := m.copySlot(ctx, batches[to], slot, homes[slot].Generation); err != nil {
+			return err
+		}
+	}
+	for _, batch := range batches {
+		if err := batch.flush(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *runMove) copySlot(ctx context.Context, batch *runBatch, slot int, generation uint64) error {
+	part, err := m.extract(slot, generation)
+	if err != nil {
+		return err
+	}
+	for _, piece := range part.Split(maxMoveBytes) {
+		if err := batch.add(ctx, ledger.Command{Adopt: &ledger.Adopt{Part: piece}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// extract returns the records of a slot. It fails with errNotSealed.
+func (m *runMove) extract(slot int, generation uint64) (ledger.Part, error) {
+	m.state.mu.RLock()
+	defer m.state.mu.RUnlock()
+	state := m.state.runs.Slot(m.service, slot)
+	if !isSealed(state, generation) {
+		return ledger.Part{}, errors.Wrapf(errNotSealed, "service %q slot %d: %+v, want move %d", m.service, slot, state, generation)
+	}
+	return m.state.runs.Extract(m.service, slot)
+}
+
+func (m *runMove) drop(ctx context.Context, slots []int, homes []ownership.Home) error {
+	batch := runBatch{move: m, group: m.group}
+	for _, slot := range slots {
+		drop := ledger.Drop{Service: m.service, Slot: slot, Move: homes[slot].Generation}
+		if err := batch.add(ctx, ledger.Command{Drop: &drop}); err != nil {
+			return err
+		}
+	}
+	return batch.flush(ctx)
+}
+
+// runBatch gathers ledger commands for one group's next proposal.
+type runBatch struct {
+	move     *runMove
+	group    string
+	commands [][]byte
+	size     int // bytes
+}
+
+// add adds a command, after a proposal of the earlier ones if they are many.
+func (b *runBatch) add(ctx context.Context, command ledger.Command) error {
+	data, err := command.Encode()
+	if err != nil {
+		return err
+	}
+	if b.size+len(data) > maxMoveBytes {
+		if err := b.flush(ctx); err != nil {
+			return err
+		}
+	}
+	b.commands = append(b.commands, data)
+	b.size += len(data)
+	return nil
+}
+
+func (b *runBatch) flush(ctx context.Context) error {
+	if len(b.commands) == 0 {
+		return nil
+	}
+	commands := b.commands
+	b.commands, b.size = nil, 0
+	return b.move.propose(ctx, b.group, commands)
+}
--- /dev/null
+++ b/internal/control/runmove_test.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/ledger"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+// groupStates are region states without a log: proposals are applied at once.
+type groupStates struct {
+	t      *testing.T
+	states map[string]*regionState
+	index  uint64
+	lost   int // number of the proposal that is not committed; 0 for none
+	count  int // proposals of moves
+}
+
+func newGroupStates(t *testing.T, names ...string) *groupStates {
+	g := &groupStates{t: t, states: map[string]*regionState{}}
+	for _, name := range names {
+		g.states[name] = newRegionState(name)
+	}
+	return g
+}
+
+func (g *groupStates) apply(group string, entry regionEntry) any {
+	g.t.Helper()
+	data, err := cbor.Marshal(entry)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.index++
+	return g.states[group].Apply(g.index, data)
+}
+
+var errLost = errors.New("proposal lost")
+
+// propose is runMove.propose.
+func (g *groupStates) propose(_ context.Context, group string, commands [][]byte) error {
+	if g.count++; g.count == g.lost {
+		return errLost
+	}
+	reply, ok := g.apply(group, regionEntry{Ledger: commands}).(ledger.Reply)
+	if !ok {
+		g.t.Fatal("no reply")
+	}
+	return reply.Err()
+}
+
+func (g *groupStates) homes(group string, generation uint64, slots ...int) ownership.HomeSlots {
+	h := ownership.HomeSlots{Service: "orders", Slots: 4, Moved: slots}
+	for range slots {
+		h.Generations = append(h.Generations, generation)
+	}
+	return h
+}
+
+func (g *groupStates) adopt(group string, generation uint64, slots ...int) {
+	h := g.homes(group, generation, slots...)
+	g.apply(group, regionEntry{Ownership: []ownership.Command{{Adopt: &h}}})
+}
+
+func (g *groupStates) retire(group string, generation uint64, slots ...int) {
+	h := g.homes(group, generation, slots...)
+	g.apply(group, regionEntry{Ownership: []ownership.Command{{Retire: &h}}})
+}
+
+func (g *groupStates) runs(group string, commands ...ledger.Command) ledger.Reply {
+	g.t.Helper()
+	var entry regionEntry
+	for _, c := range commands {
+		data, err := c.Encode()
+		if err != nil {
+			g.t.Fatal(err)
+		}
+		entry.Ledger = append(entry.Ledger, data)
+	}
+	reply, ok := g.apply(group, entry).(ledger.Reply)
+	if !ok {
+		g.t.Fatal("no reply")
+	}
+	return reply
+}
+
+// begin tries the run of a key again, as through another entry host.
+func (g *groupStates) begin(group string, slot int, key string) ledger.Reply {
+	g.t.Helper()
+	return g.runs(group, ledger.Command{Begin: &ledger.Begin{
+		Service: "orders", Slot: slot, Customer: "uniform", Key: key, Digest: []byte("digest-of-request"),
+		Host: "entry-1", Nonce: fmt.Appendf(nil, "nonce-%03d", g.index), DeadlineMillis: 5000,
+	}})
+}
+
+func (g *groupStates) move(from, to string, generation uint64, slots ...int) error {
+	homes := make([]ownership.Home, 4)
+	for i := range homes {
+		homes[i] = ownership.Home{Region: from, To: to, Generation: generation}
+	}
+	m := runMove{group: from, service: "orders", state: g.states[from], propose: g.propose}
+	return m.move(context.Background(), slots, homes)
+}
+
+func (g *groupStates) want(got, want any) {
+	g.t.Helper()
+	if got != want {
+		g.t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+// Whichever proposal of a move is lost, the move fails, and when it is tried again
+// the new home knows every run. It takes several proposals: the slots hold more
+// than one takes.
+func TestMoveOfRunsSurvivesLostProposals(t *testing.T) {
+	const proposals = 5 // four to adopt, one to drop
+	for lost := range proposals + 1 {
+		g := newGroupStates(t, "norte", "lisboa")
+		g.adopt("norte", 1, 0, 1, 2)
+		for i := range 150 {
+			key := fmt.Sprint("run-", i)
+			reply := g.begin("norte", i%2, key)
+			finish := ledger.Finish{Service: "orders", Customer: "uniform", Key: key, Attempt: reply.Attempt,
+				State: ledger.StateAnswered, Status: 201, Body: make([]byte, ledger.MaxBodyBytes)}
+			g.want(g.runs("norte", ledger.Command{Finish: &finish}).Refusal, ledger.Refusal(""))
+		}
+		g.retire("norte", 1, 0, 1, 2)
+		g.lost = lost
+		err := g.move("norte", "lisboa", 1, 0, 1, 2)
+		g.want(errors.Is(err, errLost), lost > 0)
+		if lost > 0 {
+			g.want(g.move("norte", "lisboa", 1, 0, 1, 2), nil)
+		} else {
+			g.want(g.count, proposals)
+		}
+		g.want(g.states["norte"].runs.Len(), 0)
+		g.adopt("lisboa", 2, 0, 1, 2)
+		for i := range 150 {
+			g.want(g.begin("lisboa", i%2, fmt.Sprint("run-", i)).State, ledger.StateAnswered)
+		}
+		g.want(g.begin("lisboa", 2, "other").State, ledger.StateNew)
+	}
+}
+
+// A slot that leaves a region again before the region took it up has the records
+// of its former home only there. They must go on with it.
+func TestMoveOfRunsThroughRegionThatNeverTookTheSlotUp(t *testing.T) {
+	g := newGroupStates(t, "norte", "lisboa", "sur")
+	g.adopt("norte", 1, 3)
+	g.want(g.begin("norte", 3, "k1").State, ledger.StateNew)
+	g.retire("norte", 1, 3)
+	g.want(g.move("norte", "lisboa", 1, 3), nil)
+	g.want(g.move("lisboa", "sur", 2, 3), nil)
+	g.adopt("sur", 3, 3)
+	g.want(g.begin("sur", 3, "k1").State, ledger.StateRunning)
+}
+
+// A slot that comes back is sealed anew, and empty slots come back usable.
+func TestMoveOfRunsBack(t *testing.T) {
+	g := newGroupStates(t, "norte", "lisboa")
+	g.adopt("norte", 1, 3)
+	g.retire("norte", 1, 3)
+	g.want(g.move("norte", "lisboa", 1, 3), nil)
+	g.adopt("lisboa", 2, 3)
+	g.want(g.begin("lisboa", 3, "k1").State, ledger.StateNew)
+	g.retire("lisboa", 2, 3)
+	g.want(g.move("lisboa", "norte", 2, 3), nil)
+	g.adopt("norte", 3, 3)
+	g.want(g.begin("norte", 3, "k1").State, ledger.StateRunning)
+	g.want(g.begin("norte", 3, "k2").State, ledger.StateNew)
+}
+
+// A seal, adoption or drop that is refused fails the move, also when others in
+// the same proposal are not.
+func TestRefusedMoveOfRunsFails(t *testing.T) {
+	seal := func(slot int, move uint64) ledger.Command {
+		return ledger.Command{Seal: &ledger.Seal{Service: "orders", Slot: slot, Move: move}}
+	}
+	g := newGroupStates(t, "norte", "lisboa")
+	g.adopt("norte", 2, 0, 1, 2)
+	g.runs("norte", seal(1, 1)) // an earlier move that was never undone
+	g.retire("norte", 2, 0, 1, 2)
+	g.want(errors.Is(g.move("norte", "lisboa", 2, 0, 1, 2), ledger.RefusedMove), true)
+
+	g = newGroupStates(t, "norte", "lisboa")
+	g.adopt("norte", 1, 0, 2)
+	g.begin("norte", 0, "k1")
+	g.retire("norte", 1, 0, 2)
+	g.runs("lisboa", seal(0, 8))
+	g.want(errors.Is(g.move("norte", "lisboa", 1, 0, 2), ledger.RefusedMove), true)
+	g.want(g.states["norte"].runs.Len(), 1) // kept for the next try
+}
+
+// A snapshot is of the moment at which it was frozen.
+func TestRegionSnapshotIsFrozen(t *testing.T) {
+	g := newGroupStates(t, "norte")
+	g.adopt("norte", 1, 0)
+	g.begin("norte", 0, "k1")
+	encode, err := g.states["norte"].Freeze()
+	g.want(err, nil)
+	g.begin("norte", 0, "k2")
+	g.retire("norte", 1, 0)
+	data, err := encode()
+	g.want(err, nil)
+	g.states["norte"] = newRegionState("norte")
+	g.want(g.states["norte"].Restore(g.index, data), nil)
+	g.want(g.states["norte"].runs.Len(), 1)
+	g.want(g.begin("norte", 0, "k2").State, ledger.StateNew)
+}
--- a/internal/group/cluster_test.go
+++ b/internal/group/cluster_test.go
@@ -34,6 +34,12 @@
 	return binary.LittleEndian.AppendUint64(nil, c.sum), nil
 }
 
+// Freeze makes the counter a Freezer.
+func (c *counter) Freeze() (func() ([]byte, error), error) {
+	data, err := c.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
 func (c *counter) Restore(_ uint64, data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -44,6 +44,14 @@
 	Restore(index uint64, data []byte) error
 }
 
+// Freezer is an Applier whose snapshots take long to encode. Freeze returns a
+// function that encodes the state as it is now. The function is called once, on
+// another goroutine, while entries are applied.
+type Freezer interface {
+	Applier
+	Freeze() (encode func() ([]byte, error), err error)
+}
+
 // Transport sends messages to other members. Send must not block; messages may
 // be lost. to.Name may be empty if no message said it yet.
 type Transport interface {
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -18,7 +18,7 @@
 	if r.snapshotting || r.applied < r.snapshotAt+uint64(r.options.SnapshotEntries) {
 		return
 	}
-	data, err := r.options.Applier.Snapshot()
+	encode, err := freeze(r.options.Applier)
 	if err != nil {
 		r.fail(errors.Wrap(err, "group: snapshot"))
 		return
@@ -28,10 +28,13 @@
 		r.fail(err)
 		return
 	}
-	write := r.store.SnapshotWriter(meta, data)
+	write := r.store.SnapshotWriter(meta)
 	r.snapshotting = true
 	r.writers.Go(func() {
-		saved := savedSnapshot{meta: meta, data: data, err: write()}
+		saved := savedSnapshot{meta: meta}
+		if saved.data, saved.err = encode(); saved.err == nil {
+			saved.err = write(saved.data)
+		}
 		_ = r.enqueue(func(in *inbox) bool {
 			in.saved = append(in.saved, saved)
 			return true
@@ -39,6 +42,15 @@
 	})
 }
 
+// freeze returns a function that encodes the state as it is now.
+func freeze(state Applier) (func() ([]byte, error), error) {
+	if freezer, ok := state.(Freezer); ok {
+		return freezer.Freeze()
+	}
+	data, err := state.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
 // finishSnapshot cuts off the log that the snapshot stands for.
 func (r *Runner) finishSnapshot(saved savedSnapshot) {
 	r.snapshotting = false
--- a/storage/store.go
+++ b/storage/store.go
@@ -243,18 +243,18 @@
 // SaveSnapshot makes a snapshot of the member's own state durable. Older ones
 // stay until Compact.
 func (s *Store) SaveSnapshot(meta replog.SnapshotMeta, data []byte) error {
-	return s.SnapshotSaved(s.SnapshotWriter(meta, data)())
+	return s.SnapshotSaved(s.SnapshotWriter(meta)(data))
 }
 
-// SnapshotWriter returns a function that does the work of SaveSnapshot and may
-// run while the Store is used otherwise, once at a time. Its result must be
-// given to SnapshotSaved.
-func (s *Store) SnapshotWriter(meta replog.SnapshotMeta, data []byte) func() error {
+// SnapshotWriter returns a function that does the work of SaveSnapshot for the
+// snapshot's data and may run while the Store is used otherwise, once at a time.
+// Its result must be given to SnapshotSaved.
+func (s *Store) SnapshotWriter(meta replog.SnapshotMeta) func(data []byte) error {
 	if err := s.usable(); err != nil {
-		return func() error { return err }
+		return func([]byte) error { return err }
 	}
 	fs, dir := s.options.FS, s.dir
-	return func() error { return writeSnapshot(fs, dir, meta, data) }
+	return func(data []byte) error { return writeSnapshot(fs, dir, meta, data) }
 }
 
 // SnapshotSaved takes in the result of a SnapshotWriter's function.
