Lead each region's log from inside the region, and test a region cut

Cause: a witness in the other region could lead a region's log: each commit then crossed the link, and a cut between regions cost the region its leader. Change: a witness hands leadership over to a live host of the region, looked at each second. TestRegionCut runs four control hosts on loopback, cuts the regions apart silently (writes vanish, nothing comes back), and shows that each side renews its server and keeps its slots, that only the side with the global quorum accepts a change of a list, and that the change is in force on the other side after the cut. Ruled out: a preference in elections (a lone witness must still be able to lead).

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -147,8 +147,8 @@
 	return runner.Leader()
 }
 
-// region returns this host's member of a region's group.
-func (h *Host) region(name string) (*regionGroup, error) {
+// regionGroup returns this host's member of a region's group.
+func (h *Host) regionGroup(name string) (*regionGroup, error) {
 	g, ok := h.regions[name]
 	if !ok {
 		return nil, &peer.Error{Code: wire.CodeNotLeader}
@@ -157,7 +157,7 @@
 }
 
 func (h *Host) announce(ctx context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
-	g, err := h.region(h.groupOf(a.Region))
+	g, err := h.regionGroup(h.groupOf(a.Region))
 	if err != nil {
 		return wire.AnnouncementReply{}, err
 	}
@@ -203,7 +203,7 @@
 
 // renew renews an entry host's session and takes what it saw.
 func (h *Host) renew(_ context.Context, r wire.Renewal) (wire.RenewalReply, error) {
-	g, err := h.region(r.Group)
+	g, err := h.regionGroup(r.Group)
 	if err != nil {
 		return wire.RenewalReply{}, err
 	}
@@ -318,7 +318,7 @@
 
 // ledgerOf returns the group whose ledger holds a run, and the logical time there.
 func (h *Host) ledgerOf(name string) (*regionGroup, uint64, error) {
-	g, err := h.region(name)
+	g, err := h.regionGroup(name)
 	if err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/internal/control/cut_test.go
@@ -0,0 +1,284 @@
+package control
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// errCut is the failure to dial over a cut.
+var errCut = errors.New("no route")
+
+// cutter carries the connections between control hosts, and cuts the regions
+// apart silently: what is written over the cut is lost, and nothing comes back.
+type cutter struct {
+	mu      sync.Mutex
+	isCut   bool
+	regions map[string]string // by address
+	crossed []*cutConn
+}
+
+// cutConn is a connection between regions.
+type cutConn struct {
+	net.Conn
+	cutter *cutter
+}
+
+func (c *cutter) cut(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isCut = on
+}
+
+func (c *cutter) active() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isCut
+}
+
+func (c *cutter) dialFrom(region string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c.mu.Lock()
+		crosses := c.regions[address] != region
+		refused := crosses && c.isCut
+		c.mu.Unlock()
+		if refused {
+			return nil, errCut
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil || !crosses {
+			return conn, err
+		}
+		return &cutConn{Conn: conn, cutter: c}, nil
+	}
+}
+
+// Write loses what is written over a cut.
+func (c *cutConn) Write(p []byte) (int, error) {
+	if c.cutter.active() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read drops what came over a cut, until the connection's deadline.
+func (c *cutConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.cutter.active() {
+			return n, err
+		}
+	}
+}
+
+// cluster is four control hosts, one in each failure domain of Đà Nẵng.
+type cluster struct {
+	t      *testing.T
+	cutter *cutter
+	hosts  map[string]*Host
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func startCluster(t *testing.T) *cluster {
+	controls := []settings.ControlHost{
+		{Name: "c1", Region: "mien-trung", Domain: "hai-chau"},
+		{Name: "c2", Region: "mien-trung", Domain: "son-tra"},
+		{Name: "c3", Region: "mien-nam", Domain: "thu-duc"},
+		{Name: "c4", Region: "mien-nam", Domain: "binh-thanh"},
+	}
+	c := &cluster{t: t, cutter: &cutter{regions: map[string]string{}}, hosts: map[string]*Host{}}
+	for i := range controls {
+		controls[i].Address = freeAddress(t)
+		c.cutter.regions[controls[i].Address] = controls[i].Region
+	}
+	for _, control := range controls {
+		c.start(control, controls)
+	}
+	return c
+}
+
+func (c *cluster) start(control settings.ControlHost, controls []settings.ControlHost) {
+	s := &settings.ControlSettings{
+		Name: control.Name, PeerListen: control.Address, AdminListen: freeAddress(c.t),
+		DataDir:  filepath.Join(c.t.TempDir(), control.Name),
+		Controls: controls, LeaseMs: 800, MaxDeadlineMs: 500, RaftHeartbeatMs: 50, RaftElectionMs: 400,
+		SlotsPerService: 16, SnapshotEntries: 1000, Workers: 64,
+	}
+	if err := os.MkdirAll(s.DataDir, 0o700); err != nil {
+		c.t.Fatal(err)
+	}
+	if err := InitializeData(s); err != nil {
+		c.t.Fatal(err)
+	}
+	host, err := New(Options{Settings: s, PeerSecret: []byte("a secret of the peers"), Dial: c.cutter.dialFrom(control.Region)})
+	if err == nil {
+		err = host.Start()
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.hosts[control.Name] = host
+	c.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = host.Stop(ctx)
+	})
+}
+
+// eventually repeats a step until it succeeds. The limit only ends a hang.
+func (c *cluster) eventually(what string, step func() error) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for {
+		err := step()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			c.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// call makes a call at the first of the named hosts that answers it.
+func (c *cluster) call(names []string, kind int, request, reply any) error {
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for _, name := range names {
+		var answer []byte
+		if answer, err = c.hosts[name].call(ctx, kind, body); err == nil {
+			return cbor.Unmarshal(answer, reply)
+		}
+	}
+	return err
+}
+
+var (
+	middle = []string{"c1", "c2"}
+	south  = []string{"c3", "c4"}
+)
+
+// beat sends one heartbeat of a server and returns its session.
+func (c *cluster) beat(region string, hosts []string, session uint64) (uint64, error) {
+	var reply wire.AnnouncementReply
+	err := c.call(hosts, wire.KindAnnounce, wire.Announcement{
+		Name: "s-" + region, Incarnation: "1", Service: "wheel-swap", Address: "127.0.0.1:1", Region: region,
+		Domain: region, Keyed: true, Fencing: true, Slots: 6, Connections: 120, Session: session,
+	}, &reply)
+	return reply.Session, err
+}
+
+// keepAlive sends heartbeats of a server until the test ends.
+func (c *cluster) keepAlive(region string, hosts []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			_, _ = c.beat(region, hosts, 0)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// owned returns the slots that a region's servers own, as one of its hosts has it.
+func (c *cluster) owned(host, region string) int {
+	dump := c.hosts[host].regions[region].dump()
+	return dump.Statuses["wheel-swap"][2]
+}
+
+func (c *cluster) setPlans(hosts []string, version uint64, plan string) (allowance.Result, error) {
+	list := allowance.Command{Allowances: &allowance.LimitList{Version: version, Allowances: []allowance.PlanAllowance{{
+		Plan: plan, Limits: []allowance.Limit{{Service: "wheel-swap", RequestsPerSecond: 10, Burst: 1}},
+	}}}}
+	data, err := encodeLists(list)
+	if err != nil {
+		return allowance.Result{}, err
+	}
+	var reply wire.ProposalReply
+	if err := c.call(hosts, wire.KindPropose, wire.Proposal{Group: wire.GroupGlobal, Command: data}, &reply); err != nil {
+		return allowance.Result{}, err
+	}
+	var result allowance.Result
+	return result, cbor.Unmarshal(reply.Result, &result)
+}
+
+// TestRegionCut cuts the regions apart silently. Each side must go on with the
+// slots whose home it is; a change of a list is accepted on the side with the
+// global quorum only, and is in force on the other side after the cut.
+func TestRegionCut(t *testing.T) {
+	c := startCluster(t)
+	c.keepAlive("mien-trung", middle)
+	c.keepAlive("mien-nam", south)
+	c.eventually("every slot has an owner, and each region is led from inside", func() error {
+		if m, s := c.owned("c1", "mien-trung"), c.owned("c3", "mien-nam"); m != 8 || s != 8 {
+			return errors.Errorf("%d and %d slots owned", m, s)
+		}
+		if c.hosts["c4"].runners["mien-trung"].Leads() || c.hosts["c1"].runners["mien-nam"].Leads() {
+			return errors.New("a witness leads")
+		}
+		return nil
+	})
+
+	c.cutter.cut(true)
+	c.eventually("the side with the global quorum accepts a change", func() error {
+		result, err := c.setPlans(south, 7, "gold")
+		if err == nil && !result.Succeeded() {
+			t.Fatalf("the change was refused: %+v", result)
+		}
+		return err
+	})
+	if _, err := c.setPlans(middle, 8, "silver"); err == nil {
+		t.Fatal("the side without the global quorum accepted a change")
+	}
+	for _, side := range []struct {
+		region string
+		hosts  []string
+	}{{"mien-trung", middle}, {"mien-nam", south}} {
+		c.eventually(side.region+" renews its server in the cut", func() error {
+			session, err := c.beat(side.region, side.hosts, 0)
+			if err == nil && (session == 0 || c.owned(side.hosts[0], side.region) != 8) {
+				err = errors.New("no session, or slots without an owner")
+			}
+			return err
+		})
+	}
+
+	c.cutter.cut(false)
+	c.eventually("the change is in force everywhere", func() error {
+		for name, host := range c.hosts {
+			if version := host.status().AllowancesVersion; version != 7 {
+				return errors.Errorf("%s has version %d", name, version)
+			}
+		}
+		return nil
+	})
+}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -37,6 +38,8 @@
 	PeerSecret     []byte
 	OperatorSecret []byte
 	Registry       *prometheus.Registry
+	// Dial opens connections to other control hosts; nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Host is one control host.
@@ -203,6 +206,7 @@
 			Expect:  control.Name,
 			Secret:  h.options.PeerSecret,
 			Seed:    rand.Uint64(),
+			Dial:    h.options.Dial,
 		})
 		h.clients[control.Name] = client
 		targets[control.Name] = client
@@ -263,6 +267,7 @@
 		h.every(ctx, tickInterval, func() { h.regionWork(ctx, g) })
 		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
 		h.every(ctx, tickInterval, func() { h.retireWork(ctx, g) })
+		h.every(ctx, handOverInterval, func() { h.handOverWork(ctx, g) })
 	}
 	for _, g := range h.plan {
 		if _, ok := h.runners[g.Name]; ok {
--- a/internal/control/regionwork.go
+++ b/internal/control/regionwork.go
@@ -19,9 +19,10 @@
 
 // Times of calls between groups.
 const (
-	reportTimeout = time.Second            // longest wait for the global leader
-	joinInterval  = 500 * time.Millisecond // between a new disk's requests to be admitted
-	joinTimeout   = 30 * time.Second       // longest wait for an admission
+	reportTimeout    = time.Second            // longest wait for the global leader
+	handOverInterval = time.Second            // between looks at who leads
+	joinInterval     = 500 * time.Millisecond // between a new disk's requests to be admitted
+	joinTimeout      = 30 * time.Second       // longest wait for an admission
 )
 
 // reportWork tells the global leader what the region has, and of services and
@@ -128,6 +129,40 @@
 	return result.Err()
 }
 
+// handOverWork moves a region's leadership from the witness to a host of the
+// region: there its quorum is near, and a cut between regions leaves it alone.
+func (h *Host) handOverWork(ctx context.Context, g *regionGroup) {
+	if !g.runner.Leads() || h.groupOf(h.region()) == g.name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := g.runner.HandOver(ctx, h.hostsOf(g.name)); err != nil {
+		log.WithError(err).WithField("group", g.name).Warn("leadership not handed over to the region")
+	}
+}
+
+// region returns this host's region.
+func (h *Host) region() string {
+	for _, host := range h.hosts {
+		if host.Name == h.settings.Name {
+			return host.Region
+		}
+	}
+	return ""
+}
+
+// hostsOf returns the control hosts of a region.
+func (h *Host) hostsOf(region string) []string {
+	var names []string
+	for _, host := range h.hosts {
+		if host.Region == region {
+			names = append(names, host.Name)
+		}
+	}
+	return names
+}
+
 // joinWork asks for the admission of a disk that is not a member yet.
 func (h *Host) joinWork(ctx context.Context, g membership.Group) {
 	status := h.runners[g.Name].Status()
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -184,7 +184,7 @@
 // Stop hands leadership over, if this member leads and another can take it, and
 // stops the member. After ctx is done it no longer waits for the successor.
 func (r *Runner) Stop(ctx context.Context) {
-	_ = r.run(ctx, r.handOver())
+	_ = r.run(ctx, r.handOver(func(replog.Member) bool { return true }))
 	_ = r.enqueue(func(in *inbox) bool {
 		in.stop = true
 		return true
--- a/internal/group/task.go
+++ b/internal/group/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/galenalug/galenalug/replog"
@@ -110,9 +111,15 @@
 	return err
 }
 
-// handOver returns a step that transfers leadership, and is done when this
-// member does not lead or nobody takes it.
-func (r *Runner) handOver() func(now time.Duration) (bool, error) {
+// HandOver transfers leadership to a live member on one of the named hosts. It
+// does nothing when this member does not lead or no such member is live.
+func (r *Runner) HandOver(ctx context.Context, hosts []string) error {
+	return r.run(ctx, r.handOver(func(m replog.Member) bool { return slices.Contains(hosts, m.Name) }))
+}
+
+// handOver returns a step that transfers leadership to a member that accept takes,
+// and is done when this member does not lead or nobody takes it.
+func (r *Runner) handOver(accept func(replog.Member) bool) func(now time.Duration) (bool, error) {
 	asked := false
 	return func(now time.Duration) (bool, error) {
 		if r.node.Role() != replog.Leader {
@@ -122,7 +129,7 @@
 			return r.node.Serving(), nil // the transfer was given up
 		}
 		asked = true
-		target := r.node.TransferTarget()
+		target := r.node.TransferTargetAmong(accept)
 		if target == 0 {
 			return true, nil
 		}
--- a/replog/election.go
+++ b/replog/election.go
@@ -168,10 +168,16 @@
 
 // TransferTarget returns the live voter that holds most of the log, or 0.
 func (n *Node) TransferTarget() uint64 {
+	return n.TransferTargetAmong(func(Member) bool { return true })
+}
+
+// TransferTargetAmong returns the live voter that holds most of the log among
+// those that accept takes, or 0.
+func (n *Node) TransferTargetAmong(accept func(Member) bool) uint64 {
 	best, match := uint64(0), uint64(0)
 	for _, m := range n.members {
 		pr := n.progress[m.ID]
-		if m.Learner || pr == nil || m.ID == n.cfg.ID || !n.live(m.ID) {
+		if m.Learner || pr == nil || m.ID == n.cfg.ID || !n.live(m.ID) || !accept(m) {
 			continue
 		}
 		if best == 0 || pr.match > match {
