Ignore ownership commands that were decided in an earlier term

Cause: a leader that is paused between deciding to end a session and proposing it could lose leadership, win it again, and then propose the old decision, although another leader renewed the session meanwhile. Ruled out: checking leadership once more before the proposal (the pause may come after the check). Change: a leader's first entry opens its term; ownership commands carry the term they were decided in, and any other term's change nothing.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -128,7 +128,7 @@
 }
 
 func (s *State) addService(body AddService) []string {
-	if _, ok := s.services[body.Name]; ok {
+	if _, ok := s.services[body.Name]; ok || body.Slots < 0 || body.Slots > maxSlots {
 		return nil
 	}
 	service := &Service{Name: body.Name, Keyed: body.Keyed}
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -128,7 +128,7 @@
 // translate turns an error of a group into one that travels.
 func (h *Host) translate(groupName string, err error) error {
 	switch {
-	case errors.Is(err, errNotLeading), errors.Is(err, group.ErrNotLeader):
+	case errors.Is(err, errNotLeading), errors.Is(err, errStaleTerm), errors.Is(err, group.ErrNotLeader):
 		return &peer.Error{Code: wire.CodeNotLeader, Detail: h.leaderOf(groupName)}
 	case errors.Is(err, group.ErrUnknownOutcome):
 		return &peer.Error{Code: wire.CodeUnknown, Detail: err.Error()}
--- a/internal/control/cut_test.go
+++ b/internal/control/cut_test.go
@@ -26,7 +26,6 @@
 	mu      sync.Mutex
 	isCut   bool
 	regions map[string]string // by address
-	crossed []*cutConn
 }
 
 // cutConn is a connection between regions.
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -59,8 +59,9 @@
 	return g.lead, nil
 }
 
-// ensureLeadership makes the leader's state once all entries of earlier terms are
-// applied, and drops it when the term is over.
+// ensureLeadership makes the leader's state once its first entry is applied, and
+// drops it when the term is over. From that entry on, commands that were decided in
+// an earlier term change nothing, however late they are proposed.
 func (g *regionGroup) ensureLeadership(ctx context.Context) bool {
 	if !g.runner.Leads() {
 		g.setLeadership(nil)
@@ -73,7 +74,7 @@
 	if current {
 		return true
 	}
-	if err := g.runner.ReadBarrier(ctx); err != nil {
+	if _, err := g.commit(ctx, regionEntry{Term: term, Lead: true}); err != nil {
 		return false
 	}
 	g.setLeadership(g.newLeadership(term))
@@ -108,33 +109,46 @@
 // tick proposes what time makes due, until nothing is.
 func (g *regionGroup) tick(ctx context.Context, homes ownership.Homes) error {
 	for range maxTickRounds {
-		commands, err := g.due(homes)
-		if err != nil || len(commands) == 0 {
+		decided, err := g.due(homes)
+		if err != nil || len(decided.commands) == 0 {
 			return err
 		}
-		if err := g.propose(ctx, commands); err != nil {
+		if err := g.propose(ctx, decided); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (g *regionGroup) due(homes ownership.Homes) ([]ownership.Command, error) {
+// decision is what a leader decided in a term.
+type decision struct {
+	term     uint64
+	commands []ownership.Command
+}
+
+func (g *regionGroup) due(homes ownership.Homes) (decision, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lead, err := g.leading()
 	if err != nil {
-		return nil, err
+		return decision{}, err
 	}
 	g.state.mu.RLock()
 	defer g.state.mu.RUnlock()
-	return lead.coordinator.Tick(g.now(), g.state.owner, homes), nil
+	return decision{lead.term, lead.coordinator.Tick(g.now(), g.state.owner, homes)}, nil
 }
 
-// propose commits ownership commands.
-func (g *regionGroup) propose(ctx context.Context, commands []ownership.Command) error {
-	_, err := g.commit(ctx, regionEntry{Ownership: commands})
-	return err
+// propose commits what was decided. It fails with errStaleTerm when another term
+// began meanwhile.
+func (g *regionGroup) propose(ctx context.Context, decided decision) error {
+	result, err := g.commit(ctx, regionEntry{Term: decided.term, Ownership: decided.commands})
+	if err != nil {
+		return err
+	}
+	if failure, ok := result.(error); ok {
+		return failure
+	}
+	return nil
 }
 
 func (g *regionGroup) commit(ctx context.Context, entry regionEntry) (any, error) {
@@ -151,16 +165,16 @@
 // heartbeat renews a server's session, and commits what the heartbeat asks for.
 func (g *regionGroup) heartbeat(ctx context.Context, beat ownership.Heartbeat) (ownership.Answer, error) {
 	for range 2 {
-		answer, commands, err := g.renew(beat)
+		answer, decided, err := g.renew(beat)
 		if err != nil {
 			return ownership.Answer{}, err
 		}
-		if len(commands) > 0 {
-			if err := g.propose(ctx, commands); err != nil {
+		if len(decided.commands) > 0 {
+			if err := g.propose(ctx, decided); err != nil {
 				return ownership.Answer{}, err
 			}
 		}
-		if answer.Session != 0 || len(commands) == 0 {
+		if answer.Session != 0 || len(decided.commands) == 0 {
 			return answer, nil
 		}
 	}
@@ -169,20 +183,20 @@
 
 // renew answers a heartbeat. Leadership is proved after the renewal: a later
 // leader starts its own count of the lease after that.
-func (g *regionGroup) renew(beat ownership.Heartbeat) (ownership.Answer, []ownership.Command, error) {
+func (g *regionGroup) renew(beat ownership.Heartbeat) (ownership.Answer, decision, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lead, err := g.leading()
 	if err != nil {
-		return ownership.Answer{}, nil, err
+		return ownership.Answer{}, decision{}, err
 	}
 	g.state.mu.RLock()
 	answer, commands := lead.coordinator.Heartbeat(g.now(), g.state.owner, beat)
 	g.state.mu.RUnlock()
 	if _, err := g.leading(); err != nil {
-		return ownership.Answer{}, nil, err
+		return ownership.Answer{}, decision{}, err
 	}
-	return answer, commands, nil
+	return answer, decision{lead.term, commands}, nil
 }
 
 // runCommand commits a ledger command and returns its reply.
--- a/internal/control/regionstate.go
+++ b/internal/control/regionstate.go
@@ -11,19 +11,29 @@
 	"github.com/galenalug/galenalug/ownership"
 )
 
-// errInvalidEntry means that a log entry could not be decoded.
-var errInvalidEntry = errors.New("invalid log entry")
+// Errors of applying a log entry.
+var (
+	// errInvalidEntry means that a log entry could not be decoded.
+	errInvalidEntry = errors.New("invalid log entry")
+	// errStaleTerm means that ownership commands were decided in an earlier term
+	// of leadership. They changed nothing: a later leader may have renewed the
+	// sessions that they end.
+	errStaleTerm = errors.New("ownership commands of an earlier term")
+)
 
 // regionEntry is one entry of a region's log.
 type regionEntry struct {
 	Ownership []ownership.Command `cbor:"1,keyasint,omitempty"`
 	Ledger    [][]byte            `cbor:"2,keyasint,omitempty"` // list of ledger.Command
+	Term      uint64              `cbor:"3,keyasint,omitempty"` // in which Ownership was decided
+	Lead      bool                `cbor:"4,keyasint,omitempty"` // the leader of Term begins its work
 }
 
 // regionSnapshot is the durable form of a region's state.
 type regionSnapshot struct {
 	Ownership []byte `cbor:"1,keyasint"`
 	Ledger    []byte `cbor:"2,keyasint"`
+	Term      uint64 `cbor:"3,keyasint"`
 }
 
 // regionState is the replicated state of one region's group: the owners of slots
@@ -34,6 +44,7 @@
 	feed *feed
 
 	mu    sync.RWMutex
+	term  uint64 // of the last leader that began its work
 	owner *ownership.State
 	runs  *ledger.Ledger
 }
@@ -43,8 +54,8 @@
 }
 
 // Apply executes one log entry. The result is the ledger.Reply of the entry's first
-// refused ledger command, of its last one if none is refused, or an error for an
-// entry that could not be decoded.
+// refused ledger command, of its last one if none is refused, errInvalidEntry, or
+// errStaleTerm.
 func (s *regionState) Apply(index uint64, data []byte) any {
 	var entry regionEntry
 	if err := cbor.Unmarshal(data, &entry); err != nil {
@@ -52,6 +63,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if entry.Lead {
+		s.term = max(s.term, entry.Term)
+		return nil
+	}
+	if len(entry.Ownership) > 0 && entry.Term != s.term {
+		return errStaleTerm
+	}
 	s.applyOwnership(index, entry.Ownership)
 	if len(entry.Ledger) == 0 {
 		return nil
@@ -146,12 +164,13 @@
 		return nil, err
 	}
 	frozen := s.runs.Freeze()
+	term := s.term
 	return func() ([]byte, error) {
 		runs, err := frozen.Encode()
 		if err != nil {
 			return nil, err
 		}
-		return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs})
+		return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs, Term: term})
 	}, nil
 }
 
@@ -171,6 +190,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.term = decoded.Term
 	s.owner = owner
 	s.runs = runs
 	s.feed.reset(owner.Version(), s.whole())
