Divide allowances among regions by demand, without ever exceeding them

Cause: each region has an equal part of every allowance, so a customer that comes through one region gets half of it. Weighed: leased parts (a cut-off region's part runs out), and parts in the log of all regions, changed in two steps (chosen). A lowered part also stands in the donor region's own log before it is confirmed: a later leader there may have an old copy of the shared log, as in a cut. Change: Parts, AcceptedParts, PartPlanner, Allocator.Keeps and Demands. Parts are fractions of the limit, so a changed limit needs no other step. Each guard was taken out once: the donor's accepted part (goldens accepted and cut fail), the wait of a new leader (silent_hosts), the check of what hosts hold, the shift's number, and the lowering of a pending donor (TestPartsNeverExceedTheLimit or goldens fail). The seeded schedules alone do not find the first two.

--- a/allowance/allocator.go
+++ b/allowance/allocator.go
@@ -91,6 +91,12 @@
 	return d.reserved
 }
 
+// Keeps reports whether children surely hold no more than a limit of a pair at now.
+// They do not exceed it later if Renew is called with no higher limit from now on.
+func (a *Allocator) Keeps(now time.Duration, pair Pair, limit float64) bool {
+	return !a.Claiming(now) && a.Reserved(now, pair) <= limit
+}
+
 // Wanted returns the sum of what a pair's children want at now, requests a second.
 func (a *Allocator) Wanted(now time.Duration, pair Pair) float64 {
 	d := a.pairs[pair]
@@ -147,3 +153,14 @@
 	}
 	return math.Floor(share/quantum) * quantum
 }
+
+// Demands returns what is wanted of each pair at now, in no order.
+func (a *Allocator) Demands(now time.Duration) []Demand {
+	demands := make([]Demand, 0, len(a.pairs))
+	for pair := range a.pairs {
+		if wanted := a.Wanted(now, pair); wanted > 0 {
+			demands = append(demands, Demand{Pair: pair, Wanted: wanted})
+		}
+	}
+	return demands
+}
--- /dev/null
+++ b/allowance/parts_test.go
@@ -0,0 +1,279 @@
+package allowance
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+var orders = Pair{Customer: "uniform", Service: "orders"}
+
+// partRegion is one region: its log's state, and its leader with its copy of the
+// shared state.
+type partRegion struct {
+	name      string
+	accepted  *AcceptedParts
+	allocator *Allocator
+	epoch     uint64
+	copied    int // commands of the shared log in the leader's copy
+	cut       bool
+	silent    bool // its hosts do not reach it
+	hosts     []*Holder
+	wanted    float64 // of all hosts together, from its first host
+}
+
+// partSystem is a whole system with one pair, in virtual time.
+type partSystem struct {
+	now      time.Duration
+	limit    float64
+	log      []PartCommand
+	regions  []*partRegion
+	planner  *PartPlanner
+	confirms []PartCommand // on their way
+	late     []PartCommand // copies of all confirmations
+}
+
+func newPartSystem() *partSystem {
+	s := &partSystem{limit: 1000, planner: NewPartPlanner([]string{"lisboa", "norte"})}
+	for _, name := range []string{"lisboa", "norte"} {
+		r := &partRegion{name: name, accepted: NewAcceptedParts(), hosts: []*Holder{{}, {}}}
+		s.regions = append(s.regions, r)
+		s.elect(r, 0)
+	}
+	s.now = 3 * hostLease
+	return s
+}
+
+// elect gives a region a new leader with an older or newer copy of the log.
+func (s *partSystem) elect(r *partRegion, copied int) {
+	r.epoch++
+	r.copied = copied
+	r.allocator = NewAllocator(AllocatorConfig{Epoch: r.epoch, Lease: hostLease, Drift: drift}, s.now)
+}
+
+// parts returns the shared state after a number of commands, restored on the way.
+func (s *partSystem) parts(commands int) *Parts {
+	p := NewParts()
+	for i, c := range s.log[:commands] {
+		p.Apply(uint64(i+1), c)
+		if i%3 == 0 {
+			data, _ := p.Snapshot()
+			p, _ = RestoreParts(data)
+		}
+	}
+	return p
+}
+
+func (s *partSystem) limitIn(r *partRegion) float64 {
+	part := s.parts(r.copied).Of(orders, r.name, len(s.regions))
+	return s.limit * r.accepted.InForce(orders, part)
+}
+
+// renew renews a host's share; the answer may be lost.
+func (s *partSystem) renew(r *partRegion, host int, lost bool) {
+	holder := r.hosts[host]
+	sent := holder.Prepare(s.now, 0)
+	wanted := 0.0
+	if host == 0 {
+		wanted = r.wanted
+	}
+	renewal := Renewal{Child: fmt.Sprint(r.name, host), Pair: orders, Held: sent.Held, Wanted: wanted}
+	if grant := r.allocator.Renew(s.now, s.limitIn(r), renewal); !lost {
+		holder.Accept(s.now, sent, hostLease, grant)
+	}
+}
+
+// lower has a region's leader accept lowered parts, and confirm those that its
+// hosts keep to.
+func (s *partSystem) lower(r *partRegion) {
+	for _, l := range s.parts(r.copied).LoweredIn(r.name) {
+		switch {
+		case !r.accepted.Accepted(l):
+			r.accepted.Apply(l.Accepted())
+		case r.allocator.Keeps(s.now, orders, s.limitIn(r)):
+			confirm := PartCommand{Confirms: []PartConfirm{l.Confirm(r.name)}}
+			s.confirms = append(s.confirms, confirm)
+			s.late = append(s.late, confirm)
+		}
+	}
+}
+
+// use has a region's hosts take all that they may have.
+func (s *partSystem) use(r *partRegion) {
+	r.wanted = 2000
+	for i := range 6 {
+		s.renew(r, i%2, false)
+	}
+}
+
+// plan is the work of the shared log's leader.
+func (s *partSystem) plan() {
+	for _, r := range s.regions {
+		if !r.cut {
+			demands := Reportable(r.allocator.Demands(s.now), func(Pair) float64 { return s.limit })
+			s.planner.Report(s.now, r.name, demands)
+		}
+	}
+	shifts := s.planner.Plan(s.now, s.parts(len(s.log)), func(Pair) float64 { return s.limit })
+	if len(shifts) > 0 {
+		s.log = append(s.log, PartCommand{Shifts: shifts})
+	}
+}
+
+// held returns the sum of the hosts' shares in a region.
+func (s *partSystem) held(r *partRegion) float64 {
+	sum := 0.0
+	for _, h := range r.hosts {
+		sum += h.Share(s.now)
+	}
+	return sum
+}
+
+// run lets everything work for a time, each step once in 250 ms.
+func (s *partSystem) run(elapsed time.Duration) {
+	for end := s.now + elapsed; s.now < end; s.now += 250 * time.Millisecond {
+		for _, r := range s.regions {
+			if !r.silent {
+				s.renew(r, 0, false)
+				s.renew(r, 1, false)
+			}
+			if !r.cut {
+				r.copied = len(s.log)
+			}
+			s.lower(r)
+		}
+		for _, r := range s.regions {
+			if !r.cut {
+				s.deliver(r.name)
+			}
+		}
+		s.plan()
+	}
+}
+
+// deliver commits a region's confirmations.
+func (s *partSystem) deliver(region string) {
+	kept := s.confirms[:0]
+	for _, c := range s.confirms {
+		if c.Confirms[0].Region == region {
+			s.log = append(s.log, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	s.confirms = kept
+}
+
+func (s *partSystem) show() string {
+	var b strings.Builder
+	parts := s.parts(len(s.log))
+	for _, r := range s.regions {
+		part := parts.Of(orders, r.name, len(s.regions))
+		fmt.Fprintf(&b, "%s part=%.2f%% held=%.0f\n", r.name, float64(part.Units)*100/PartWhole, s.held(r))
+	}
+	fmt.Fprintf(&b, "commands=%d pending=%v\n", len(s.log), parts.Pending(orders))
+	return b.String()
+}
+
+func TestPartSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/parts", func(t *testing.T, path string) {
+		s := newPartSystem()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var region, text string
+			value := 0.0
+			d.MaybeScanArgs(t, "region", &region)
+			d.MaybeScanArgs(t, "to", &value)
+			d.MaybeScanArgs(t, "for", &text)
+			for _, r := range s.regions {
+				if r.name != region {
+					continue
+				}
+				switch d.Cmd {
+				case "want":
+					r.wanted = value
+				case "cut", "heal":
+					r.cut = d.Cmd == "cut"
+				case "silence":
+					r.silent = true
+				case "elect": // a leader whose copy of the shared log is old
+					s.elect(r, int(value))
+				}
+			}
+			if d.Cmd == "limit" {
+				s.limit = value
+			}
+			elapsed, _ := time.ParseDuration(text)
+			s.run(elapsed)
+			return s.show()
+		})
+	})
+}
+
+// The regions' hosts together never hold more than the limit: over lost answers,
+// late copies of confirmations, cuts, and new leaders with old copies of the log.
+func TestPartsNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newPartSystem()
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			r := s.regions[rapid.IntRange(0, 1).Draw(t, "region")]
+			s.step(t, r)
+			if sum := s.held(s.regions[0]) + s.held(s.regions[1]); sum > s.limit {
+				t.Fatalf("%v held of %v\n%s", sum, s.limit, s.show())
+			}
+		}
+		data, _ := s.parts(len(s.log)).Snapshot()
+		again, err := RestoreParts(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if restored, _ := again.Snapshot(); !bytes.Equal(data, restored) {
+			t.Fatal("the restored state differs")
+		}
+	})
+}
+
+func (s *partSystem) step(t *rapid.T, r *partRegion) {
+	actions := []string{"renew", "renew", "renew", "want", "copy", "copy", "lower", "lower", "confirm", "confirm", "shift", "wait", "wait", "elect", "use", "run"}
+	switch rapid.SampledFrom(actions).Draw(t, "action") {
+	case "renew":
+		s.renew(r, rapid.IntRange(0, 1).Draw(t, "host"), rapid.Bool().Draw(t, "lost"))
+	case "want":
+		r.wanted = rapid.SampledFrom([]float64{0, 100, 2000}).Draw(t, "wanted")
+	case "copy":
+		r.copied = rapid.IntRange(r.copied, len(s.log)).Draw(t, "copied")
+	case "lower":
+		s.lower(r)
+	case "confirm": // perhaps late, and copies of earlier ones
+		if len(s.late) > 0 {
+			s.log = append(s.log, rapid.SampledFrom(s.late).Draw(t, "confirm"))
+		}
+		r.copied = len(s.log)
+		s.use(r)
+	case "use": // also with an old copy of the log
+		s.use(r)
+	case "shift":
+		other := s.regions[rapid.IntRange(0, 1).Draw(t, "to")]
+		s.log = append(s.log, PartCommand{Shifts: []PartShift{{
+			Customer: orders.Customer, Service: orders.Service, Regions: s.planner.regions,
+			From: r.name, To: other.name, Units: rapid.SampledFrom([]int{1000, 2000, 5000}).Draw(t, "units"),
+		}}})
+		if rapid.Bool().Draw(t, "copied") {
+			r.copied = len(s.log)
+		}
+	case "wait":
+		s.now += time.Duration(rapid.SampledFrom([]int{1, 100, 1000}).Draw(t, "ms")) * time.Millisecond
+	case "elect":
+		s.elect(r, rapid.SampledFrom([]int{0, len(s.log)}).Draw(t, "copied"))
+		data, _ := r.accepted.Snapshot()
+		r.accepted, _ = RestoreAcceptedParts(data)
+		s.lower(r)
+		s.lower(r)
+	case "run":
+		s.run(time.Duration(rapid.IntRange(1, 8).Draw(t, "quarters")) * 250 * time.Millisecond)
+	}
+}
