Give each region the part of an allowance that its customers ask for

Cause: Host.limit divided each allowance equally among the regions. Change: the global log takes shifts of parts and confirmations; region leaders report demand once a second, take lowered parts on in their own log, wait until their hosts' shares keep to them, and confirm. Shares that nobody renews are swept once a second; they were kept for ever.

--- a/allowance/partplan.go
+++ b/allowance/partplan.go
@@ -27,10 +27,17 @@
 // Reportable returns the demands that matter to a PartPlanner: the largest in
 // proportion to their limits.
 func Reportable(demands []Demand, limit func(Pair) float64) []Demand {
-	weight := func(d Demand) float64 { return d.Wanted / limit(d.Pair) }
-	kept := slices.DeleteFunc(slices.Clone(demands), func(d Demand) bool { return !(weight(d) > reportedFrom) })
+	weights := make(map[Pair]float64, len(demands))
+	var kept []Demand
+	for _, d := range demands {
+		of := limit(d.Pair)
+		if of > 0 && d.Wanted > reportedFrom*of {
+			weights[d.Pair] = d.Wanted / of
+			kept = append(kept, d)
+		}
+	}
 	slices.SortFunc(kept, func(a, b Demand) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), comparePairs(a.Pair, b.Pair))
+		return cmp.Or(cmp.Compare(weights[b.Pair], weights[a.Pair]), comparePairs(a.Pair, b.Pair))
 	})
 	return kept[:min(len(kept), maxReportSize)]
 }
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
@@ -207,26 +208,16 @@
 	if err != nil {
 		return wire.RenewalReply{}, err
 	}
-	reply, err := g.renewEntry(r, h.limit)
+	limit := func(pair allowance.Pair) (allowance.Limit, error) { return h.limit(g, pair) }
+	reply, err := g.renewEntry(r, limit)
 	if err != nil {
 		return wire.RenewalReply{}, h.translate(g.name, err)
 	}
 	return reply, nil
 }
 
-// limit returns the region's part of a customer's allowance, requests a second.
-func (h *Host) limit(pair allowance.Pair) float64 {
-	h.global.state.mu.RLock()
-	defer h.global.state.mu.RUnlock()
-	limit, err := h.global.state.lists.Limit(pair.Customer, pair.Service)
-	if err != nil {
-		return 0
-	}
-	return limit.RequestsPerSecond / float64(len(h.global.regions))
-}
-
 // renewEntry answers an entry host's renewal while the host provably leads.
-func (g *regionGroup) renewEntry(r wire.Renewal, limit func(allowance.Pair) float64) (wire.RenewalReply, error) {
+func (g *regionGroup) renewEntry(r wire.Renewal, limit func(allowance.Pair) (allowance.Limit, error)) (wire.RenewalReply, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lead, err := g.leading()
@@ -240,19 +231,8 @@
 	}
 	reply := wire.RenewalReply{LeaseMillis: int(answer.Lease.Milliseconds()), Version: g.version()}
 	for _, share := range r.Shares {
-		pair := allowance.Pair{Customer: share.Customer, Service: share.Service}
-		grant := lead.shares.Renew(now, limit(pair), allowance.Renewal{
-			Child:  r.Name + "/" + r.Incarnation,
-			Pair:   pair,
-			Held:   allowance.Grant{Number: share.Number, Share: share.Held},
-			Wanted: share.Wanted,
-		})
-		reply.Shares = append(reply.Shares, wire.Share{
-			Customer: share.Customer,
-			Service:  share.Service,
-			Granted:  grant.Share,
-			Number:   grant.Number,
-		})
+		child := r.Name + "/" + r.Incarnation
+		reply.Shares = append(reply.Shares, lead.renewShare(now, child, share, limit))
 	}
 	if _, err := g.leading(); err != nil {
 		return wire.RenewalReply{}, err
@@ -260,6 +240,29 @@
 	return reply, nil
 }
 
+// renewShare grants a share, or says why there is none.
+func (l *leadership) renewShare(
+	now time.Duration, child string, share wire.Share, limitOf func(allowance.Pair) (allowance.Limit, error),
+) wire.Share {
+	pair := allowance.Pair{Customer: share.Customer, Service: share.Service}
+	limit, err := limitOf(pair)
+	if err != nil {
+		limit = allowance.Limit{}
+	}
+	grant := l.shares.Renew(now, limit.RequestsPerSecond, allowance.Renewal{
+		Child:  child,
+		Pair:   pair,
+		Held:   allowance.Grant{Number: share.Number, Share: share.Held},
+		Wanted: share.Wanted,
+	})
+	return wire.Share{
+		Customer: share.Customer,
+		Service:  share.Service,
+		Granted:  grant.Share,
+		Number:   grant.Number,
+	}
+}
+
 func (h *Host) runBegin(ctx context.Context, r wire.RunBegin) (wire.RunReply, error) {
 	g, at, err := h.ledgerOf(r.Group)
 	if err != nil {
--- a/internal/control/globalleader.go
+++ b/internal/control/globalleader.go
@@ -32,11 +32,12 @@
 	regions []string
 	now     func() time.Duration
 
-	mu      sync.Mutex // taken before globalState.mu
-	term    uint64     // guarded by mu, as are the fields below; term of the reports
-	since   time.Duration
-	reports map[string]*regionReport
-	seen    map[string]time.Duration // when each service without homes was first seen
+	mu          sync.Mutex // taken before globalState.mu
+	term        uint64     // guarded by mu, as are the fields below; term of the reports
+	since       time.Duration
+	reports     map[string]*regionReport
+	seen        map[string]time.Duration // when each service without homes was first seen
+	partPlanner *allowance.PartPlanner
 }
 
 // regionReport is what a region last reported in this term.
@@ -67,6 +68,7 @@
 	}
 	last.at = now
 	last.update(now, r.Capacities)
+	g.reportDemands(now, r)
 	return nil
 }
 
@@ -108,6 +110,7 @@
 	g.since = g.now()
 	g.reports = map[string]*regionReport{}
 	g.seen = map[string]time.Duration{}
+	g.partPlanner = allowance.NewPartPlanner(g.regions)
 }
 
 // tick proposes the homes that the regions' reports make due.
@@ -120,7 +123,7 @@
 			return err
 		}
 	}
-	return nil
+	return g.planParts(ctx)
 }
 
 func (g *globalGroup) due() []catalog.Command {
--- a/internal/control/globalstate.go
+++ b/internal/control/globalstate.go
@@ -14,14 +14,16 @@
 
 // globalEntry is one entry of the global log. One field is set.
 type globalEntry struct {
-	Catalog *catalog.Command `cbor:"1,keyasint,omitempty"`
-	Lists   []byte           `cbor:"2,keyasint,omitempty"` // allowance.Command
+	Catalog *catalog.Command       `cbor:"1,keyasint,omitempty"`
+	Lists   []byte                 `cbor:"2,keyasint,omitempty"` // allowance.Command
+	Parts   *allowance.PartCommand `cbor:"3,keyasint,omitempty"`
 }
 
 // globalSnapshot is the durable form of the global state.
 type globalSnapshot struct {
 	Catalog []byte `cbor:"1,keyasint"`
 	Lists   []byte `cbor:"2,keyasint"`
+	Parts   []byte `cbor:"3,keyasint"`
 }
 
 // globalState is the replicated state that all regions share: services and homes,
@@ -34,6 +36,7 @@
 	mu      sync.RWMutex
 	catalog *catalog.State
 	lists   *allowance.Lists
+	parts   *allowance.Parts
 
 	// cached is the catalog in the form that coordinators read, at cachedVersion.
 	cached        homes
@@ -41,7 +44,12 @@
 }
 
 func newGlobalState(group string) *globalState {
-	return &globalState{feed: newFeed(group), catalog: catalog.NewState(), lists: allowance.NewLists()}
+	return &globalState{
+		feed:    newFeed(group),
+		catalog: catalog.NewState(),
+		lists:   allowance.NewLists(),
+		parts:   allowance.NewParts(),
+	}
 }
 
 // Apply executes one log entry. The result of a change of a list is its
@@ -57,6 +65,10 @@
 		s.applyCatalog(index, *entry.Catalog)
 		return nil
 	}
+	if entry.Parts != nil {
+		s.parts.Apply(index, *entry.Parts)
+		return nil
+	}
 	command, err := allowance.DecodeCommand(entry.Lists)
 	if err != nil {
 		return errors.Wrap(errInvalidEntry, err.Error())
@@ -88,7 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(globalSnapshot{Catalog: services, Lists: lists})
+	parts, err := s.parts.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(globalSnapshot{Catalog: services, Lists: lists, Parts: parts})
 }
 
 // Restore replaces the state by a snapshot.
@@ -105,10 +121,15 @@
 	if err != nil {
 		return err
 	}
+	parts, err := allowance.RestoreParts(decoded.Parts)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.catalog = services
 	s.lists = lists
+	s.parts = parts
 	s.feed.reset(services.Version(), s.whole())
 	return nil
 }
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -265,6 +265,7 @@
 		h.every(ctx, tickInterval, func() { h.regionWork(ctx, g) })
 		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
 		h.every(ctx, tickInterval, func() { h.retireWork(ctx, g) })
+		h.every(ctx, reportInterval, func() { h.partWork(ctx, g) })
 	}
 	for name := range h.runners {
 		h.every(ctx, joinInterval, func() { h.joinWork(ctx, name) })
--- /dev/null
+++ b/internal/control/parts.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// demandInterval is the time between reports of a region's demand, and between
+// sweeps of its shares.
+const demandInterval = time.Second
+
+// limit returns the region's part of what a customer may use of a service. It
+// fails with allowance.ErrNoPlan or allowance.ErrNotAllowed.
+func (h *Host) limit(g *regionGroup, pair allowance.Pair) (allowance.Limit, error) {
+	limit, part, err := h.global.state.limit(pair, g.name, len(h.global.regions))
+	if err != nil {
+		return limit, err
+	}
+	fraction := g.state.inForce(pair, part)
+	limit.RequestsPerSecond *= fraction
+	limit.Burst *= fraction
+	return limit, nil
+}
+
+// limit returns a limit and a region's part of it.
+func (s *globalState) limit(pair allowance.Pair, region string, regions int) (allowance.Limit, allowance.Part, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	limit, err := s.lists.Limit(pair.Customer, pair.Service)
+	return limit, s.parts.Of(pair, region, regions), err
+}
+
+// wholeLimit returns a pair's limit in requests a second. The caller holds mu.
+func (s *globalState) wholeLimit(pair allowance.Pair) float64 {
+	limit, err := s.lists.Limit(pair.Customer, pair.Service)
+	if err != nil {
+		return 0
+	}
+	return limit.RequestsPerSecond
+}
+
+func (s *regionState) inForce(pair allowance.Pair, part allowance.Part) float64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.accepted.InForce(pair, part)
+}
+
+// demands returns what the region wants of allowances, nil while none is due to
+// be reported.
+func (h *Host) demands(g *regionGroup) []wire.Share {
+	all, ok := g.takeDemands()
+	if !ok {
+		return nil
+	}
+	h.global.state.mu.RLock()
+	defer h.global.state.mu.RUnlock()
+	shares := []wire.Share{}
+	for _, d := range allowance.Reportable(all, h.global.state.wholeLimit) {
+		shares = append(shares, wire.Share{Customer: d.Pair.Customer, Service: d.Pair.Service, Wanted: d.Wanted})
+	}
+	return shares
+}
+
+// takeDemands returns the region's demands once in an interval.
+func (g *regionGroup) takeDemands() ([]allowance.Demand, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return nil, false
+	}
+	now := g.now()
+	if lead.demandsAt != 0 && now-lead.demandsAt < demandInterval {
+		return nil, false
+	}
+	lead.demandsAt = now
+	lead.shares.Sweep(now)
+	return lead.shares.Demands(now), true
+}
+
+// partWork lowers the region's parts that the global log asks to lower: it takes
+// them on in the region's log, waits until its hosts keep to them, and confirms.
+func (h *Host) partWork(ctx context.Context, g *regionGroup) {
+	if !g.runner.Leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	lowered := h.global.state.loweredIn(g.name)
+	if accepts := g.state.toAccept(lowered); len(accepts) > 0 {
+		if _, err := g.commit(ctx, regionEntry{Parts: accepts}); err != nil {
+			log.WithError(err).WithField("group", g.name).Warn("lowered parts of allowances not taken on yet")
+			return
+		}
+	}
+	confirms := h.keptParts(g, lowered)
+	if len(confirms) == 0 {
+		return
+	}
+	if err := h.confirmParts(ctx, confirms); err != nil {
+		log.WithError(err).WithField("group", g.name).Warn("lowered parts of allowances not confirmed yet")
+	}
+}
+
+func (s *globalState) loweredIn(region string) []allowance.Lowered {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.parts.LoweredIn(region)
+}
+
+func (s *regionState) toAccept(lowered []allowance.Lowered) []allowance.AcceptedPart {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var accepts []allowance.AcceptedPart
+	for _, l := range lowered {
+		if !s.accepted.Accepted(l) {
+			accepts = append(accepts, l.Accepted())
+		}
+	}
+	return accepts
+}
+
+// keptParts returns the confirmations of the parts that the region has taken on
+// and that its hosts surely keep to.
+func (h *Host) keptParts(g *regionGroup, lowered []allowance.Lowered) []allowance.PartConfirm {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return nil
+	}
+	var confirms []allowance.PartConfirm
+	for _, l := range lowered {
+		limit, err := h.limit(g, l.Pair)
+		if err != nil {
+			limit.RequestsPerSecond = 0 // hosts may still hold shares of the former limit
+		}
+		if g.state.hasAccepted(l) && lead.shares.Keeps(g.now(), l.Pair, limit.RequestsPerSecond) {
+			confirms = append(confirms, l.Confirm(g.name))
+		}
+	}
+	if _, err := g.leading(); err != nil {
+		return nil
+	}
+	return confirms
+}
+
+func (s *regionState) hasAccepted(l allowance.Lowered) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.accepted.Accepted(l)
+}
+
+func (h *Host) confirmParts(ctx context.Context, confirms []allowance.PartConfirm) error {
+	data, err := encodeParts(allowance.PartCommand{Confirms: confirms})
+	if err != nil {
+		return err
+	}
+	_, err = h.proposeTo(ctx, wire.GroupGlobal, data)
+	return err
+}
+
+func encodeParts(command allowance.PartCommand) ([]byte, error) {
+	data, err := cbor.Marshal(globalEntry{Parts: &command})
+	return data, errors.Wrap(err, "encode log entry")
+}
+
+// planParts commits the shifts of parts that the regions' demands make due.
+func (g *globalGroup) planParts(ctx context.Context) error {
+	shifts := g.dueShifts()
+	if len(shifts) == 0 {
+		return nil
+	}
+	data, err := encodeParts(allowance.PartCommand{Shifts: shifts})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, _, err = g.runner.Propose(ctx, data)
+	return err
+}
+
+func (g *globalGroup) dueShifts() []allowance.PartShift {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.startTerm()
+	g.state.mu.RLock()
+	defer g.state.mu.RUnlock()
+	return g.partPlanner.Plan(g.now(), g.state.parts, g.state.wholeLimit)
+}
+
+// reportDemands takes a region's demands. A report without any list says nothing
+// of them. The caller holds mu.
+func (g *globalGroup) reportDemands(now time.Duration, r wire.RegionReport) {
+	if r.Shares == nil {
+		return
+	}
+	demands := make([]allowance.Demand, 0, len(r.Shares))
+	for _, s := range r.Shares {
+		pair := allowance.Pair{Customer: s.Customer, Service: s.Service}
+		demands = append(demands, allowance.Demand{Pair: pair, Wanted: s.Wanted})
+	}
+	g.partPlanner.Report(now, r.Group, demands)
+}
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -34,6 +34,7 @@
 	coordinator *ownership.Coordinator
 	clock       ledger.Clock
 	shares      *allowance.Allocator
+	demandsAt   time.Duration // of the last report of demands; 0 for none
 }
 
 // regionGroup is this host's member of one region's group, and the leader's work
--- a/internal/control/regionstate.go
+++ b/internal/control/regionstate.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/allowance"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ledger"
 	"github.com/galenalug/galenalug/ownership"
@@ -16,30 +17,38 @@
 
 // regionEntry is one entry of a region's log.
 type regionEntry struct {
-	Ownership []ownership.Command `cbor:"1,keyasint,omitempty"`
-	Ledger    [][]byte            `cbor:"2,keyasint,omitempty"` // list of ledger.Command
+	Ownership []ownership.Command      `cbor:"1,keyasint,omitempty"`
+	Ledger    [][]byte                 `cbor:"2,keyasint,omitempty"` // list of ledger.Command
+	Parts     []allowance.AcceptedPart `cbor:"3,keyasint,omitempty"`
 }
 
 // regionSnapshot is the durable form of a region's state.
 type regionSnapshot struct {
 	Ownership []byte `cbor:"1,keyasint"`
 	Ledger    []byte `cbor:"2,keyasint"`
+	Parts     []byte `cbor:"3,keyasint"`
 }
 
-// regionState is the replicated state of one region's group: the owners of slots
-// and the run ledger.
+// regionState is the replicated state of one region's group: the owners of slots,
+// the run ledger, and the parts of allowances that the region has taken on.
 //
 // Lock order: regionLeader.mu, regionState.mu, feed.mu.
 type regionState struct {
 	feed *feed
 
-	mu    sync.RWMutex
-	owner *ownership.State
-	runs  *ledger.Ledger
+	mu       sync.RWMutex
+	owner    *ownership.State
+	runs     *ledger.Ledger
+	accepted *allowance.AcceptedParts
 }
 
 func newRegionState(group string) *regionState {
-	return &regionState{feed: newFeed(group), owner: ownership.NewState(), runs: ledger.New()}
+	return &regionState{
+		feed:     newFeed(group),
+		owner:    ownership.NewState(),
+		runs:     ledger.New(),
+		accepted: allowance.NewAcceptedParts(),
+	}
 }
 
 // Apply executes one log entry. The result is the ledger.Reply of the entry's first
@@ -53,6 +62,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyOwnership(index, entry.Ownership)
+	for _, part := range entry.Parts {
+		s.accepted.Apply(part)
+	}
 	if len(entry.Ledger) == 0 {
 		return nil
 	}
@@ -145,13 +157,17 @@
 	if err != nil {
 		return nil, err
 	}
+	parts, err := s.accepted.Snapshot()
+	if err != nil {
+		return nil, err
+	}
 	frozen := s.runs.Freeze()
 	return func() ([]byte, error) {
 		runs, err := frozen.Encode()
 		if err != nil {
 			return nil, err
 		}
-		return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs})
+		return cbor.Marshal(regionSnapshot{Ownership: owner, Ledger: runs, Parts: parts})
 	}, nil
 }
 
@@ -169,10 +185,15 @@
 	if err != nil {
 		return err
 	}
+	accepted, err := allowance.RestoreAcceptedParts(decoded.Parts)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.owner = owner
 	s.runs = runs
+	s.accepted = accepted
 	s.feed.reset(owner.Version(), s.whole())
 	return nil
 }
--- a/internal/control/regionwork.go
+++ b/internal/control/regionwork.go
@@ -52,6 +52,7 @@
 	for name, c := range capacities {
 		report.Capacities = append(report.Capacities, wire.ServiceCapacity{Service: name, Keyed: c.keyed, Capacity: c.slots})
 	}
+	report.Shares = h.demands(g)
 	var reply wire.ReportReply
 	return h.caller.Call(ctx, wire.GroupGlobal, wire.KindReport, report, &reply)
 }
