--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -268,6 +268,7 @@
 		h.every(ctx, reportInterval, func() { h.reportWork(ctx, g) })
 		h.every(ctx, tickInterval, func() { h.retireWork(ctx, g) })
 		h.every(ctx, handOverInterval, func() { h.handOverWork(ctx, g) })
+		h.every(ctx, reportInterval, func() { h.partWork(ctx, g) })
 	}
 	for _, g := range h.plan {
 		if _, ok := h.runners[g.Name]; ok {
