Take uploads in parts, resumed through any entry host

Cause: a stalled upload was sent again as a whole, because a batch was one streamed request. Weighed (docs/design/uploads.md): streaming only, parts at the entry hosts, parts at the backend server (chosen: entry hosts have no disk). Parts are told by offset and digest, the confirmed offset can be asked for, and the commit goes through the run ledger under the batch's id. Services not divided by key keep a batch at one server, found by rendezvous hashing. A failure found on the way: two hosts in one process raced on hertz's global log level; it is set once now. The fakes lock where the stand-in backend servers call them. Tests with the stand-in in process: stall and resume through another host, copies of parts and of the commit, broken digests, a changed owner, a planned stop in the middle of a part.

--- a/internal/backend/execute.go
+++ b/internal/backend/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"time"
 
@@ -38,6 +37,7 @@
 	fenced   bool
 	deadline time.Duration // on the server's clock; 0 for none
 	run      Run
+	upload   *uploadCall // nil but for a request of an upload in parts
 }
 
 // handle answers one request, whose body has arrived as a whole.
@@ -70,17 +70,12 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	answer, reason := s.execute(ctx, c)
+	done, reason := s.execute(ctx, c)
 	if reason != "" {
 		s.refuse(request, reason)
 		return
 	}
-	body, err := json.Marshal(answer)
-	if err != nil {
-		request.SetStatusCode(consts.StatusInternalServerError)
-		return
-	}
-	request.Data(consts.StatusOK, consts.MIMEApplicationJSON, body)
+	done.write(request)
 }
 
 // parse reads the headers; a keyed request without slot or token has no owner here.
@@ -113,7 +108,9 @@
 		}
 		c.deadline = s.clock() + time.Duration(left)*time.Millisecond
 	}
-	return c, ""
+	var reason string
+	c.upload, reason = parseUpload(request)
+	return c, reason
 }
 
 // enter admits a request to the queue, which is as long as the connections
@@ -160,10 +157,10 @@
 
 // execute checks the grant, does the work, and takes effect. Until the effect
 // the request counts as not run, so a refusal is the truth.
-func (s *Server) execute(ctx context.Context, c *call) (Answer, string) {
+func (s *Server) execute(ctx context.Context, c *call) (result, string) {
 	s.freezer.wait()
 	if reason := s.begin(c); reason != "" {
-		return Answer{}, reason
+		return result{}, reason
 	}
 	defer s.end(c)
 	c.run.StartNanos = hostNanos()
@@ -171,7 +168,7 @@
 	pause(ctx, s.workTime())
 	s.freezer.wait()
 	if ctx.Err() != nil {
-		return Answer{}, wire.RefusedDeadline
+		return result{}, wire.RefusedDeadline
 	}
 	return s.takeEffect(c)
 }
@@ -200,18 +197,26 @@
 
 // takeEffect runs the request for good. The lease and the grant are looked at
 // again under the same lock, since both may have ended during the work.
-func (s *Server) takeEffect(c *call) (Answer, string) {
+func (s *Server) takeEffect(c *call) (result, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	if c.deadline > 0 && now >= c.deadline {
-		return Answer{}, wire.RefusedDeadline
+		return result{}, wire.RefusedDeadline
 	}
 	if c.fenced {
 		if reason := s.owned.recheck(c.grant, now); reason != "" {
-			return Answer{}, reason
+			return result{}, reason
 		}
 	}
+	if c.upload != nil {
+		return s.uploadEffect(c)
+	}
+	return s.run(c), ""
+}
+
+// run records one run. The caller holds mu.
+func (s *Server) run(c *call) result {
 	c.run.Incarnation = s.owned.incarnation
 	c.run.EndNanos = hostNanos()
 	c.run.EndedAt = time.Now()
@@ -222,13 +227,13 @@
 	if c.run.IdempotencyKey != "" {
 		s.runs[c.run.IdempotencyKey]++
 	}
-	return Answer{
+	return result{status: consts.StatusOK, answer: &Answer{
 		Server:         s.settings.Name,
 		Key:            c.run.Key,
 		IdempotencyKey: c.run.IdempotencyKey,
 		Count:          s.answered,
 		Runs:           s.runs[c.run.IdempotencyKey],
-	}, ""
+	}}
 }
 
 // workTime is longer while the server is cold.
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -65,6 +65,7 @@
 	runs         map[string]int // runs by idempotency key
 	answered     int
 	refused      map[string]int // refusals by reason
+	uploads      *uploads
 }
 
 // New listens on the settings' address; Start begins to announce and serve.
@@ -78,6 +79,7 @@
 		owned:    newOwnership(rand.Text()),
 		runs:     map[string]int{},
 		refused:  map[string]int{},
+		uploads:  newUploads(),
 	}
 	if s.logger == nil {
 		s.logger = log.Log
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -11,7 +11,6 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/pkg/errors"
 
-	"github.com/galenalug/galenalug/admission"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/retry"
@@ -72,7 +71,7 @@
 	} else {
 		reader = &promptReader{reader: reader, buffered: caller.GetConn().Len}
 	}
-	if in.class == admission.Upload {
+	if in.streamed() {
 		in.stream = &countedReader{reader: reader, most: int64(h.bounds.maxUploadBytes)}
 		return nil
 	}
@@ -103,6 +102,9 @@
 	})
 	header.Set(wire.HeaderOutcome, wire.OutcomeAnswered)
 	header.Set(wire.HeaderRequestID, in.id)
+	if in.keeper != "" {
+		header.Set(wire.HeaderUploadServer, in.keeper)
+	}
 	if in.stream != nil {
 		// Bytes may be left where the server answered before the body's end.
 		caller.SetConnectionClose()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -80,7 +80,17 @@
 	return Route{Slot: 3, Token: f.token, Server: *f.owner, Writable: f.writable}, nil
 }
 
-func (f *fakePorts) Servers(string) []Server { return f.photos }
+func (f *fakePorts) Servers(string) []Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.photos
+}
+
+func (f *fakePorts) setPhotos(servers []Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.photos = servers
+}
 
 func (f *fakePorts) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -117,6 +127,8 @@
 }
 
 func (f *fakePorts) Announce(_ context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.announce = a
 	return wire.AnnouncementReply{Session: 5, LeaseMillis: 800}, nil
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -71,7 +71,7 @@
 	if err := options.check(); err != nil {
 		return nil, err
 	}
-	hlog.SetLevel(hlog.LevelWarn) // hertz logs each start and stop otherwise
+	quietHertz()
 	h := newHost(options)
 	var err error
 	if h.metrics, err = newMetrics(options.Registry, h); err != nil {
@@ -89,6 +89,10 @@
 	return h, nil
 }
 
+// quietHertz stops hertz from logging each start and stop. The level is global,
+// so only the first host of a process sets it.
+var quietHertz = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelWarn) })
+
 func newHost(options Options) *Host {
 	h := &Host{
 		settings:       options.Settings,
--- a/internal/entry/input.go
+++ b/internal/entry/input.go
@@ -36,6 +36,10 @@
 	repeatable     bool
 	idempotencyKey string
 	digestHeader   string
+	upload         wire.UploadTarget
+	uploadServer   string   // named by the caller as the keeper of the parts
+	keeper         string   // server that keeps the parts; empty where the key's owner does
+	batchContent   []string // what a commit says of the whole batch
 	arrived        time.Time
 	deadline       time.Time // zero for an upload that names none
 	header         *protocol.RequestHeader
@@ -49,7 +53,7 @@
 // since hertz reuses its memory.
 func parseInput(header *protocol.RequestHeader, now time.Time, limits bounds) (*input, *refusal) {
 	in := &input{header: header, arrived: now, method: string(header.Method()), contentLength: header.ContentLength()}
-	steps := []func(*input, bounds) *refusal{parseTarget, parseNames, parseClass, parseRepeatable, parseDeadline, checkBody}
+	steps := []func(*input, bounds) *refusal{parseTarget, parseNames, parseClass, parseRepeatable, parseUpload, parseDeadline, checkBody}
 	for _, step := range steps {
 		if failure := step(in, limits); failure != nil {
 			return nil, failure
@@ -138,7 +142,10 @@
 func parseDeadline(in *input, limits bounds) *refusal {
 	value := in.header.Get(wire.HeaderDeadlineMillis)
 	if value == "" {
-		if in.class != admission.Upload {
+		switch {
+		case in.upload.Step == wire.UploadCommit:
+			in.deadline = in.arrived.Add(limits.maxDeadline)
+		case in.class != admission.Upload:
 			in.deadline = in.arrived.Add(limits.deadline)
 		}
 		return nil
@@ -157,7 +164,7 @@
 
 func checkBody(in *input, limits bounds) *refusal {
 	most := limits.maxBodyBytes
-	if in.class == admission.Upload {
+	if in.streamed() {
 		most = limits.maxUploadBytes
 	}
 	if in.contentLength > most {
--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -129,6 +129,7 @@
 	if in.stream != nil {
 		parts = append(parts, strconv.Itoa(in.contentLength), in.digestHeader)
 	}
+	parts = append(parts, in.batchContent...)
 	for _, part := range parts {
 		_, _ = hash.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
 	}
--- /dev/null
+++ b/internal/entry/parts_test.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/galenalug/galenalug/internal/backend"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// startBackend runs a stand-in backend server that checks no tokens.
+func startBackend(t *testing.T, name string, host *Host) *backend.Server {
+	t.Helper()
+	server, err := backend.New(backend.Options{Secret: []byte("server"), Settings: settings.BackendSettings{
+		Name: name, Service: "orders", Region: "norte", Domain: "norte-a", Listen: "127.0.0.1:0", Entries: []string{host.Addr()},
+		Slots: 6, Connections: 110, HeartbeatMs: 100, Keyed: true,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
+const (
+	partBytes = 100_000
+	batchPath = "/v1/services/orders/uploads/swatches-1"
+)
+
+var photos = bytes.Repeat([]byte("swatch photo "), 3*partBytes/13+1)[:3*partBytes]
+
+func photoPart(number int) string {
+	return string(photos[number*partBytes : (number+1)*partBytes])
+}
+
+func digestOf(content string) string { return wire.FormatDigest(sha256.Sum256([]byte(content))) }
+
+func sendPart(t *testing.T, host *Host, number int, header ...string) reply {
+	t.Helper()
+	content := photoPart(number)
+	header = append([]string{wire.HeaderKey, "k", wire.HeaderContentDigest, digestOf(content)}, header...)
+	return call(t, host, "PUT", batchPath+"/parts/"+strconv.Itoa(number*partBytes), content, header...)
+}
+
+func commit(t *testing.T, host *Host, header ...string) reply {
+	t.Helper()
+	header = append([]string{
+		wire.HeaderKey, "k", wire.HeaderUploadLength, strconv.Itoa(len(photos)), wire.HeaderReprDigest, digestOf(string(photos)),
+	}, header...)
+	return call(t, host, "POST", batchPath+"/commit", "", header...)
+}
+
+// expect checks status, outcome and confirmed offset; -1 for no offset.
+func (r reply) expect(t *testing.T, what string, status int, outcome string, offset int) {
+	t.Helper()
+	want := ""
+	if offset >= 0 {
+		want = strconv.Itoa(offset)
+	}
+	if got := r.header.Get(wire.HeaderUploadOffset); r.status != status || r.outcome != outcome || got != want {
+		t.Errorf("%s: got %d %s, offset %q (%s), want %d %s, offset %q", what, r.status, r.outcome, got, r.body, status, outcome, want)
+	}
+}
+
+// TestUploadResumes lets a part stall, resumes through another entry host, sends
+// parts twice, and commits through both hosts.
+func TestUploadResumes(t *testing.T) {
+	ports := newFakePorts()
+	first, second := startHost(t, ports, nil), startHost(t, ports, nil)
+	server := startBackend(t, "s1", first)
+	ports.setOwner(server.Address(), 7)
+	status := func(host *Host) reply { return call(t, host, "GET", batchPath, "", wire.HeaderKey, "k") }
+	status(first).expect(t, "no part", 200, "answered", 0)
+	sendPart(t, first, 0).expect(t, "first part", 200, "answered", partBytes)
+	stall(t, first, photoPart(1))
+	status(second).expect(t, "after the stall", 200, "answered", partBytes)
+	commit(t, second).expect(t, "too early", 409, "not-run", -1)
+	<-ports.finished
+	sendPart(t, second, 2).expect(t, "gap", 409, "answered", partBytes)
+	sendPart(t, second, 1, wire.HeaderContentDigest, digestOf("other")).expect(t, "broken part", 422, "not-run", -1)
+	sendPart(t, second, 1).expect(t, "second part", 200, "answered", 2*partBytes)
+	sendPart(t, first, 1).expect(t, "second part again", 200, "answered", 2*partBytes)
+	sendPart(t, first, 2).expect(t, "third part", 200, "answered", 3*partBytes)
+	commit(t, first, wire.HeaderReprDigest, digestOf("other")).expect(t, "broken batch", 422, "not-run", -1)
+	<-ports.finished
+	commit(t, first).expect(t, "commit", 200, "answered", 3*partBytes)
+	<-ports.finished
+	resent := commit(t, second)
+	if resent.status != 200 || !strings.Contains(resent.body, `"runs":1`) || server.Runs("swatches-1") != 1 {
+		t.Errorf("the commit sent again got %+v, %d runs", resent, server.Runs("swatches-1"))
+	}
+	commit(t, second, wire.HeaderReprDigest, digestOf("other")).expect(t, "another batch with the id", 422, "not-run", -1)
+}
+
+// stall sends half a part and leaves.
+func stall(t *testing.T, host *Host, content string) {
+	t.Helper()
+	c, err := net.Dial("tcp", host.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	say(c, "PUT "+batchPath+"/parts/"+strconv.Itoa(partBytes)+" HTTP/1.1\nHost: x\nGalena-Key: k\nContent-Digest: "+
+		digestOf(content)+"\nContent-Length: "+strconv.Itoa(len(content))+"\n\n"+content[:len(content)/2])
+	_ = c.Close()
+}
+
+// TestUploadOwnerChanges moves the key between two parts: the new owner has none.
+func TestUploadOwnerChanges(t *testing.T) {
+	ports := newFakePorts()
+	host := startHost(t, ports, nil)
+	before, after := startBackend(t, "s1", host), startBackend(t, "s2", host)
+	ports.setOwner(before.Address(), 7)
+	sendPart(t, host, 0).expect(t, "first part", 200, "answered", partBytes)
+	ports.setOwner(after.Address(), 8)
+	sendPart(t, host, 1).expect(t, "second part", 409, "answered", 0)
+	commit(t, host).expect(t, "commit", 409, "not-run", -1)
+	<-ports.finished
+	for number := range 3 {
+		sendPart(t, host, number).expect(t, "again", 200, "answered", (number+1)*partBytes)
+	}
+	commit(t, host).expect(t, "commit", 200, "answered", 3*partBytes)
+	if before.Runs("swatches-1") != 0 || after.Runs("swatches-1") != 1 {
+		t.Errorf("%d and %d runs", before.Runs("swatches-1"), after.Runs("swatches-1"))
+	}
+}
+
+// TestPlannedStopFinishesPart stops an entry host in the middle of a part. The
+// part is confirmed, and the batch goes on through another host.
+func TestPlannedStopFinishesPart(t *testing.T) {
+	ports := newFakePorts()
+	first, second := startHost(t, ports, nil), startHost(t, ports, nil)
+	server := startBackend(t, "s1", first)
+	ports.setOwner(server.Address(), 7)
+	content := photoPart(0)
+	reader, writer := io.Pipe()
+	request, _ := http.NewRequest("PUT", "http://"+first.Addr()+batchPath+"/parts/0", reader)
+	request.ContentLength = int64(len(content))
+	request.Header.Set(wire.HeaderKey, "k")
+	request.Header.Set(wire.HeaderContentDigest, digestOf(content))
+	replies := make(chan reply, 1)
+	go func() { replies <- do(t, request) }()
+	_, _ = io.WriteString(writer, content[:partBytes/2])
+	for first.inFlight.Load() == 0 {
+		<-pollAgain()
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- first.Stop(context.Background()) }()
+	for refusesConnections(first.Addr()) == nil {
+		<-pollAgain()
+	}
+	_, _ = io.WriteString(writer, content[partBytes/2:])
+	_ = writer.Close()
+	got := <-replies
+	got.expect(t, "first part", 200, "answered", partBytes)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	sendPart(t, second, 1).expect(t, "second part", 200, "answered", 2*partBytes)
+}
+
+// TestUploadKeeper finds the same server through each entry host where the
+// service is not divided by key, and follows the server that an answer named.
+func TestUploadKeeper(t *testing.T) {
+	ports := newFakePorts()
+	first, second := startHost(t, ports, nil), startHost(t, ports, nil)
+	path := strings.Replace(batchPath, "orders", "photos", 1)
+	var servers []Server
+	for _, name := range []string{"s1", "s2", "s3"} {
+		server := startBackend(t, name, first)
+		servers = append(servers, Server{
+			Session: uint64(len(servers) + 1), Group: "norte", Name: name, Service: "photos", Address: server.Address(), Region: "norte", Slots: 6, Connections: 110,
+		})
+	}
+	ports.setPhotos(servers)
+	content := photoPart(0)
+	got := call(t, first, "PUT", path+"/parts/0", content, wire.HeaderContentDigest, digestOf(content))
+	got.expect(t, "first part", 200, "answered", partBytes)
+	keeper := got.header.Get(wire.HeaderUploadServer)
+	call(t, second, "GET", path, "").expect(t, "through another host", 200, "answered", partBytes)
+	for _, server := range servers {
+		want := 0
+		if server.Name == keeper {
+			want = partBytes
+		}
+		call(t, second, "GET", path, "", wire.HeaderUploadServer, server.Name).expect(t, server.Name, 200, "answered", want)
+	}
+}
+
+func TestParseUploads(t *testing.T) {
+	host := startHost(t, newFakePorts(), nil)
+	for _, header := range [][]string{
+		{wire.HeaderUploadLength, "many"},
+		{wire.HeaderReprDigest, "md5=:AA==:"},
+		{wire.HeaderIdempotencyKey, "another"},
+		{wire.HeaderRepeatable, "true"},
+	} {
+		commit(t, host, header...).expect(t, header[0], 400, "not-run", -1)
+	}
+	sendPart(t, host, 0, wire.HeaderContentDigest, "").expect(t, "part", 400, "not-run", -1)
+}
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/forward"
+	"github.com/galenalug/galenalug/internal/wire"
 )
 
 const (
@@ -118,6 +119,9 @@
 // not tried yet if there is any.
 func (h *Host) choose(r *run) (destination, *refusal) {
 	servers := h.table.Servers(r.in.service)
+	if r.in.upload.Step != wire.UploadNone {
+		return h.keeper(r, servers)
+	}
 	untried := make([]Server, 0, len(servers))
 	for _, server := range servers {
 		if !r.tried[keyOf(server)] {
@@ -135,3 +139,13 @@
 	}
 	return destination{server: untried[index]}, nil
 }
+
+// keeper returns the server of an upload in parts; no other one has the parts.
+func (h *Host) keeper(r *run, servers []Server) (destination, *refusal) {
+	index := chooseKeeper(servers, r.in)
+	if index < 0 {
+		return destination{}, notRun(503, reasonNoServer, "no backend server takes requests of the service")
+	}
+	r.in.keeper = servers[index].Name
+	return destination{server: servers[index]}, nil
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -152,6 +152,9 @@
 	if r.in.stream != nil && r.in.stream.started() {
 		return false, 0 // the body can't be sent a second time
 	}
+	if finalRefusal(err.Reason) {
+		return false, 0
+	}
 	rerouted := to.keyed && err.Outcome == retry.NotRun && ownerMayChange(err.Reason)
 	if rerouted && r.tries < maxReroutes {
 		r.refusedBy = &to
@@ -225,6 +228,10 @@
 		failure.retryAfter = shedRetryAfter
 	case forward.ReasonCallerBody:
 		failure.status = 400
+	case wire.RefusedIncomplete:
+		failure.status = 409
+	case wire.RefusedDigest:
+		failure.status = 422
 	}
 	return failure
 }
--- /dev/null
+++ b/internal/wire/digest.go
@@ -0,0 +1,39 @@
+package wire
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrDigest means that a digest header is not one SHA-256 digest.
+var ErrDigest = errors.New("the digest must be sha-256 in base64 between colons")
+
+const (
+	digestPrefix = "sha-256=:"
+	digestSuffix = ":"
+)
+
+// FormatDigest writes a SHA-256 digest as RFC 9530 has it in Content-Digest and
+// Repr-Digest.
+func FormatDigest(sum [sha256.Size]byte) string {
+	return digestPrefix + base64.StdEncoding.EncodeToString(sum[:]) + digestSuffix
+}
+
+// ParseDigest reads what FormatDigest writes. It fails with ErrDigest.
+func ParseDigest(header string) ([sha256.Size]byte, error) {
+	var sum [sha256.Size]byte
+	rest, prefixed := strings.CutPrefix(header, digestPrefix)
+	text, suffixed := strings.CutSuffix(rest, digestSuffix)
+	if !prefixed || !suffixed {
+		return sum, ErrDigest
+	}
+	decoded, err := base64.StdEncoding.DecodeString(text)
+	if err != nil || len(decoded) != sha256.Size {
+		return sum, ErrDigest
+	}
+	copy(sum[:], decoded)
+	return sum, nil
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -50,6 +50,16 @@
 	HeaderRefused   = "Galena-Refused"    // reason why the server did not run it
 )
 
+// Headers of uploads in parts. Digests are as in RFC 9530, offsets and lengths in
+// bytes.
+const (
+	HeaderContentDigest = "Content-Digest"       // of one part
+	HeaderReprDigest    = "Repr-Digest"          // of the whole batch, at the commit
+	HeaderUploadLength  = "Upload-Length"        // of the whole batch, at the commit
+	HeaderUploadOffset  = "Upload-Offset"        // confirmed, in answers
+	HeaderUploadServer  = "Galena-Upload-Server" // server that keeps the parts, of a service not divided by key
+)
+
 // Reasons in HeaderRefused: the server did not run the request.
 const (
 	RefusedStaleToken = "stale-token"
@@ -57,6 +67,8 @@
 	RefusedDraining   = "draining"
 	RefusedShedding   = "shedding"
 	RefusedDeadline   = "deadline"
+	RefusedIncomplete = "incomplete"      // a commit of a batch whose parts are not all there
+	RefusedDigest     = "digest-mismatch" // a part or a batch has another digest than announced
 )
 
 // Outcomes in HeaderOutcome and Refusal.Outcome.
@@ -72,4 +84,5 @@
 	PathGrants   = "/galena/v1/servers/grants"   // GET ?name=&session=&after=&wait_ms=, answered by Grants
 	PathProbe    = "/galena/v1/probe"            // GET on a backend server: 200 when it can serve
 	PathServices = "/v1/services/"               // callers: /v1/services/{service}/{path...}
+	PathUploads  = "/uploads/"                   // on a backend server: uploads in parts
 )
