Choose servers by latency, region and age with package choice

Cause: services not divided by key went to the server with the fewest outstanding requests of this host, in any region. Change: package choice, a chooser each for uploads and for the rest of a service; cold ramp by JoinedAt, which is zero for servers of the first table, so that a fresh entry host does not take all servers for cold and cross regions; three failures in a row make a server suspected until it answers. A request that may not be repeated is never used as a probe. Conclusion: go test -race ./internal/entry ./choice passes.

--- /dev/null
+++ b/internal/entry/choose_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/forward"
+)
+
+func chooseServers() []Server {
+	return []Server{
+		{Session: 1, Group: "norte", Region: "norte", Slots: 6},
+		{Session: 2, Group: "norte", Region: "norte", Slots: 6},
+		{Session: 1, Group: "lisboa", Region: "lisboa", Slots: 6}, // session ids repeat between groups
+	}
+}
+
+// TestChoosers sends ten requests in each case and counts them by server.
+func TestChoosers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	lookup := &input{service: "photos", class: admission.Lookup, repeatable: true, arrived: start}
+	order := &input{service: "photos", class: admission.Order, arrived: start}
+	fail := func(c *choosers, server Server, times int) {
+		for range times {
+			c.choose(0, lookup, []Server{server})
+			c.finished(0, lookup, server, time.Millisecond, blameFor(forward.ReasonBroken))
+		}
+	}
+	cases := []struct {
+		name    string
+		in      *input
+		prepare func(*choosers, []Server)
+		want    [3]int
+	}{
+		{"own region", lookup, func(*choosers, []Server) {}, [3]int{5, 5, 0}},
+		{"cold", lookup, func(_ *choosers, s []Server) { s[0].JoinedAt = start.Add(-2 * time.Second) }, [3]int{1, 9, 0}},
+		{"suspected, probed by a lookup", lookup, func(c *choosers, s []Server) { fail(c, s[0], suspectAfter) }, [3]int{1, 9, 0}},
+		{"suspected, not probed by an order", order, func(c *choosers, s []Server) { fail(c, s[0], suspectAfter) }, [3]int{0, 9, 1}},
+		{"trusted after an answer", lookup, func(c *choosers, s []Server) {
+			fail(c, s[0], suspectAfter)
+			c.choose(0, lookup, s[:1])
+			c.finished(0, lookup, s[0], time.Millisecond, blamePraise)
+		}, [3]int{1, 9, 0}},
+		{"forgotten", lookup, func(c *choosers, s []Server) {
+			fail(c, s[0], suspectAfter)
+			c.keep("photos", s[1:])
+		}, [3]int{5, 5, 0}},
+	}
+	for _, one := range cases {
+		c, servers := newChoosers("norte", rand.New(rand.NewPCG(1, 2))), chooseServers()
+		one.prepare(c, servers)
+		var got [3]int
+		for range 10 {
+			got[c.choose(0, one.in, servers)]++
+		}
+		if got != one.want {
+			t.Errorf("%s: %v, want %v", one.name, got, one.want)
+		}
+	}
+}
+
+// TestChoosersHearOfEnds checks that each attempt ends at the chooser, however
+// it ended.
+func TestChoosersHearOfEnds(t *testing.T) {
+	answers := []script{
+		answerOK,
+		func(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+			return say(c, "HTTP/1.1 503 No\nGalena-Refused: shedding\nContent-Length: 0\n\n")
+		},
+		func(_ *rawServer, c net.Conn, _ *http1, _ int) bool { return reset(c) },
+	}
+	for _, answer := range answers {
+		server := startRaw(t, answer)
+		ports := newFakePorts()
+		ports.setPhotos([]Server{{Session: 1, Group: "norte", Name: "s", Address: server.address(), Region: "norte", Slots: 6, Connections: 110}})
+		host := startHost(t, ports, nil)
+		call(t, host, "GET", "/v1/services/photos/x", "")
+		host.choosers.mu.Lock()
+		own := host.choosers.byKind[chooserKey{service: "photos"}]
+		outstanding := own.choice.Outstanding(own.servers[gateKey{"norte", 1}].id)
+		host.choosers.mu.Unlock()
+		if outstanding != 0 || server.runs() == 0 {
+			t.Errorf("%d outstanding after %d runs", outstanding, server.runs())
+		}
+	}
+}
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -43,17 +43,6 @@
 	return found
 }
 
-// outstanding returns the requests running or waiting at a server.
-func (g *gates) outstanding(server Server) int {
-	g.mu.Lock()
-	found := g.bySession[keyOf(server)]
-	g.mu.Unlock()
-	if found == nil {
-		return 0
-	}
-	return found.outstanding()
-}
-
 func (g *gates) has(group string, session uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,7 +24,7 @@
 const sweepInterval = 5 * time.Second
 
 // Host is an entry host. Locks are leaves, but for these orders: gates.mu before
-// gate.mu; budgets.mu before randomMu; randomMu (in choose) before gates.mu.
+// gate.mu; budgets.mu before randomMu.
 type Host struct {
 	settings       *settings.EntrySettings
 	bounds         bounds
@@ -39,7 +39,7 @@
 	registry       *prometheus.Registry
 	metrics        *metrics
 	sender         forward.Sender
-	chooser        Chooser
+	choosers       *choosers
 	dumpRest       func() any
 
 	origin   time.Time
@@ -47,7 +47,7 @@
 	lastID   atomic.Uint64
 	gates    *gates
 	budgets  *budgets
-	randomMu sync.Mutex // guards random and the chooser
+	randomMu sync.Mutex // guards random
 	random   *rand.Rand
 	probing  sync.Map // gateKey of servers being probed
 
@@ -107,7 +107,7 @@
 		logger:         options.Logger,
 		registry:       options.Registry,
 		sender:         options.Sender,
-		chooser:        options.Chooser,
+		choosers:       newChoosers(options.Settings.Region, rand.New(rand.NewPCG(options.Seed, 2))),
 		dumpRest:       options.Dump,
 		origin:         time.Now(),
 		budgets:        newBudgets(),
@@ -120,9 +120,6 @@
 	if h.sender == nil {
 		h.sender = forward.NewClient(nil)
 	}
-	if h.chooser == nil {
-		h.chooser = leastOutstanding{random: h.random}
-	}
 	return h
 }
 
@@ -212,6 +209,9 @@
 
 func (h *Host) sweep() {
 	h.gates.sweep()
+	for _, service := range h.choosers.services() {
+		h.choosers.keep(service, h.table.Servers(service))
+	}
 	if client, ok := h.sender.(*forward.Client); ok {
 		client.Keep(func(target forward.Target) bool { return h.gates.has(target.Group, target.Session) })
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -24,7 +24,6 @@
 	Logger         log.Interface        // nil for the default logger
 	Registry       *prometheus.Registry // nil for a new one
 	Sender         forward.Sender       // nil for HTTP over TCP
-	Chooser        Chooser              // nil for least outstanding requests
 	Seed           uint64               // of the jitter and the tie-breaks
 	// Dump returns the state of other parts of the process for /dump; may be nil.
 	Dump func() any
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -38,7 +38,9 @@
 	Connections int // open connections accepted
 	Fencing     bool
 	Draining    bool
-	JoinedAt    time.Time // when this host first saw the session; for ramping up a cold server
+	// JoinedAt is when this host first saw the session, for ramping up a cold
+	// server; zero for servers that were there before this host.
+	JoinedAt time.Time
 }
 
 // Route is the owner of a key's slot.
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -22,6 +22,7 @@
 // destination is where the next attempt goes.
 type destination struct {
 	server   Server
+	chosen   bool // by h.choosers, which must hear of the end
 	keyed    bool
 	slot     int
 	token    uint64
@@ -131,13 +132,11 @@
 	if len(untried) == 0 {
 		untried = servers
 	}
-	h.randomMu.Lock()
-	index := h.chooser.Choose(untried, h.gates.outstanding)
-	h.randomMu.Unlock()
-	if index < 0 || index >= len(untried) {
+	index := h.choosers.choose(h.now(), r.in, untried)
+	if index < 0 {
 		return destination{}, notRun(503, reasonNoServer, "no backend server takes requests of the service")
 	}
-	return destination{server: untried[index]}, nil
+	return destination{server: untried[index], chosen: true}, nil
 }
 
 // keeper returns the server of an upload in parts; no other one has the parts.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -97,8 +97,10 @@
 	if !r.in.deadline.IsZero() {
 		deadline = h.sinceOrigin(r.in.deadline)
 	}
+	chosenAt := time.Now()
 	hold, failure := h.gates.of(to.server).enter(ctx, r.in.class, r.in.customer, deadline)
 	if failure != nil {
+		h.ended(r, to, chosenAt, blameFor(failure.reason))
 		return nil, nil, failure
 	}
 	if to.keyed {
@@ -110,15 +112,24 @@
 	answer, err := h.sender.Send(r.attemptContext(), h.newRequest(r, to))
 	if err == nil {
 		h.observer.Answered(to.server, time.Since(started))
+		h.ended(r, to, chosenAt, blamePraise)
 		holdUntilClosed(answer, hold)
 		return answer, nil, nil
 	}
 	attemptErr := asAttemptError(err)
 	hold.finish(admissionOutcome(attemptErr))
+	h.ended(r, to, chosenAt, blameFor(attemptErr.Reason))
 	h.observeFailure(to.server, attemptErr)
 	return nil, attemptErr, nil
 }
 
+// ended tells the chooser of an attempt's end.
+func (h *Host) ended(r *run, to destination, chosenAt time.Time, blame serverBlame) {
+	if to.chosen {
+		h.choosers.finished(h.now(), r.in, to.server, time.Since(chosenAt), blame)
+	}
+}
+
 func asAttemptError(err error) *forward.Error {
 	var attemptErr *forward.Error
 	if errors.As(err, &attemptErr) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -75,21 +75,25 @@
 	if !ok {
 		return errors.Errorf("unknown group %q", u.Group)
 	}
+	joinedAt := time.Now()
+	if view.Version() == 0 {
+		joinedAt = time.Time{} // in the first table, servers may be of any age
+	}
 	if err := view.Update(u.From, u.Version, u.Body); err != nil {
 		return err
 	}
-	t.track(u.Group, view)
+	t.track(u.Group, view, joinedAt)
 	return nil
 }
 
 // track notes when sessions were first seen, and forgets ended ones.
-func (t *Table) track(group string, view *ownership.View) {
+func (t *Table) track(group string, view *ownership.View, joinedAt time.Time) {
 	live := map[uint64]bool{}
 	for _, server := range view.State().Servers() {
 		live[server.Session] = true
 		key := sessionKey{group, server.Session}
 		if _, ok := t.joined[key]; !ok {
-			t.joined[key] = time.Now()
+			t.joined[key] = joinedAt
 		}
 	}
 	for key := range t.joined {
