--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/forward"
+	"github.com/galenalug/galenalug/internal/wire"
 )
 
 const (
@@ -21,6 +22,7 @@
 // destination is where the next attempt goes.
 type destination struct {
 	server   Server
+	chosen   bool // by h.choosers, which must hear of the end
 	keyed    bool
 	slot     int
 	token    uint64
@@ -118,6 +120,9 @@
 // not tried yet if there is any.
 func (h *Host) choose(r *run) (destination, *refusal) {
 	servers := h.table.Servers(r.in.service)
+	if r.in.upload.Step != wire.UploadNone {
+		return h.keeper(r, servers)
+	}
 	untried := make([]Server, 0, len(servers))
 	for _, server := range servers {
 		if !r.tried[keyOf(server)] {
@@ -127,11 +132,19 @@
 	if len(untried) == 0 {
 		untried = servers
 	}
-	h.randomMu.Lock()
-	index := h.chooser.Choose(untried, h.gates.outstanding)
-	h.randomMu.Unlock()
-	if index < 0 || index >= len(untried) {
+	index := h.choosers.choose(h.now(), r.in, untried)
+	if index < 0 {
+		return destination{}, notRun(503, reasonNoServer, "no backend server takes requests of the service")
+	}
+	return destination{server: untried[index], chosen: true}, nil
+}
+
+// keeper returns the server of an upload in parts; no other one has the parts.
+func (h *Host) keeper(r *run, servers []Server) (destination, *refusal) {
+	index := chooseKeeper(servers, r.in)
+	if index < 0 {
 		return destination{}, notRun(503, reasonNoServer, "no backend server takes requests of the service")
 	}
-	return destination{server: untried[index]}, nil
+	r.in.keeper = servers[index].Name
+	return destination{server: servers[index]}, nil
 }
