Let region leaders judge servers by entry hosts' evidence

Cause: leaders ignored the evidence in renewals, so a server that heartbeats and answers no request kept its slots for good.

Change: the leader passes evidence to the judge, stops renewing sessions that failed, plans without servers in quarantine, and asks hosts in its renewal reply to probe suspected servers. A host's name in evidence is that of its connection, so that one host cannot count as several. Entry hosts report failures and probes at once, answers alone each second, at most 32 servers a renewal; a refusal by shedding counts as an answer, since the server serves.

Found by the test in virtual time: with a probation of 2 s, a server that does not check tokens came through it before the wait for its old session was over, and got its own slots back. The probation now lasts beyond that wait.

--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry host")
 	}
+	link.ProbeWith(host.Probe)
 	return &process{link: link, host: host, done: make(chan struct{})}, nil
 }
 
--- a/health/settings.go
+++ b/health/settings.go
@@ -15,7 +15,8 @@
 	// MaxWithheld is the part of a service's capacity that may be withheld.
 	MaxWithheld float64
 	// Probation is the time over which a server's probes must be answered after
-	// its first failure. Each further failure doubles it, up to MaxProbation.
+	// its first failure. Each further failure doubles it, up to MaxProbation. It
+	// must last beyond the end of the session that failed.
 	Probation    time.Duration
 	MaxProbation time.Duration
 	// Forget is the time without failures after which a server's earlier
@@ -52,6 +53,15 @@
 	}
 }
 
+// DetectionTime returns the longest time from the first failure that the second
+// of two hosts sees to the verdict, where both go on to see failures and report
+// them at the given interval.
+func (s Settings) DetectionTime(report time.Duration) time.Duration {
+	// The first failure waits for a report, the row of failures grows by reports,
+	// and a verdict waits for a round.
+	return s.Silence + 2*report + judgeInterval
+}
+
 // Constants that no deployment needs to set.
 const (
 	// hostMemory is the time after which a host that does not report any more is
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -33,7 +33,14 @@
 }
 
 // Call answers a call of another process.
-func (h *handler) Call(ctx context.Context, _ *peer.Conn, kind int, body []byte) ([]byte, error) {
+func (h *handler) Call(ctx context.Context, from *peer.Conn, kind int, body []byte) ([]byte, error) {
+	if kind == wire.KindRenew {
+		return serve(ctx, body, func(ctx context.Context, r wire.Renewal) (wire.RenewalReply, error) {
+			// What one host saw must not count as the evidence of several.
+			r.Name = from.Identity().Name
+			return h.host.renew(ctx, r)
+		})
+	}
 	return h.host.call(ctx, kind, body)
 }
 
@@ -165,6 +172,7 @@
 	if err != nil {
 		return wire.AnnouncementReply{}, h.translate(g.name, err)
 	}
+	g.noteLoad(answer.Session, a.Load)
 	return wire.AnnouncementReply{
 		Session:     answer.Session,
 		LeaseMillis: int(answer.Lease.Milliseconds()),
@@ -239,6 +247,7 @@
 		lead.coordinator.ObserveLoad(now, load.Service, load.Slot, load.Requests)
 	}
 	reply := wire.RenewalReply{LeaseMillis: int(answer.Lease.Milliseconds()), Version: g.version()}
+	reply.Probes = lead.supervision.observe(now, r)
 	for _, share := range r.Shares {
 		pair := allowance.Pair{Customer: share.Customer, Service: share.Service}
 		grant := lead.shares.Renew(now, limit(pair), allowance.Renewal{
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -34,6 +34,7 @@
 	coordinator *ownership.Coordinator
 	clock       ledger.Clock
 	shares      *allowance.Allocator
+	supervision *supervision
 }
 
 // regionGroup is this host's member of one region's group, and the leader's work
@@ -102,6 +103,7 @@
 		coordinator: ownership.NewCoordinator(g.settings, g.planner, now, g.state.owner),
 		clock:       ledger.NewClock(g.state.runs.Now(), now),
 		shares:      allowance.NewAllocator(config, now),
+		supervision: newSupervision(g.settings),
 	}
 }
 
@@ -128,7 +130,9 @@
 	}
 	g.state.mu.RLock()
 	defer g.state.mu.RUnlock()
-	return lead.coordinator.Tick(g.now(), g.state.owner, homes), nil
+	now := g.now()
+	lead.supervision.judge(now, g.state.owner, lead.coordinator)
+	return lead.coordinator.Tick(now, g.state.owner, homes), nil
 }
 
 // propose commits ownership commands.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -149,6 +149,8 @@
 // observeFailure reports to the control hosts what an attempt showed of a server.
 func (h *Host) observeFailure(server Server, err *forward.Error) {
 	switch err.Reason {
+	case wire.RefusedShedding:
+		h.observer.Answered(server, 0) // it serves, though not this request
 	case forward.ReasonTimeout:
 		h.observer.TimedOut(server)
 		h.probe(server)
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -21,6 +21,14 @@
 	Probe(ctx context.Context, target forward.Target) error
 }
 
+// Probe asks a server whether it can serve, as the control hosts asked for. The
+// result goes to the Observer.
+func (h *Host) Probe(server Server) {
+	if !h.stopping.Load() {
+		h.probe(server)
+	}
+}
+
 // probe asks a server over a new connection whether it can serve, unless a probe
 // of it is under way.
 func (h *Host) probe(server Server) {
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/entry"
 	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
@@ -49,6 +50,7 @@
 	table    *Table
 	limits   *Limits
 	observer *Observer
+	probe    func(entry.Server) // set before Start
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -91,6 +93,10 @@
 // Observer returns the collector of what this host sees.
 func (l *Link) Observer() *Observer { return l.observer }
 
+// ProbeWith sets what probes the servers that the control hosts ask about. It is
+// called before Start.
+func (l *Link) ProbeWith(probe func(entry.Server)) { l.probe = probe }
+
 // now is the host's monotonic clock.
 func (l *Link) now() time.Duration { return time.Since(l.started) }
 
@@ -293,7 +299,7 @@
 		Domain:      l.options.Settings.Domain,
 		Version:     l.table.version(group),
 	}
-	request.Evidence, request.SlotLoads = l.observer.take(group)
+	request.Evidence, request.SlotLoads = l.observer.take(sentAt, group)
 	var sent []sentShare
 	if group == l.homeGroup() {
 		sent = l.limits.prepare(sentAt)
@@ -309,6 +315,19 @@
 	}
 	l.noteVersion(group, reply.Version)
 	l.limits.accept(l.now(), sent, reply.Shares)
+	l.probeWanted(group, reply.Probes)
+}
+
+// probeWanted probes the servers that a region's leader asks about.
+func (l *Link) probeWanted(group string, sessions []uint64) {
+	if l.probe == nil {
+		return
+	}
+	for _, session := range sessions {
+		if server, ok := l.table.session(group, session); ok {
+			l.probe(server)
+		}
+	}
 }
 
 // Announce registers a backend server or renews its session.
--- a/internal/routing/observer.go
+++ b/internal/routing/observer.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,15 +10,31 @@
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
+// Bounds of what one renewal reports.
+const (
+	// maxEvidence bounds the servers in one renewal; failures come first.
+	maxEvidence = 32
+	// answersInterval is the time between reports of a server of which nothing but
+	// answers was seen.
+	answersInterval = time.Second
+)
+
 // Observer collects what this host sees of backend servers, between two renewals.
 type Observer struct {
 	table *Table
 
 	mu       sync.Mutex
 	evidence map[sessionKey]*wire.Evidence
+	reported map[sessionKey]lastReport
 	loads    map[loadKey]int
 }
 
+// lastReport is the last report of a server.
+type lastReport struct {
+	at      time.Duration
+	answers bool // whether it was of answers alone
+}
+
 type loadKey struct {
 	group   string
 	service string
@@ -24,7 +42,12 @@
 }
 
 func newObserver(table *Table) *Observer {
-	return &Observer{table: table, evidence: map[sessionKey]*wire.Evidence{}, loads: map[loadKey]int{}}
+	return &Observer{
+		table:    table,
+		evidence: map[sessionKey]*wire.Evidence{},
+		reported: map[sessionKey]lastReport{},
+		loads:    map[loadKey]int{},
+	}
 }
 
 // Answered reports an answer.
@@ -42,6 +65,17 @@
 	o.count(server, func(e *wire.Evidence) { e.ConnectionErrors++ })
 }
 
+// Probed reports whether a server answered a probe.
+func (o *Observer) Probed(server entry.Server, answered bool) {
+	o.count(server, func(e *wire.Evidence) {
+		if answered {
+			e.ProbesAnswered++
+		} else {
+			e.ProbesFailed++
+		}
+	})
+}
+
 // Routed reports one request for a key.
 func (o *Observer) Routed(service string, slot int, key string) {
 	group, _, err := o.table.Home(service, key)
@@ -65,17 +99,10 @@
 	add(evidence)
 }
 
-// take returns and forgets what was seen of a group's servers.
-func (o *Observer) take(group string) ([]wire.Evidence, []wire.SlotLoad) {
+// take returns and forgets what there is to report of a group's servers.
+func (o *Observer) take(now time.Duration, group string) ([]wire.Evidence, []wire.SlotLoad) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var evidence []wire.Evidence
-	for key, seen := range o.evidence {
-		if key.group == group {
-			evidence = append(evidence, *seen)
-			delete(o.evidence, key)
-		}
-	}
 	var loads []wire.SlotLoad
 	for key, requests := range o.loads {
 		if key.group == group {
@@ -83,5 +110,53 @@
 			delete(o.loads, key)
 		}
 	}
-	return evidence, loads
+	return o.takeEvidence(now, group), loads
+}
+
+// takeEvidence returns servers with news: failures, probes and the first answers
+// after them at once, further answers now and then. What does not fit stays for the next renewal. The caller
+// holds mu.
+func (o *Observer) takeEvidence(now time.Duration, group string) []wire.Evidence {
+	var news []*wire.Evidence
+	for key, seen := range o.evidence {
+		last := o.reported[key]
+		waits := onlyAnswers(seen) && last.answers && now-last.at < answersInterval
+		if key.group == group && !waits {
+			news = append(news, seen)
+		}
+	}
+	slices.SortFunc(news, func(a, b *wire.Evidence) int {
+		lastA, lastB := o.reported[sessionKey{group, a.Session}].at, o.reported[sessionKey{group, b.Session}].at
+		return cmp.Or(cmp.Compare(order(a), order(b)), cmp.Compare(lastA, lastB), cmp.Compare(a.Session, b.Session))
+	})
+	var evidence []wire.Evidence
+	for _, seen := range news[:min(len(news), maxEvidence)] {
+		key := sessionKey{group, seen.Session}
+		evidence = append(evidence, *seen)
+		o.reported[key] = lastReport{at: now, answers: onlyAnswers(seen)}
+		delete(o.evidence, key)
+	}
+	o.forgetReports(now, group)
+	return evidence
+}
+
+// forgetReports drops servers that were not heard of for long. The caller holds mu.
+func (o *Observer) forgetReports(now time.Duration, group string) {
+	for key, last := range o.reported {
+		if key.group == group && now-last.at > 2*answersInterval {
+			delete(o.reported, key)
+		}
+	}
+}
+
+func onlyAnswers(e *wire.Evidence) bool {
+	return e.TimedOut+e.ConnectionErrors+e.ProbesFailed+e.ProbesAnswered == 0
+}
+
+// order puts servers with failures first.
+func order(e *wire.Evidence) int {
+	if onlyAnswers(e) {
+		return 1
+	}
+	return 0
 }
--- /dev/null
+++ b/internal/routing/observer_test.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/entry"
+)
+
+// TestEvidenceIsNewsOnly checks what one renewal after another reports.
+func TestEvidenceIsNewsOnly(t *testing.T) {
+	o := newObserver(nil)
+	server := entry.Server{Group: "norte", Session: 1}
+	steps := []struct {
+		at       time.Duration
+		see      func()
+		reported int
+	}{
+		{0, func() { o.Answered(server, 0) }, 1},
+		{100, func() { o.Answered(server, 0) }, 0},
+		{200, func() { o.TimedOut(server) }, 1},
+		{300, func() { o.Answered(server, 0) }, 1}, // the first answer after a failure
+		{400, func() { o.Answered(server, 0) }, 0},
+		{500, func() { o.Probed(server, false) }, 1},
+		{600, func() {}, 0},
+		{1700, func() { o.Answered(server, 0) }, 1},
+	}
+	for _, step := range steps {
+		step.see()
+		evidence, _ := o.take(step.at*time.Millisecond, "norte")
+		if len(evidence) != step.reported {
+			t.Errorf("at %d ms: %+v, want %d reports", step.at, evidence, step.reported)
+		}
+	}
+}
+
+// TestEvidenceIsBounded checks that failures come first, and that what did not fit
+// comes next.
+func TestEvidenceIsBounded(t *testing.T) {
+	o := newObserver(nil)
+	for session := range uint64(2 * maxEvidence) {
+		o.Answered(entry.Server{Group: "norte", Session: session}, 0)
+	}
+	last := entry.Server{Group: "norte", Session: 2*maxEvidence - 1}
+	o.TimedOut(last)
+	seen := map[uint64]bool{}
+	for round := range 2 {
+		evidence, _ := o.take(time.Duration(round)*100*time.Millisecond, "norte")
+		if len(evidence) != maxEvidence || round == 0 && evidence[0].Session != last.Session {
+			t.Fatalf("round %d: %d reports, the first of session %d", round, len(evidence), evidence[0].Session)
+		}
+		for _, e := range evidence {
+			seen[e.Session] = true
+		}
+	}
+	if len(seen) != 2*maxEvidence {
+		t.Fatalf("%d sessions reported", len(seen))
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -287,6 +287,14 @@
 	return keys
 }
 
+// session returns a session's server.
+func (t *Table) session(group string, session uint64) (entry.Server, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	server, ok := t.views[group].State().Server(session)
+	return t.server(group, server), ok
+}
+
 // groupOf returns the group that holds a server's session.
 func (t *Table) groupOf(name string, session uint64) (string, bool) {
 	t.mu.RLock()
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -277,6 +277,9 @@
 	// Lease, milliseconds, from the moment the renewal was sent.
 	LeaseMillis int `json:"l" yaml:"l" cbor:"l"`
 
+	// Sessions of servers that the host shall probe now.
+	Probes []uint64 `json:"p" yaml:"p" cbor:"p"`
+
 	// Allowance shares granted.
 	Shares []Share `json:"sh" yaml:"sh" cbor:"sh"`
 
--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -46,6 +46,8 @@
 	loads    *loadTable
 	// withheld holds sessions that are not renewed any more.
 	withheld map[uint64]bool
+	// quarantined holds sessions that are renewed but get no slots.
+	quarantined map[uint64]bool
 	// waits holds the start of the wait after which entry hosts have surely
 	// stopped sending to an owner that does not check tokens.
 	waits map[waitKey]time.Duration
@@ -171,6 +173,15 @@
 // Withhold stops the renewal of a session, so that it ends with its lease.
 func (c *Coordinator) Withhold(session uint64) { c.withheld[session] = true }
 
+// Quarantine names the sessions that are renewed but get no slots, in place of
+// those named before. Slots that they have stay theirs.
+func (c *Coordinator) Quarantine(sessions []uint64) {
+	c.quarantined = make(map[uint64]bool, len(sessions))
+	for _, id := range sessions {
+		c.quarantined[id] = true
+	}
+}
+
 // ObserveLoad counts requests for a slot over an interval.
 func (c *Coordinator) ObserveLoad(now time.Duration, service string, slot, requests int) {
 	c.loads.observe(now, slotKey{service, slot}, requests)
--- a/ownership/planning.go
+++ b/ownership/planning.go
@@ -239,6 +239,9 @@
 		if server.Service != service || server.Suspended || c.withheld[id] || !c.tracker.Live(now, id) {
 			continue
 		}
+		if c.quarantined[id] {
+			continue
+		}
 		servers = append(servers, placement.Server{
 			ID:       id,
 			Domain:   server.Domain,
