Give hot keys slots of their own by what entry hosts report

Cause: Renewal.KeyLoads and the coordinator's IsolateKey had no users.

Change: entry hosts count keys by home region and service with 256 counters each and report the 32 hottest each 500 ms, as far as their counts are certain. The region leader sums them as decaying rates (half-life 2 s) and once a second asks placement's planner which keys to isolate or return. The service's load is counted with the same half-life: with the 10 s of the slots' loads, every key would look hot in the first seconds of a leader.

Ruled out: decaying counters on the entry hosts (a lost renewal would count twice or not at all, and a count has no unit of time); isolating keys at servers that do not check tokens where few handovers are favoured, since each handover takes the entry hosts' wait, 2.8 s at the least deadline. Keys whose slot moves away or is elsewhere are left alone, and a new leader keeps isolated keys until they cooled.

Test in virtual time: a key with 40% of the load gets its own slot and returns after it cooled; no slot is without owner for longer than 100 ms, one heartbeat.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -248,6 +248,7 @@
 	}
 	reply := wire.RenewalReply{LeaseMillis: int(answer.Lease.Milliseconds()), Version: g.version()}
 	reply.Probes = lead.supervision.observe(now, r)
+	g.observeKeys(lead, now, r)
 	for _, share := range r.Shares {
 		pair := allowance.Pair{Customer: share.Customer, Service: share.Service}
 		grant := lead.shares.Renew(now, limit(pair), allowance.Renewal{
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -253,6 +253,7 @@
 			RampUp:      rampUp,
 		},
 		planner: newPlanner(string(h.settings.Placement)),
+		balance: string(h.settings.Placement) == goalBalance,
 		runner:  runner,
 		state:   state,
 		now:     h.now,
--- /dev/null
+++ b/internal/control/hotkeys_test.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/ownership"
+	"github.com/galenalug/galenalug/placement"
+)
+
+const (
+	hotKey      = "hot"
+	hotRequests = 40 // of 100 that each host sends in a report interval
+)
+
+// slotOf returns the slot of the hot key.
+func (l *life) slotOf() int { return l.state.Service(lifeService).SlotOf(hotKey) }
+
+// load lets a renewal carry 100 requests; the hot key's share is given. The keys
+// are reported each 500 ms, as entry hosts do.
+func (l *life) load(r *wire.Renewal, hot int) {
+	const others = 60
+	for i := range others {
+		slot := ownership.SlotOf(lifeService, fmt.Sprint("key-", i), lifeSlots)
+		r.SlotLoads = append(r.SlotLoads, wire.SlotLoad{Service: lifeService, Slot: slot, Requests: 1})
+	}
+	if hot == 0 {
+		return
+	}
+	r.SlotLoads = append(r.SlotLoads, wire.SlotLoad{Service: lifeService, Slot: l.slotOf(), Requests: hot})
+	if l.now%(500*time.Millisecond) == 0 {
+		r.KeyLoads = append(r.KeyLoads, wire.KeyLoad{Service: lifeService, Key: hotKey, Requests: 5 * hot})
+	}
+}
+
+// TestHotKeyIsIsolatedAndReturned follows a key that takes 40% of the load and
+// then cools. No slot is without an owner for longer than one handover takes.
+func TestHotKeyIsIsolatedAndReturned(t *testing.T) {
+	l := newLife(t, true)
+	hot := hotRequests
+	l.onRenewal = func(r *wire.Renewal) { l.load(r, hot) }
+	// The owner gives a slot back with a heartbeat; the leader moves it on in the
+	// ticks after it.
+	const handover = lifeReport + 2*tickInterval
+	without := map[int]time.Duration{}
+	longest := time.Duration(0)
+	l.onTick = func() {
+		for number, slot := range l.state.Service(lifeService).Slots {
+			if slot.Status == ownership.Owned || slot.Status == ownership.Absent {
+				without[number] = 0
+				continue
+			}
+			without[number] += tickInterval
+			longest = max(longest, without[number])
+		}
+	}
+	isolation := placement.DefaultIsolationSettings()
+	l.run(isolation.HotFor + 3*time.Second)
+	own := l.slotOf()
+	if own < lifeSlots || l.state.Service(lifeService).Slots[own].Status != ownership.Owned {
+		t.Fatalf("the hot key stands in slot %d: %+v", own, l.state.Service(lifeService).Slots[own])
+	}
+	if len(l.state.Service(lifeService).HotKeys) != 1 {
+		t.Fatalf("isolated: %v", l.state.Service(lifeService).HotKeys)
+	}
+	hot = 0
+	l.run(isolation.CoolFor - 10*time.Second)
+	if l.slotOf() < lifeSlots {
+		t.Fatal("the key returned before it was cool for long")
+	}
+	l.run(40 * time.Second)
+	if l.slotOf() >= lifeSlots || l.state.Service(lifeService).Slots[own].Status != ownership.Absent {
+		t.Fatalf("the cool key still stands in slot %d", l.slotOf())
+	}
+	if longest > handover {
+		t.Fatalf("a slot had no owner for %v; a handover takes %v", longest, handover)
+	}
+	t.Logf("longest time of a slot without owner: %v", longest)
+}
+
+// TestHotKeyStaysPut checks what is not isolated: keys of owners that do not check
+// tokens unless balance is favoured, keys whose slot moves to another region, and
+// keys of slots whose home is elsewhere.
+func TestHotKeyStaysPut(t *testing.T) {
+	tests := map[string]struct {
+		fencing, balance bool
+		change           func(h []ownership.Home)
+		isolated         int
+	}{
+		"fenced":              {fencing: true, isolated: 1},
+		"unfenced":            {},
+		"unfenced by balance": {balance: true, isolated: 1},
+		"moving":              {fencing: true, change: func(h []ownership.Home) { h[ownership.SlotOf(lifeService, hotKey, lifeSlots)].To = "sur" }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLife(t, test.fencing)
+			l.hot = newHotKeys(test.balance)
+			if test.change != nil {
+				test.change(l.homes[lifeService])
+			}
+			l.onRenewal = func(r *wire.Renewal) { l.load(r, hotRequests) }
+			l.run(12 * time.Second)
+			if got := len(l.state.Service(lifeService).HotKeys); got != test.isolated {
+				t.Fatalf("%d keys isolated, want %d", got, test.isolated)
+			}
+		})
+	}
+}
+
+// TestNewLeaderKeepsIsolatedKeys checks that a new leader returns a key that an
+// earlier one isolated only after it was cool for long.
+func TestNewLeaderKeepsIsolatedKeys(t *testing.T) {
+	l := newLife(t, true)
+	hot := hotRequests
+	l.onRenewal = func(r *wire.Renewal) { l.load(r, hot) }
+	l.run(10 * time.Second)
+	l.hot = newHotKeys(false)
+	l.coordinator = ownership.NewCoordinator(lifeSettings, newPlanner(""), l.now, l.state)
+	l.supervision = newSupervision(lifeSettings)
+	hot = 0
+	l.run(time.Minute)
+	if l.slotOf() < lifeSlots {
+		t.Fatal("the new leader returned the key at once")
+	}
+}
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -35,6 +35,7 @@
 	clock       ledger.Clock
 	shares      *allowance.Allocator
 	supervision *supervision
+	hot         *hotKeys
 }
 
 // regionGroup is this host's member of one region's group, and the leader's work
@@ -43,6 +44,7 @@
 	name     string
 	settings ownership.Settings
 	planner  ownership.Planner
+	balance  bool // whether an even load is favoured over few handovers
 	runner   *group.Runner
 	state    *regionState
 	now      func() time.Duration
@@ -104,6 +106,7 @@
 		clock:       ledger.NewClock(g.state.runs.Now(), now),
 		shares:      allowance.NewAllocator(config, now),
 		supervision: newSupervision(g.settings),
+		hot:         newHotKeys(g.balance),
 	}
 }
 
@@ -132,6 +135,7 @@
 	defer g.state.mu.RUnlock()
 	now := g.now()
 	lead.supervision.judge(now, g.state.owner, lead.coordinator)
+	lead.hot.plan(now, g.state.owner, homes, lead.coordinator)
 	return lead.coordinator.Tick(now, g.state.owner, homes), nil
 }
 
@@ -239,10 +243,13 @@
 	slots float64
 }
 
+// goalBalance is the setting of a deployment that favours an even load.
+const goalBalance = "balance"
+
 // newPlanner returns the planner of a deployment's goal.
 func newPlanner(goal string) ownership.Planner {
 	settings := placement.DefaultSettings(placement.Availability)
-	if goal == "balance" {
+	if goal == goalBalance {
 		settings = placement.DefaultSettings(placement.Balance)
 	}
 	return placement.NewPlanner(settings)
--- a/internal/control/supervision_test.go
+++ b/internal/control/supervision_test.go
@@ -29,6 +29,7 @@
 	state       *ownership.State
 	coordinator *ownership.Coordinator
 	supervision *supervision
+	hot         *hotKeys
 	servers     []ownership.Server
 	sessions    []uint64 // of servers
 	silent      int      // server that answers no request, -1 for none
@@ -38,7 +39,7 @@
 }
 
 func newLife(t *testing.T, fencing bool) *life {
-	l := &life{t: t, state: ownership.NewState(), supervision: newSupervision(lifeSettings), silent: -1, homes: homes{}}
+	l := &life{t: t, state: ownership.NewState(), supervision: newSupervision(lifeSettings), hot: newHotKeys(false), silent: -1, homes: homes{}}
 	for range lifeSlots {
 		l.homes[lifeService] = append(l.homes[lifeService], ownership.Home{Region: lifeRegion, Generation: 1})
 	}
@@ -74,6 +75,7 @@
 	}
 	for range maxTickRounds {
 		l.supervision.judge(l.now, l.state, l.coordinator)
+		l.hot.plan(l.now, l.state, l.homes, l.coordinator)
 		commands := l.coordinator.Tick(l.now, l.state, l.homes)
 		if len(commands) == 0 {
 			return
@@ -135,6 +137,10 @@
 		l.onRenewal(&r)
 	}
 	l.supervision.observe(l.now, r)
+	l.hot.observe(l.now, l.state, r)
+	for _, load := range r.SlotLoads {
+		l.coordinator.ObserveLoad(l.now, load.Service, load.Slot, load.Requests)
+	}
 	l.coordinator.RenewEntry(r.Version)
 }
 
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -300,6 +300,7 @@
 		Version:     l.table.version(group),
 	}
 	request.Evidence, request.SlotLoads = l.observer.take(sentAt, group)
+	request.KeyLoads = l.observer.takeKeys(sentAt, group)
 	var sent []sentShare
 	if group == l.homeGroup() {
 		sent = l.limits.prepare(sentAt)
--- a/internal/routing/observer.go
+++ b/internal/routing/observer.go
@@ -27,6 +27,7 @@
 	evidence map[sessionKey]*wire.Evidence
 	reported map[sessionKey]lastReport
 	loads    map[loadKey]int
+	hot      *keyTracker
 }
 
 // lastReport is the last report of a server.
@@ -47,6 +48,7 @@
 		evidence: map[sessionKey]*wire.Evidence{},
 		reported: map[sessionKey]lastReport{},
 		loads:    map[loadKey]int{},
+		hot:      newKeyTracker(),
 	}
 }
 
@@ -85,6 +87,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.loads[loadKey{group, service, slot}]++
+	o.hot.observe(group, service, key)
 }
 
 func (o *Observer) count(server entry.Server, add func(*wire.Evidence)) {
@@ -99,6 +102,13 @@
 	add(evidence)
 }
 
+// takeKeys returns the hottest keys whose home a group is, now and then.
+func (o *Observer) takeKeys(now time.Duration, group string) []wire.KeyLoad {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.hot.take(now, group)
+}
+
 // take returns and forgets what there is to report of a group's servers.
 func (o *Observer) take(now time.Duration, group string) ([]wire.Evidence, []wire.SlotLoad) {
 	o.mu.Lock()
--- a/internal/routing/observer_test.go
+++ b/internal/routing/observer_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,30 @@
 		t.Fatalf("%d sessions reported", len(seen))
 	}
 }
+
+// TestHottestKeysAreReported checks the reports' times, bounds and regions.
+func TestHottestKeysAreReported(t *testing.T) {
+	h := newKeyTracker()
+	for i := range 4000 {
+		h.observe("norte", "orders", fmt.Sprint("key-", i%1000))
+		if i%4 == 0 {
+			h.observe("norte", "orders", "hot")
+			h.observe("sur", "orders", "southern")
+		}
+	}
+	keys := h.take(time.Second, "norte")
+	if len(keys) == 0 || len(keys) > maxHotReported || keys[0].Key != "hot" || keys[0].Requests < 900 || keys[0].Requests > 1000 {
+		t.Fatalf("%d keys reported: %+v", len(keys), keys)
+	}
+	h.observe("norte", "orders", "hot")
+	h.observe("norte", "orders", "hot")
+	if again := h.take(time.Second+keysInterval/2, "norte"); len(again) != 0 {
+		t.Fatalf("reported too soon: %+v", again)
+	}
+	if again := h.take(time.Second+keysInterval, "norte"); len(again) != 1 || again[0].Requests != 2 {
+		t.Fatalf("reported again: %+v", again)
+	}
+	if south := h.take(time.Second, "sur"); len(south) != 1 || south[0].Key != "southern" {
+		t.Fatalf("the other region's keys: %+v", south)
+	}
+}
