--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -35,6 +35,8 @@
 	clock       ledger.Clock
 	shares      *allowance.Allocator
 	demandsAt   time.Duration // of the last report of demands; 0 for none
+	supervision *supervision
+	hot         *hotKeys
 }
 
 // regionGroup is this host's member of one region's group, and the leader's work
@@ -43,6 +45,7 @@
 	name     string
 	settings ownership.Settings
 	planner  ownership.Planner
+	balance  bool // whether an even load is favoured over few handovers
 	runner   *group.Runner
 	state    *regionState
 	now      func() time.Duration
@@ -104,6 +107,8 @@
 		coordinator: ownership.NewCoordinator(g.settings, g.planner, now, g.state.owner),
 		clock:       ledger.NewClock(g.state.runs.Now(), now),
 		shares:      allowance.NewAllocator(config, now),
+		supervision: newSupervision(g.settings),
+		hot:         newHotKeys(g.balance),
 	}
 }
 
@@ -136,7 +141,10 @@
 	}
 	g.state.mu.RLock()
 	defer g.state.mu.RUnlock()
-	return decision{lead.term, lead.coordinator.Tick(g.now(), g.state.owner, homes)}, nil
+	now := g.now()
+	lead.supervision.judge(now, g.state.owner, lead.coordinator)
+	lead.hot.plan(now, g.state.owner, homes, lead.coordinator)
+	return decision{lead.term, lead.coordinator.Tick(now, g.state.owner, homes)}, nil
 }
 
 // propose commits what was decided. It fails with errStaleTerm when another term
@@ -250,10 +258,13 @@
 	slots float64
 }
 
+// goalBalance is the setting of a deployment that favours an even load.
+const goalBalance = "balance"
+
 // newPlanner returns the planner of a deployment's goal.
 func newPlanner(goal string) ownership.Planner {
 	settings := placement.DefaultSettings(placement.Availability)
-	if goal == "balance" {
+	if goal == goalBalance {
 		settings = placement.DefaultSettings(placement.Balance)
 	}
 	return placement.NewPlanner(settings)
