--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// countingWatcher takes each update at once.
+type countingWatcher struct{ bytes int }
+
+func (w *countingWatcher) Notify(_ int, body []byte) error {
+	w.bytes += len(body)
+	return nil
+}
+
+// BenchmarkPublish measures one table update's way to its watchers' queues.
+func BenchmarkPublish(b *testing.B) {
+	body := make([]byte, 1300) // about the changes at a server's loss
+	for _, watchers := range []int{10, 100, 440} {
+		b.Run(fmt.Sprintf("watchers=%d", watchers), func(b *testing.B) {
+			f := newFeed("mien-trung")
+			all := make([]countingWatcher, watchers)
+			for i := range all {
+				f.watch(&all[i], 0, func() []byte { return nil })
+			}
+			sent := all[0].bytes
+			for version := uint64(1); b.Loop(); version++ {
+				f.publish(version, body)
+			}
+			b.ReportMetric(float64(all[0].bytes-sent)/float64(b.N), "bytes/watcher")
+		})
+	}
+}
+
+func benchAnnouncement(released int) wire.Announcement {
+	a := wire.Announcement{
+		Name: "wheel-swap-001", Incarnation: "0123456789abcdef0123456789abcdef", Service: "wheel-swap", Address: "10.0.0.1:8080",
+		Region: "mien-trung", Domain: "mien-trung-1", Keyed: true, Fencing: true, Slots: 6, Connections: 110, Session: 1 << 20,
+		GrantsVersion: 1 << 20, Load: 3,
+	}
+	for slot := range released {
+		a.Released = append(a.Released, wire.Grant{Slot: slot, Token: 1<<40 + 1<<20})
+	}
+	return a
+}
+
+func benchRenewal(loads, shares int) wire.Renewal {
+	r := wire.Renewal{
+		Group: "mien-trung", Name: "entry-001", Incarnation: "0123456789abcdef0123456789abcdef", Region: "mien-trung",
+		Domain: "mien-trung-1", Version: 1 << 20,
+	}
+	for slot := range loads {
+		r.SlotLoads = append(r.SlotLoads, wire.SlotLoad{Service: "wheel-swap", Slot: slot, Requests: 90})
+	}
+	for i := range shares {
+		r.Shares = append(r.Shares, wire.Share{Customer: fmt.Sprintf("depot-%04d", i), Service: "wheel-swap", Held: 50, Number: 1 << 20, Wanted: 60})
+	}
+	return r
+}
+
+// BenchmarkDecode reports bytes and decoding time of what servers and entry hosts
+// send the leader every 100 ms.
+func BenchmarkDecode(b *testing.B) {
+	for _, released := range []int{0, 16, 128} {
+		b.Run(fmt.Sprintf("announcement/released=%d", released), func(b *testing.B) {
+			benchDecode(b, benchAnnouncement(released))
+		})
+	}
+	for _, loads := range []int{0, 256, 4096} {
+		b.Run(fmt.Sprintf("renewal/loads=%d", loads), func(b *testing.B) { benchDecode(b, benchRenewal(loads, 0)) })
+	}
+	for _, shares := range []int{1, 32, 256} {
+		b.Run(fmt.Sprintf("renewal/shares=%d", shares), func(b *testing.B) { benchDecode(b, benchRenewal(0, shares)) })
+	}
+}
+
+func benchDecode[Message any](b *testing.B, message Message) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		var decoded Message
+		if err := cbor.Unmarshal(data, &decoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(data)), "bytes")
+}
--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/catalog"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+const (
+	benchRegion  = "mien-trung"
+	benchService = "wheel-swap"
+)
+
+// benchTable returns a table of slots dealt out to servers, and the region's state.
+func benchTable(b *testing.B, servers, slots int) (*Table, *ownership.State) {
+	b.Helper()
+	t := newTable([]string{benchRegion}, func() time.Duration { return 0 })
+	services := catalog.NewState()
+	services.Apply(1, catalog.Command{AddService: &catalog.AddService{Name: benchService, Keyed: true, Slots: slots}})
+	homes := catalog.MoveHomes{Service: benchService}
+	adopt := ownership.HomeSlots{Service: benchService, Slots: slots}
+	assign := ownership.SlotGrants{Service: benchService}
+	for slot := range slots {
+		homes.Moves = append(homes.Moves, catalog.HomeMove{Slot: slot, To: benchRegion})
+		adopt.Moved = append(adopt.Moved, slot)
+		adopt.Generations = append(adopt.Generations, 1)
+		assign.Grants = append(assign.Grants, ownership.SlotGrant{Slot: slot, Session: uint64(1 + slot%servers)})
+	}
+	services.Apply(2, catalog.Command{MoveHomes: &homes})
+	body, err := services.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	t.update(wire.TableUpdate{Group: wire.GroupGlobal, Version: 2, Body: body})
+	state := ownership.NewState()
+	for i := range servers {
+		server := ownership.Server{
+			Name: fmt.Sprintf("wheel-swap-%03d", i), Incarnation: "1", Service: benchService, Address: "10.0.0.1:8080",
+			Region: benchRegion, Domain: "mien-trung-1", Keyed: true, Fencing: true, Slots: 6, Connections: 110,
+		}
+		state.Apply(uint64(1+i), ownership.Command{Register: &server})
+	}
+	state.Apply(uint64(servers+1), ownership.Command{Adopt: &adopt})
+	state.Apply(uint64(servers+2), ownership.Command{Assign: &assign})
+	t.update(benchUpdate(b, 0, state.Version(), state.Changes()))
+	return t, state
+}
+
+func benchUpdate(b *testing.B, from, to uint64, changes []ownership.Change) wire.TableUpdate {
+	body, err := ownership.EncodeChanges(changes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return wire.TableUpdate{Group: benchRegion, From: from, Version: to, Body: body}
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, servers, slots int)) {
+	for _, slots := range []int{4096, 16384} {
+		for _, servers := range []int{27, 110, 440} {
+			b.Run(fmt.Sprintf("servers=%d/slots=%d", servers, slots), func(b *testing.B) { run(b, servers, slots) })
+		}
+	}
+}
+
+// BenchmarkUpdate measures a table update that moves one slot.
+func BenchmarkUpdate(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		t, state := benchTable(b, servers, slots)
+		slot := ownership.SlotChange{Status: ownership.Owned, Owner: 1, Token: 1 << 40, Generation: 1}
+		change := ownership.Change{Slots: &ownership.SlotChanges{Service: benchService, Base: slots, Slots: []ownership.SlotChange{slot}}}
+		update := benchUpdate(b, state.Version(), state.Version()+1, []ownership.Change{change})
+		for b.Loop() {
+			if !t.update(update) {
+				b.Fatal("update refused")
+			}
+			update.From++
+			update.Version++
+		}
+	})
+}
+
+// BenchmarkPollRound measures what one table change costs an entry host at which
+// every server's long poll for grants waits.
+func BenchmarkPollRound(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		t, _ := benchTable(b, servers, slots)
+		for b.Loop() {
+			for i := range servers {
+				t.grants(benchRegion, fmt.Sprintf("wheel-swap-%03d", i), uint64(1+i))
+			}
+		}
+	})
+}
+
+// BenchmarkRoute measures the look-up of a key's owner, and the check before a
+// request's first byte.
+func BenchmarkRoute(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		t, _ := benchTable(b, servers, slots)
+		for b.Loop() {
+			route, err := t.Route(benchService, "pram-7")
+			if err != nil || !route.Writable() {
+				b.Fatal("no route")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/ownership/bench_test.go
@@ -0,0 +1,254 @@
+package ownership
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/placement"
+)
+
+// benchLease is so long that no session ends by itself.
+const benchLease = 1000 * time.Hour
+
+// benchHomes has one region as the home of all slots of the test's service.
+type benchHomes []Home
+
+func (benchHomes) Names() []string { return []string{testService} }
+
+func (h benchHomes) Of(string) []Home { return h }
+
+// fleet is a region's leader with servers that own all slots.
+type fleet struct {
+	now      time.Duration
+	index    uint64
+	state    *State
+	lead     *Coordinator
+	homes    benchHomes
+	sessions []uint64
+}
+
+func benchServer(i int) Server {
+	return Server{
+		Name: fmt.Sprintf("wheel-swap-%03d", i), Incarnation: fmt.Sprintf("%032x", i), Service: testService,
+		Address: fmt.Sprintf("10.0.%d.%d:8080", i/200, i%200), Region: testRegion, Domain: fmt.Sprintf("mien-trung-%d", i%3),
+		Keyed: true, Fencing: true, Slots: 6, Connections: 110,
+	}
+}
+
+func newFleet(servers, slots int) *fleet {
+	f := &fleet{state: NewState(), homes: make(benchHomes, slots)}
+	for i := range f.homes {
+		f.homes[i] = Home{Region: testRegion, Generation: 1}
+	}
+	planner := placement.NewPlanner(placement.DefaultSettings(placement.Availability))
+	f.lead = NewCoordinator(Settings{Region: testRegion, Lease: benchLease, MaxDeadline: time.Second}, planner, 0, f.state)
+	for i := range servers {
+		server := benchServer(i)
+		f.commit([]Command{{Register: &server}})
+		f.sessions = append(f.sessions, f.index)
+	}
+	f.settle()
+	for slot := range slots {
+		f.lead.ObserveLoad(f.now, testService, slot, 100)
+	}
+	return f
+}
+
+func (f *fleet) commit(commands []Command) []Change {
+	f.index++
+	var changes []Change
+	for _, command := range commands {
+		changes = append(changes, f.state.Apply(f.index, command)...)
+	}
+	return changes
+}
+
+// settle ticks until nothing is due, and returns the changes for readers.
+func (f *fleet) settle() []Change {
+	var changes []Change
+	for {
+		commands := f.lead.Tick(f.now, f.state, f.homes)
+		if len(commands) == 0 {
+			return changes
+		}
+		changes = append(changes, f.commit(commands)...)
+	}
+}
+
+// giveBack lets a draining server give back what it is asked to, and settles.
+func (f *fleet) giveBack(i int) []Change {
+	beat := Heartbeat{Server: benchServer(i), Session: f.sessions[i]}
+	for number, slot := range f.state.Service(testService).Slots {
+		if slot.Owner == f.sessions[i] && slot.Status == Releasing {
+			beat.Released = append(beat.Released, SlotGrant{Slot: number, Token: slot.Token})
+		}
+	}
+	_, commands := f.lead.Heartbeat(f.now, f.state, beat)
+	return append(f.commit(commands), f.settle()...)
+}
+
+// drain lets a server give back all its slots, a batch at a time.
+func (f *fleet) drain(i int) []Change {
+	changes := f.commit([]Command{{SetDraining: &Sessions{IDs: f.sessions[i : i+1]}}})
+	changes = append(changes, f.settle()...)
+	for f.state.SlotsOf(f.sessions[i]) > 0 {
+		f.now += planInterval
+		changes = append(changes, f.settle()...)
+		changes = append(changes, f.giveBack(i)...)
+	}
+	return changes
+}
+
+// join adds a server and lets the others give it slots for a minute.
+func (f *fleet) join() []Change {
+	server := benchServer(len(f.sessions))
+	changes := f.commit([]Command{{Register: &server}})
+	f.sessions = append(f.sessions, f.index)
+	for range 60 {
+		f.now += planInterval
+		changes = append(changes, f.settle()...)
+		for i := range f.sessions {
+			changes = append(changes, f.giveBack(i)...)
+		}
+	}
+	return changes
+}
+
+func (f *fleet) lose(i int) []Change {
+	changes := f.commit([]Command{{EndSessions: &Sessions{IDs: f.sessions[i : i+1]}}})
+	return append(changes, f.settle()...)
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, servers, slots int)) {
+	for _, slots := range []int{4096, 16384} {
+		for _, servers := range []int{27, 110, 440} {
+			b.Run(fmt.Sprintf("servers=%d/slots=%d", servers, slots), func(b *testing.B) { run(b, servers, slots) })
+		}
+	}
+}
+
+// BenchmarkHeartbeat measures a live server's heartbeat: with its session, and
+// without one, as after a lost answer to a registration.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, held := range []bool{true, false} {
+		for _, servers := range []int{27, 110, 440} {
+			b.Run(fmt.Sprintf("session=%t/servers=%d", held, servers), func(b *testing.B) {
+				f := newFleet(servers, 4096)
+				beats := make([]Heartbeat, servers)
+				for i := range beats {
+					beats[i].Server = benchServer(i)
+					if held {
+						beats[i].Session = f.sessions[i]
+					}
+				}
+				for i := 0; b.Loop(); i++ {
+					if answer, _ := f.lead.Heartbeat(f.now, f.state, beats[i%servers]); answer.Session == 0 {
+						b.Fatal("no session")
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkEntryRenewal measures an entry host's renewal with the loads of slots.
+func BenchmarkEntryRenewal(b *testing.B) {
+	for _, loads := range []int{0, 256, 4096} {
+		b.Run(fmt.Sprintf("loads=%d", loads), func(b *testing.B) {
+			f := newFleet(27, 4096)
+			for b.Loop() {
+				f.now += 100 * time.Millisecond
+				f.lead.RenewEntry(f.state.Version())
+				for slot := range loads {
+					f.lead.ObserveLoad(f.now, testService, slot, 10)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTickIdle measures a look at what is due when nothing is, every 25 ms
+// of virtual time; each 40th makes a plan.
+func BenchmarkTickIdle(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		f := newFleet(servers, slots)
+		f.now += time.Minute
+		f.settle()
+		for b.Loop() {
+			f.now += 25 * time.Millisecond
+			f.settle()
+		}
+	})
+}
+
+// BenchmarkTickLoss measures the leader's own time from the end of a session until
+// all its slots have new owners, without the commits' waits.
+func BenchmarkTickLoss(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		for range b.N {
+			b.StopTimer()
+			f := newFleet(servers, slots)
+			b.StartTimer()
+			f.lose(0)
+		}
+	})
+}
+
+// BenchmarkTableBytes reports the bytes that readers get: the whole table, and the
+// changes when a server is lost, joins, or drains.
+func BenchmarkTableBytes(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		f := newFleet(servers, slots)
+		for b.Loop() {
+			reportBytes(b, "whole-bytes", f.state.Changes())
+		}
+		f.now += time.Minute
+		reportBytes(b, "drain-bytes", f.drain(1))
+		reportBytes(b, "loss-bytes", newFleet(servers, slots).lose(0))
+		reportBytes(b, "join-bytes", newFleet(servers, slots).join())
+	})
+}
+
+func reportBytes(b *testing.B, name string, changes []Change) {
+	b.Helper()
+	body, err := EncodeChanges(changes)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(body)), name)
+}
+
+// BenchmarkMemory reports the bytes kept by a view, and by a leader's coordinator
+// with its state.
+func BenchmarkMemory(b *testing.B) {
+	forSizes(b, func(b *testing.B, servers, slots int) {
+		for b.Loop() {
+			before := heapBytes()
+			f := newFleet(servers, slots)
+			leader := heapBytes()
+			body, err := EncodeChanges(f.state.Changes())
+			if err != nil {
+				b.Fatal(err)
+			}
+			before2 := heapBytes()
+			view := NewView()
+			if err := view.Update(0, f.index, body); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(leader-before), "leader-bytes")
+			b.ReportMetric(float64(heapBytes()-before2), "view-bytes")
+			runtime.KeepAlive(f)
+			runtime.KeepAlive(view)
+			runtime.KeepAlive(body)
+		}
+	})
+}
+
+func heapBytes() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
