Find a start's session by an index

Cause: State.FindSession looked at every server, at each registration and each heartbeat without a session. Change: an index by name and incarnation, kept wherever servers are added or removed.

--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -49,18 +49,14 @@
 	}
 	server.Session = index
 	server.Suspended = false
-	s.servers[index] = &server
+	s.setServer(server)
 	return []Change{{Server: copyOf(server)}}
 }
 
 // FindSession returns the session of a server's incarnation.
 func (s *State) FindSession(name, incarnation string) (uint64, bool) {
-	for id, server := range s.servers {
-		if server.Name == name && server.Incarnation == incarnation {
-			return id, true
-		}
-	}
-	return 0, false
+	session, ok := s.starts[serverStart{name, incarnation}]
+	return session, ok
 }
 
 func (s *State) mark(ids []uint64, set func(*Server)) []Change {
@@ -84,7 +80,7 @@
 			continue
 		}
 		changes = append(changes, s.vacateAll(server.Service, id)...)
-		delete(s.servers, id)
+		s.removeServer(id)
 		changes = append(changes, Change{Ended: id})
 	}
 	return changes
--- a/ownership/change.go
+++ b/ownership/change.go
@@ -115,9 +115,9 @@
 func (s *State) applyChange(change Change) error {
 	switch {
 	case change.Server != nil:
-		s.servers[change.Server.Session] = copyOf(*change.Server)
+		s.setServer(*change.Server)
 	case change.Ended != 0:
-		delete(s.servers, change.Ended)
+		s.removeServer(change.Ended)
 	case change.Slots != nil:
 		return s.applySlots(*change.Slots)
 	}
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -70,11 +70,32 @@
 	version  uint64
 	servers  map[uint64]*Server
 	services map[string]*Service
+	// starts holds the session of each start of a server.
+	starts map[serverStart]uint64
+}
+
+// serverStart identifies one start of a server.
+type serverStart struct {
+	name        string
+	incarnation string
 }
 
 // NewState returns the state before the first command.
 func NewState() *State {
-	return &State{servers: map[uint64]*Server{}, services: map[string]*Service{}}
+	return &State{servers: map[uint64]*Server{}, services: map[string]*Service{}, starts: map[serverStart]uint64{}}
+}
+
+// setServer adds a session or replaces its server.
+func (s *State) setServer(server Server) {
+	s.servers[server.Session] = &server
+	s.starts[serverStart{server.Name, server.Incarnation}] = server.Session
+}
+
+func (s *State) removeServer(session uint64) {
+	if server, ok := s.servers[session]; ok {
+		delete(s.starts, serverStart{server.Name, server.Incarnation})
+		delete(s.servers, session)
+	}
 }
 
 // Version returns the log index of the last command that changed the table.
