Look at the slots only after a change

Cause: the leader looked at every slot of every service three times each 25 ms, whether or not anything had changed. Weighed: counters kept by State at each change (more places to get wrong), a list of changed slots (no need at this size). Change: what a look found holds as long as the state's version, and as long as the homes are the same slice. The schedules now compare what is remembered with a fresh look before every tick; the golden sessions' homes become a new slice, as the contract asks. A server that freezes, and wakes before the host hears of its loss, is now one of the disturbances.

--- a/ownership/coordinator.go
+++ b/ownership/coordinator.go
@@ -63,6 +63,8 @@
 	// return, by service.
 	isolate   map[string]map[string]bool
 	unisolate map[string]map[string]bool
+	// scans holds what the last look at each service's slots found.
+	scans map[string]*scan
 	// barrier is the table version that an entry host must have applied for its
 	// session to be renewed.
 	barrier uint64
@@ -96,6 +98,7 @@
 		joined:    map[uint64]time.Duration{},
 		isolate:   map[string]map[string]bool{},
 		unisolate: map[string]map[string]bool{},
+		scans:     map[string]*scan{},
 		barrier:   state.Version(),
 	}
 }
--- a/ownership/expiry.go
+++ b/ownership/expiry.go
@@ -77,6 +77,9 @@
 	seen := map[slotKey]bool{}
 	for _, name := range state.ServiceNames() {
 		service := state.services[name]
+		if !c.scanOf(state, service).releasing {
+			continue
+		}
 		body := SlotGrants{Service: name}
 		for number := range service.Slots {
 			slot := &service.Slots[number]
--- a/ownership/planning.go
+++ b/ownership/planning.go
@@ -11,7 +11,8 @@
 type Homes interface {
 	// Names returns the names of services divided by key.
 	Names() []string
-	// Of returns the homes of a service's slots.
+	// Of returns the homes of a service's slots. They never change: other homes are
+	// another slice.
 	Of(service string) []Home
 }
 
@@ -26,6 +27,9 @@
 // that move away once they have no owner.
 func (c *Coordinator) followHomes(state *State, name string, homes []Home) []Command {
 	service := state.services[name]
+	if service != nil && c.scanOf(state, service).follows(homes) {
+		return nil
+	}
 	adopt := HomeSlots{Service: name, Slots: len(homes)}
 	retire := HomeSlots{Service: name, Slots: len(homes)}
 	release := SlotGrants{Service: name}
@@ -46,7 +50,11 @@
 		}
 	}
 	c.returnMovingKeys(service, homes)
-	return homeCommands(adopt, retire, release)
+	commands := homeCommands(adopt, retire, release)
+	if service != nil && len(commands) == 0 {
+		c.scanOf(state, service).homes = homes
+	}
+	return commands
 }
 
 // returnMovingKeys ends the isolation of keys whose ordinary slot moves away: a
@@ -134,16 +142,7 @@
 	if !planned || now-last >= planInterval {
 		return true
 	}
-	for number := range service.Slots {
-		slot := &service.Slots[number]
-		if slot.Status == Vacant {
-			return true
-		}
-		if slot.Status == Owned && state.servers[slot.Owner].Draining {
-			return true
-		}
-	}
-	return false
+	return c.scanOf(state, service).urgent
 }
 
 // planService returns the grants and releases that placement asks for.
--- a/ownership/session_test.go
+++ b/ownership/session_test.go
@@ -92,6 +92,7 @@
 	if d.HasArg("generation") {
 		d.ScanArgs(s.t, "generation", &home.Generation)
 	}
+	s.homes = make(goldenHomes, testSlots)
 	for i := range s.homes {
 		s.homes[i] = home
 	}
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -60,6 +60,8 @@
 	lead    *Coordinator
 	servers []*testServer
 	host    *testHost
+	thaws   *testServer // frozen by freezeUnseen
+	thawAt  time.Duration
 	feedCut bool // whether the host gets no table
 	answers []answer
 	history map[int]execution // last execution by slot
@@ -124,6 +126,7 @@
 
 func (w *world) tick() {
 	for range 10 {
+		w.checkScans()
 		commands := w.lead.Tick(w.leaderNow(), w.state, testHomes{})
 		if len(commands) == 0 {
 			return
@@ -132,17 +135,33 @@
 	}
 }
 
-type testHomes struct{}
-
-func (testHomes) Names() []string { return []string{testService} }
+// checkScans compares what the leader remembers of the slots with a fresh look.
+func (w *world) checkScans() {
+	for name, service := range w.state.services {
+		kept := w.lead.scanOf(w.state, service)
+		delete(w.lead.scans, name)
+		fresh := w.lead.scanOf(w.state, service)
+		if kept.releasing != fresh.releasing || kept.urgent != fresh.urgent {
+			w.t.Fatalf("remembered %+v, found %+v", *kept, *fresh)
+		}
+		w.lead.scans[name] = kept
+	}
+}
 
-func (testHomes) Of(string) []Home {
+// unmovedHomes are the homes of all schedules.
+var unmovedHomes = func() []Home {
 	homes := make([]Home, testSlots)
 	for i := range homes {
 		homes[i] = Home{Region: testRegion, Generation: 1}
 	}
 	return homes
-}
+}()
+
+type testHomes struct{}
+
+func (testHomes) Names() []string { return []string{testService} }
+
+func (testHomes) Of(string) []Home { return unmovedHomes }
 
 // heartbeat lets a server announce itself; the answer may be late or lost.
 func (w *world) heartbeat(i int) {
@@ -310,6 +329,29 @@
 		s.draining = !s.draining
 	case draw < 0.025:
 		w.feedCut = !w.feedCut
+	case draw < 0.028:
+		w.freezeUnseen(s)
+	}
+}
+
+// freezeUnseen freezes a server and cuts the table's feed, so that the server
+// wakes before the host hears of its loss.
+func (w *world) freezeUnseen(s *testServer) {
+	s.frozen = true
+	w.feedCut = true
+	w.thawAt = w.now + time.Second
+	w.thaws = s
+}
+
+// thaw ends what freezeUnseen began: the server wakes first, then the feed.
+func (w *world) thaw() {
+	if w.thaws == nil || w.now < w.thawAt {
+		return
+	}
+	w.thaws.frozen = false
+	if w.now >= w.thawAt+20*step {
+		w.feedCut = false
+		w.thaws = nil
 	}
 }
 
@@ -318,6 +360,7 @@
 	w.now += step
 	w.deliver()
 	w.disturb()
+	w.thaw()
 	if w.chance(0.7) {
 		w.tick()
 	}
