Answer a long poll for grants only after a change of its session

Cause: at an entry host each table change looked through all slots once for each server whose long poll waits there, and answered every one of them, since the version was the table's; and each change listed and sorted all servers to find new ones. Change: a view notes the version at which each session's grants last changed, and at which the set of servers did. A whole table counts as a change of all. Tested on random schedules; the test fails without the note of the former owner, and without that of the whole table.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -39,7 +39,7 @@
 	state := ownership.NewState()
 	for i := range servers {
 		server := ownership.Server{
-			Name: fmt.Sprintf("wheel-swap-%03d", i), Incarnation: "1", Service: benchService, Address: "10.0.0.1:8080",
+			Name: benchName(i), Incarnation: "1", Service: benchService, Address: "10.0.0.1:8080",
 			Region: benchRegion, Domain: "mien-trung-1", Keyed: true, Fencing: true, Slots: 6, Connections: 110,
 		}
 		state.Apply(uint64(1+i), ownership.Command{Register: &server})
@@ -70,9 +70,7 @@
 func BenchmarkUpdate(b *testing.B) {
 	forSizes(b, func(b *testing.B, servers, slots int) {
 		t, state := benchTable(b, servers, slots)
-		slot := ownership.SlotChange{Status: ownership.Owned, Owner: 1, Token: 1 << 40, Generation: 1}
-		change := ownership.Change{Slots: &ownership.SlotChanges{Service: benchService, Base: slots, Slots: []ownership.SlotChange{slot}}}
-		update := benchUpdate(b, state.Version(), state.Version()+1, []ownership.Change{change})
+		update := benchUpdate(b, state.Version(), state.Version()+1, []ownership.Change{moveSlot(slots, 1)})
 		for b.Loop() {
 			if !t.update(update) {
 				b.Fatal("update refused")
@@ -83,19 +81,35 @@
 	})
 }
 
-// BenchmarkPollRound measures what one table change costs an entry host at which
-// every server's long poll for grants waits.
+// BenchmarkPollRound measures what one table change that moves one slot costs an
+// entry host at which every server's long poll for grants waits.
 func BenchmarkPollRound(b *testing.B) {
 	forSizes(b, func(b *testing.B, servers, slots int) {
-		t, _ := benchTable(b, servers, slots)
+		t, state := benchTable(b, servers, slots)
+		held, to := state.Version(), state.Version()
 		for b.Loop() {
+			b.StopTimer()
+			change := moveSlot(slots, uint64(1+to%2))
+			t.update(benchUpdate(b, to, to+1, []ownership.Change{change}))
+			held, to = to, to+1
+			b.StartTimer()
 			for i := range servers {
-				t.grants(benchRegion, fmt.Sprintf("wheel-swap-%03d", i), uint64(1+i))
+				name, session := benchName(i), uint64(1+i)
+				if group, _ := t.groupOf(name, session); t.grantsVersion(group, session) > held {
+					t.grants(group, name, session)
+				}
 			}
 		}
 	})
 }
 
+func benchName(i int) string { return fmt.Sprintf("wheel-swap-%03d", i) }
+
+func moveSlot(slots int, owner uint64) ownership.Change {
+	slot := ownership.SlotChange{Status: ownership.Owned, Owner: owner, Token: 1 << 40, Generation: 1}
+	return ownership.Change{Slots: &ownership.SlotChanges{Service: benchService, Base: slots, Slots: []ownership.SlotChange{slot}}}
+}
+
 // BenchmarkRoute measures the look-up of a key's owner, and the check before a
 // request's first byte.
 func BenchmarkRoute(b *testing.B) {
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -318,18 +318,16 @@
 	return reply, err
 }
 
-// Grants returns a session's grants once their version is later than after, or
-// when wait has passed.
+// Grants returns a session's grants once they have changed after a version, or when
+// wait has passed.
 func (l *Link) Grants(ctx context.Context, name string, session, after uint64, wait time.Duration) (wire.Grants, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		changed := l.table.Changed()
 		group, ok := l.table.groupOf(name, session)
-		if ok {
-			if grants := l.table.grants(group, name, session); grants.Version > after {
-				return grants, nil
-			}
+		if ok && l.table.grantsVersion(group, session) > after {
+			return l.table.grants(group, name, session), nil
 		}
 		select {
 		case <-changed:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -26,6 +26,7 @@
 	views   map[string]*ownership.View
 	holders map[string]*lease.Holder // this host's session with each region's leader
 	joined  map[sessionKey]time.Time
+	tracked map[string]uint64 // version of the set of sessions that joined holds, by group
 	changed chan struct{}
 }
 
@@ -43,6 +44,7 @@
 		views:   map[string]*ownership.View{},
 		holders: map[string]*lease.Holder{},
 		joined:  map[sessionKey]time.Time{},
+		tracked: map[string]uint64{},
 		changed: make(chan struct{}),
 	}
 	for _, region := range regions {
@@ -84,6 +86,10 @@
 
 // track notes when sessions were first seen, and forgets ended ones.
 func (t *Table) track(group string, view *ownership.View) {
+	if t.tracked[group] == view.ServersVersion() {
+		return
+	}
+	t.tracked[group] = view.ServersVersion()
 	live := map[uint64]bool{}
 	for _, server := range view.State().Servers() {
 		live[server.Session] = true
@@ -248,6 +254,14 @@
 	return t.changed
 }
 
+// grantsVersion returns the version from which on a session's grants have been
+// what this host's table shows.
+func (t *Table) grantsVersion(group string, session uint64) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.views[group].GrantsVersion(session)
+}
+
 // grants returns the grants of a session as this host's table shows them.
 func (t *Table) grants(group, name string, session uint64) wire.Grants {
 	t.mu.RLock()
