--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 VERSION       := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 FUZZ_TIME     ?= 300x
 
-.PHONY: all build test fmt fmt-check lint generate generate-check unit fuzz demo bench tools clean
+.PHONY: all build test fmt fmt-check lint generate generate-check unit fuzz demo faults bench tools clean
 
 all: build
 
@@ -49,8 +49,13 @@
 demo: build
 	bash scripts/demo.sh
 
+# Kills and pauses each process of the demo in turn; see scripts/faults.sh.
+faults: build
+	bash scripts/faults.sh fencing
+	bash scripts/faults.sh mixed
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
 
 clean:
-	rm -rf bin .demo
+	rm -rf bin .demo .faults
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -16,7 +17,6 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/galenalug/galenalug/allowance"
-	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -147,67 +147,67 @@
 	defer cancel()
 	reply, err := a.host.proposeTo(ctx, wire.GroupGlobal, data)
 	if err != nil {
-		c.JSON(http.StatusServiceUnavailable, wire.Refusal{
-			Outcome: wire.OutcomeUnknown,
-			Reason:  "unavailable",
-			Detail:  "the change may or may not be accepted; send it again as it is: " + err.Error(),
-		})
+		unknown(c, http.StatusServiceUnavailable, "unavailable", err)
 		return
 	}
+	answerChange(c, reply.Result)
+}
+
+// answerChange answers with the encoded result of a change that the group has
+// committed. A result that can't be read leaves open what it says.
+func answerChange(c *app.RequestContext, encoded []byte) {
 	var result allowance.Result
-	if err := cbor.Unmarshal(reply.Result, &result); err != nil {
-		refuse(c, http.StatusInternalServerError, "internal", err.Error())
+	if err := cbor.Unmarshal(encoded, &result); err != nil {
+		unknown(c, http.StatusInternalServerError, "internal", err)
 		return
 	}
-	c.JSON(statusOf(result), result)
+	if result.Succeeded() {
+		c.JSON(http.StatusOK, result)
+		return
+	}
+	c.JSON(statusOf(result), listRefusal{
+		Refusal: wire.Refusal{Outcome: wire.OutcomeNotRun, Reason: string(result.Outcome), Detail: describe(result)},
+		Result:  result,
+	})
 }
 
-func statusOf(result allowance.Result) int {
+// unknown answers that a change may or may not be in force.
+func unknown(c *app.RequestContext, status int, reason string, err error) {
+	c.JSON(status, wire.Refusal{
+		Outcome: wire.OutcomeUnknown,
+		Reason:  reason,
+		Detail:  "the change may or may not be accepted; send it again as it is: " + err.Error(),
+	})
+}
+
+// listRefusal is the body of a refused change.
+type listRefusal struct {
+	wire.Refusal
+	Result allowance.Result `json:"result"`
+}
+
+// describe says for people why a change was refused.
+func describe(result allowance.Result) string {
 	switch {
-	case result.Succeeded():
-		return http.StatusOK
 	case result.Outcome == allowance.OutcomeInvalid:
-		return http.StatusBadRequest
-	default:
-		return http.StatusConflict
+		return result.Problems.Error()
+	case result.Winner == nil:
+		return fmt.Sprintf("version %d is in force", result.Version)
+	}
+	text := fmt.Sprintf("version %d was taken by %s; version %d is in force",
+		result.Winner.Version, result.Winner.Operator, result.Version)
+	for _, d := range result.Winner.Differences {
+		text += fmt.Sprintf("\n%s: theirs %q, yours %q", d.Entry, d.Winner, d.Loser)
 	}
+	return text
 }
 
-// groupStatus is one group in the status.
-type groupStatus struct {
-	Group  string       `json:"group"`
-	Leader string       `json:"leader"`
-	Leads  bool         `json:"leads"`
-	Member group.Status `json:"member"`
-}
-
-// hostStatus answers a request for the status.
-type hostStatus struct {
-	Host              string        `json:"host"`
-	PlansVersion      uint64        `json:"plans_version"`
-	AllowancesVersion uint64        `json:"allowances_version"`
-	Groups            []groupStatus `json:"groups"`
-}
-
-func (h *Host) status() hostStatus {
-	status := hostStatus{Host: h.settings.Name}
-	h.global.state.mu.RLock()
-	status.PlansVersion = h.global.state.lists.Plans().Version
-	status.AllowancesVersion = h.global.state.lists.Allowances().Version
-	h.global.state.mu.RUnlock()
-	for _, g := range h.plan {
-		runner, ok := h.runners[g.Name]
-		if !ok {
-			continue
-		}
-		status.Groups = append(status.Groups, groupStatus{
-			Group:  g.Name,
-			Leader: runner.Leader(),
-			Leads:  runner.Leads(),
-			Member: runner.Status(),
-		})
+// statusOf is the HTTP status of a refused change.
+func statusOf(result allowance.Result) int {
+	if result.Outcome == allowance.OutcomeInvalid {
+		return http.StatusBadRequest
 	}
-	return status
+	return http.StatusConflict
 }
 
 func (a *adminServer) status(_ context.Context, c *app.RequestContext) {
@@ -217,14 +217,3 @@
 func (a *adminServer) dump(_ context.Context, c *app.RequestContext) {
 	c.JSON(http.StatusOK, a.host.Dump())
 }
-
-// Dump returns the host's whole state, for JSON.
-func (h *Host) Dump() any {
-	dump := hostDump{Status: h.status(), Services: h.global.state.dump()}
-	for _, g := range h.plan {
-		if region, ok := h.regions[g.Name]; ok {
-			dump.Regions = append(dump.Regions, region.dump())
-		}
-	}
-	return dump
-}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -50,6 +50,7 @@
 	plan     []membership.Group
 	hosts    []membership.Host
 
+	peers   *peer.Metrics
 	server  *peer.Server
 	admin   *adminServer
 	clients map[string]*peer.Client
@@ -58,6 +59,7 @@
 	regions map[string]*regionGroup
 	runners map[string]*group.Runner
 
+	lock   *dataLock
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -65,6 +67,7 @@
 // New makes a host and opens its listener for peers. Start starts it.
 func New(options Options) (*Host, error) {
 	h := newHost(options)
+	h.registerMetrics()
 	var err error
 	h.server, err = peer.NewServer(peer.ServerOptions{
 		Listen:  options.Settings.PeerListen,
@@ -72,6 +75,7 @@
 		Secret:  options.PeerSecret,
 		Handler: &handler{host: h},
 		Workers: options.Settings.Workers,
+		Metrics: h.peers,
 	})
 	return h, errors.Wrap(err, "peer listener")
 }
@@ -105,6 +109,11 @@
 // Start admits by itself.
 func InitializeData(s *settings.ControlSettings) error {
 	h := newHost(Options{Settings: s})
+	lock, err := lockData(s.DataDir)
+	if err != nil {
+		return err
+	}
+	defer lock.release()
 	for _, g := range h.plan {
 		if !slices.Contains(g.Holders(), s.Name) {
 			continue
@@ -174,8 +183,14 @@
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Start starts the host's groups and listeners.
+// Start starts the host's groups and listeners. It fails with ErrDataInUse if
+// another process has the data folder open.
 func (h *Host) Start() error {
+	lock, err := lockData(h.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	h.lock = lock
 	h.connect()
 	if err := h.startGroups(); err != nil {
 		return err
@@ -207,6 +222,7 @@
 			Secret:  h.options.PeerSecret,
 			Seed:    rand.Uint64(),
 			Dial:    h.options.Dial,
+			Metrics: h.peers,
 		})
 		h.clients[control.Name] = client
 		targets[control.Name] = client
@@ -324,6 +340,7 @@
 	for _, client := range h.clients {
 		client.Close()
 	}
+	h.lock.release()
 	return err
 }
 
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"net/url"
 	"strings"
 	"time"
 
@@ -20,11 +19,10 @@
 
 // Paths of the control hosts' operator interface.
 const (
-	pathPlans      = "/galena/v1/plans"           // GET, PUT: YAML
-	pathAllowances = "/galena/v1/allowances"      // GET, PUT: YAML
-	pathStatus     = "/galena/v1/status"          // GET: JSON
-	pathReplace    = "/galena/v1/control/replace" // POST ?name=
-	pathDump       = "/dump"                      // GET: JSON
+	pathPlans      = "/galena/v1/plans"      // GET, PUT: YAML
+	pathAllowances = "/galena/v1/allowances" // GET, PUT: YAML
+	pathStatus     = "/galena/v1/status"     // GET: JSON
+	pathDump       = "/dump"                 // GET: JSON
 )
 
 // headerOperator names the operator, whom the loser of a race is shown.
@@ -175,7 +173,3 @@
 	}
 	return answer{status: response.StatusCode(), body: append([]byte{}, response.Body()...)}, nil
 }
-
-func replacePath(name string) string {
-	return pathReplace + "?name=" + url.QueryEscape(name)
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/user"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -79,7 +80,6 @@
 			}},
 			{Name: "control", Usage: "control hosts", Action: group, Commands: []*cli.Command{
 				{Name: "status", Usage: "print each control host's view of the log groups", Action: p.controlStatus},
-				{Name: "replace", Usage: "admit a control host's new disk as a new member", ArgsUsage: "NAME", Action: p.replace},
 			}},
 		},
 		Action: group,
@@ -135,21 +135,6 @@
 	return p.printJSON(result)
 }
 
-func (p *program) replace(ctx context.Context, c *cli.Command) error {
-	if err := needArguments(c, 1); err != nil {
-		return err
-	}
-	hosts, err := open(c)
-	if err != nil {
-		return err
-	}
-	result, err := hosts.change(ctx, consts.MethodPost, replacePath(c.Args().First()), nil)
-	if err != nil {
-		return err
-	}
-	return p.printJSON(result)
-}
-
 func (p *program) status(ctx context.Context, c *cli.Command) error {
 	hosts, err := open(c)
 	if err != nil {
@@ -192,9 +177,29 @@
 		Group  string `json:"group"`
 		Leader string `json:"leader"`
 		Leads  bool   `json:"leads"`
+
+		Members []memberStatus `json:"members"`
 	} `json:"groups"`
 }
 
+// memberStatus is one member of a group. A learner does not count yet.
+type memberStatus struct {
+	Name    string `json:"name"`
+	Learner bool   `json:"learner"`
+}
+
+func memberList(members []memberStatus) string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		name := m.Name
+		if m.Learner {
+			name += "(learner)"
+		}
+		names = append(names, name)
+	}
+	return orDash(strings.Join(names, ","))
+}
+
 // controlStatus asks every control host and prints one line a host and group.
 // It fails if no host answers.
 func (p *program) controlStatus(ctx context.Context, c *cli.Command) error {
@@ -203,18 +208,19 @@
 		return err
 	}
 	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "ADDRESS\tHOST\tGROUP\tLEADER\tLEADS")
+	_, _ = fmt.Fprintln(table, "ADDRESS\tHOST\tGROUP\tLEADER\tLEADS\tMEMBERS")
 	answered := 0
 	for _, address := range hosts.addresses {
 		status, err := askStatus(ctx, hosts, address)
 		if err != nil {
 			_, _ = fmt.Fprintln(p.stderr, err)
-			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\tno answer\n", address)
+			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\t-\tno answer\n", address)
 			continue
 		}
 		answered++
 		for _, g := range status.Groups {
-			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%t\n", address, status.Host, g.Group, orDash(g.Leader), g.Leads)
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%t\t%s\n", address, status.Host, g.Group, orDash(g.Leader), g.Leads,
+				memberList(g.Members))
 		}
 	}
 	if err := table.Flush(); err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -21,17 +21,18 @@
 
 // TestSessions runs galenactl against fake control hosts. The command hosts sets
 // one answer a host, as STATUS BODY; "cut" breaks the connection off after the
-// request, "down" refuses connections.
+// request, "down" refuses connections. ADDRESS stands for the first of them.
 func TestSessions(t *testing.T) {
 	dir := t.TempDir()
 	secret, list := filepath.Join(dir, "secret"), filepath.Join(dir, "list.yaml")
 	write(t, secret, "0123456789abcdef")
 	write(t, list, "version: 2\n")
 	settings := filepath.Join(dir, "ctl.yaml")
+	var hosts []string
 	datadriven.RunTest(t, "testdata/sessions", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "hosts":
-			var hosts []string
+			hosts = nil
 			for _, line := range strings.Split(d.Input, "\n") {
 				hosts = append(hosts, startHost(t, line))
 			}
@@ -40,7 +41,7 @@
 		case "run":
 			arguments := []string{"galenactl", "--settings", settings}
 			for _, argument := range strings.Fields(d.Input) {
-				arguments = append(arguments, strings.ReplaceAll(argument, "LIST", list))
+				arguments = append(arguments, strings.NewReplacer("LIST", list, "ADDRESS", hosts[0]).Replace(argument))
 			}
 			var output bytes.Buffer
 			code := Main(arguments, &output, &output)
--- a/internal/demo/check.go
+++ b/internal/demo/check.go
@@ -25,6 +25,9 @@
 	Unknown  Outcome = "unknown"
 )
 
+// stillFailing marks a key without an answer at the end of the load.
+const stillFailing Outcome = "still failing"
+
 // Order is what the caller was told about one idempotency key over all its tries.
 type Order struct {
 	IdempotencyKey string
@@ -112,9 +115,8 @@
 	return false
 }
 
-// ReadHistory reads the runs of one history file. A last line without its end
-// is one that a killed server did not finish; it is an error all the same, since
-// the demo kills no server.
+// ReadHistory reads the runs of one history file. A line that is cut off
+// is an error: servers write a line by one call, which a kill does not cut.
 func ReadHistory(path string) ([]backend.Run, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -46,6 +46,8 @@
 	WarmUp    time.Duration // longest wait until each key is answered by each entry host
 	Histories []string      // servers' history files, read at the end
 	Seed      uint64
+	Marks     string          // file of marks, read at the end; empty for none
+	End       <-chan struct{} // ends the load before its duration; may be nil
 }
 
 // driver sends the load.
@@ -76,6 +78,13 @@
 	d.tally = newTally(time.Now())
 	loadCtx, cancel := context.WithTimeout(ctx, options.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-options.End:
+			cancel()
+		case <-loadCtx.Done():
+		}
+	}()
 	var workers sync.WaitGroup
 	for i := range options.Workers {
 		workers.Go(func() { d.work(loadCtx, i) })
@@ -98,6 +107,16 @@
 		}
 		runs = append(runs, history...)
 	}
+	marks, err := readMarks(d.options.Marks)
+	if err != nil {
+		return report, err
+	}
+	// A key without an answer at the end was unavailable until then.
+	events := d.tally.events
+	for _, since := range d.tally.failingSince {
+		events = append(events, event{at: since, outcome: stillFailing, unavailable: time.Since(since)})
+	}
+	report.Windows = windowsOf(marks, events)
 	report.Runs = len(runs)
 	report.Faults = Check(report.Orders, runs)
 	return report, nil
@@ -135,12 +154,13 @@
 }
 
 // work sends one request after another until the context ends. A request that
-// was begun is finished.
+// was begun is finished. Each worker has its entry host, so that those of the
+// others go on while an entry host does not answer.
 func (d *driver) work(ctx context.Context, worker int) {
 	random := rand.New(rand.NewPCG(d.options.Seed, uint64(worker)))
+	entry := worker % len(d.options.Entries)
 	for sequence := 0; ctx.Err() == nil; sequence++ {
 		key := keyName(random.IntN(d.options.Keys))
-		entry := random.IntN(len(d.options.Entries))
 		var got Outcome
 		if random.Float64() < orderShare {
 			got = d.placeOrder(entry, key, fmt.Sprintf("order-%d-%d", worker, sequence))
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -21,6 +21,14 @@
 	longest      time.Duration
 	longestAt    time.Time // when the longest unavailability began
 	started      time.Time
+	events       []event
+}
+
+// event is one request for the table of windows.
+type event struct {
+	at          time.Time // when it was sent, or its key became unavailable
+	outcome     Outcome
+	unavailable time.Duration // of its key, until its answer; only if answered
 }
 
 func newTally(started time.Time) *tally {
@@ -39,6 +47,7 @@
 	since, failing := t.failingSince[key]
 	if result.outcome != Answered {
 		t.reasons[result.reason]++
+		t.events = append(t.events, event{at: sent, outcome: result.outcome})
 		if !failing || sent.Before(since) {
 			t.failingSince[key] = sent
 		}
@@ -51,6 +60,7 @@
 		t.longest = unavailable
 		t.longestAt = since
 	}
+	t.events = append(t.events, event{at: since, outcome: Answered, unavailable: ended.Sub(since)})
 	delete(t.failingSince, key)
 }
 
@@ -71,6 +81,7 @@
 	StillFailing int           // keys without an answer at the end
 	Runs         int           // runs found in the histories
 	Faults       Faults
+	Windows      []Window
 }
 
 func (t *tally) report() Report {
@@ -126,6 +137,9 @@
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "print table")
 	}
+	if err := printWindows(w, r.Windows); err != nil {
+		return err
+	}
 	for reason, count := range r.Reasons {
 		if _, err := fmt.Fprintf(w, "not answered: %d times %s\n", count, reason); err != nil {
 			return errors.Wrap(err, "print reasons")
--- a/scripts/demoload/main.go
+++ b/scripts/demoload/main.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -38,6 +40,7 @@
 				&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
 				&cli.DurationFlag{Name: "warm-up", Value: 20 * time.Second},
 				&cli.Uint64Flag{Name: "seed", Value: 1},
+				&cli.StringFlag{Name: "marks", Usage: "file of marks, one a line: Unix seconds and a name"},
 			}},
 		},
 	}
@@ -68,7 +71,10 @@
 	return nil
 }
 
+// run ends its load early on SIGTERM and checks all the same.
 func run(ctx context.Context, c *cli.Command) error {
+	end, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+	defer stop()
 	report, err := demo.Run(ctx, demo.Options{
 		Entries:   c.StringSlice("entries"),
 		Service:   c.String("service"),
@@ -78,6 +84,8 @@
 		WarmUp:    c.Duration("warm-up"),
 		Histories: c.StringSlice("history"),
 		Seed:      c.Uint64("seed"),
+		Marks:     c.String("marks"),
+		End:       end.Done(),
 	})
 	if err != nil {
 		return err
