--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,7 +13,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"gopkg.in/yaml.v3"
 
@@ -39,14 +42,20 @@
 
 // adminServer is the operators' HTTP interface.
 type adminServer struct {
-	host   *Host
-	engine *server.Hertz
+	host     *Host
+	engine   *server.Hertz
+	listener net.Listener
 }
 
 func (h *Host) startAdmin() error {
-	a := &adminServer{host: h}
+	listener, err := net.Listen("tcp", h.settings.AdminListen)
+	if err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
+	a := &adminServer{host: h, listener: listener}
 	a.engine = server.New(
-		server.WithHostPorts(h.settings.AdminListen),
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxListBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
@@ -75,6 +84,8 @@
 	if err := a.engine.Shutdown(ctx); err != nil {
 		log.WithError(err).Debug("operators' listener shutdown")
 	}
+	// Shutdown does nothing to an engine that does not run yet.
+	_ = a.listener.Close()
 }
 
 // authenticated refuses requests without the operators' credential.
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -70,7 +70,8 @@
 	c.running[name] = host
 }
 
-// stop ends a host without waiting for a successor of what it leads.
+// stop ends a host, which may not have started, without waiting for a successor of
+// what it leads.
 func (c *hosts) stop(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -158,10 +159,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = host.Stop(context.Background()) }() // it never started
+	c.running["second"] = host
 	if err := host.Start(); !errors.Is(err, ErrDataInUse) {
 		t.Fatalf("second start: %v", err)
 	}
 	c.stop("control-a")
 	c.start("control-a")
 }
+
+// TestHostStopsRightAfterItsStart stops hosts whose operators' listener may not
+// serve yet; it used to serve for ever then, and Stop waited for it.
+func TestHostStopsRightAfterItsStart(t *testing.T) {
+	c := startHosts(t, "control-a")
+	for range 5 {
+		c.stop("control-a")
+		c.start("control-a")
+	}
+}
--- a/internal/demo/check_test.go
+++ b/internal/demo/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -96,3 +97,33 @@
 		t.Fatal("a torn line was accepted")
 	}
 }
+
+// TestWindows checks what a fault's row says of a key that one caller can't reach
+// while another one can.
+func TestWindows(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	tally := newTally(start)
+	answered, failed := result{outcome: Answered}, result{outcome: Unknown}
+	tally.request("a", answered, at(0), at(10)) // before the first mark
+	tally.request("a", answered, at(150), at(160))
+	tally.request("a", failed, at(120), at(300)) // hung while another caller was answered
+	tally.request("a", answered, at(400), at(410))
+	tally.request("b", failed, at(500), at(510))
+	tally.request("b", answered, at(900), at(910))
+	marks := filepath.Join(t.TempDir(), "marks")
+	if err := os.WriteFile(marks, []byte("1000.1 kill:x\n1000.450000 pause:y\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	list, err := readMarks(marks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Window{
+		{Mark{at(100), "kill:x"}, map[Outcome]int{Answered: 2, Unknown: 1}, 290 * time.Millisecond, 250 * time.Millisecond},
+		{Mark{at(450), "pause:y"}, map[Outcome]int{Answered: 1, Unknown: 1}, 410 * time.Millisecond, 410 * time.Millisecond},
+	}
+	if got := windowsOf(list, tally.events); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -114,7 +114,7 @@
 	// A key without an answer at the end was unavailable until then.
 	events := d.tally.events
 	for _, since := range d.tally.failingSince {
-		events = append(events, event{at: since, outcome: stillFailing, unavailable: time.Since(since)})
+		events = append(events, event{at: since, outcome: stillFailing, unavailable: time.Since(since), gap: time.Since(since)})
 	}
 	report.Windows = windowsOf(marks, events)
 	report.Runs = len(runs)
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -22,6 +22,7 @@
 	longestAt    time.Time // when the longest unavailability began
 	started      time.Time
 	events       []event
+	lastAnswered map[string]time.Time // by key, when the last answer came
 }
 
 // event is one request for the table of windows.
@@ -29,10 +30,12 @@
 	at          time.Time // when it was sent, or its key became unavailable
 	outcome     Outcome
 	unavailable time.Duration // of its key, until its answer; only if answered
+	gap         time.Duration // the part without any answer for the key
 }
 
 func newTally(started time.Time) *tally {
-	return &tally{started: started, counts: map[Outcome]int{}, reasons: map[string]int{}, failingSince: map[string]time.Time{}}
+	return &tally{started: started, counts: map[Outcome]int{}, reasons: map[string]int{}, failingSince: map[string]time.Time{},
+		lastAnswered: map[string]time.Time{}}
 }
 
 // request records one request for a key. A key counts as unavailable from the
@@ -60,7 +63,13 @@
 		t.longest = unavailable
 		t.longestAt = since
 	}
-	t.events = append(t.events, event{at: since, outcome: Answered, unavailable: ended.Sub(since)})
+	// Another caller may have had an answer since the failed request was sent.
+	gapSince := since
+	if last := t.lastAnswered[key]; last.After(gapSince) {
+		gapSince = last
+	}
+	t.events = append(t.events, event{at: since, outcome: Answered, unavailable: ended.Sub(since), gap: ended.Sub(gapSince)})
+	t.lastAnswered[key] = ended
 	delete(t.failingSince, key)
 }
 
--- a/internal/demo/windows.go
+++ b/internal/demo/windows.go
@@ -23,7 +23,8 @@
 type Window struct {
 	Mark    Mark
 	Counts  map[Outcome]int // requests sent in the window, by outcome
-	Longest time.Duration   // longest unavailability of a key that began in the window
+	Longest time.Duration   // longest unavailability of a key to one caller that began in the window
+	Gap     time.Duration   // longest part of one without an answer to any caller
 }
 
 // readMarks reads lines of Unix seconds and a name, oldest first.
@@ -65,6 +66,7 @@
 		window := &windows[after-1]
 		window.Counts[e.outcome]++
 		window.Longest = max(window.Longest, e.unavailable)
+		window.Gap = max(window.Gap, e.gap)
 	}
 	return windows
 }
@@ -74,10 +76,11 @@
 		return nil
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "FAULT\tANSWERED\tNOT RUN\tUNKNOWN\tLONGEST UNAVAILABLE")
+	_, _ = fmt.Fprintln(table, "FAULT\tANSWERED\tNOT RUN\tUNKNOWN\tLONGEST TO ONE CALLER\tTO ALL CALLERS")
 	for _, window := range windows {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\n", window.Mark.Name, window.Counts[Answered],
-			window.Counts[NotRun], window.Counts[Unknown], window.Longest.Round(time.Millisecond))
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%v\t%v\n", window.Mark.Name, window.Counts[Answered],
+			window.Counts[NotRun], window.Counts[Unknown], window.Longest.Round(time.Millisecond),
+			window.Gap.Round(time.Millisecond))
 	}
 	return errors.Wrap(table.Flush(), "print windows")
 }
