--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -270,9 +270,22 @@
 		Service:  share.Service,
 		Granted:  grant.Share,
 		Number:   grant.Number,
+		Burst:    allowance.BurstShare(limit, grant.Share),
+		Refusal:  shareRefusal(err),
 	}
 }
 
+// shareRefusal translates an error of Host.limit.
+func shareRefusal(err error) string {
+	switch {
+	case errors.Is(err, allowance.ErrNoPlan):
+		return wire.ShareNoPlan
+	case errors.Is(err, allowance.ErrNotAllowed):
+		return wire.ShareNotAllowed
+	}
+	return ""
+}
+
 func (h *Host) runBegin(ctx context.Context, r wire.RunBegin) (wire.RunReply, error) {
 	g, at, err := h.ledgerOf(r.Group)
 	if err != nil {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -68,6 +68,10 @@
 		ErrWriter: p.stderr,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`", Sources: cli.EnvVars("GALENACTL_SETTINGS")},
+			&cli.StringFlag{
+				Name: "operator", Usage: "`NAME` that the loser of a race is shown",
+				Value: accountName(), DefaultText: "the account's name", Sources: cli.EnvVars("USER"),
+			},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
@@ -272,11 +276,16 @@
 	if err != nil {
 		return nil, err
 	}
-	operator := "unknown"
-	if account, err := user.Current(); err == nil {
-		operator = account.Username
+	return newHostClient(s.Controls, secret, c.String("operator"), time.Duration(s.TimeoutMs)*time.Millisecond)
+}
+
+// accountName returns the name of the account that runs the program.
+func accountName() string {
+	account, err := user.Current()
+	if err != nil {
+		return "unknown"
 	}
-	return newHostClient(s.Controls, secret, operator, time.Duration(s.TimeoutMs)*time.Millisecond)
+	return account.Username
 }
 
 func (p *program) printAnswer(ctx context.Context, c *cli.Command, path string) error {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -73,7 +73,7 @@
 			t.Error(err)
 		}
 		w.WriteHeader(status)
-		_, _ = w.Write([]byte(body))
+		_, _ = w.Write([]byte(strings.ReplaceAll(body, "OPERATOR", r.Header.Get(headerOperator))))
 	}))
 	if word == "down" {
 		server.Close()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -122,8 +122,11 @@
 	return reply, nil
 }
 
-func (f *fakePorts) Admit(string, string) (bool, time.Duration) {
-	return !f.refused.Load(), 3 * time.Second
+func (f *fakePorts) Admit(string, string) (time.Duration, error) {
+	if f.refused.Load() {
+		return 3 * time.Second, ErrAllowanceSpent
+	}
+	return 0, nil
 }
 
 func (f *fakePorts) Announce(_ context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -80,11 +80,25 @@
 	Finish(ctx context.Context, group string, finish wire.RunFinish) (wire.RunReply, error)
 }
 
+// Errors of Limits.Admit. Each means that nothing was sent.
+var (
+	// ErrAllowanceSpent means that the customer's allowance is spent for now.
+	ErrAllowanceSpent = errors.New("the customer's allowance is spent")
+	// ErrNoPlan means that no plan is known for the customer.
+	ErrNoPlan = errors.New("the customer is in no plan")
+	// ErrNotAllowed means that the customer's plan does not allow the service.
+	ErrNotAllowed = errors.New("the customer's plan does not allow the service")
+	// ErrNoShare means that this host has no share of the allowance at present:
+	// the control hosts gave none yet, or cannot be reached.
+	ErrNoShare = errors.New("this host has no share of the customer's allowance at present")
+)
+
 // Limits enforces plans and allowances over all entry hosts together.
 type Limits interface {
-	// Admit takes one request from a customer's allowance. When the allowance
-	// is spent it returns false and the time after which to try again.
-	Admit(customer, service string) (ok bool, retryAfter time.Duration)
+	// Admit takes one request from a customer's allowance. It fails with
+	// ErrAllowanceSpent, ErrNoPlan, ErrNotAllowed or ErrNoShare, and then
+	// returns the time after which to try again, 0 if that does not help.
+	Admit(customer, service string) (retryAfter time.Duration, err error)
 }
 
 // Sessions keeps backend servers' sessions.
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenalug/galenalug/retry"
 )
 
@@ -14,6 +16,9 @@
 	reasonTooLarge       = "too-large"
 	reasonUnknownService = "unknown-service"
 	reasonAllowance      = "allowance"
+	reasonNoPlan         = "no-plan"
+	reasonNotAllowed     = "not-allowed"
+	reasonNoShare        = "no-share"
 	reasonNoOwner        = "no-owner"
 	reasonNoServer       = "no-server"
 	reasonWaiters        = "too-many-waiting"
@@ -49,3 +54,17 @@
 func unknown(status int, reason, format string, arguments ...any) *refusal {
 	return &refusal{status: status, outcome: retry.Unknown, reason: reason, detail: fmt.Sprintf(format, arguments...)}
 }
+
+// limitRefusal translates an error of Limits.Admit.
+func limitRefusal(err error) *refusal {
+	switch {
+	case errors.Is(err, ErrAllowanceSpent):
+		return notRun(429, reasonAllowance, "%v", err)
+	case errors.Is(err, ErrNoPlan):
+		return notRun(403, reasonNoPlan, "%v", err)
+	case errors.Is(err, ErrNotAllowed):
+		return notRun(403, reasonNotAllowed, "%v", err)
+	default:
+		return notRun(503, reasonNoShare, "%v", err)
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -58,13 +58,13 @@
 	if r.keyed && r.in.key == "" {
 		return badRequest("%s is missing: the service is divided by key", wire.HeaderKey)
 	}
-	admitted, retryAfter := h.limits.Admit(r.in.customer, r.in.service)
-	if !admitted {
-		failure := notRun(429, reasonAllowance, "the customer's allowance is spent")
-		failure.retryAfter = retryAfter
-		return failure
+	retryAfter, err := h.limits.Admit(r.in.customer, r.in.service)
+	if err == nil {
+		return nil
 	}
-	return nil
+	failure := limitRefusal(err)
+	failure.retryAfter = retryAfter
+	return failure
 }
 
 func (h *Host) sendUntilDone(ctx context.Context, r *run) (*forward.Answer, *refusal) {
--- /dev/null
+++ b/internal/routing/limits_test.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/entry"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// limitsSession is a host's limits in virtual time.
+type limitsSession struct {
+	*Limits
+	t      *testing.T
+	at     time.Duration
+	number uint64
+}
+
+func newLimitsSession(t *testing.T) *limitsSession {
+	s := &limitsSession{t: t}
+	s.Limits = newLimits(func() time.Duration { return s.at })
+	return s
+}
+
+// ask counts requests of a customer without waiting for its share.
+func (s *limitsSession) ask(customer string, requests int) {
+	for range requests {
+		s.use(allowance.Pair{Customer: customer, Service: "orders"})
+	}
+}
+
+// renew sends what is due; every share is answered alike.
+func (s *limitsSession) renew(answer wire.Share) int {
+	sent := s.prepare(s.at)
+	var granted []wire.Share
+	for _, share := range wireShares(sent) {
+		s.number++
+		share.Granted, share.Burst, share.Refusal, share.Number = answer.Granted, answer.Burst, answer.Refusal, s.number
+		granted = append(granted, share)
+	}
+	s.accept(s.at, sent, granted)
+	return len(sent)
+}
+
+func (s *limitsSession) admits(customer string, want error) {
+	s.t.Helper()
+	if _, err := s.Admit(customer, "orders"); !errors.Is(err, want) {
+		s.t.Fatalf("at %v %s: got %v, want %v", s.at, customer, err, want)
+	}
+}
+
+func TestRefusalsOfLimits(t *testing.T) {
+	s := newLimitsSession(t)
+	s.admits("uniform", entry.ErrNoShare) // nobody answers
+	s.renew(wire.Share{Refusal: wire.ShareNoPlan})
+	s.admits("uniform", entry.ErrNoPlan)
+	s.at += shareInterval
+	s.renew(wire.Share{Refusal: wire.ShareNotAllowed})
+	s.admits("uniform", entry.ErrNotAllowed)
+	s.at += shareInterval
+	s.renew(wire.Share{})
+	s.admits("uniform", entry.ErrNoShare)
+	s.at += shareInterval
+	s.renew(wire.Share{Granted: 10, Burst: 3})
+	s.at += time.Second // the plan's burst fills up
+	for range 3 {
+		s.admits("uniform", nil)
+	}
+	s.admits("uniform", entry.ErrAllowanceSpent)
+	s.at += shareLease
+	s.admits("uniform", entry.ErrNoShare)
+	for len(s.pairs) < maxPairs {
+		s.ask(fmt.Sprint("other-", len(s.pairs)), 1)
+	}
+	s.admits("one too many", entry.ErrNoShare)
+}
+
+func TestRenewalsOfShares(t *testing.T) {
+	s := newLimitsSession(t)
+	want := func(got, want int) {
+		t.Helper()
+		if got != want {
+			t.Fatalf("at %v: %d shares sent, want %d", s.at, got, want)
+		}
+	}
+	granted := wire.Share{Granted: 20, Burst: 2}
+	s.ask("steady", 1)
+	want(len(s.kick), 1)
+	<-s.kick
+	want(s.renew(granted), 1)
+	s.ask("next", 1)
+	want(len(s.kick), 0) // too soon after the last; the next tick takes it
+	want(s.renew(granted), 1)
+	s.at += renewInterval
+	want(s.renew(granted), 0)
+	s.ask("steady", 100) // its demand has risen above its share
+	want(s.renew(granted), 1)
+	want(s.renew(granted), 0)
+	s.at += shareInterval
+	want(s.renew(granted), 2)
+	for i := range 100 {
+		s.ask(fmt.Sprint("many-", i), 1)
+	}
+	s.at += shareInterval
+	total := 0
+	for range 10 {
+		total += s.renew(granted)
+	}
+	want(total, 102)
+	s.at += idleForget + time.Second
+	want(s.renew(granted), 0)
+	want(len(s.pairs), 0)
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -21,6 +21,12 @@
 // NoSlot is the slot of runs of services that are not divided by key.
 const NoSlot = 0
 
+// Reasons in Share.Refusal.
+const (
+	ShareNoPlan     = "no-plan"     // the customer is in no plan, and there is no default plan
+	ShareNotAllowed = "not-allowed" // the customer's plan does not allow the service
+)
+
 // Error codes of failed calls, in Frame.ErrorCode.
 const (
 	CodeNotLeader   = "not-leader"  // detail: name of the leader, or empty
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -398,9 +398,15 @@
 
 // Share is a part of a customer's allowance for one service.
 type Share struct {
+	// Requests granted at once, after a pause.
+	Burst int `json:"b" yaml:"b" cbor:"b"`
+
 	// Customer.
 	Customer string `json:"c" yaml:"c" cbor:"c"`
 
+	// Why nothing is granted: no-plan or not-allowed; empty otherwise.
+	Refusal string `json:"e" yaml:"e" cbor:"e"`
+
 	// Requests a second granted.
 	Granted float64 `json:"g" yaml:"g" cbor:"g"`
 
