Stop a control host that serves nothing yet

Cause: TestDataFolderHasOneProcess hung for two reasons. Stopped before its operators' listener served, a host waited for that listener for ever: hertz's Shutdown does nothing then. A host that never started waited for its peer listener's end, which only Start announces. Change: the operators' listener is opened by Start, which so also fails when its address is taken, and closed by Stop; peer.Server.Stop waits for the listener's goroutine only if there is one.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,7 +13,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"gopkg.in/yaml.v3"
 
@@ -39,14 +42,20 @@
 
 // adminServer is the operators' HTTP interface.
 type adminServer struct {
-	host   *Host
-	engine *server.Hertz
+	host     *Host
+	listener net.Listener
+	engine   *server.Hertz
 }
 
 func (h *Host) startAdmin() error {
-	a := &adminServer{host: h}
+	listener, err := net.Listen("tcp", h.settings.AdminListen)
+	if err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
+	a := &adminServer{host: h, listener: listener}
 	a.engine = server.New(
-		server.WithHostPorts(h.settings.AdminListen),
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxListBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
@@ -71,7 +80,10 @@
 	return nil
 }
 
+// stop also ends a server that does not serve yet: Shutdown does nothing then, and
+// the closed listener ends it.
 func (a *adminServer) stop(ctx context.Context) {
+	_ = a.listener.Close()
 	if err := a.engine.Shutdown(ctx); err != nil {
 		log.WithError(err).Debug("operators' listener shutdown")
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,9 +25,10 @@
 	pool     *ants.Pool
 	stopped  chan struct{} // closed when the listener's goroutine ended
 
-	// mu guards conns, stopping, and adding to handlers.
+	// mu guards conns, started, stopping, and adding to handlers.
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
+	started  bool
 	stopping bool
 	handlers sync.WaitGroup // one for each open connection and running call
 }
@@ -85,6 +86,9 @@
 
 // Start takes connections in the background.
 func (s *Server) Start() error {
+	s.mu.Lock()
+	s.started = true
+	s.mu.Unlock()
 	go func() {
 		defer close(s.stopped)
 		if err := s.engine.Run(); err != nil {
@@ -98,11 +102,12 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Stop closes the listener and every connection, and waits for running handlers
-// or the context's end. It is called once, after Start.
+// or the context's end. It is called once, also on a server that was not started.
 func (s *Server) Stop(ctx context.Context) error {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	s.stopping = true
+	started := s.started
 	conns := make([]*Conn, 0, len(s.conns))
 	for conn := range s.conns {
 		conns = append(conns, conn)
@@ -115,7 +120,9 @@
 	go func() {
 		defer close(ended)
 		s.handlers.Wait()
-		<-s.stopped
+		if started {
+			<-s.stopped
+		}
 		_ = s.pool.ReleaseTimeout(time.Second)
 	}()
 	select {
