Prove the change path of the lists, and parts, over real logs

Cause: the race of equal numbers and a resend after a lost answer were shown for the pure lists only, and the parts' convergence for the pure part only.

--- a/allowance/doc.go
+++ b/allowance/doc.go
@@ -16,9 +16,8 @@
 //
 // # Allocator
 //
-// Allocator divides limits among children by leased shares. It works at two
-// levels: over regions with a long lease, and over the entry hosts of a region
-// with a short one. It guarantees that the shares that children may hold never
+// Allocator divides limits among children by leased shares, as a region's part
+// among its entry hosts. It guarantees that the shares that children may hold never
 // exceed the limit together, under lost, late and reordered messages, children
 // that are cut off, and changes of leader, provided that
 //
@@ -30,6 +29,21 @@
 // A lowered limit is in force within one lease. Until then the shares' sum may
 // exceed the new limit, but never the old one.
 //
+// # Parts
+//
+// Parts is a deterministic state machine over each region's part of a limit, as a
+// fraction of it; AcceptedParts is one over the lowered parts that a region has
+// taken on, in the region's own log. The regions' children together never hold
+// more than the limit, also with old copies of Parts, late or repeated
+// confirmations, cuts and changes of leader, provided that
+//
+//   - a region's leader has applied its whole log, and grants at most
+//     AcceptedParts.InForce of the limit, and
+//   - it confirms a lowered part only once it is accepted and Allocator.Keeps it.
+//
+// A limit that changes is another one for the moment in which regions have
+// different lists. PartPlanner says which parts to shift.
+//
 // # Bucket
 //
 // Bucket admits requests at the rate of a share for as long as its lease runs.
--- a/internal/control/parts_test.go
+++ b/internal/control/parts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/allowance"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -84,3 +85,63 @@
 		}
 	}
 }
+
+// A customer that comes through one region only gets nearly its whole allowance
+// over the logs of real hosts, and the reason for a refusal comes with the share.
+func TestCustomerThroughOneRegion(t *testing.T) {
+	c := startCluster(t)
+	lists := []allowance.Command{
+		{Allowances: &allowance.LimitList{Version: 1, Allowances: []allowance.PlanAllowance{
+			{Plan: "gold", Limits: []allowance.Limit{{Service: "orders", RequestsPerSecond: 1000, Burst: 100}}},
+		}}},
+		{Plans: &allowance.PlanList{Version: 1, Plans: []allowance.CustomerPlan{{Customer: "uniform", Plan: "gold"}}}},
+	}
+	for _, list := range lists {
+		c.eventually("a list is accepted", func() error {
+			data, err := encodeLists(list)
+			if err != nil {
+				return err
+			}
+			var reply wire.ProposalReply
+			return c.call(south, wire.KindPropose, wire.Proposal{Group: wire.GroupGlobal, Command: data}, &reply)
+		})
+	}
+	renew := func(share wire.Share) (wire.Share, error) {
+		request := wire.Renewal{Group: "mien-trung", Name: "e1", Incarnation: "1", Region: "mien-trung", Shares: []wire.Share{share}}
+		var reply wire.RenewalReply
+		err := c.call(middle, wire.KindRenew, request, &reply)
+		if err == nil && len(reply.Shares) != 1 {
+			err = errors.Errorf("%d shares", len(reply.Shares))
+		}
+		if err != nil {
+			return share, err
+		}
+		return reply.Shares[0], nil
+	}
+	for _, refused := range []wire.Share{
+		{Customer: "nobody", Service: "orders", Refusal: wire.ShareNoPlan},
+		{Customer: "uniform", Service: "photos", Refusal: wire.ShareNotAllowed},
+	} {
+		c.eventually("a refusal", func() error {
+			got, err := renew(wire.Share{Customer: refused.Customer, Service: refused.Service, Wanted: 1})
+			if err == nil && (got.Refusal != refused.Refusal || got.Granted != 0) {
+				err = errors.Errorf("got %+v", got)
+			}
+			return err
+		})
+	}
+	share := wire.Share{Customer: "uniform", Service: "orders"}
+	c.eventually("nine tenths of the allowance", func() error {
+		got, err := renew(wire.Share{
+			Customer: "uniform", Service: "orders", Held: share.Granted, Number: share.Number, Wanted: 2000,
+		})
+		if err != nil {
+			return err
+		}
+		share = got
+		if share.Granted < 900 || share.Burst < 90 {
+			return errors.Errorf("granted %+v", share)
+		}
+		return nil
+	})
+}
