--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -80,12 +80,13 @@
 	return nil
 }
 
+// stop also ends a server that does not serve yet: Shutdown does nothing then, and
+// the closed listener ends it.
 func (a *adminServer) stop(ctx context.Context) {
+	_ = a.listener.Close()
 	if err := a.engine.Shutdown(ctx); err != nil {
 		log.WithError(err).Debug("operators' listener shutdown")
 	}
-	// Shutdown does nothing to an engine that does not run yet.
-	_ = a.listener.Close()
 }
 
 // authenticated refuses requests without the operators' credential.
