Try a record again within the deadline, and bound tries of a grant

Cause: a Begin that met a slot on its way to another group, or whose reply was lost, refused the request at once; a Finish that met such a slot counted as recorded, and left the record running. Tries of a grant that was refused or of an owner that refuses connections had no budget. Change: Begin goes on with the same nonce until the deadline; Finish goes to the slot's home of that moment; the first 6 tries of a refused grant are free (about 240 ms), later ones and those after refused connections spend from the retry budget, and without one the request waits for another grant. Weighed: spending for each, which would refuse requests that only had to wait for a new owner to hear of its grant. Without the changes TestSealedFinish hangs and TestRetryBudgetOfGrants fails; with them go test -race ./internal/entry passes.

--- a/internal/entry/budgets.go
+++ b/internal/entry/budgets.go
@@ -13,16 +13,19 @@
 
 // budgets holds the retry budget of each service.
 type budgets struct {
-	mu        sync.Mutex // guards byService
+	mu        sync.Mutex // guards the fields below
+	config    retry.BudgetConfig
 	byService map[string]*retry.Budget
 }
 
-func newBudgets() *budgets { return &budgets{byService: map[string]*retry.Budget{}} }
+func newBudgets() *budgets {
+	return &budgets{config: retryBudget, byService: map[string]*retry.Budget{}}
+}
 
 func (b *budgets) of(service string) *retry.Budget {
 	found := b.byService[service]
 	if found == nil {
-		found = retry.NewBudget(retryBudget)
+		found = retry.NewBudget(b.config)
 		b.byService[service] = found
 	}
 	return found
@@ -34,6 +37,13 @@
 	b.of(service).FirstAttempt(now)
 }
 
+// spendRetry takes one retry from a service's budget, or returns false.
+func (h *Host) spendRetry(service string) bool {
+	h.budgets.mu.Lock()
+	defer h.budgets.mu.Unlock()
+	return h.budgets.of(service).Spend(h.now())
+}
+
 // decideRetry takes budgets.mu, then randomMu.
 func (h *Host) decideRetry(service string, attempt retry.Attempt) retry.Decision {
 	h.budgets.mu.Lock()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/ledger"
 )
 
 // fakePorts implements every port. One service, "orders", is divided by key;
@@ -26,19 +27,23 @@
 	changed  chan struct{}
 	records  map[string]wire.RunReply
 	digests  map[string]string
+	nonces   map[string]string
 	finished chan wire.RunFinish
-	begun    []wire.RunBegin
-	refused  atomic.Bool // Admit
-	writable func() bool
-	announce wire.Announcement
-	timedOut int
-	failed   int
+	// sealedFinishes is how many calls of Finish meet a sealed slot.
+	sealedFinishes int
+	begun          []wire.RunBegin
+	refused        atomic.Bool // Admit
+	failRuns       []error     // of the next calls of Begin, which are recorded all the same; nil for a sealed slot
+	writable       func() bool
+	announce       wire.Announcement
+	timedOut       int
+	failed         int
 }
 
 func newFakePorts() *fakePorts {
 	return &fakePorts{
 		token: 7, changed: make(chan struct{}), records: map[string]wire.RunReply{},
-		digests: map[string]string{}, finished: make(chan wire.RunFinish, 100), writable: func() bool { return true },
+		digests: map[string]string{}, nonces: map[string]string{}, finished: make(chan wire.RunFinish, 100), writable: func() bool { return true },
 	}
 }
 
@@ -102,6 +107,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.begun = append(f.begun, begin)
+	if len(f.failRuns) > 0 {
+		return f.failBegin(begin)
+	}
+	if f.nonces[begin.Key] == string(begin.Nonce) {
+		return wire.RunReply{State: stateNew, Attempt: 1}, nil
+	}
 	if reply, found := f.records[begin.Key]; found && reply.State != stateNotRun {
 		if f.digests[begin.Key] != string(begin.Digest) {
 			return wire.RunReply{State: stateConflict}, nil
@@ -113,9 +124,24 @@
 	return wire.RunReply{State: stateNew, Attempt: 1}, nil
 }
 
+func (f *fakePorts) failBegin(begin wire.RunBegin) (wire.RunReply, error) {
+	failure := f.failRuns[0]
+	f.failRuns = f.failRuns[1:]
+	if failure == nil {
+		return wire.RunReply{Refusal: string(ledger.RefusedSealed)}, nil
+	}
+	f.records[begin.Key] = wire.RunReply{State: stateRunning, Attempt: 1}
+	f.digests[begin.Key], f.nonces[begin.Key] = string(begin.Digest), string(begin.Nonce)
+	return wire.RunReply{}, failure
+}
+
 func (f *fakePorts) Finish(_ context.Context, _ string, finish wire.RunFinish) (wire.RunReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.sealedFinishes > 0 {
+		f.sealedFinishes--
+		return wire.RunReply{Refusal: string(ledger.RefusedSealed)}, nil
+	}
 	reply := wire.RunReply{State: finish.State, Status: finish.Status, Body: finish.Body, ContentType: finish.ContentType}
 	f.records[finish.Key] = reply
 	f.finished <- finish
--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -27,6 +28,8 @@
 )
 
 const (
+	// beginPause is the longest wait for a table change between two tries.
+	beginPause = 50 * time.Millisecond
 	// finishTimeout bounds one try to record how a request ended.
 	finishTimeout = time.Second
 	// finishTries bounds the tries.
@@ -45,15 +48,54 @@
 }
 
 // begin records a request that may not be repeated. It returns the kept answer
-// of an earlier run, or the refusal that the record's state demands.
+// of an earlier run, or the refusal that the record's state demands. A Begin
+// whose outcome is not known, or that met a slot on its way to another group, is
+// sent again with the same nonce until the deadline: the ledger takes it for the
+// same try.
 func (h *Host) begin(ctx context.Context, r *run) (*forward.Answer, *refusal) {
-	in := r.in
-	if in.repeatable || in.idempotencyKey == "" {
+	if r.in.repeatable || r.in.idempotencyKey == "" {
 		return nil, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, h.bounds.maxDeadline)
+	defer cancel()
+	nonce := newNonce()
+	for {
+		changed := h.table.Changed()
+		reply, failure, final := h.beginOnce(ctx, r, nonce)
+		if failure == nil {
+			return h.began(r, reply)
+		}
+		if final {
+			return nil, failure
+		}
+		if waited := h.waitForTable(ctx, changed, time.Now().Add(beginPause)); waited != nil {
+			return nil, lastRefusal(ctx, waited, failure)
+		}
+	}
+}
+
+// lastRefusal is what the caller hears after a wait that failed: the cause of the
+// wait, if it was the deadline that ended it.
+func lastRefusal(ctx context.Context, waited, cause *refusal) *refusal {
+	if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // Err returns it unwrapped
+		return cause
+	}
+	return waited
+}
+
+// beginReply is the ledger's reply, and where the record is.
+type beginReply struct {
+	wire.RunReply
+	record record
+}
+
+// beginOnce tries once to record a request. A refusal that is not final may end
+// with another try.
+func (h *Host) beginOnce(ctx context.Context, r *run, nonce []byte) (reply beginReply, failure *refusal, final bool) {
+	in := r.in
 	group, slot, err := h.table.Home(in.service, in.ledgerKey())
 	if err != nil {
-		return nil, routeRefusal(err)
+		return reply, routeRefusal(err), errors.Is(err, ErrUnknownService)
 	}
 	begin := wire.RunBegin{
 		Customer:       in.customer,
@@ -62,21 +104,27 @@
 		Key:            in.idempotencyKey,
 		Slot:           slot,
 		Service:        in.service,
-		Nonce:          newNonce(),
-		DeadlineMillis: min(int(h.timeLeft(in).Milliseconds()), ledger.MaxDeadlineMillis),
+		Nonce:          nonce,
+		DeadlineMillis: min(max(1, int(h.timeLeft(in).Milliseconds())), ledger.MaxDeadlineMillis),
 	}
-	reply, err := h.runs.Begin(ctx, group, begin)
+	reply.RunReply, err = h.runs.Begin(ctx, group, begin)
+	reply.record = record{group: group, slot: slot, attempt: reply.Attempt}
 	if err != nil {
-		return nil, notRun(503, reasonLedger, "the run ledger could not record the request: %v", err)
+		return reply, notRun(503, reasonLedger, "the run ledger could not record the request: %v", err), false
 	}
 	if reply.Refusal != "" {
-		return nil, notRun(503, reasonLedger, "the run ledger refused the request: %s", reply.Refusal)
+		failure = notRun(503, reasonLedger, "the run ledger refused the request: %s", reply.Refusal)
+		return reply, failure, reply.Refusal != string(ledger.RefusedSealed)
 	}
+	return reply, nil, true
+}
+
+func (h *Host) began(r *run, reply beginReply) (*forward.Answer, *refusal) {
 	if reply.State == stateNew {
-		r.record = &record{group: group, slot: slot, attempt: reply.Attempt}
+		r.record = &reply.record
 		return nil, nil
 	}
-	return earlierRun(reply)
+	return earlierRun(reply.RunReply)
 }
 
 // newNonce returns a number that tells this try from every other one.
@@ -159,7 +207,7 @@
 	if message.State == stateNotRun && h.finishOnce(r.record.group, message) {
 		return
 	}
-	h.finishLater(r.record.group, message)
+	h.finishLater(r, message)
 }
 
 func finishState(answer *forward.Answer, failure *refusal) string {
@@ -175,20 +223,22 @@
 	}
 }
 
+// finishOnce reports whether the end is recorded, or never can be. A slot on its
+// way to another group takes no Finish.
 func (h *Host) finishOnce(group string, message wire.RunFinish) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
-	_, err := h.runs.Finish(ctx, group, message)
-	return err == nil
+	reply, err := h.runs.Finish(ctx, group, message)
+	return err == nil && reply.Refusal != string(ledger.RefusedSealed)
 }
 
 // finishLater records the end in the background. When every worker is busy the
 // record stays as running, which is truthful: its outcome is not known to others.
-func (h *Host) finishLater(group string, message wire.RunFinish) {
+func (h *Host) finishLater(r *run, message wire.RunFinish) {
 	h.background.Add(1)
 	err := h.finishers.Submit(func() {
 		defer h.background.Done()
-		h.finishWithRetries(group, message)
+		h.finishWithRetries(r, message)
 	})
 	if err != nil {
 		h.background.Done()
@@ -196,11 +246,16 @@
 	}
 }
 
-func (h *Host) finishWithRetries(group string, message wire.RunFinish) {
+func (h *Host) finishWithRetries(r *run, message wire.RunFinish) {
+	group := r.record.group
+	service, key := r.in.service, r.in.ledgerKey()
 	for range finishTries {
 		if h.finishOnce(group, message) {
 			return
 		}
+		if home, _, err := h.table.Home(service, key); err == nil {
+			group = home // the slot may have moved with its records
+		}
 		select {
 		case <-h.closed:
 			h.metrics.unfinished.Inc()
--- a/internal/entry/ledger_test.go
+++ b/internal/entry/ledger_test.go
@@ -6,7 +6,10 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/retry"
 )
 
 // TestRecordedRuns resends a recorded request after each way it can end. The
@@ -187,3 +190,75 @@
 		t.Errorf("a recorded request ends with its caller: %v", err)
 	}
 }
+
+// TestBeginAgain meets a slot on its way to another group, and a Begin whose
+// reply is lost: both are tried again as the same try.
+func TestBeginAgain(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	ports.failRuns = []error{nil, errors.New("reply lost"), nil, errors.New("reply lost")}
+	host := startHost(t, ports, nil)
+	if got := order(t, host, wire.HeaderIdempotencyKey, "a"); got.outcome != "answered" || server.runs() != 1 {
+		t.Errorf("got %+v, %d runs", got, server.runs())
+	}
+	ports.mu.Lock()
+	for _, begin := range ports.begun {
+		if string(begin.Nonce) != string(ports.begun[0].Nonce) || len(ports.begun) != 5 {
+			t.Errorf("%d tries, one with the nonce %x", len(ports.begun), begin.Nonce)
+		}
+	}
+	ports.failRuns = make([]error, 1000) // sealed for longer than the deadline
+	ports.mu.Unlock()
+	got := order(t, host, wire.HeaderIdempotencyKey, "b", wire.HeaderDeadlineMillis, "200")
+	if got.status != 503 || got.outcome != "not-run" || server.runs() != 1 {
+		t.Errorf("with a sealed slot: got %+v, %d runs", got, server.runs())
+	}
+}
+
+// TestSealedFinish meets a slot on its way to another group after the answer.
+func TestSealedFinish(t *testing.T) {
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	ports.sealedFinishes = 1
+	host := startHost(t, ports, nil)
+	if got := order(t, host, wire.HeaderIdempotencyKey, "a"); got.outcome != "answered" {
+		t.Errorf("got %+v", got)
+	}
+	if finish := <-ports.finished; finish.State != stateAnswered {
+		t.Errorf("recorded %+v", finish)
+	}
+}
+
+// TestRetryBudgetOfGrants counts the attempts at an owner that can't be reached
+// or refuses its grant, with and without a retry budget.
+func TestRetryBudgetOfGrants(t *testing.T) {
+	refusing := startRaw(t, func(_ *rawServer, c net.Conn, _ *http1, _ int) bool {
+		return say(c, "HTTP/1.1 503 No\nGalena-Refused: not-owner\nContent-Length: 0\n\n")
+	})
+	gone := startRaw(t, answerOK)
+	_ = gone.listener.Close()
+	ports := newFakePorts()
+	host := startHost(t, ports, nil)
+	fail := func(deadlineMillis string) {
+		if got := order(t, host, wire.HeaderDeadlineMillis, deadlineMillis); got.outcome != "not-run" {
+			t.Errorf("got %+v", got)
+		}
+	}
+	ports.setOwner(gone.address(), 7)
+	if fail("300"); ports.failures() < 2 {
+		t.Errorf("%d connections with a budget", ports.failures())
+	}
+	host.budgets.mu.Lock()
+	host.budgets.config, host.budgets.byService = retry.BudgetConfig{}, map[string]*retry.Budget{}
+	host.budgets.mu.Unlock()
+	before := ports.failures()
+	if fail("300"); ports.failures() != before+1 {
+		t.Errorf("%d connections without a budget", ports.failures()-before)
+	}
+	ports.setOwner(refusing.address(), 8)
+	if fail("2000"); refusing.runs() != freeGrantTries+1 {
+		t.Errorf("%d refusals without a budget", refusing.runs())
+	}
+}
--- a/internal/entry/routing.go
+++ b/internal/entry/routing.go
@@ -58,9 +58,16 @@
 		if failure != nil && failure.status != 503 {
 			return destination{}, failure
 		}
-		if failure := h.waitForTable(ctx, r, changed); failure != nil {
+		var again time.Time
+		if r.refusedBy != nil && r.retrySameGrant {
+			again = r.retryAt
+		}
+		if failure := h.waitForTable(ctx, changed, again); failure != nil {
 			return destination{}, failure
 		}
+		if !again.IsZero() && !time.Now().Before(again) {
+			r.refusedBy = nil
+		}
 	}
 }
 
@@ -88,17 +95,17 @@
 	return delay
 }
 
-// waitForTable waits for a table change, or until the grant that was refused may
-// be tried again.
-func (h *Host) waitForTable(ctx context.Context, r *run, changed <-chan struct{}) *refusal {
+// waitForTable waits for a table change, or until a time when what failed may be
+// tried again; zero for never.
+func (h *Host) waitForTable(ctx context.Context, changed <-chan struct{}, at time.Time) *refusal {
 	if h.ownerWaiters.Add(1) > maxOwnerWaiters {
 		h.ownerWaiters.Add(-1)
 		return notRun(503, reasonWaiters, "too many requests wait for an owner")
 	}
 	defer h.ownerWaiters.Add(-1)
 	var again <-chan time.Time
-	if r.refusedBy != nil && r.retrySameGrant {
-		timer := time.NewTimer(time.Until(r.retryAt))
+	if !at.IsZero() {
+		timer := time.NewTimer(time.Until(at))
 		defer timer.Stop()
 		again = timer.C
 	}
@@ -106,7 +113,6 @@
 	case <-changed:
 		return nil
 	case <-again:
-		r.refusedBy = nil
 		return nil
 	case <-ctx.Done():
 		if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // Err returns it unwrapped
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,6 +16,10 @@
 // the owner changed or could not be reached.
 const maxReroutes = 64
 
+// freeGrantTries is the number of tries after which a refused grant is tried
+// again only within the retry budget. They take about 240 ms together.
+const freeGrantTries = 6
+
 // run is one request on its way through the host.
 type run struct {
 	in             *input
@@ -169,7 +173,7 @@
 	rerouted := to.keyed && err.Outcome == retry.NotRun && ownerMayChange(err.Reason)
 	if rerouted && r.tries < maxReroutes {
 		r.refusedBy = &to
-		r.retrySameGrant = err.Reason != wire.RefusedDraining
+		r.retrySameGrant = h.mayRetryGrant(r, err.Reason)
 		r.retryAt = time.Now().Add(ownerRetryDelay(r.tries))
 		return true, 0
 	}
@@ -190,6 +194,21 @@
 	return decision.Retry, decision.Delay
 }
 
+// mayRetryGrant decides whether the grant that did not run a request may be tried
+// again; if not, only another grant will do. The first tries after a refusal are
+// free, since the owner hears of a new grant later than this host. All others
+// spend from the retry budget, so that they can't hold the owner down.
+func (h *Host) mayRetryGrant(r *run, reason string) bool {
+	switch {
+	case reason == wire.RefusedDraining:
+		return false
+	case reason != forward.ReasonConnect && r.tries <= freeGrantTries:
+		return true
+	default:
+		return h.spendRetry(r.in.service)
+	}
+}
+
 // ownerMayChange reports whether a refusal may end with another grant, or with the
 // owner hearing of the grant that the table shows already.
 func ownerMayChange(reason string) bool {
