Pace uploads to the other region behind lookups and orders

Cause: photo uploads and waiting counters share a link of 30 Mbit/s, and an upload took what it could get. Weighed (docs/design/entry.md): a fixed share for uploads, delaying the reads of answers. Change: package pacing decides; interactive bytes are counted and never wait, uploads get the rest and a tenth of the host's part (region_link_bytes_per_second) in any case. Bytes to and from servers of other regions are counted by purpose and direction, as metrics and in the dump. Conclusion: go test -race ./pacing ./internal/entry ./internal/forward passes.

--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -69,6 +69,7 @@
 	Stopping     bool           `json:"stopping"`
 	InFlight     int64          `json:"in_flight"`
 	OwnerWaiters int64          `json:"owner_waiters"`
+	RegionLink   linkBytes      `json:"region_link"`
 	Connections  *forward.Stats `json:"connections,omitempty"`
 	Gates        []gateDump     `json:"gates"`
 	Rest         any            `json:"rest,omitempty"`
@@ -94,6 +95,7 @@
 		Stopping:     h.stopping.Load(),
 		InFlight:     h.inFlight.Load(),
 		OwnerWaiters: h.ownerWaiters.Load(),
+		RegionLink:   h.link.bytes(),
 	}
 	if client, ok := h.sender.(*forward.Client); ok {
 		stats := client.Stats()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -46,6 +46,7 @@
 	idPrefix string
 	lastID   atomic.Uint64
 	gates    *gates
+	link     *regionLink
 	budgets  *budgets
 	randomMu sync.Mutex // guards random
 	random   *rand.Rand
@@ -116,6 +117,7 @@
 		closed:         make(chan struct{}),
 	}
 	h.idPrefix = h.settings.Name + "-" + strconv.FormatInt(h.origin.UnixMilli(), 36) + "-"
+	h.link = newRegionLink(h.now, h.bounds.linkRate)
 	h.gates = newGates(h.now, h.bounds.queueLength)
 	if h.sender == nil {
 		h.sender = forward.NewClient(nil)
--- /dev/null
+++ b/internal/entry/link_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+func crossRegionHost(t *testing.T, rate int) (*Host, *rawServer) {
+	t.Helper()
+	server := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, func(s *settings.EntrySettings) {
+		s.Region, s.RegionLinkBytesPerSecond = "lisboa", rate // the owner is in norte
+	})
+	return host, server
+}
+
+func TestPacedUploadArrivesWhole(t *testing.T) {
+	host, server := crossRegionHost(t, 1_000_000)
+	content := strings.Repeat("0123456789", 20_000)
+	got := call(t, host, "PUT", "/v1/services/orders/batch", content, wire.HeaderKey, "k", wire.HeaderClass, "upload")
+	if got.outcome != "answered" || server.bodies[0] != content {
+		t.Errorf("got %+v, %d bytes arrived", got, len(server.bodies[0]))
+	}
+	bytes := host.link.bytes()
+	if bytes.BulkSent < int64(len(content)) || bytes.BulkReceived == 0 || bytes.InteractiveSent != 0 {
+		t.Errorf("counted %+v", bytes)
+	}
+}
+
+// TestLookupPassesUpload holds an upload up on a link without room, and sends a
+// lookup.
+func TestLookupPassesUpload(t *testing.T) {
+	host, _ := crossRegionHost(t, 1000)
+	ctx, leave := context.WithCancel(context.Background())
+	const size = 64 * linkPiece
+	request, _ := http.NewRequestWithContext(ctx, "PUT", "http://"+host.Addr()+"/v1/services/orders/batch", strings.NewReader(strings.Repeat("p", size)))
+	request.Header.Set(wire.HeaderKey, "k")
+	request.Header.Set(wire.HeaderClass, "upload")
+	ended := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		ended <- err
+	}()
+	for host.link.bytes().BulkSent < linkPiece {
+		<-pollAgain()
+	}
+	if got := call(t, host, "GET", "/v1/services/orders/stock", "", wire.HeaderKey, "k"); got.outcome != "answered" {
+		t.Errorf("the lookup got %+v", got)
+	}
+	bytes := host.link.bytes()
+	if bytes.BulkSent >= size || bytes.InteractiveSent == 0 || bytes.InteractiveReceived == 0 {
+		t.Errorf("counted %+v", bytes)
+	}
+	metrics := do(t, mustGet(t, "http://"+host.AdminAddr()+"/metrics")).body
+	if want := fmt.Sprintf(`{direction="sent",purpose="interactive"} %d`, bytes.InteractiveSent); !strings.Contains(metrics, want) {
+		t.Errorf("the metrics have no %s", want)
+	}
+	leave()
+	if err := <-ended; err == nil {
+		t.Error("the upload ended well")
+	}
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -80,6 +80,7 @@
 	queueDesc = prometheus.NewDesc("galena_entry_queued_requests", "Requests waiting for a backend server, by class.", []string{"class"}, nil)
 	runDesc   = prometheus.NewDesc("galena_entry_running_requests", "Requests at backend servers, by class.", []string{"class"}, nil)
 	waitDesc  = prometheus.NewDesc("galena_entry_owner_waiters", "Requests waiting for an owner.", nil, nil)
+	linkDesc  = prometheus.NewDesc("galena_entry_region_link_bytes_total", "Bytes of requests and answers of servers of other regions.", []string{"purpose", "direction"}, nil)
 	connDesc  = prometheus.NewDesc("galena_entry_connections_total", "Connections to backend servers, by event.", []string{"event"}, nil)
 )
 
@@ -88,6 +89,7 @@
 	out <- queueDesc
 	out <- runDesc
 	out <- waitDesc
+	out <- linkDesc
 	out <- connDesc
 }
 
@@ -106,6 +108,11 @@
 		out <- prometheus.MustNewConstMetric(runDesc, prometheus.GaugeValue, float64(total.Running[class]), name)
 	}
 	out <- prometheus.MustNewConstMetric(waitDesc, prometheus.GaugeValue, float64(c.host.ownerWaiters.Load()))
+	bytes := c.host.link.bytes()
+	out <- prometheus.MustNewConstMetric(linkDesc, prometheus.CounterValue, float64(bytes.InteractiveSent), "interactive", "sent")
+	out <- prometheus.MustNewConstMetric(linkDesc, prometheus.CounterValue, float64(bytes.InteractiveReceived), "interactive", "received")
+	out <- prometheus.MustNewConstMetric(linkDesc, prometheus.CounterValue, float64(bytes.BulkSent), "bulk", "sent")
+	out <- prometheus.MustNewConstMetric(linkDesc, prometheus.CounterValue, float64(bytes.BulkReceived), "bulk", "received")
 	client, ok := c.host.sender.(*forward.Client)
 	if !ok {
 		return
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -38,6 +38,7 @@
 	defaultMaxUploadBytes = 256 << 20
 	defaultQueueLength    = 256
 	defaultWorkers        = 4096
+	defaultLinkRate       = 375_000 // bytes a second
 )
 
 // bounds are the settings in Go's units.
@@ -49,6 +50,7 @@
 	maxUploadBytes int
 	queueLength    int
 	workers        int
+	linkRate       int // bytes a second to other regions
 	drain          time.Duration
 	unready        time.Duration
 }
@@ -62,6 +64,7 @@
 		maxUploadBytes: intOr(s.MaxUploadBytes, defaultMaxUploadBytes),
 		queueLength:    intOr(s.QueueLength, defaultQueueLength),
 		workers:        intOr(s.Workers, defaultWorkers),
+		linkRate:       intOr(s.RegionLinkBytesPerSecond, defaultLinkRate),
 		drain:          time.Duration(s.DrainSeconds) * time.Second,
 		unready:        time.Duration(s.UnreadySeconds) * time.Second,
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -32,6 +32,9 @@
 	if in.stream != nil {
 		request.Stream, request.Length = in.stream, in.contentLength
 	}
+	if to.server.Region != h.settings.Region {
+		h.link.measure(r, request)
+	}
 	return request
 }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -21,6 +21,7 @@
 	answered time.Time // when the last whole answer arrived; the dial time at first
 	fresh    bool      // no request was sent yet
 	readErr  error     // of the last read; hertz's codec hides it
+	meter    Meter     // of the current exchange; nil for none
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
@@ -35,6 +36,9 @@
 func (r rawReader) Read(p []byte) (int, error) {
 	n, err := r.conn.Conn.Read(p)
 	r.conn.readErr = err
+	if r.conn.meter != nil && n > 0 {
+		r.conn.meter.Received(n)
+	}
 	return n, err
 }
 
@@ -51,6 +55,9 @@
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	if c.meter != nil && n > 0 {
+		c.meter.Sent(n)
+	}
 	return n, err
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,7 @@
 		e.giveBack()
 		return nil, failure
 	}
+	e.conn.meter = e.request.Meter
 	e.stop = context.AfterFunc(ctx, func() { _ = e.conn.Close() })
 	answer, err := e.converse()
 	if err != nil {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -33,10 +33,18 @@
 	Repeatable bool
 	// Writable is asked right before the first byte; nil allows.
 	Writable func() bool
+	// Meter hears of the bytes on the connection; nil for none.
+	Meter Meter
 	// MaxBuffered is the longest answer that is read whole before Send returns.
 	MaxBuffered int
 }
 
+// Meter counts the bytes of one exchange, headers included.
+type Meter interface {
+	Sent(bytes int)
+	Received(bytes int)
+}
+
 // Answer is an answer whose header arrived. Either Body holds the whole of it,
 // or Stream yields the rest and fails unless the whole arrives. Stream must be
 // closed.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -196,6 +196,10 @@
 	// Region of this host.
 	Region string `json:"region" yaml:"region" cbor:"region"`
 
+	// This host's part of the link to other regions, for pacing uploads, bytes a
+	// second each way. Default: 375000 (30 Mbit/s over 10 hosts).
+	RegionLinkBytesPerSecond int `json:"region_link_bytes_per_second,omitempty,omitzero" yaml:"region_link_bytes_per_second,omitempty" cbor:"region_link_bytes_per_second,omitempty"`
+
 	// File with the credential of backend servers.
 	ServerSecretFile string `json:"server_secret_file" yaml:"server_secret_file" cbor:"server_secret_file"`
 
