Weigh a server's own region first, and short deadlines not at all

Cause, found in review: many hosts of another region could outvote the few of the server's own when only the link between the regions is bad; and a caller could bring a server down that has no other traffic, with deadlines too short for any answer.

Change: hosts of another region count only while no host of the server's own region gets answers. An entry host reports a time-out only after it waited 50 ms, above the 14 ms of 99 requests in 100 and below the 100 ms that TestLateAnswer wants reported. The leader's dump shows each session's state, reason and quarantine.

--- a/health/doc.go
+++ b/health/doc.go
@@ -10,6 +10,8 @@
 //   - A server that answers or refuses some of a host's requests has not failed
 //     for that host, however many others time out: it is overloaded.
 //   - A host to which most servers seem to have failed is not believed.
+//   - What hosts of another region see counts only while no host of the server's
+//     own region gets answers.
 //   - At most a part of a service's capacity is withheld on evidence, and nothing
 //     while most of the service seems to have failed.
 //   - A server that failed comes back under the same name or address only after
--- a/health/judge.go
+++ b/health/judge.go
@@ -12,6 +12,7 @@
 	Name     string
 	Address  string
 	Service  string
+	Region   string
 	Capacity float64 // requests run at the same time
 	// Leaving reports whether the end of the session is planned.
 	Leaving bool
@@ -252,12 +253,15 @@
 	}
 	against, supporting, doubting := 0, 0, false
 	domains := map[string]bool{}
+	localAnswers := w.localAnswers()
 	w.failedAt = now
 	for name, s := range w.sights {
 		doubting = doubting || s.doubts()
 		host := j.hosts[name]
 		switch {
 		case host == nil || !host.believed:
+		case localAnswers && s.host.Region != w.server.Region:
+			// The link between the regions is the likelier cause.
 		case s.supports():
 			supporting++
 		case s.against(j.settings, silence):
@@ -279,6 +283,16 @@
 	return Healthy, ReasonNone
 }
 
+// localAnswers reports whether hosts of the server's own region get answers.
+func (w *watched) localAnswers() bool {
+	for _, s := range w.sights {
+		if s.host.Region == w.server.Region && s.supports() {
+			return true
+		}
+	}
+	return false
+}
+
 // since returns when the failures began that the host sees.
 func (s *sight) since() time.Duration {
 	if s.failed.count > 0 {
--- a/health/probes.go
+++ b/health/probes.go
@@ -31,11 +31,14 @@
 	if earlier, ok := w.asked[host.Name]; ok {
 		return now-earlier.at >= probeInterval
 	}
+	if len(w.asked) >= probeHosts {
+		return false
+	}
 	inDomain := 0
 	for _, other := range w.asked {
 		if other.domain == host.Domain {
 			inDomain++
 		}
 	}
-	return len(w.asked) < probeHosts && inDomain < probeHostsInDomain
+	return inDomain < probeHostsInDomain
 }
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -35,6 +35,9 @@
 	Owned        int              `json:"owned"`
 	LeaseMillis  int64            `json:"lease_ms"` // at the leader; 0 elsewhere
 	LeadershipOf uint64           `json:"term"`
+	Health       string           `json:"health,omitempty"` // at the leader, as are the next two
+	Reason       string           `json:"reason,omitempty"`
+	Quarantined  bool             `json:"quarantined,omitempty"`
 }
 
 func (s *globalState) dump() []serviceDump {
@@ -71,6 +74,9 @@
 		if g.lead != nil {
 			entry.LeaseMillis = g.lead.coordinator.Remaining(g.now(), server.Session).Milliseconds()
 			entry.LeadershipOf = g.lead.term
+			if verdict, ok := g.lead.supervision.last[server.Session]; ok {
+				entry.Health, entry.Reason, entry.Quarantined = verdict.State.String(), verdict.Reason, verdict.Quarantined
+			}
 		}
 		dump.Servers = append(dump.Servers, entry)
 	}
--- a/internal/control/supervision.go
+++ b/internal/control/supervision.go
@@ -64,6 +64,7 @@
 			Name:     server.Name,
 			Address:  server.Address,
 			Service:  server.Service,
+			Region:   server.Region,
 			Capacity: float64(server.Slots),
 			Leaving:  server.Draining,
 		})
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -148,13 +148,22 @@
 	caller.Data(failure.status, "application/json", body)
 }
 
-// observeFailure reports to the control hosts what an attempt showed of a server.
-func (h *Host) observeFailure(server Server, err *forward.Error) {
+// leastSilence is the wait from which a request without an answer says something of
+// the server: a multiple of the 14 ms in which 99 of 100 are answered. A shorter
+// deadline is its caller's choice, and callers must not be able to bring a server
+// down by it.
+const leastSilence = 50 * time.Millisecond
+
+// observeFailure reports to the control hosts what an attempt showed of a server
+// that was waited for as given.
+func (h *Host) observeFailure(server Server, err *forward.Error, waited time.Duration) {
 	switch err.Reason {
 	case wire.RefusedShedding:
 		h.observer.Answered(server, 0) // it serves, though not this request
 	case forward.ReasonTimeout:
-		h.observer.TimedOut(server)
+		if waited >= leastSilence {
+			h.observer.TimedOut(server)
+		}
 		h.probe(server)
 	case forward.ReasonConnect:
 		if !errors.Is(err, context.Canceled) {
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+// TestShortDeadlineIsNoEvidence lets a caller ask for an answer in no time.
+func TestShortDeadlineIsNoEvidence(t *testing.T) {
+	release := make(chan struct{})
+	server := startRaw(t, func(_ *rawServer, c net.Conn, _ *http.Request, _ int) bool {
+		<-release
+		return false
+	})
+	defer close(release)
+	ports := newFakePorts()
+	ports.setOwner(server.address(), 7)
+	host := startHost(t, ports, nil)
+	if got := order(t, host, wire.HeaderDeadlineMillis, "20"); got.status != 504 {
+		t.Fatalf("got %+v", got)
+	}
+	if ports.timedOut != 0 {
+		t.Fatalf("%d timeouts reported", ports.timedOut)
+	}
+}
+
 func TestStaleTokenIsRoutedAgain(t *testing.T) {
 	var ports *fakePorts
 	second := startRaw(t, answerOK)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -119,7 +119,7 @@
 	attemptErr := asAttemptError(err)
 	hold.finish(admissionOutcome(attemptErr))
 	h.ended(r, to, chosenAt, blameFor(attemptErr.Reason))
-	h.observeFailure(to.server, attemptErr)
+	h.observeFailure(to.server, attemptErr, time.Since(started))
 	return nil, attemptErr, nil
 }
 
