--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -115,7 +115,8 @@
 // tick proposes what time makes due, until nothing is.
 func (g *regionGroup) tick(ctx context.Context, homes ownership.Homes) error {
 	for range maxTickRounds {
-		decided, err := g.due(homes)
+		decided, verdicts, err := g.due(homes)
+		logVerdicts(g.name, verdicts)
 		if err != nil || len(decided.commands) == 0 {
 			return err
 		}
@@ -132,19 +133,20 @@
 	commands []ownership.Command
 }
 
-func (g *regionGroup) due(homes ownership.Homes) (decision, error) {
+// due returns what time makes due, and the changed verdicts for the log.
+func (g *regionGroup) due(homes ownership.Homes) (decision, []log.Fields, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lead, err := g.leading()
 	if err != nil {
-		return decision{}, err
+		return decision{}, nil, err
 	}
 	g.state.mu.RLock()
 	defer g.state.mu.RUnlock()
 	now := g.now()
-	lead.supervision.judge(now, g.state.owner, lead.coordinator)
+	verdicts := lead.supervision.judge(now, g.state.owner, lead.coordinator)
 	lead.hot.plan(now, g.state.owner, homes, lead.coordinator)
-	return decision{lead.term, lead.coordinator.Tick(now, g.state.owner, homes)}, nil
+	return decision{lead.term, lead.coordinator.Tick(now, g.state.owner, homes)}, verdicts, nil
 }
 
 // propose commits what was decided. It fails with errStaleTerm when another term
--- a/internal/control/supervision.go
+++ b/internal/control/supervision.go
@@ -52,8 +52,8 @@
 
 // judge stops the renewal of sessions that failed, and keeps slots from those in
 // quarantine. It comes before each plan, so that a server in quarantine gets none
-// when it registers.
-func (s *supervision) judge(now time.Duration, state *ownership.State, coordinator *ownership.Coordinator) {
+// when it registers. It returns the verdicts that changed, for the log.
+func (s *supervision) judge(now time.Duration, state *ownership.State, coordinator *ownership.Coordinator) []log.Fields {
 	var servers []health.Server
 	for _, server := range state.Servers() {
 		if server.Suspended || !server.Keyed {
@@ -80,11 +80,12 @@
 		}
 	}
 	coordinator.Quarantine(quarantined)
-	s.report(state, verdicts)
+	return s.changes(state, verdicts)
 }
 
-// report logs the verdicts that changed.
-func (s *supervision) report(state *ownership.State, verdicts []health.Verdict) {
+// changes returns the verdicts that are not those of the last call, for the log.
+func (s *supervision) changes(state *ownership.State, verdicts []health.Verdict) []log.Fields {
+	var changed []log.Fields
 	next := make(map[uint64]health.Verdict, len(verdicts))
 	for _, verdict := range verdicts {
 		next[verdict.Session] = verdict
@@ -93,20 +94,23 @@
 			continue
 		}
 		server, _ := state.Server(verdict.Session)
-		entry := log.WithFields(log.Fields{
+		changed = append(changed, log.Fields{
 			"server":      server.Name,
 			"session":     verdict.Session,
 			"state":       verdict.State.String(),
 			"quarantined": verdict.Quarantined,
 			"reason":      verdict.Reason,
 		})
-		if verdict.State == health.Failed || verdict.Quarantined {
-			entry.Warn("server judged")
-		} else {
-			entry.Info("server judged")
-		}
 	}
 	s.last = next
+	return changed
+}
+
+// logVerdicts logs changed verdicts. It is called without locks.
+func logVerdicts(group string, changed []log.Fields) {
+	for _, fields := range changed {
+		log.WithField("group", group).WithFields(fields).Warn("server judged")
+	}
 }
 
 // noteLoad takes the load that a server reports with its heartbeat.
--- a/internal/routing/observer_test.go
+++ b/internal/routing/observer_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/galenalug/galenalug/internal/entry"
+	"github.com/galenalug/galenalug/internal/wire"
 )
 
 // TestEvidenceIsNewsOnly checks what one renewal after another reports.
@@ -85,3 +88,30 @@
 		t.Fatalf("the other region's keys: %+v", south)
 	}
 }
+
+// TestReportsAreBoundedInBytes encodes the largest reports of servers and keys.
+// Together they stay below what a host may use for control, 23 KB a second.
+func TestReportsAreBoundedInBytes(t *testing.T) {
+	const most, renewalsPerSecond, keyReportsPerSecond = 23000, 10, 2
+	servers, keys := wire.Renewal{}, wire.Renewal{}
+	for i := range maxEvidence {
+		servers.Evidence = append(servers.Evidence, wire.Evidence{
+			Session: 1<<32 + uint64(i), TimedOut: 1000, ConnectionErrors: 1000, Answered: 1000, ProbesFailed: 1,
+		})
+	}
+	for i := range maxHotReported {
+		keys.KeyLoads = append(keys.KeyLoads, wire.KeyLoad{Service: "wheel-swap", Key: fmt.Sprint("customer-key-", i), Requests: 1000})
+	}
+	encoded := func(r wire.Renewal) int {
+		data, err := cbor.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	total := renewalsPerSecond*encoded(servers) + keyReportsPerSecond*encoded(keys)
+	t.Logf("%d bytes of servers, %d bytes of keys, %d bytes a second at most", encoded(servers), encoded(keys), total)
+	if total > most {
+		t.Fatalf("%d bytes a second", total)
+	}
+}
