--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -86,12 +86,13 @@
 func BenchmarkPollRound(b *testing.B) {
 	forSizes(b, func(b *testing.B, servers, slots int) {
 		t, state := benchTable(b, servers, slots)
-		held, to := state.Version(), state.Version()
+		to := state.Version()
 		for b.Loop() {
 			b.StopTimer()
-			change := moveSlot(slots, uint64(1+to%2))
+			change := moveSlot(slots, 1+to%2)
 			t.update(benchUpdate(b, to, to+1, []ownership.Change{change}))
-			held, to = to, to+1
+			held := to
+			to++
 			b.StartTimer()
 			for i := range servers {
 				name, session := benchName(i), uint64(1+i)
