--- a/allowance/accepted.go
+++ b/allowance/accepted.go
@@ -72,7 +72,7 @@
 }
 
 // RestoreAcceptedParts returns the state of a snapshot; no bytes stand for the
-// first state. It fails with ErrPartsCorrupt.
+// first state. It fails with ErrSnapshotCorrupt.
 func RestoreAcceptedParts(data []byte) (*AcceptedParts, error) {
 	a := NewAcceptedParts()
 	if len(data) == 0 {
@@ -80,11 +80,11 @@
 	}
 	var all []AcceptedPart
 	if err := envelope.Unmarshal(data, &all); err != nil {
-		return nil, errors.Wrap(ErrPartsCorrupt, err.Error())
+		return nil, errors.Wrap(ErrSnapshotCorrupt, err.Error())
 	}
 	for i, part := range all {
 		if part.Units < 0 || part.Units > PartWhole {
-			return nil, errors.Wrapf(ErrPartsCorrupt, "entry %d", i)
+			return nil, errors.Wrapf(ErrSnapshotCorrupt, "entry %d", i)
 		}
 		a.Apply(part)
 	}
--- a/allowance/fuzz_test.go
+++ b/allowance/fuzz_test.go
@@ -89,3 +89,52 @@
 		restored(t, l)
 	})
 }
+
+func FuzzRestoreParts(f *testing.F) {
+	p, a := NewParts(), NewAcceptedParts()
+	p.Apply(3, PartCommand{Shifts: []PartShift{{
+		Customer: "uniform", Service: "orders", Regions: []string{"lisboa", "norte"}, From: "norte", To: "lisboa", Units: 4500,
+	}}})
+	for _, lowered := range p.LoweredIn("norte") {
+		a.Apply(lowered.Accepted())
+	}
+	for _, state := range []interface{ Snapshot() ([]byte, error) }{p, a} {
+		data, _ := state.Snapshot()
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, partsErr := RestoreParts(data)
+		a, acceptedErr := RestoreAcceptedParts(data)
+		for _, err := range []error{partsErr, acceptedErr} {
+			if err != nil && !errors.Is(err, ErrSnapshotCorrupt) {
+				t.Fatalf("untyped error %v", err)
+			}
+		}
+		if partsErr == nil {
+			first, _ := p.Snapshot()
+			if _, err := RestoreParts(first); err != nil {
+				t.Fatal(err)
+			}
+			checkParts(t, p, a)
+		}
+	})
+}
+
+// checkParts confirms every pending shift: the parts' sum stays at most the whole.
+func checkParts(t *testing.T, p *Parts, a *AcceptedParts) {
+	for pair, parts := range p.pairs {
+		for _, lowered := range p.LoweredIn(parts.From) {
+			p.Apply(1, PartCommand{Confirms: []PartConfirm{lowered.Confirm(parts.From)}})
+		}
+		sum := 0
+		for _, part := range parts.Parts {
+			sum += p.Of(pair, part.Region, len(parts.Parts)).Units
+		}
+		if sum > PartWhole || p.Pending(pair) || !parts.valid() {
+			t.Fatalf("%+v", parts)
+		}
+		if a != nil && a.InForce(pair, Part{}) > 1 {
+			t.Fatal("more than the whole is in force")
+		}
+	}
+}
--- a/allowance/parts.go
+++ b/allowance/parts.go
@@ -17,9 +17,6 @@
 // parts.
 const MaxPartPairs = 10_000
 
-// ErrPartsCorrupt means that a snapshot of parts does not decode.
-var ErrPartsCorrupt = errors.New("snapshot of allowance parts is corrupt")
-
 // PartShift moves units of a pair's limit from one region to another. The donor
 // is lowered at once; the other is raised when the donor's region confirms that it
 // holds no more than what is left to it.
@@ -206,7 +203,7 @@
 }
 
 // RestoreParts returns the state of a snapshot; no bytes stand for the first
-// state. It fails with ErrPartsCorrupt.
+// state. It fails with ErrSnapshotCorrupt.
 func RestoreParts(data []byte) (*Parts, error) {
 	p := NewParts()
 	if len(data) == 0 {
@@ -214,14 +211,14 @@
 	}
 	var all []pairParts
 	if err := envelope.Unmarshal(data, &all); err != nil {
-		return nil, errors.Wrap(ErrPartsCorrupt, err.Error())
+		return nil, errors.Wrap(ErrSnapshotCorrupt, err.Error())
 	}
 	for i := range all {
 		parts := &all[i]
-		if !parts.valid() {
-			return nil, errors.Wrapf(ErrPartsCorrupt, "entry %d", i)
-		}
 		pair := Pair{parts.Customer, parts.Service}
+		if _, exists := p.pairs[pair]; exists || !parts.valid() {
+			return nil, errors.Wrapf(ErrSnapshotCorrupt, "entry %d", i)
+		}
 		p.pairs[pair] = parts
 		if parts.From != "" {
 			p.pending[pair] = struct{}{}
@@ -232,8 +229,8 @@
 
 func (p *pairParts) valid() bool {
 	sum := 0
-	for _, part := range p.Parts {
-		if part.Units < 0 || part.Units > PartWhole {
+	for i, part := range p.Parts {
+		if part.Units < 0 || part.Units > PartWhole || p.part(part.Region) != &p.Parts[i] {
 			return false
 		}
 		sum += part.Units
@@ -245,5 +242,5 @@
 		return true
 	}
 	from := p.part(p.From)
-	return from != nil && p.part(p.To) != nil && p.Units > 0 && p.Units <= from.Units
+	return from != nil && p.part(p.To) != nil && p.From != p.To && p.Units > 0 && p.Units <= from.Units
 }
