Encode the whole table once for all readers that need it

Change: the frame is kept until the table's next version. Also: bytes of evidence, hot keys and JSON in BenchmarkDecode.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -36,6 +37,31 @@
 	}
 }
 
+// TestWholeTableIsEncodedOnce checks that many readers that start together cost
+// one encoding, and that a later one gets the later table.
+func TestWholeTableIsEncodedOnce(t *testing.T) {
+	f := newFeed("mien-trung")
+	encoded := 0
+	whole := func() []byte { encoded++; return make([]byte, encoded) }
+	f.publish(1, nil)
+	watchers := make([]countingWatcher, 3)
+	f.watch(&watchers[0], 0, whole)
+	f.watch(&watchers[1], 0, whole)
+	if encoded != 1 || watchers[0].bytes != watchers[1].bytes {
+		t.Fatalf("encoded %d times, %d and %d bytes", encoded, watchers[0].bytes, watchers[1].bytes)
+	}
+	f.publish(2, nil)
+	f.watch(&watchers[2], 0, whole)
+	if encoded != 2 {
+		t.Fatalf("encoded %d times, %d bytes", encoded, watchers[2].bytes)
+	}
+	f.reset(2, nil)
+	f.watch(&countingWatcher{}, 0, whole)
+	if encoded != 3 {
+		t.Fatalf("encoded %d times after a snapshot", encoded)
+	}
+}
+
 func benchAnnouncement(released int) wire.Announcement {
 	a := wire.Announcement{
 		Name: "wheel-swap-001", Incarnation: "0123456789abcdef0123456789abcdef", Service: "wheel-swap", Address: "10.0.0.1:8080",
@@ -77,6 +103,22 @@
 	for _, loads := range []int{0, 64, 256} {
 		b.Run(fmt.Sprintf("renewal/loads=%d", loads), func(b *testing.B) { benchDecode(b, benchRenewal(loads, 0)) })
 	}
+	for _, seen := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("renewal/evidence=%d", seen), func(b *testing.B) {
+			r := benchRenewal(0, 0)
+			for i := range seen {
+				r.Evidence = append(r.Evidence, wire.Evidence{Session: 1<<20 + uint64(i), Answered: 900})
+			}
+			benchDecode(b, r)
+		})
+		b.Run(fmt.Sprintf("renewal/keys=%d", seen), func(b *testing.B) {
+			r := benchRenewal(0, 0)
+			for i := range seen {
+				r.KeyLoads = append(r.KeyLoads, wire.KeyLoad{Service: "wheel-swap", Key: fmt.Sprintf("pram-%08d", i), Requests: 900})
+			}
+			benchDecode(b, r)
+		})
+	}
 	for _, shares := range []int{1, 32, 256} {
 		b.Run(fmt.Sprintf("renewal/shares=%d", shares), func(b *testing.B) { benchDecode(b, benchRenewal(0, shares)) })
 	}
@@ -93,5 +135,10 @@
 			b.Fatal(err)
 		}
 	}
+	text, err := json.Marshal(message)
+	if err != nil {
+		b.Fatal(err)
+	}
 	b.ReportMetric(float64(len(data)), "bytes")
+	b.ReportMetric(float64(len(text)), "json-bytes")
 }
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -31,6 +31,10 @@
 	version  uint64
 	history  []update
 	watchers map[watcher]struct{}
+
+	// whole is the frame of the whole table at wholeAt; nil: not encoded yet.
+	whole   []byte
+	wholeAt uint64
 }
 
 func newFeed(group string) *feed {
@@ -44,6 +48,7 @@
 	defer f.mu.Unlock()
 	step := update{from: f.version, to: to, frame: f.encode(f.version, to, body)}
 	f.version = to
+	f.whole = nil
 	f.history = append(f.history, step)
 	if len(f.history) > feedHistory {
 		f.history = f.history[1:]
@@ -60,6 +65,7 @@
 	defer f.mu.Unlock()
 	f.version = version
 	f.history = nil
+	f.whole = nil
 	frame := f.encode(0, version, whole)
 	for w := range f.watchers {
 		f.send(w, frame)
@@ -77,7 +83,10 @@
 	}
 	steps, ok := f.since(held)
 	if !ok {
-		f.send(w, f.encode(0, f.version, whole()))
+		if f.whole == nil || f.wholeAt != f.version {
+			f.whole, f.wholeAt = f.encode(0, f.version, whole()), f.version
+		}
+		f.send(w, f.whole)
 		return
 	}
 	for _, step := range steps {
