Compute a key's slot in one place, and edit slots through one function

Cause: read-through; ownership and placement each had SlotOf, and seven functions of ownership repeated the look-up of the service and the recorder. Behaviour unchanged: the tests, golden files included, pass as they are.

--- a/internal/control/hotkeys_test.go
+++ b/internal/control/hotkeys_test.go
@@ -24,7 +24,7 @@
 	const others = 60
 	loads := wire.ServiceLoads{Service: lifeService, Total: others + hot}
 	for i := range others {
-		loads.Slots = append(loads.Slots, ownership.SlotOf(lifeService, fmt.Sprint("key-", i), lifeSlots))
+		loads.Slots = append(loads.Slots, placement.SlotOf(lifeService, fmt.Sprint("key-", i), lifeSlots))
 		loads.Requests = append(loads.Requests, 1)
 	}
 	loads.Slots = append(loads.Slots, l.slotOf())
@@ -95,7 +95,7 @@
 		"fenced":              {fencing: true, isolated: 1},
 		"unfenced":            {},
 		"unfenced by balance": {balance: true, isolated: 1},
-		"moving":              {fencing: true, change: func(h []ownership.Home) { h[ownership.SlotOf(lifeService, hotKey, lifeSlots)].To = "sur" }},
+		"moving":              {fencing: true, change: func(h []ownership.Home) { h[placement.SlotOf(lifeService, hotKey, lifeSlots)].To = "sur" }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,6 +14,7 @@
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/lease"
 	"github.com/galenalug/galenalug/ownership"
+	"github.com/galenalug/galenalug/placement"
 )
 
 // Table is the routing table of an entry host.
@@ -151,7 +152,7 @@
 		region := xxhash.Sum64String(key) % uint64(len(t.regions))
 		return t.regions[region], wire.NoSlot, nil
 	}
-	slot := ownership.SlotOf(name, key, len(service.Homes))
+	slot := placement.SlotOf(name, key, len(service.Homes))
 	home := service.Homes[slot].Region
 	if home == "" {
 		return "", 0, errors.Wrapf(entry.ErrNoOwner, "service %q slot %d has no home yet", name, slot)
@@ -167,7 +168,7 @@
 	if service == nil {
 		return entry.Route{}, errors.Wrap(entry.ErrUnknownService, name)
 	}
-	group := service.Homes[ownership.SlotOf(name, key, len(service.Homes))].Region
+	group := service.Homes[placement.SlotOf(name, key, len(service.Homes))].Region
 	view, ok := t.views[group]
 	if !ok {
 		return entry.Route{}, errors.Wrapf(entry.ErrNoOwner, "service %q", name)
--- a/ownership/apply.go
+++ b/ownership/apply.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/galenalug/galenalug/placement"
+)
 
 // Apply executes the command of one log entry and returns the changes for views.
 // A command that no longer fits the state changes nothing: a command may have
@@ -86,80 +90,76 @@
 	return changes
 }
 
-func (s *State) vacateAll(name string, session uint64) []Change {
+// edit changes a service's slots and returns the changes for views; an unknown
+// service has none.
+func (s *State) edit(name string, change func(*Service, *recorder)) []Change {
 	service := s.services[name]
 	if service == nil {
 		return nil
 	}
 	recorder := newRecorder(service)
-	for i := range service.Slots {
-		if service.Slots[i].heldBy(session) {
-			recorder.vacate(i)
-		}
-	}
+	change(service, recorder)
 	return recorder.changes()
 }
 
-func (s *State) assign(index uint64, body SlotGrants) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for _, grant := range body.Grants {
-		server, ok := s.servers[grant.Session]
-		if !ok || server.Service != body.Service || server.Draining || server.Suspended {
-			continue
+func (s *State) vacateAll(name string, session uint64) []Change {
+	return s.edit(name, func(service *Service, recorder *recorder) {
+		for i := range service.Slots {
+			if service.Slots[i].heldBy(session) {
+				recorder.vacate(i)
+			}
 		}
-		if !service.has(grant.Slot) || service.Slots[grant.Slot].Status != Vacant {
-			continue
+	})
+}
+
+func (s *State) assign(index uint64, body SlotGrants) []Change {
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for _, grant := range body.Grants {
+			server, ok := s.servers[grant.Session]
+			if !ok || server.Service != body.Service || server.Draining || server.Suspended {
+				continue
+			}
+			if !service.has(grant.Slot) || service.Slots[grant.Slot].Status != Vacant {
+				continue
+			}
+			slot := &service.Slots[grant.Slot]
+			slot.Status = Owned
+			slot.Owner = grant.Session
+			slot.Token = slot.Generation<<generationShift | index
+			recorder.touch(grant.Slot)
 		}
-		slot := &service.Slots[grant.Slot]
-		slot.Status = Owned
-		slot.Owner = grant.Session
-		slot.Token = slot.Generation<<generationShift | index
-		recorder.touch(grant.Slot)
-	}
-	return recorder.changes()
+	})
 }
 
 func (s *Service) has(slot int) bool { return slot >= 0 && slot < len(s.Slots) }
 
 func (s *State) release(body SlotGrants) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for _, grant := range body.Grants {
-		if !service.has(grant.Slot) {
-			continue
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for _, grant := range body.Grants {
+			if !service.has(grant.Slot) {
+				continue
+			}
+			slot := &service.Slots[grant.Slot]
+			if slot.Status == Owned && slot.Token == grant.Token {
+				slot.Status = Releasing
+				recorder.touch(grant.Slot)
+			}
 		}
-		slot := &service.Slots[grant.Slot]
-		if slot.Status == Owned && slot.Token == grant.Token {
-			slot.Status = Releasing
-			recorder.touch(grant.Slot)
-		}
-	}
-	return recorder.changes()
+	})
 }
 
 func (s *State) released(body SlotGrants) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for _, grant := range body.Grants {
-		if !service.has(grant.Slot) {
-			continue
-		}
-		slot := &service.Slots[grant.Slot]
-		if slot.heldBy(grant.Session) && slot.Token == grant.Token {
-			recorder.vacate(grant.Slot)
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for _, grant := range body.Grants {
+			if !service.has(grant.Slot) {
+				continue
+			}
+			slot := &service.Slots[grant.Slot]
+			if slot.heldBy(grant.Session) && slot.Token == grant.Token {
+				recorder.vacate(grant.Slot)
+			}
 		}
-	}
-	return recorder.changes()
+	})
 }
 
 func (s *State) adopt(body HomeSlots) []Change {
@@ -193,27 +193,23 @@
 }
 
 func (s *State) retire(body HomeSlots) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for i, number := range body.Moved {
-		if number < 0 || number >= service.Base || i >= len(body.Generations) || service.hasHotKeyIn(number) {
-			continue
-		}
-		slot := &service.Slots[number]
-		if slot.Status == Vacant && slot.Generation == body.Generations[i] {
-			slot.Status = Absent
-			recorder.touch(number)
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for i, number := range body.Moved {
+			if number < 0 || number >= service.Base || i >= len(body.Generations) || service.hasHotKeyIn(number) {
+				continue
+			}
+			slot := &service.Slots[number]
+			if slot.Status == Vacant && slot.Generation == body.Generations[i] {
+				slot.Status = Absent
+				recorder.touch(number)
+			}
 		}
-	}
-	return recorder.changes()
+	})
 }
 
 func (s *Service) hasHotKeyIn(slot int) bool {
 	for key := range s.HotKeys {
-		if SlotOf(s.Name, key, s.Base) == slot {
+		if placement.SlotOf(s.Name, key, s.Base) == slot {
 			return true
 		}
 	}
@@ -223,25 +219,21 @@
 // isolate gives each key a slot of its own. The key's present slot must be
 // vacant, so that no owner may still execute requests for the key.
 func (s *State) isolate(body HotKeySet) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for _, key := range body.Keys {
-		base := SlotOf(service.Name, key, service.Base)
-		own, free := service.freeHotSlot()
-		if _, isolated := service.HotKeys[key]; isolated || !free || service.Slots[base].Status != Vacant {
-			continue
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for _, key := range body.Keys {
+			base := placement.SlotOf(service.Name, key, service.Base)
+			own, free := service.freeHotSlot()
+			if _, isolated := service.HotKeys[key]; isolated || !free || service.Slots[base].Status != Vacant {
+				continue
+			}
+			service.HotKeys[key] = own
+			slot := &service.Slots[own]
+			slot.Status = Vacant
+			slot.Generation = max(slot.Generation, service.Slots[base].Generation)
+			recorder.touch(own)
+			recorder.hotKey(key, own)
 		}
-		service.HotKeys[key] = own
-		slot := &service.Slots[own]
-		slot.Status = Vacant
-		slot.Generation = max(slot.Generation, service.Slots[base].Generation)
-		recorder.touch(own)
-		recorder.hotKey(key, own)
-	}
-	return recorder.changes()
+	})
 }
 
 func (s *Service) freeHotSlot() (int, bool) {
@@ -256,26 +248,22 @@
 // returnKeys ends the isolation of keys. Both the key's own slot and its ordinary
 // one must be vacant.
 func (s *State) returnKeys(body HotKeySet) []Change {
-	service := s.services[body.Service]
-	if service == nil {
-		return nil
-	}
-	recorder := newRecorder(service)
-	for _, key := range body.Keys {
-		own, isolated := service.HotKeys[key]
-		if !isolated {
-			continue
+	return s.edit(body.Service, func(service *Service, recorder *recorder) {
+		for _, key := range body.Keys {
+			own, isolated := service.HotKeys[key]
+			if !isolated {
+				continue
+			}
+			base := placement.SlotOf(service.Name, key, service.Base)
+			if service.Slots[own].Status != Vacant || service.Slots[base].Status != Vacant {
+				continue
+			}
+			delete(service.HotKeys, key)
+			service.Slots[own].Status = Absent
+			recorder.touch(own)
+			recorder.hotKey(key, noSlot)
 		}
-		base := SlotOf(service.Name, key, service.Base)
-		if service.Slots[own].Status != Vacant || service.Slots[base].Status != Vacant {
-			continue
-		}
-		delete(service.HotKeys, key)
-		service.Slots[own].Status = Absent
-		recorder.touch(own)
-		recorder.hotKey(key, noSlot)
-	}
-	return recorder.changes()
+	})
 }
 
 // recorder collects the changes that one command makes to a service.
--- a/ownership/planning.go
+++ b/ownership/planning.go
@@ -64,7 +64,7 @@
 		return
 	}
 	for key := range service.HotKeys {
-		if homes[SlotOf(service.Name, key, service.Base)].To != "" {
+		if homes[placement.SlotOf(service.Name, key, service.Base)].To != "" {
 			c.ReturnKey(service.Name, key)
 		}
 	}
@@ -259,7 +259,7 @@
 	for key := range c.unisolate[service.Name] {
 		if own, isolated := service.HotKeys[key]; isolated {
 			reserved[own] = true
-			reserved[SlotOf(service.Name, key, service.Base)] = true
+			reserved[placement.SlotOf(service.Name, key, service.Base)] = true
 		}
 	}
 	return reserved
@@ -276,7 +276,7 @@
 			delete(c.isolate[service.Name], key)
 			continue
 		}
-		if service.ready(SlotOf(service.Name, key, service.Base), &release) {
+		if service.ready(placement.SlotOf(service.Name, key, service.Base), &release) {
 			isolate.Keys = append(isolate.Keys, key)
 		}
 	}
@@ -286,7 +286,7 @@
 			delete(c.unisolate[service.Name], key)
 			continue
 		}
-		baseReady := service.ready(SlotOf(service.Name, key, service.Base), &release)
+		baseReady := service.ready(placement.SlotOf(service.Name, key, service.Base), &release)
 		if service.ready(own, &release) && baseReady {
 			unisolate.Keys = append(unisolate.Keys, key)
 		}
--- a/ownership/state.go
+++ b/ownership/state.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/galenalug/galenalug/placement"
 )
 
 // HotSlots is the number of slots of a service set aside for hot keys. They are
@@ -46,22 +46,12 @@
 	HotKeys map[string]int // hot keys and the slots of their own
 }
 
-// SlotOf returns the slot of a key that has none of its own.
-func SlotOf(service, key string, slots int) int {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(service)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(key)
-	return int(digest.Sum64() % uint64(slots))
-}
-
 // SlotOf returns the slot of a key.
 func (s *Service) SlotOf(key string) int {
 	if slot, ok := s.HotKeys[key]; ok {
 		return slot
 	}
-	return SlotOf(s.Name, key, s.Base)
+	return placement.SlotOf(s.Name, key, s.Base)
 }
 
 // State is a region's replicated ownership state. It is not safe for concurrent
