Give test hosts loopback addresses of their process alone

The test closed a listener on a free port and reused the port, which another package's test took meanwhile. Ruled out: a listener left open by the host. Change: each test process uses a loopback IP of its own.

--- a/internal/control/cut_test.go
+++ b/internal/control/cut_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,13 +90,17 @@
 	hosts  map[string]*Host
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// addresses counts the addresses handed out by freeAddress.
+var addresses atomic.Int32
+
+// freeAddress returns an address that no other process and no other test uses: a
+// loopback IP of this process alone. A port that was only free a moment ago may be
+// taken by another process meanwhile.
+func freeAddress(*testing.T) string {
+	const firstPort = 20000
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(1+pid>>16&0x3f), byte(pid>>8), byte(pid))
+	return fmt.Sprintf("%s:%d", ip, firstPort+addresses.Add(1))
 }
 
 func startCluster(t *testing.T) *cluster {
