Make two tests fail without their guards, and send faults enough callers

With each guard taken out on a scratch copy, two tests still passed: - TestAnswersOutOfOrderAndLate, with every answer given to the newest call: it had only one call waiting at a time. Two more calls wait now; it fails. - TestTrackerOutlivesHolder, without the tracker's drift: a delay of 20 ms hid 8 ms of drift. The network has no delay now; it fails.

A frozen server holds up to 6 requests of each entry host until their deadlines, so 16 callers all hung and the rows of make faults told of the callers rather than of the keys. There are 64 slower ones now. The two passes have folders of their own: the end of one removed the other's.

--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -23,7 +23,6 @@
 const (
 	requestDeadline = 2 * time.Second
 	requestTimeout  = 4 * time.Second // of the caller, beyond the deadline it asks for
-	thinkTime       = 4 * time.Millisecond
 	failurePause    = 20 * time.Millisecond
 	maxTries        = 5 // tries of one order whose outcome is unknown
 	warmUpPause     = 50 * time.Millisecond
@@ -42,6 +41,7 @@
 	Service   string
 	Keys      int
 	Workers   int
+	Think     time.Duration // pause of a worker after an answer
 	Duration  time.Duration
 	WarmUp    time.Duration // longest wait until each key is answered by each entry host
 	Histories []string      // servers' history files, read at the end
@@ -167,7 +167,7 @@
 		} else {
 			got = d.attempt(entry, key, "").outcome
 		}
-		wait := thinkTime
+		wait := d.options.Think
 		if got != Answered {
 			wait = failurePause
 		}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -29,6 +29,7 @@
 	wire.KindPropose:   "propose",
 	wire.KindJoin:      "join",
 	wire.KindPing:      "ping",
+	wire.KindReport:    "report",
 }
 
 func kindName(kind int) string {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -164,7 +165,19 @@
 	if err := <-first; !errors.Is(err, ErrUnknownOutcome) {
 		t.Fatalf("abandoned call: %v", err)
 	}
+	var waiting sync.WaitGroup
+	for _, request := range []string{"third", "fourth"} {
+		waiting.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second) // only ends a hang
+			defer cancel()
+			if body, err := client.Call(ctx, kindHold, []byte(request)); err != nil || string(body) != request {
+				t.Errorf("%s call answered %q, %v", request, body, err)
+			}
+		})
+		<-handler.held
+	}
 	close(handler.release)
+	waiting.Wait()
 	for counter(t, registry, "galena_peer_late_answers_total") == 0 {
 		if _, err := client.Call(context.Background(), kindEcho, []byte("x")); err != nil {
 			t.Fatal(err)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,18 +8,23 @@
 const length = 800 * time.Millisecond
 
 // TestTrackerOutlivesHolder compares the two ends of one lease on clocks that
-// differ by the largest tolerated drift.
+// differ by the largest tolerated drift, on a network without delay: any delay is to
+// the good of the tracker.
 func TestTrackerOutlivesHolder(t *testing.T) {
 	for _, rates := range [][2]float64{{1, 1}, {1 + MaxDrift, 1}, {1, 1 - MaxDrift + 0.0002}} {
 		granting := func(now time.Duration) time.Duration { return time.Duration(float64(now) * rates[0]) }
 		holding := func(now time.Duration) time.Duration { return time.Duration(float64(now) * rates[1]) }
-		sent, renewed := 10*time.Second, 10*time.Second+20*time.Millisecond
+		sent := 10 * time.Second
 		var holder Holder
 		holder.Renewed(1, holding(sent), length)
-		tracker := NewTracker(length, granting(renewed), []uint64{1})
-		for now := renewed; now < renewed+2*length; now += time.Millisecond {
-			if holder.Valid(holding(now)) && !tracker.Live(granting(now), 1) {
-				t.Fatalf("rates %v: at %v the holder goes on after the tracker gave up", rates, now-sent)
+		elected := NewTracker(length, granting(sent), []uint64{1})
+		renewed := NewTracker(length, 0, nil)
+		renewed.Renew(granting(sent), 1)
+		for now := sent; now < sent+2*length; now += time.Millisecond / 10 {
+			for name, tracker := range map[string]*Tracker{"elected": elected, "renewed": renewed} {
+				if holder.Valid(holding(now)) && !tracker.Live(granting(now), 1) {
+					t.Fatalf("rates %v: at %v the holder goes on after the tracker gave up (%s)", rates, now-sent, name)
+				}
 			}
 		}
 	}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -11,7 +11,7 @@
 # and pause of each process, and one disk.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-lib_folder=.faults
+lib_folder=.faults/${1:-}
 source scripts/lib.sh
 first_fault_after=2 # seconds of load
 down_seconds=2      # from a kill to the new start
@@ -19,6 +19,10 @@
 settle_seconds=2.5  # from the end of a fault to the next one
 replace_seconds=30  # longest wait for a new disk to count
 load_limit=115      # seconds; the load is ended after the last fault
+# A frozen server holds up to 6 requests of each entry host until their deadlines, so
+# there are more callers than that; they send a little slower.
+workers=64
+think=25ms
 
 pass=${1:-}
 case "$pass" in
@@ -81,7 +85,7 @@
 
 prepare
 start_topology
-start_load "$load_limit" --marks "$dir/marks" --workers 16
+start_load "$load_limit" --marks "$dir/marks" --workers "$workers" --think "$think"
 sleep "$first_fault_after"
 for fault in "${faults[@]}"; do
   echo "$fault"
