--- a/health/bound.go
+++ b/health/bound.go
@@ -58,7 +58,7 @@
 // fleets counts each service's capacity, and what is withheld of it.
 func (j *Judge) fleets(now time.Duration) map[string]*fleet {
 	all := map[string]*fleet{}
-	present := map[string]bool{}
+	present := map[string]bool{} // names and addresses
 	for _, w := range j.sorted() {
 		f := all[w.server.Service]
 		if f == nil {
@@ -66,6 +66,7 @@
 			all[w.server.Service] = f
 		}
 		present[w.server.Name] = true
+		present[w.server.Address] = true
 		f.add(w.server.Name, w.server.Capacity)
 		if w.state == Failed {
 			f.fail(w.server.Name)
@@ -76,7 +77,7 @@
 	}
 	for name, r := range j.records {
 		f := all[r.service]
-		if f == nil || present[name] || r.cleared || now-r.at > absentMemory {
+		if f == nil || present[name] || present[r.address] || r.cleared || now-r.at > absentMemory {
 			continue
 		}
 		f.add(name, r.capacity)
--- a/health/session_test.go
+++ b/health/session_test.go
@@ -23,19 +23,24 @@
 	probes  map[string]bool            // answered or not, by host or "*", and session
 	wanted  map[string][]uint64
 	last    map[uint64]health.Verdict
+	loads   map[uint64]int // reported by servers; noHeartbeat for silence
 }
 
+const noHeartbeat = -1
+
 func newSession() *session {
 	return &session{
 		judge: health.New(health.DefaultSettings()), seen: map[string][]health.Report{},
 		probes: map[string]bool{}, wanted: map[string][]uint64{}, last: map[uint64]health.Verdict{},
+		loads: map[uint64]int{},
 	}
 }
 
 // TestSession plays the files of testdata. Commands, with one item a line:
 // servers (session name address capacity), hosts (name domain region), sees (host session
 // counts; each 100 ms from then on), probes (host or * and session: ok or fail),
-// load session= value=, run ms=, which prints each change of a verdict.
+// load session= value= (-1: no
+// heartbeats), run ms=, which prints each change of a verdict.
 func TestSession(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newSession()
@@ -80,7 +85,7 @@
 		var value int
 		d.ScanArgs(t, "session", &id)
 		d.ScanArgs(t, "value", &value)
-		s.judge.Heartbeat(s.now, id, value)
+		s.loads[id] = value
 	case "run":
 		var ms int
 		d.ScanArgs(t, "ms", &ms)
@@ -131,6 +136,8 @@
 	s.judge.Observe(s.now, host, reports)
 	s.wanted[host.Name] = s.judge.ProbeWanted(s.now, host)
 	for _, server := range s.servers {
-		s.judge.Heartbeat(s.now, server.Session, 0)
+		if load := s.loads[server.Session]; load != noHeartbeat {
+			s.judge.Heartbeat(s.now, server.Session, load)
+		}
 	}
 }
