Let a slot with an isolated key move to another region

Found by the new test, failing first: the coordinator proposed in every tick to retire the vacant slot, which the state refuses while a key of it is isolated. With a command in every tick nothing was planned any more, for any service, and so the key never returned.

The slot is now given up only after its keys have returned. The test also covers a key whose isolation ended by the move: it is isolated again after the slot is back.

--- a/internal/control/hotkeys_test.go
+++ b/internal/control/hotkeys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,14 @@
 // slotOf returns the slot of the hot key.
 func (l *life) slotOf() int { return l.state.Service(lifeService).SlotOf(hotKey) }
 
+// setHome changes the home of the hot key's ordinary slot. A list of homes that was
+// handed out does not change.
+func (l *life) setHome(home ownership.Home) {
+	list := slices.Clone(l.homes[lifeService])
+	list[ownership.SlotOf(lifeService, hotKey, lifeSlots)] = home
+	l.homes = homes{lifeService: list}
+}
+
 // load lets a renewal carry 100 requests; the hot key's share is given. The keys
 // are reported each 500 ms, as entry hosts do.
 func (l *life) load(r *wire.Renewal, hot int) {
@@ -86,20 +95,20 @@
 func TestHotKeyStaysPut(t *testing.T) {
 	tests := map[string]struct {
 		fencing, balance bool
-		change           func(h []ownership.Home)
+		home             ownership.Home // of the key's slot; zero: as it is
 		isolated         int
 	}{
 		"fenced":              {fencing: true, isolated: 1},
 		"unfenced":            {},
 		"unfenced by balance": {balance: true, isolated: 1},
-		"moving":              {fencing: true, change: func(h []ownership.Home) { h[ownership.SlotOf(lifeService, hotKey, lifeSlots)].To = "sur" }},
+		"moving":              {fencing: true, home: ownership.Home{Region: lifeRegion, To: "sur", Generation: 1}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := newLife(t, test.fencing)
 			l.hot = newHotKeys(test.balance)
-			if test.change != nil {
-				test.change(l.homes[lifeService])
+			if test.home.Region != "" {
+				l.setHome(test.home)
 			}
 			l.onRenewal = func(r *wire.Renewal) { l.load(r, hotRequests) }
 			l.run(12 * time.Second)
@@ -126,3 +135,24 @@
 		t.Fatal("the new leader returned the key at once")
 	}
 }
+
+// TestMovedKeyIsIsolatedAgain lets the hot key's slot move to another region, which
+// ends the isolation, and come back.
+func TestMovedKeyIsIsolatedAgain(t *testing.T) {
+	l := newLife(t, true)
+	l.onRenewal = func(r *wire.Renewal) { l.load(r, hotRequests) }
+	l.run(10 * time.Second)
+	for _, step := range []struct {
+		home     ownership.Home
+		isolated int
+	}{
+		{ownership.Home{Region: lifeRegion, To: "sur", Generation: 1}, 0},
+		{ownership.Home{Region: lifeRegion, Generation: 2}, 1},
+	} {
+		l.setHome(step.home)
+		l.run(10 * time.Second)
+		if got := len(l.state.Service(lifeService).HotKeys); got != step.isolated {
+			t.Fatalf("%d keys isolated with home %+v, want %d", got, step.home, step.isolated)
+		}
+	}
+}
--- a/ownership/planning.go
+++ b/ownership/planning.go
@@ -45,6 +45,9 @@
 		case stepRelease:
 			release.Grants = append(release.Grants, SlotGrant{Slot: number, Token: slot.Token})
 		case stepRetire:
+			if service.hasHotKeyIn(number) {
+				continue // it would be refused, and keep the key's return waiting
+			}
 			retire.Moved = append(retire.Moved, number)
 			retire.Generations = append(retire.Generations, home.Generation)
 		}
