--- /dev/null
+++ b/internal/control/sessions.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/ownership"
+)
+
+func (h *Host) announce(ctx context.Context, a wire.Announcement) (wire.AnnouncementReply, error) {
+	g, err := h.regionGroup(h.groupOf(a.Region))
+	if err != nil {
+		return wire.AnnouncementReply{}, err
+	}
+	answer, err := g.heartbeat(ctx, heartbeatOf(a))
+	if err != nil {
+		return wire.AnnouncementReply{}, h.translate(g.name, err)
+	}
+	g.noteLoad(answer.Session, a.Load)
+	return wire.AnnouncementReply{
+		Session:     answer.Session,
+		LeaseMillis: int(answer.Lease.Milliseconds()),
+		Version:     g.version(),
+	}, nil
+}
+
+func heartbeatOf(a wire.Announcement) ownership.Heartbeat {
+	beat := ownership.Heartbeat{
+		Session: a.Session,
+		Server: ownership.Server{
+			Name:        a.Name,
+			Incarnation: a.Incarnation,
+			Service:     a.Service,
+			Address:     a.Address,
+			Region:      a.Region,
+			Domain:      a.Domain,
+			Keyed:       a.Keyed,
+			Fencing:     a.Fencing,
+			Slots:       a.Slots,
+			Connections: a.Connections,
+			Draining:    a.Draining,
+		},
+	}
+	for _, grant := range a.Released {
+		beat.Released = append(beat.Released, ownership.SlotGrant{Slot: grant.Slot, Token: grant.Token})
+	}
+	return beat
+}
+
+func (g *regionGroup) version() uint64 {
+	g.state.mu.RLock()
+	defer g.state.mu.RUnlock()
+	return g.state.owner.Version()
+}
+
+// renew renews an entry host's session and takes what it saw.
+func (h *Host) renew(_ context.Context, r wire.Renewal) (wire.RenewalReply, error) {
+	g, err := h.regionGroup(r.Group)
+	if err != nil {
+		return wire.RenewalReply{}, err
+	}
+	limit := func(pair allowance.Pair) (allowance.Limit, error) { return h.limit(g, pair) }
+	reply, err := g.renewEntry(r, limit)
+	if err != nil {
+		return wire.RenewalReply{}, h.translate(g.name, err)
+	}
+	return reply, nil
+}
+
+// renewEntry answers an entry host's renewal while the host provably leads.
+func (g *regionGroup) renewEntry(r wire.Renewal, limit func(allowance.Pair) (allowance.Limit, error)) (wire.RenewalReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lead, err := g.leading()
+	if err != nil {
+		return wire.RenewalReply{}, err
+	}
+	now := g.now()
+	answer := lead.coordinator.RenewEntry(r.Version)
+	observeLoads(lead.coordinator, now, r.Loads)
+	reply := wire.RenewalReply{LeaseMillis: int(answer.Lease.Milliseconds()), Version: g.version()}
+	reply.Probes = lead.supervision.observe(now, r)
+	g.observeKeys(lead, now, r)
+	for _, share := range r.Shares {
+		child := r.Name + "/" + r.Incarnation
+		reply.Shares = append(reply.Shares, lead.renewShare(now, child, share, limit))
+	}
+	if _, err := g.leading(); err != nil {
+		return wire.RenewalReply{}, err
+	}
+	return reply, nil
+}
+
+// renewShare grants a share, or says why there is none.
+func (l *leadership) renewShare(
+	now time.Duration, child string, share wire.Share, limitOf func(allowance.Pair) (allowance.Limit, error),
+) wire.Share {
+	pair := allowance.Pair{Customer: share.Customer, Service: share.Service}
+	limit, err := limitOf(pair)
+	if err != nil {
+		limit = allowance.Limit{}
+	}
+	grant := l.shares.Renew(now, limit.RequestsPerSecond, allowance.Renewal{
+		Child:  child,
+		Pair:   pair,
+		Held:   allowance.Grant{Number: share.Number, Share: share.Held},
+		Wanted: share.Wanted,
+	})
+	return wire.Share{
+		Customer: share.Customer,
+		Service:  share.Service,
+		Granted:  grant.Share,
+		Number:   grant.Number,
+		Burst:    allowance.BurstShare(limit, grant.Share),
+		Refusal:  shareRefusal(err),
+	}
+}
+
+// shareRefusal translates an error of Host.limit.
+func shareRefusal(err error) string {
+	switch {
+	case errors.Is(err, allowance.ErrNoPlan):
+		return wire.ShareNoPlan
+	case errors.Is(err, allowance.ErrNotAllowed):
+		return wire.ShareNotAllowed
+	}
+	return ""
+}
+
