--- a/admission/types.go
+++ b/admission/types.go
@@ -69,7 +69,7 @@
 // Config is what a Queue keeps to.
 type Config struct {
 	Slots       int              // requests the server runs at the same time
-	MaxLimit    int              // most requests started at the same time, e.g. connections
+	MaxLimit    int              // most requests started at the same time, e.g. connections; 2 at least
 	QueueLength int              // longest queue of one class
 	Shares      [Classes]float64 // shares of the limit; the upload share is also a bound
 }
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -29,8 +29,22 @@
 	return t.host.call(ctx, kind, body)
 }
 
+// mayCall reports whether a process of a role may make a kind of call. Commands,
+// admissions and reports are for control hosts.
+func mayCall(role string, kind int) bool {
+	switch kind {
+	case wire.KindPropose, wire.KindJoin, wire.KindReport:
+		return role == peer.RoleControl
+	default:
+		return true
+	}
+}
+
 // Call answers a call of another process.
 func (h *handler) Call(ctx context.Context, from *peer.Conn, kind int, body []byte) ([]byte, error) {
+	if !mayCall(from.Identity().Role, kind) {
+		return nil, &peer.Error{Code: wire.CodeInvalid, Detail: "the call is for control hosts"}
+	}
 	if kind == wire.KindRenew {
 		return serve(ctx, body, func(ctx context.Context, r wire.Renewal) (wire.RenewalReply, error) {
 			// What one host saw must not count as the evidence of several.
--- a/internal/control/regionstate_test.go
+++ b/internal/control/regionstate_test.go
@@ -6,6 +6,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ledger"
 	"github.com/galenalug/galenalug/ownership"
 )
@@ -83,3 +85,18 @@
 		newGlobalState("global").Apply(1, data)
 	})
 }
+
+// TestEntryHostsProposeNothing: an entry host's calls are for sessions and runs.
+func TestEntryHostsProposeNothing(t *testing.T) {
+	for kind, want := range map[int]bool{
+		wire.KindAnnounce: true, wire.KindRenew: true, wire.KindRunBegin: true, wire.KindRunFinish: true,
+		wire.KindPropose: false, wire.KindJoin: false, wire.KindReport: false,
+	} {
+		if got := mayCall(peer.RoleEntry, kind); got != want {
+			t.Errorf("entry host, kind %d: %v", kind, got)
+		}
+		if !mayCall(peer.RoleControl, kind) {
+			t.Errorf("control host, kind %d: refused", kind)
+		}
+	}
+}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -75,4 +75,3 @@
 	}
 	return g, at, nil
 }
-
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -130,4 +130,3 @@
 	}
 	return ""
 }
-
