--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -91,3 +91,23 @@
 		})
 	}
 }
+
+// BenchmarkPlanHomes measures one look at the homes of a service's slots in two
+// regions, with nothing to move.
+func BenchmarkPlanHomes(b *testing.B) {
+	for _, slots := range []int{1024, 4096, 16384} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			regions := []placement.Region{{Name: "mien-nam", Capacity: 1000}, {Name: "mien-trung", Capacity: 1000}}
+			homes := make([]placement.Home, slots)
+			for i := range homes {
+				homes[i].Region = regions[i%len(regions)].Name
+			}
+			settings := placement.DefaultHomeSettings()
+			for b.Loop() {
+				if moves := placement.PlanHomes(homes, regions, settings); len(moves) > 0 {
+					b.Fatalf("%d moves", len(moves))
+				}
+			}
+		})
+	}
+}
