Leave the queue of a server that has lost the key

Cause: a request that waited in the queue in front of a backend server stayed there when its key got another owner. Pauses of a server that checks tokens left keys without an answer to anybody for 2.05 to 2.23 s, until deadlines freed the callers, although the new owner had the grant after 0.8 s; those that waited were refused for their deadline.

Ruled out: too few callers in the load (64 against 12 that a frozen server can hold), and the wait for the grant at the new owner.

Change: a waiting request leaves the queue at the next table change that takes the grant away, and is routed anew. A request that gets its slot at once does no extra look-up.

Test: TestQueueIsLeftWhenTheOwnerChanges; with the grant not watched, those waiting are refused.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/wire"
 )
 
 // gate is the admission queue in front of one backend server. The caller's
@@ -47,8 +48,21 @@
 	t.once.Do(func() { t.gate.finish(t.id, outcome, t.started) })
 }
 
-// enter waits for a slot.
-func (g *gate) enter(ctx context.Context, class admission.Class, customer string, deadline time.Duration) (*ticket, *refusal) {
+// grant tells whether the grant that a request waits under still stands.
+type grant struct {
+	changed func() <-chan struct{} // closed at the next change of a table
+	stands  func() bool
+}
+
+// errGrantOver tells that the grant ended while the request waited: it must be
+// routed anew. It is not for callers.
+var errGrantOver = notRun(503, wire.RefusedNotOwner, "the owner changed while the request waited")
+
+// enter waits for a slot while the grant stands, so that no request waits for a
+// server that has lost its key. Without a grant it waits for the slot alone.
+func (g *gate) enter(
+	ctx context.Context, class admission.Class, customer string, deadline time.Duration, under *grant,
+) (*ticket, *refusal) {
 	id, start, verdict := g.enqueue(class, customer, deadline)
 	if !verdict.Accepted {
 		return nil, admissionRefusal(verdict.Reason, verdict.Wait)
@@ -56,8 +70,25 @@
 	select {
 	case reason := <-start:
 		return g.started(id, reason)
-	case <-ctx.Done():
-		return nil, g.leave(ctx, id, start)
+	default:
+	}
+	for {
+		var changed <-chan struct{}
+		if under != nil {
+			changed = under.changed()
+			if !under.stands() {
+				g.leave(id, start)
+				return nil, errGrantOver
+			}
+		}
+		select {
+		case reason := <-start:
+			return g.started(id, reason)
+		case <-ctx.Done():
+			g.leave(id, start)
+			return nil, contextRefusal(ctx)
+		case <-changed:
+		}
 	}
 }
 
@@ -100,8 +131,8 @@
 	g.startNext(now)
 }
 
-// leave takes back a request whose caller stopped waiting.
-func (g *gate) leave(ctx context.Context, id admission.ID, start chan admission.Reason) *refusal {
+// leave takes back a request that stopped waiting.
+func (g *gate) leave(id admission.ID, start chan admission.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiting, id)
@@ -112,7 +143,6 @@
 	}
 	g.queue.Cancel(now, id)
 	g.startNext(now)
-	return contextRefusal(ctx)
 }
 
 func (g *gate) startNext(now time.Duration) {
--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -162,6 +162,51 @@
 	}
 }
 
+// TestQueueIsLeftWhenTheOwnerChanges lets requests wait for a frozen server that
+// then loses their key. Those that were not sent must go to the new owner.
+func TestQueueIsLeftWhenTheOwnerChanges(t *testing.T) {
+	const callers = 40
+	release := make(chan struct{})
+	frozen := startRaw(t, func(_ *rawServer, _ net.Conn, _ *http.Request, _ int) bool {
+		<-release
+		return false
+	})
+	next := startRaw(t, answerOK)
+	ports := newFakePorts()
+	ports.setOwner(frozen.address(), 7)
+	host := startHost(t, ports, nil)
+	got := make(chan reply, callers)
+	for range callers {
+		go func() { got <- order(t, host) }()
+	}
+	state := func() (running, waiting int) {
+		host.gates.each(func(_ gateKey, one gateState) {
+			for class := range one.Running {
+				running += one.Running[class]
+				waiting += one.Waiting[class]
+			}
+		})
+		return running, waiting
+	}
+	running, waiting := 0, 0
+	for running+waiting < callers || frozen.runs() < running {
+		<-pollAgain()
+		running, waiting = state()
+	}
+	ports.setOwner(next.address(), 8)
+	for range waiting {
+		if one := <-got; one.outcome != "answered" {
+			t.Errorf("got %+v", one)
+		}
+	}
+	close(release)
+	for range running {
+		if one := <-got; one.outcome != "unknown" {
+			t.Errorf("sent to the frozen server, got %+v", one)
+		}
+	}
+}
+
 func TestStaleTokenIsRoutedAgain(t *testing.T) {
 	var ports *fakePorts
 	second := startRaw(t, answerOK)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -78,6 +78,9 @@
 			return nil, failure
 		}
 		answer, attemptErr, failure := h.attempt(ctx, r, to)
+		if failure == errGrantOver {
+			continue
+		}
 		if failure != nil {
 			return nil, failure
 		}
@@ -95,6 +98,17 @@
 	}
 }
 
+// grantOf returns the grant of a keyed request, nil for others.
+func (h *Host) grantOf(r *run, to destination) *grant {
+	if !to.keyed {
+		return nil
+	}
+	return &grant{changed: h.table.Changed, stands: func() bool {
+		route, err := h.table.Route(r.in.service, r.in.key)
+		return err == nil && route.Slot == to.slot && route.Token == to.token
+	}}
+}
+
 // attempt waits for a slot of the server and sends the request once.
 func (h *Host) attempt(ctx context.Context, r *run, to destination) (*forward.Answer, *forward.Error, *refusal) {
 	var deadline time.Duration
@@ -102,7 +116,7 @@
 		deadline = h.sinceOrigin(r.in.deadline)
 	}
 	chosenAt := time.Now()
-	hold, failure := h.gates.of(to.server).enter(ctx, r.in.class, r.in.customer, deadline)
+	hold, failure := h.gates.of(to.server).enter(ctx, r.in.class, r.in.customer, deadline, h.grantOf(r, to))
 	if failure != nil {
 		h.ended(r, to, chosenAt, blameFor(failure.reason))
 		return nil, nil, failure
