--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -89,6 +89,7 @@
 		Registry:       registry,
 		Seed:           rand.Uint64(),
 		Dump:           link.Dump,
+		HasTables:      link.HasTables,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "entry host")
--- a/internal/control/cut_test.go
+++ b/internal/control/cut_test.go
@@ -88,6 +88,7 @@
 	t      *testing.T
 	cutter *cutter
 	hosts  map[string]*Host
+	places []settings.ControlHost
 }
 
 // addresses counts the addresses handed out by freeAddress.
@@ -115,6 +116,7 @@
 		controls[i].Address = freeAddress(t)
 		c.cutter.regions[controls[i].Address] = controls[i].Region
 	}
+	c.places = controls
 	for _, control := range controls {
 		c.start(control, controls)
 	}
@@ -142,11 +144,19 @@
 		c.t.Fatal(err)
 	}
 	c.hosts[control.Name] = host
-	c.t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_ = host.Stop(ctx)
-	})
+	c.t.Cleanup(func() { c.stop(control.Name) })
+}
+
+// stop stops a host, once.
+func (c *cluster) stop(name string) {
+	host, ok := c.hosts[name]
+	if !ok {
+		return
+	}
+	delete(c.hosts, name)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = host.Stop(ctx)
 }
 
 // eventually repeats a step until it succeeds. The limit only ends a hang.
@@ -220,10 +230,19 @@
 	return dump.Statuses["wheel-swap"][2]
 }
 
-func (c *cluster) setPlans(hosts []string, version uint64, plan string) (allowance.Result, error) {
-	list := allowance.Command{Allowances: &allowance.LimitList{Version: version, Allowances: []allowance.PlanAllowance{{
-		Plan: plan, Limits: []allowance.Limit{{Service: "wheel-swap", RequestsPerSecond: 10, Burst: 1}},
-	}}}}
+// setAllowances sends a list with one plan, whose limit is 10 requests a second.
+func (c *cluster) setAllowances(hosts []string, version uint64, plan string) (allowance.Result, error) {
+	return c.change(hosts, allowance.Command{Allowances: limitList(version, plan, 10)})
+}
+
+func limitList(version uint64, plan string, perSecond float64) *allowance.LimitList {
+	return &allowance.LimitList{Version: version, Allowances: []allowance.PlanAllowance{{
+		Plan: plan, Limits: []allowance.Limit{{Service: "wheel-swap", RequestsPerSecond: perSecond, Burst: 1}},
+	}}}
+}
+
+// change commits a list at the first of the named hosts that can.
+func (c *cluster) change(hosts []string, list allowance.Command) (allowance.Result, error) {
 	data, err := encodeLists(list)
 	if err != nil {
 		return allowance.Result{}, err
@@ -255,13 +274,13 @@
 
 	c.cutter.cut(true)
 	c.eventually("the side with the global quorum accepts a change", func() error {
-		result, err := c.setPlans(south, 7, "gold")
+		result, err := c.setAllowances(south, 7, "gold")
 		if err == nil && !result.Succeeded() {
 			t.Fatalf("the change was refused: %+v", result)
 		}
 		return err
 	})
-	if _, err := c.setPlans(middle, 8, "silver"); err == nil {
+	if _, err := c.setAllowances(middle, 8, "silver"); err == nil {
 		t.Fatal("the side without the global quorum accepted a change")
 	}
 	for _, side := range []struct {
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -37,6 +37,10 @@
 		caller.String(503, "stopping\n")
 		return
 	}
+	if h.hasTables != nil && !h.hasTables() {
+		caller.String(503, "the tables have not come yet\n")
+		return
+	}
 	caller.String(200, "ready\n")
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -40,6 +40,7 @@
 	metrics        *metrics
 	sender         forward.Sender
 	choosers       *choosers
+	hasTables      func() bool
 	dumpRest       func() any
 
 	origin   time.Time
@@ -109,6 +110,7 @@
 		registry:       options.Registry,
 		sender:         options.Sender,
 		choosers:       newChoosers(options.Settings.Region, rand.New(rand.NewPCG(options.Seed, 2))),
+		hasTables:      options.HasTables,
 		dumpRest:       options.Dump,
 		origin:         time.Now(),
 		budgets:        newBudgets(),
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -25,6 +25,9 @@
 	Registry       *prometheus.Registry // nil for a new one
 	Sender         forward.Sender       // nil for HTTP over TCP
 	Seed           uint64               // of the jitter and the tie-breaks
+	// HasTables reports whether the routing tables have come; until then the host
+	// fails the balancer's check. Nil: they have.
+	HasTables func() bool
 	// Dump returns the state of other parts of the process for /dump; may be nil.
 	Dump func() any
 }
--- a/internal/routing/attempts_test.go
+++ b/internal/routing/attempts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/galenalug/galenalug/catalog"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ownership"
 )
@@ -88,3 +89,19 @@
 		t.Error("allowed after the session")
 	}
 }
+
+// TestTablesAreCompleteOnceAllCame counts an empty table as one that has come.
+func TestTablesAreCompleteOnceAllCame(t *testing.T) {
+	table := unfencedTable(t)
+	if table.complete(testGroup, wire.GroupGlobal) {
+		t.Error("complete without the global table")
+	}
+	empty, err := catalog.NewState().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.update(wire.TableUpdate{Group: wire.GroupGlobal, Body: empty})
+	if !table.complete(testGroup, wire.GroupGlobal) {
+		t.Error("incomplete with both tables")
+	}
+}
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -97,6 +97,10 @@
 // called before Start.
 func (l *Link) ProbeWith(probe func(entry.Server)) { l.probe = probe }
 
+// HasTables reports whether the tables that requests of this host's own region need
+// have come.
+func (l *Link) HasTables() bool { return l.table.complete(wire.GroupGlobal, l.homeGroup()) }
+
 // now is the host's monotonic clock.
 func (l *Link) now() time.Duration { return time.Since(l.started) }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,6 +33,7 @@
 	// last answer of confirm by group.
 	running   map[*attempt]struct{}
 	confirmed map[string]uint64
+	received  map[string]bool // groups whose table has come at least once
 }
 
 type sessionKey struct {
@@ -53,6 +54,7 @@
 		changed:   make(chan struct{}),
 		running:   map[*attempt]struct{}{},
 		confirmed: map[string]uint64{},
+		received:  map[string]bool{},
 	}
 	for _, region := range regions {
 		t.views[region] = ownership.NewView()
@@ -71,11 +73,24 @@
 		log.WithError(err).WithField("group", u.Group).Warn("table update refused; asking for the whole table")
 		return false
 	}
+	t.received[u.Group] = true
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return true
 }
 
+// complete reports whether the tables of all the groups have come at least once.
+func (t *Table) complete(groups ...string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, group := range groups {
+		if !t.received[group] {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) apply(u wire.TableUpdate) error {
 	if u.Group == wire.GroupGlobal {
 		return t.catalog.Update(u.Body)
