--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -9,9 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
 )
@@ -67,8 +70,15 @@
 	go func() { replies <- do(t, request) }()
 	_, _ = writer.Write(content[:size/2])
 	<-half
+	var whole atomic.Bool // the second half of the upload was sent
 	stopped := make(chan error, 1)
-	go func() { stopped <- host.Stop(context.Background()) }()
+	go func() {
+		err := host.Stop(context.Background())
+		if err == nil && !whole.Load() {
+			err = errors.New("the host stopped before the upload ended")
+		}
+		stopped <- err
+	}()
 	<-host.unready
 	if ready := do(t, mustGet(t, "http://"+host.AdminAddr()+"/ready")); ready.status != 503 {
 		t.Errorf("ready answered %d at a stop", ready.status)
@@ -80,7 +90,9 @@
 	for refusesConnections(host.Addr()) == nil {
 		time.Sleep(time.Millisecond) // waits for the state, proves nothing by itself
 	}
-	_, _ = writer.Write(content[size/2:])
+	_, _ = writer.Write(content[size/2 : size-1])
+	whole.Store(true)
+	_, _ = writer.Write(content[size-1:])
 	_ = writer.Close()
 	if got := <-replies; got.status != 200 || got.outcome != "answered" {
 		t.Errorf("the upload got %+v", got)
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,6 +67,12 @@
 func TestStopHandsOver(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
 	defer c.stopAll()
+	var handedOver atomic.Bool // asked another member to lead
+	c.net.observe = func(messages []replog.Message) {
+		if slices.ContainsFunc(messages, func(m replog.Message) bool { return m.Kind == replog.KindTimeoutNow }) {
+			handedOver.Store(true)
+		}
+	}
 	c.startAll()
 	c.propose(1)
 	leader := c.leader()
@@ -73,6 +81,9 @@
 	if leader.Leads() {
 		t.Fatal("a stopped member leads")
 	}
+	if !handedOver.Load() {
+		t.Fatal("stopped without handing leadership over")
+	}
 	if _, _, err := leader.Propose(t.Context(), number(1)); !errors.Is(err, ErrStopped) {
 		t.Fatal(err)
 	}
