--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -55,7 +55,7 @@
 	admin   *adminServer
 	clients map[string]*peer.Client
 	caller  *groupcall.Caller
-	global  *globalGroup // nil on a host outside the global group
+	global  *globalGroup
 	regions map[string]*regionGroup
 	runners map[string]*group.Runner
 
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -28,7 +28,6 @@
 	wire.KindRunFinish: "run_finish",
 	wire.KindPropose:   "propose",
 	wire.KindJoin:      "join",
-	wire.KindPing:      "ping",
 	wire.KindReport:    "report",
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -374,7 +374,7 @@
 
 func FuzzDecodeFrame(f *testing.F) {
 	for _, frame := range []wire.Frame{
-		{Kind: wire.KindPing},
+		{Kind: wire.KindReport},
 		{Kind: wire.KindPropose, CallID: 7, Body: []byte("x")},
 		{Kind: wire.KindPropose, CallID: 7, Reply: true, ErrorCode: wire.CodeConflict, ErrorDetail: "d"},
 	} {
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -11,8 +11,7 @@
 	KindRunFinish = 7  // RunFinish, answered by RunReply
 	KindPropose   = 8  // Proposal, answered by ProposalReply
 	KindJoin      = 9  // Join, answered by ProposalReply
-	KindPing      = 10 // no body, answered by no body
-	KindReport    = 11 // RegionReport, answered by ReportReply
+	KindReport    = 10 // RegionReport, answered by ReportReply
 )
 
 // GroupGlobal is the name of the log group that all control hosts are in.
