Keep the lease of shares and the global group's name in one place each

Cause: read-through of the whole change. The control hosts and the entry hosts each had a constant for the lease of allowance shares, which must agree for the sum of shares to stay within the limit; the name of the global group stood in two packages; a stand-in had a method that nothing calls.

--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -132,10 +132,9 @@
 // noState takes the place of a group's state while the store is made.
 type noState struct{}
 
-func (noState) Apply(uint64, []byte) any                     { return nil }
-func (noState) Snapshot() ([]byte, error)                    { return nil, nil }
-func (noState) Restore(uint64, []byte) error                 { return nil }
-func (noState) Send(string, replog.Member, []replog.Message) {}
+func (noState) Apply(uint64, []byte) any     { return nil }
+func (noState) Snapshot() ([]byte, error)    { return nil, nil }
+func (noState) Restore(uint64, []byte) error { return nil }
 
 // memberID is the identity of an initial member's disk.
 func memberID(groupName, host string) uint64 {
--- a/internal/control/regionleader.go
+++ b/internal/control/regionleader.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenalug/galenalug/allowance"
 	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ledger"
 	"github.com/galenalug/galenalug/ownership"
 	"github.com/galenalug/galenalug/placement"
@@ -21,7 +22,6 @@
 	tickInterval   = 25 * time.Millisecond  // between looks at what time makes due
 	reportInterval = 250 * time.Millisecond // between reports to the global leader
 	commitTimeout  = 3 * time.Second        // longest wait for a commit
-	shareLease     = 2 * time.Second        // lease of an entry host's allowance share
 	maxTickRounds  = 16                     // commits that follow one another without a pause
 )
 
@@ -98,7 +98,7 @@
 	now := g.now()
 	config := allowance.AllocatorConfig{
 		Epoch: term,
-		Lease: shareLease,
+		Lease: wire.ShareLease,
 		Drift: allowance.DefaultDrift,
 		Floor: allowance.DefaultFloor,
 	}
--- a/internal/routing/limits.go
+++ b/internal/routing/limits.go
@@ -13,7 +13,6 @@
 
 // Times of allowance shares.
 const (
-	shareLease    = 2 * time.Second        // lease of a share, as the control hosts grant it
 	shareInterval = 500 * time.Millisecond // between renewals of a share
 	kickInterval  = 50 * time.Millisecond  // between renewals that a new customer asks for at once
 	firstWait     = 250 * time.Millisecond // longest wait for a customer's first share
@@ -253,7 +252,7 @@
 
 func (s *sharedLimit) take(now time.Duration, sent allowance.Sent, granted wire.Share) {
 	grant := allowance.Grant{Number: granted.Number, Share: granted.Granted}
-	if s.holder.Accept(now, sent, shareLease, grant) {
+	if s.holder.Accept(now, sent, wire.ShareLease, grant) {
 		s.bucket.Set(now, s.holder.Share(now), granted.Burst, s.holder.Until())
 		s.refused = refusalOf(granted.Refusal)
 	}
--- a/internal/routing/limits_test.go
+++ b/internal/routing/limits_test.go
@@ -71,7 +71,7 @@
 		s.admits("uniform", nil)
 	}
 	s.admits("uniform", entry.ErrAllowanceSpent)
-	s.at += shareLease
+	s.at += wire.ShareLease
 	s.admits("uniform", entry.ErrNoShare)
 	for len(s.pairs) < maxPairs {
 		s.ask(fmt.Sprint("other-", len(s.pairs)), 1)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -1,5 +1,11 @@
 package wire
 
+import (
+	"time"
+
+	"github.com/galenalug/galenalug/membership"
+)
+
 // Kinds of Frame bodies.
 const (
 	KindRaft      = 1  // RaftBatch, one-way, control to control
@@ -15,7 +21,11 @@
 )
 
 // GroupGlobal is the name of the log group that all control hosts are in.
-const GroupGlobal = "global"
+const GroupGlobal = membership.GroupGlobal
+
+// ShareLease is the lease of an entry host's share of an allowance. Both ends count
+// by it.
+const ShareLease = 2 * time.Second
 
 // NoSlot is the slot of runs of services that are not divided by key.
 const NoSlot = 0
