--- a/cmd/galena-control/main.go
+++ b/cmd/galena-control/main.go
@@ -26,7 +26,7 @@
 		Kind:        config.KindControl,
 		StopTimeout: func() time.Duration { return stopTimeout },
 		Open:        open,
-		Commands:    []*cli.Command{initCommand()},
+		Commands:    []*cli.Command{initCommand(), platformCommand()},
 	}, os.Args, os.Stderr))
 }
 
--- /dev/null
+++ b/cmd/galena-control/platform.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/config"
+	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/fleet"
+	"github.com/galenalug/galenalug/internal/logging"
+	"github.com/galenalug/galenalug/platform"
+)
+
+// platformCommand runs the control host for gateways on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run as a control host of gateways; settings from $" + platform.SettingsVariable,
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			s, err := config.LoadFleet(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return err
+			}
+			if err := logging.Setup(s.Log, os.Stdout); err != nil {
+				return err
+			}
+			var secret []byte
+			if s.PeerSecretFile != nil {
+				if secret, err = config.ReadSecret(*s.PeerSecretFile); err != nil {
+					return err
+				}
+			}
+			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: prometheus.NewRegistry()})
+			if err != nil {
+				return err
+			}
+			calls, err := platform.NewControl(s.ControlListen, host)
+			if err != nil {
+				return err
+			}
+			return daemon.Run(ctx, &controlProcess{Host: host, calls: calls}, stopTimeout, os.Stderr)
+		},
+	}
+}
+
+// controlProcess is a control host with the listener for the platform's calls.
+type controlProcess struct {
+	*fleet.Host
+	calls *platform.Control
+}
+
+// Start starts the control host, and then takes calls.
+func (p *controlProcess) Start() error {
+	if err := p.Host.Start(); err != nil {
+		return err
+	}
+	p.calls.Start()
+	return nil
+}
+
+// Stop hands leadership over while calls are still passed on, and ends.
+func (p *controlProcess) Stop(ctx context.Context) error {
+	err := p.Host.Stop(ctx)
+	if callsErr := p.calls.Stop(ctx); err == nil {
+		err = callsErr
+	}
+	return err
+}
--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
 
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
@@ -44,6 +45,7 @@
 			stopTimeout = time.Duration(s.DrainSeconds+s.UnreadySeconds)*time.Second + stopMargin
 			return open(&s)
 		},
+		Commands: []*cli.Command{platformCommand()},
 	}, os.Args, os.Stderr)
 }
 
--- /dev/null
+++ b/cmd/galena-entry/platform.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/config"
+	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/gateway"
+	"github.com/galenalug/galenalug/internal/logging"
+	"github.com/galenalug/galenalug/platform"
+)
+
+// settingsInterval is the time between two looks at the settings file.
+const settingsInterval = time.Second
+
+// platformCommand runs the entry host as a gateway on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run as a gateway that routes by host and path; settings from $" + platform.SettingsVariable,
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			path := os.Getenv(platform.SettingsVariable)
+			s, err := config.LoadGateway(path)
+			if err != nil {
+				return err
+			}
+			if err := logging.Setup(s.Log, os.Stdout); err != nil {
+				return err
+			}
+			secret, err := optionalSecret(s.PeerSecretFile)
+			if err != nil {
+				return err
+			}
+			host, err := gateway.New(gateway.Options{
+				Settings: &s, Secret: secret, Dialect: platform.Dialect{}, Registry: prometheus.NewRegistry(),
+			})
+			if err != nil {
+				return err
+			}
+			p := &gatewayProcess{Host: host, path: path}
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			go daemon.WatchFile(ctx, path, settingsInterval, p.reloadLogged)
+			return daemon.Run(ctx, p, time.Duration(s.StopMs)*time.Millisecond, os.Stderr)
+		},
+	}
+}
+
+// gatewayProcess is a gateway that reads its settings again.
+type gatewayProcess struct {
+	*gateway.Host
+	path string
+}
+
+// Reload reads the control hosts anew; other settings need a restart.
+func (p *gatewayProcess) Reload() error {
+	s, err := config.LoadGateway(p.path)
+	if err != nil {
+		return err
+	}
+	p.SetSeeds(s.Seeds)
+	log.WithField("seeds", s.Seeds).Info("settings read again")
+	return nil
+}
+
+func (p *gatewayProcess) reloadLogged() {
+	if err := p.Reload(); err != nil {
+		log.WithError(err).Error("settings not read again; those before stay in force")
+	}
+}
--- /dev/null
+++ b/dispatch/admit.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import "time"
+
+const (
+	// urgentFill is the number of requests for each slot up to which a server
+	// gets urgent requests. A server's queue holds about four for each slot.
+	urgentFill = 4.0
+	// ordinaryFill is the same for less urgent requests: the rest of the queue
+	// is kept for urgent ones.
+	ordinaryFill = 3.3
+	// urgentPriority is the last rank that counts as urgent.
+	urgentPriority = 1
+)
+
+// Request is what decides about a request.
+type Request struct {
+	Priority int64
+	Left     time.Duration // time until its deadline
+	Target   time.Duration // time left of its latency objective; may be negative
+	Bulk     bool          // whether it has a large body
+}
+
+// Reason says why a request is not sent.
+type Reason string
+
+// Reasons of Admit.
+const (
+	Admitted     Reason = ""
+	QueueFull    Reason = "queue-full"    // the server's queue has no room for its rank
+	TooLate      Reason = "too-late"      // it would not be answered before its deadline
+	NoConnection Reason = "no-connection" // all connections allowed are in use
+)
+
+// Admit tells whether a server can answer the request in time. Slots is the
+// number of requests that the server runs at once, connections the number that
+// this gateway may open to it.
+func Admit(now time.Duration, l *Load, slots, connections int, r Request) Reason {
+	fill := ordinaryFill
+	if r.Priority <= urgentPriority {
+		fill = urgentFill
+	}
+	switch {
+	case l.Own() >= connections:
+		return NoConnection
+	case l.Requests(now) >= fill*float64(slots):
+		return QueueFull
+	case l.Wait(now, slots)+l.WorkTime()/2 > r.Left:
+		return TooLate
+	}
+	return Admitted
+}
+
+// Distance is how far a server stands from a gateway.
+type Distance int
+
+// Distances.
+const (
+	SameDomain Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Candidate is a server that may take a request.
+type Candidate struct {
+	ID          string
+	Load        *Load
+	Slots       int
+	Connections int
+	Distance    Distance
+	Suspect     bool // it failed requests a short time ago
+}
+
+// Choose returns the place of the server that takes the request, or -1 and the
+// reason why none does. Among servers that answer within the latency objective
+// it takes the nearest; a large body goes to another region only if no server of
+// the own region has room.
+func Choose(now time.Duration, candidates []Candidate, r Request) (int, Reason) {
+	best, reason := -1, QueueFull
+	var bestRank rank
+	for i, c := range candidates {
+		verdict := Admit(now, c.Load, c.Slots, c.Connections, r)
+		if verdict != Admitted {
+			reason = verdict
+			continue
+		}
+		if next := rankOf(now, c, r); best < 0 || next.below(bestRank) {
+			best, bestRank = i, next
+		}
+	}
+	if best < 0 {
+		return best, reason
+	}
+	return best, Admitted
+}
+
+// rank orders candidates; the lowest takes the request.
+type rank struct {
+	suspect bool
+	abroad  bool // a large body would cross regions
+	late    bool
+	near    Distance
+	finish  time.Duration
+}
+
+func rankOf(now time.Duration, c Candidate, r Request) rank {
+	finish := c.Load.Wait(now, c.Slots) + c.Load.WorkTime()
+	return rank{
+		suspect: c.Suspect,
+		abroad:  r.Bulk && c.Distance == OtherRegion,
+		late:    finish > r.Target,
+		near:    c.Distance,
+		finish:  finish,
+	}
+}
+
+func (a rank) below(b rank) bool {
+	switch {
+	case a.suspect != b.suspect:
+		return b.suspect
+	case a.abroad != b.abroad:
+		return b.abroad
+	case a.late != b.late:
+		return b.late
+	case a.near != b.near && !a.late:
+		return a.near < b.near
+	}
+	return a.finish < b.finish
+}
--- /dev/null
+++ b/dispatch/load.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import "time"
+
+const (
+	// reportLife is how long a server's report of its load counts.
+	reportLife = time.Second
+	// initialWorkTime is taken for a request before the first answer.
+	initialWorkTime = 100 * time.Millisecond
+	// workTimeWeight is the part of a new answer in the average work time.
+	workTimeWeight = 0.1
+)
+
+// Report is what a server says of its load in an answer.
+type Report struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Load is one gateway's view of a server's load.
+type Load struct {
+	own      int // requests of this gateway under way
+	others   int // requests of others by the newest report
+	reported time.Duration
+	workTime time.Duration // of a request that did not wait
+}
+
+// Start counts a request that is sent.
+func (l *Load) Start() { l.own++ }
+
+// End counts a request that is no longer under way.
+func (l *Load) End() { l.own-- }
+
+// Own returns the number of this gateway's requests under way.
+func (l *Load) Own() int { return l.own }
+
+// TakeReport takes in a report. It is called before End of the request whose
+// answer carried it; the server does not count that request any more.
+func (l *Load) TakeReport(now time.Duration, r Report) {
+	l.others = max(0, r.Running+r.Waiting-(l.own-1))
+	l.reported = now
+}
+
+// TakeWorkTime takes in the time of a request that did not wait.
+func (l *Load) TakeWorkTime(took time.Duration) {
+	if l.workTime == 0 {
+		l.workTime = took
+		return
+	}
+	l.workTime += time.Duration(workTimeWeight * float64(took-l.workTime))
+}
+
+// WorkTime returns the average time of a request that does not wait.
+func (l *Load) WorkTime() time.Duration {
+	if l.workTime == 0 {
+		return initialWorkTime
+	}
+	return l.workTime
+}
+
+// Requests returns the estimated number of requests at the server. A report
+// loses weight as it ages.
+func (l *Load) Requests(now time.Duration) float64 {
+	age := now - l.reported
+	if l.reported == 0 || age >= reportLife {
+		return float64(l.own)
+	}
+	return float64(l.own) + float64(l.others)*(1-float64(age)/float64(reportLife))
+}
+
+// Wait returns the expected time in the server's queue of one more request.
+func (l *Load) Wait(now time.Duration, slots int) time.Duration {
+	ahead := l.Requests(now) - float64(slots) + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(slots) * float64(l.WorkTime()))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,8 @@
 	KindControl = "control"
 	KindBackend = "backend"
 	KindCtl     = "ctl"
+	KindGateway = "gateway"
+	KindFleet   = "fleet"
 )
 
 const (
@@ -76,6 +78,17 @@
 	return load(path, KindCtl, checkCtl, ctlSecrets)
 }
 
+// LoadGateway loads the settings of galena-entry as a gateway. It fails with *Error.
+func LoadGateway(path string) (settings.GatewaySettings, error) {
+	return load(path, KindGateway, checkGateway, gatewaySecrets)
+}
+
+// LoadFleet loads the settings of galena-control as a control host of gateways.
+// It fails with *Error.
+func LoadFleet(path string) (settings.FleetSettings, error) {
+	return load(path, KindFleet, checkFleet, fleetSecrets)
+}
+
 // Check checks a settings file of the given kind, and with withSecrets also the
 // secret files that it names. It fails with *Error.
 func Check(kind, path string, withSecrets bool) error {
@@ -89,9 +102,13 @@
 		_, err = load(path, kind, checkBackend, only(withSecrets, backendSecrets))
 	case KindCtl:
 		_, err = load(path, kind, checkCtl, only(withSecrets, ctlSecrets))
+	case KindGateway:
+		_, err = load(path, kind, checkGateway, only(withSecrets, gatewaySecrets))
+	case KindFleet:
+		_, err = load(path, kind, checkFleet, only(withSecrets, fleetSecrets))
 	default:
 		err = &Error{File: path, Problems: []Problem{{Detail: fmt.Sprintf(
-			"unknown kind of settings %q; must be one of %s, %s, %s, %s", kind, KindEntry, KindControl, KindBackend, KindCtl)}}}
+			"unknown kind of settings %q; must be one of %s", kind, strings.Join(Kinds(), ", "))}}}
 	}
 	return err
 }
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -8,7 +8,9 @@
 )
 
 // Kinds lists the kinds of settings files.
-func Kinds() []string { return []string{KindEntry, KindControl, KindBackend, KindCtl} }
+func Kinds() []string {
+	return []string{KindEntry, KindControl, KindBackend, KindCtl, KindGateway, KindFleet}
+}
 
 // Setting describes one setting, for the manual.
 type Setting struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,26 +87,29 @@
 			if err != nil {
 				return err
 			}
-			return run(ctx, process, program.StopTimeout(), stderr)
+			return Run(ctx, process, program.StopTimeout(), stderr)
 		},
 	}
 }
 
-// run starts the process and serves signals until SIGTERM or SIGINT.
-func run(ctx context.Context, process Process, stopTimeout time.Duration, stderr io.Writer) error {
+// Reloader is a Process that reads its settings again on SIGHUP.
+type Reloader interface {
+	Reload() error
+}
+
+// Run starts the process and serves signals until SIGTERM or SIGINT.
+func Run(ctx context.Context, process Process, stopTimeout time.Duration, stderr io.Writer) error {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	if err := process.Start(); err != nil {
 		return errors.Wrap(err, "start")
 	}
 	for received := range signals {
-		if received != syscall.SIGUSR1 {
+		if received == syscall.SIGTERM || received == syscall.SIGINT {
 			break
 		}
-		if err := WriteDump(stderr, process); err != nil {
-			log.WithError(err).Error("state dump failed")
-		}
+		serveSignal(received, process, stderr)
 	}
 	log.Info("stopping")
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
@@ -114,6 +117,43 @@
 	return errors.Wrap(process.Stop(ctx), "stop")
 }
 
+// serveSignal does what a signal other than a stop asks for.
+func serveSignal(received os.Signal, process Process, stderr io.Writer) {
+	if received == syscall.SIGUSR1 {
+		if err := WriteDump(stderr, process); err != nil {
+			log.WithError(err).Error("state dump failed")
+		}
+		return
+	}
+	reloader, ok := process.(Reloader)
+	if !ok {
+		log.Info("settings are read at the start only")
+		return
+	}
+	if err := reloader.Reload(); err != nil {
+		log.WithError(err).Error("settings not read again; those before stay in force")
+	}
+}
+
+// WatchFile calls changed when the file's time or size changes, until the context
+// ends.
+func WatchFile(ctx context.Context, path string, interval time.Duration, changed func()) {
+	last, _ := os.Stat(path) // a file that is missing shows when it is back
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		now, err := os.Stat(path)
+		if err != nil || last != nil && now.ModTime().Equal(last.ModTime()) && now.Size() == last.Size() {
+			continue
+		}
+		last = now
+		changed()
+	}
+}
+
 // WriteDump writes the process's state as indented JSON.
 func WriteDump(w io.Writer, process Process) error {
 	encoder := json.NewEncoder(w)
--- /dev/null
+++ b/internal/fleet/api.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// Errors of calls.
+var (
+	// ErrUnavailable means that nothing was done: no leader, or no quorum.
+	ErrUnavailable = errors.New("fleet: unavailable; nothing was done")
+	// ErrUnknownOutcome means that the change may or may not come into force.
+	ErrUnknownOutcome = errors.New("fleet: the outcome is not known")
+)
+
+// Heartbeat takes in a backend server's heartbeat.
+func (h *Host) Heartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+	if !h.runner.Leads() {
+		var reply keyrange.HeartbeatReply
+		err := h.callLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
+		return reply, err
+	}
+	reply, err := h.takeHeartbeat(hb)
+	reply.Contact = "" // the caller is there already
+	return reply, err
+}
+
+// takeHeartbeat answers a heartbeat on the leader.
+func (h *Host) takeHeartbeat(hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading == nil || h.state.lease() < milliseconds(h.settings.LeaseMs) {
+		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership begins")
+	}
+	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
+	if !h.runner.Leads() {
+		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership ended")
+	}
+	reply.Contact = h.settings.ControlListen
+	h.wakeUp()
+	return reply, nil
+}
+
+// Leave takes in that a backend server leaves. It is in the log before it is
+// acknowledged, so that a new leader knows of it.
+func (h *Host) Leave(ctx context.Context, leave keyrange.Leave) error {
+	if !h.runner.Leads() {
+		return h.callLeader(ctx, wire.KindServerLeave, leave, nil)
+	}
+	log.WithField("server", leave.ID).Info("backend server leaves")
+	_, err := h.propose(ctx, command{Left: &leave})
+	h.wakeUp()
+	return err
+}
+
+// Put asks to replace the configuration.
+func (h *Host) Put(ctx context.Context, put routes.Put) (routes.PutReply, error) {
+	var reply routes.PutReply
+	if !h.runner.Leads() {
+		err := h.callLeader(ctx, wire.KindPutConfig, put, &reply)
+		return reply, err
+	}
+	if err := h.runner.ReadBarrier(ctx); err != nil {
+		return reply, translate(err)
+	}
+	if reply = h.state.check(put); reply.Outcome != routes.OutcomeAccepted || reply.Current >= put.Config.Version {
+		h.logPut(put, reply)
+		return reply, nil
+	}
+	result, err := h.propose(ctx, command{Put: &put})
+	if err != nil {
+		return reply, err
+	}
+	reply, _ = result.(routes.PutReply)
+	h.logPut(put, reply)
+	return reply, nil
+}
+
+func (h *Host) logPut(put routes.Put, reply routes.PutReply) {
+	log.WithFields(log.Fields{
+		"version": put.Config.Version, "base": put.Base, "outcome": reply.Outcome,
+		"in_force": reply.Current, "detail": reply.Detail,
+	}).Info("configuration change")
+}
+
+// Document returns the operator's text of the configuration in force, which no
+// newer one had replaced at the time of the call.
+func (h *Host) Document(ctx context.Context) ([]byte, error) {
+	if !h.runner.Leads() {
+		var document []byte
+		err := h.callLeader(ctx, wire.KindGetConfig, struct{}{}, &document)
+		return document, err
+	}
+	if err := h.runner.ReadBarrier(ctx); err != nil {
+		return nil, translate(err)
+	}
+	document, version := h.state.document()
+	if version == 0 {
+		return nil, errors.Wrap(ErrUnavailable, "there is no configuration yet")
+	}
+	return document, nil
+}
+
+func (h *Host) propose(ctx context.Context, c command) (any, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode log entry")
+	}
+	result, _, err := h.runner.Propose(ctx, data)
+	return result, translate(err)
+}
+
+// translate turns an error of the log into one of this package.
+func translate(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, group.ErrUnknownOutcome):
+		return errors.Wrap(ErrUnknownOutcome, err.Error())
+	default:
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+}
+
+// callTimeout bounds a call that another control host passed on.
+const callTimeout = 3 * time.Second
--- /dev/null
+++ b/internal/fleet/calls.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/replog"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// handler takes calls of gateways and other control hosts.
+type handler struct{ host *Host }
+
+// Call answers a call. Calls of other control hosts are for the leader: they are
+// not passed on again.
+func (a *handler) Call(ctx context.Context, from *peer.Conn, kind int, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h := a.host
+	if kind == wire.KindJoin {
+		return answer(decoded(body, func(join wire.Join) (any, error) { return nil, h.admit(ctx, join) }))
+	}
+	if !h.runner.Leads() {
+		return nil, &peer.Error{Code: wire.CodeNotLeader, Detail: h.runner.Leader()}
+	}
+	switch kind {
+	case wire.KindServerHeartbeat:
+		return answer(decoded(body, func(hb keyrange.Heartbeat) (any, error) { return h.takeHeartbeat(hb) }))
+	case wire.KindServerLeave:
+		return answer(decoded(body, func(leave keyrange.Leave) (any, error) { return nil, h.Leave(ctx, leave) }))
+	case wire.KindPutConfig:
+		return answer(decoded(body, func(put routes.Put) (any, error) { return h.Put(ctx, put) }))
+	case wire.KindGetConfig:
+		document, err := h.Document(ctx)
+		return answer(document, err)
+	case wire.KindSubscribe:
+		return answer(nil, h.subscribe(from))
+	}
+	return nil, &peer.Error{Code: wire.CodeInvalid, Detail: "unknown call"}
+}
+
+// decoded decodes a call's body and hands it on.
+func decoded[T any](body []byte, handle func(T) (any, error)) (any, error) {
+	var request T
+	if err := cbor.Unmarshal(body, &request); err != nil {
+		return nil, &peer.Error{Code: wire.CodeInvalid, Detail: err.Error()}
+	}
+	return handle(request)
+}
+
+// answer encodes a reply, or turns an error into one that travels.
+func answer(reply any, err error) ([]byte, error) {
+	var typed *peer.Error
+	switch {
+	case errors.As(err, &typed):
+		return nil, typed
+	case errors.Is(err, ErrUnavailable):
+		return nil, &peer.Error{Code: wire.CodeUnavailable, Detail: err.Error()}
+	case err != nil:
+		return nil, &peer.Error{Code: wire.CodeUnknown, Detail: err.Error()}
+	case reply == nil:
+		return nil, nil
+	}
+	return cbor.Marshal(reply)
+}
+
+// Notify takes messages of the log and load reports.
+func (a *handler) Notify(_ *peer.Conn, kind int, body []byte) {
+	switch kind {
+	case wire.KindRaft:
+		a.host.deliver(body)
+	case wire.KindLoadReport:
+		a.host.takeLoadReport(body)
+	default:
+		log.WithField("kind", kind).Warn("unknown message of a peer")
+	}
+}
+
+// Closed forgets a gateway.
+func (a *handler) Closed(conn *peer.Conn) {
+	a.host.mu.Lock()
+	defer a.host.mu.Unlock()
+	if _, known := a.host.subscribers[conn]; known {
+		delete(a.host.subscribers, conn)
+		log.WithField("gateway", conn.Identity().Name).Info("gateway disconnected")
+	}
+}
+
+func (h *Host) deliver(body []byte) {
+	var batch wire.RaftBatch
+	if err := cbor.Unmarshal(body, &batch); err != nil {
+		log.WithError(err).Warn("log message can't be read")
+		return
+	}
+	var messages []replog.Message
+	if err := cbor.Unmarshal(batch.Messages, &messages); err != nil {
+		log.WithError(err).Warn("log message can't be read")
+		return
+	}
+	if h.runner != nil {
+		h.runner.Deliver(messages)
+	}
+}
+
+func (h *Host) takeLoadReport(body []byte) {
+	var report keyrange.LoadReport
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		log.WithError(err).Warn("load report can't be read")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading != nil {
+		h.leading.coordinator.Report(clock.Now(), report)
+	}
+}
--- /dev/null
+++ b/internal/fleet/host.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/replog"
+)
+
+const (
+	// groupName is the name of the one log group.
+	groupName = "fleet"
+	// keySpace is the number of keys of a service that is divided by key.
+	keySpace = 1 << 16
+	// publishInterval is the time between two looks for changes of the table.
+	publishInterval = 20 * time.Millisecond
+	// snapshotEntries is the number of log entries between two snapshots.
+	snapshotEntries = 512
+)
+
+// peerLimits find a silent peer within about an election timeout.
+var peerLimits = peer.Limits{
+	PingInterval:     400 * time.Millisecond,
+	SilenceTimeout:   1500 * time.Millisecond,
+	HandshakeTimeout: 700 * time.Millisecond,
+	BackoffMin:       50 * time.Millisecond,
+	BackoffMax:       500 * time.Millisecond,
+}
+
+// PeerLimits returns the limits of connections between gateways and control
+// hosts.
+func PeerLimits() peer.Limits { return peerLimits }
+
+// Options of a Host.
+type Options struct {
+	Settings *settings.FleetSettings
+	Secret   []byte // of peers; empty on an open network
+	Registry *prometheus.Registry
+}
+
+// Host is one control host.
+type Host struct {
+	settings *settings.FleetSettings
+	name     string // address for peers, IP:port
+	state    *fleetState
+	server   *peer.Server
+	peers    *peers
+	runner   *group.Runner
+	wake     chan struct{} // the table may have changed
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	// mu guards the fields below.
+	mu          sync.Mutex
+	leading     *leadership // nil while this host does not lead
+	subscribers map[*peer.Conn]struct{}
+}
+
+// New makes a host and opens its listener for peers. Start starts it.
+func New(o Options) (*Host, error) {
+	h := &Host{
+		settings:    o.Settings,
+		name:        PeerAddress(o.Settings.Ip, o.Settings.PeerPort),
+		wake:        make(chan struct{}, 1),
+		subscribers: map[*peer.Conn]struct{}{},
+	}
+	h.state = &fleetState{changed: h.wakeUp}
+	metrics := peer.NewMetrics(o.Registry)
+	h.peers = newPeers(h.identity(), o.Secret, metrics)
+	var err error
+	h.server, err = peer.NewServer(peer.ServerOptions{
+		Listen:  h.name,
+		Self:    h.identity(),
+		Secret:  o.Secret,
+		Handler: &handler{host: h},
+		Limits:  peerLimits,
+		Metrics: metrics,
+	})
+	return h, errors.Wrap(err, "peer listener")
+}
+
+// PeerAddress returns the address of a host's peer listener, which is also the
+// name of a control host.
+func PeerAddress(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+// SeedAddresses returns the peer addresses of the hosts in a list of IP:port.
+func SeedAddresses(seeds []string, peerPort int) []string {
+	var addresses []string
+	for _, seed := range seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			addresses = append(addresses, PeerAddress(ip, peerPort))
+		}
+	}
+	return addresses
+}
+
+func (h *Host) identity() peer.Identity {
+	return peer.Identity{Name: h.name, Role: peer.RoleControl}
+}
+
+func (h *Host) seeds() []string { return SeedAddresses(h.settings.Seeds, h.settings.PeerPort) }
+
+// Start starts the log and the listener.
+func (h *Host) Start() error {
+	runner, err := h.startRunner()
+	if err != nil {
+		return err
+	}
+	h.runner = runner
+	if err := h.server.Start(); err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.done.Go(func() { h.joinLoop(ctx) })
+	h.done.Go(func() { h.publishLoop(ctx) })
+	return nil
+}
+
+// startRunner opens the disk's member. A founder's member is named after its
+// host; any other disk is new and gets a random identity.
+func (h *Host) startRunner() (*group.Runner, error) {
+	options := group.Options{
+		Name:            groupName,
+		HostName:        h.name,
+		Dir:             filepath.Join(h.settings.DataDir, groupName),
+		Election:        milliseconds(h.settings.ElectionMs),
+		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
+		SnapshotEntries: snapshotEntries,
+		Seed:            rand.Uint64(),
+		Applier:         h.state,
+		Transport:       h,
+		OnLeader:        h.onLeader,
+	}
+	founders := h.founders()
+	switch {
+	case holdsStore(options.Dir):
+	case len(founders) > 0:
+		options.ID, options.Bootstrap = memberID(h.name), founders
+	default:
+		options.ID = rand.Uint64()
+	}
+	log.WithFields(log.Fields{"host": h.name, "founds": len(founders) > 0}).Info("control host starts")
+	runner, err := group.Start(options)
+	return runner, errors.Wrap(err, "replicated log")
+}
+
+// founders returns the first members, or nil if this host does not found.
+func (h *Host) founders() []replog.Member {
+	if !h.settings.Found {
+		return nil
+	}
+	var members []replog.Member
+	named := false
+	for _, address := range h.seeds() {
+		members = append(members, replog.Member{ID: memberID(address), Name: address})
+		named = named || address == h.name
+	}
+	if !named {
+		return nil
+	}
+	return members
+}
+
+// memberID is the identity of a founder's disk.
+func memberID(address string) uint64 { return xxhash.Sum64String(groupName + "/" + address) }
+
+// Stop hands leadership over and ends the host.
+func (h *Host) Stop(ctx context.Context) error {
+	log.WithField("host", h.name).Info("control host stops")
+	h.cancel()
+	h.runner.Stop(ctx)
+	err := h.server.Stop(ctx)
+	h.peers.close()
+	h.done.Wait()
+	return err
+}
+
+// Dump returns the host's state.
+func (h *Host) Dump() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	dump := map[string]any{
+		"host": h.name, "log": h.runner.Status(), "config": h.state.config(), "subscribers": len(h.subscribers),
+	}
+	if h.leading != nil {
+		dump["table"] = h.leading.coordinator.Whole()
+	}
+	return dump
+}
+
+// Send implements group.Transport.
+func (h *Host) Send(name string, to replog.Member, messages []replog.Message) {
+	if to.Name == "" {
+		return // the address comes with the member's next message
+	}
+	encoded, err := cbor.Marshal(messages)
+	if err != nil {
+		log.WithError(err).Error("encode log messages")
+		return
+	}
+	body, err := cbor.Marshal(wire.RaftBatch{Group: name, Messages: encoded})
+	if err != nil {
+		log.WithError(err).Error("encode log messages")
+		return
+	}
+	// A lost message is sent again by the log.
+	_ = h.peers.client(to.Name).Notify(wire.KindRaft, body)
+}
+
+func (h *Host) wakeUp() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// leadership is what a leader keeps in memory.
+type leadership struct {
+	term          uint64
+	coordinator   *keyrange.Coordinator
+	configVersion uint64 // newest configuration told to subscribers
+}
+
+// onLeader is called by the log's goroutine when this host begins and ends to
+// lead.
+func (h *Host) onLeader(leads bool, term uint64) {
+	log.WithFields(log.Fields{"host": h.name, "leads": leads, "term": term}).Info("leadership changed")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !leads {
+		h.leading = nil
+		for conn := range h.subscribers {
+			conn.Close()
+		}
+		return
+	}
+	inherited := time.Duration(0)
+	if previous := h.state.lease(); previous > 0 {
+		inherited = clock.Now() + keyrange.LeaseBound(previous)
+	}
+	lease := milliseconds(h.settings.LeaseMs)
+	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
+		Term:      term,
+		Keys:      keySpace,
+		Lease:     lease,
+		Inherited: inherited,
+		Drain:     milliseconds(h.settings.DrainMs),
+		Forget:    2 * lease,
+	})}
+	h.wakeUp()
+}
--- /dev/null
+++ b/internal/fleet/publish.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// tickInterval is the longest time between two looks at leases.
+const tickInterval = 100 * time.Millisecond
+
+// publishLoop does the leader's regular work: it lets leases run out and tells
+// gateways what changed.
+func (h *Host) publishLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.wake:
+		case <-time.After(tickInterval):
+		}
+		h.allowLease(ctx)
+		h.publish()
+		select {
+		case <-ctx.Done():
+		case <-time.After(publishInterval):
+		}
+	}
+}
+
+// allowLease puts the lease into the log before the first grant, so that a later
+// leader knows how long to wait.
+func (h *Host) allowLease(ctx context.Context) {
+	lease := milliseconds(h.settings.LeaseMs)
+	if !h.runner.Leads() || h.state.lease() >= lease {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := h.propose(ctx, command{LeaseMillis: lease.Milliseconds()}); err != nil {
+		log.WithError(err).Warn("lease not recorded; trying again")
+	}
+}
+
+// publish sends changes of the table and the configuration to all gateways.
+func (h *Host) publish() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.leading
+	if l == nil || !h.runner.Leads() {
+		return
+	}
+	now := clock.Now()
+	config := h.state.config()
+	l.coordinator.SetKeyed(keyedServices(config))
+	h.tellLeavers(now, l)
+	l.coordinator.Tick(now)
+	update, changed := l.coordinator.Changes(now)
+	if config.Version != l.configVersion {
+		l.configVersion = config.Version
+		update.Config = encodeConfig(config)
+		changed = true
+	}
+	if !changed || len(h.subscribers) == 0 {
+		return
+	}
+	h.complete(&update)
+	body, err := cbor.Marshal(update)
+	if err != nil {
+		log.WithError(err).Error("encode table")
+		return
+	}
+	for conn := range h.subscribers {
+		// A full queue closes the connection; the gateway subscribes anew.
+		_ = conn.Notify(wire.KindFleetTable, body)
+	}
+}
+
+// tellLeavers tells the coordinator of servers that left since the last call.
+func (h *Host) tellLeavers(now time.Duration, l *leadership) {
+	left := h.state.leavers()
+	for _, leave := range left {
+		l.coordinator.Leave(now, leave)
+	}
+}
+
+func keyedServices(config routes.Config) []string {
+	var names []string
+	for _, s := range config.Services {
+		if s.Keyed {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+func encodeConfig(config routes.Config) []byte {
+	if config.Version == 0 {
+		return nil
+	}
+	data, err := cbor.Marshal(config)
+	if err != nil {
+		log.WithError(err).Error("encode configuration")
+		return nil
+	}
+	return data
+}
+
+// complete adds what every update carries.
+func (h *Host) complete(update *keyrange.TableUpdate) {
+	update.Controls = h.memberNames()
+	update.EntryHosts = int64(len(h.subscribers))
+}
+
+// subscribe sends the whole table to a gateway, and later what changes.
+func (h *Host) subscribe(conn *peer.Conn) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.leading
+	if l == nil {
+		return errors.Wrap(ErrUnavailable, "not the leader")
+	}
+	h.subscribers[conn] = struct{}{}
+	update := l.coordinator.Whole()
+	if config := h.state.config(); l.configVersion == config.Version {
+		update.Config = encodeConfig(config)
+	} // otherwise the next update carries it
+	h.complete(&update)
+	body, err := cbor.Marshal(update)
+	if err != nil {
+		return errors.Wrap(err, "encode table")
+	}
+	log.WithField("gateway", conn.Identity().Name).Info("gateway connected")
+	return conn.Notify(wire.KindFleetTable, body)
+}
--- /dev/null
+++ b/internal/gateway/backends.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/keyrange"
+)
+
+const (
+	// defaultIdle is how long an unused connection is kept if its server does not
+	// say how long it keeps it.
+	defaultIdle = 8 * time.Second
+	// idlePart is the part of the time that a server names for which an unused
+	// connection is taken for open.
+	idlePart = 0.75
+	// provenFor is how long after an exchange a connection is used for a request
+	// that may run once: a connection that the server closes meanwhile loses it.
+	provenFor = 4 * time.Second
+	// suspectFor is how long a server that failed gets requests only if no other
+	// server is there.
+	suspectFor = 1500 * time.Millisecond
+)
+
+// idleTime returns how long a server keeps an unused connection.
+func idleTime(header http.Header) time.Duration {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(float64(seconds) * idlePart * float64(time.Second))
+		}
+	}
+	return defaultIdle
+}
+
+// backend is what this gateway knows of one incarnation of a backend server.
+type backend struct {
+	id, address string
+
+	mu      sync.Mutex // guards the fields below
+	idle    []*conn    // the one used last stands last
+	load    dispatch.Load
+	seen    keyrange.ServerLoad // for the next load report
+	failed  time.Duration       // of the last failure; 0 for none
+	retired bool
+}
+
+// backends are the backend servers by ID and address.
+type backends struct {
+	mu   sync.Mutex // guards list
+	list map[string]*backend
+}
+
+func newBackends() *backends { return &backends{list: map[string]*backend{}} }
+
+// of returns a server's backend, and makes it at its first use.
+func (b *backends) of(s keyrange.Server) *backend {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.list[s.ID]
+	if known == nil || known.address != s.Address {
+		if known != nil {
+			known.retire()
+		}
+		known = &backend{id: s.ID, address: s.Address}
+		b.list[s.ID] = known
+	}
+	return known
+}
+
+// sweep closes connections that are unused for long, and forgets servers that
+// keep returns false for.
+func (b *backends) sweep(keep func(id string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, known := range b.list {
+		if !keep(id) {
+			known.retire()
+			delete(b.list, id)
+			continue
+		}
+		known.closeIdle()
+	}
+}
+
+// observations returns what was seen of each server since the last call.
+func (b *backends) observations() []keyrange.ServerLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var seen []keyrange.ServerLoad
+	for id, known := range b.list {
+		if s := known.takeSeen(); s != (keyrange.ServerLoad{}) {
+			s.ServerID = id
+			seen = append(seen, s)
+		}
+	}
+	return seen
+}
+
+func (k *backend) takeSeen() keyrange.ServerLoad {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	seen := k.seen
+	k.seen = keyrange.ServerLoad{}
+	return seen
+}
+
+func (k *backend) retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.retired = true
+	for _, c := range k.idle {
+		_ = c.Close() // no request is on it
+	}
+	k.idle = nil
+}
+
+func (k *backend) closeIdle() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	kept := k.idle[:0]
+	for _, c := range k.idle {
+		if time.Since(c.used) > c.idleFor {
+			_ = c.Close() // no request is on it
+			continue
+		}
+		kept = append(kept, c)
+	}
+	k.idle = kept
+}
+
+// connect returns an idle connection that is open, or a new one. A request that
+// may run once gets one that answered a short time ago.
+func (k *backend) connect(ctx context.Context, once bool) (*conn, error) {
+	for {
+		c := k.takeIdle(once)
+		if c == nil {
+			return dial(ctx, k.address)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		_ = c.Close() // no request is on it
+	}
+}
+
+func (k *backend) takeIdle(once bool) *conn {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	last := len(k.idle) - 1
+	if last < 0 || once && time.Since(k.idle[last].used) > provenFor {
+		return nil
+	}
+	c := k.idle[last]
+	k.idle = k.idle[:last]
+	return c
+}
+
+// release takes a connection back, or closes it.
+func (k *backend) release(c *conn, keep bool) {
+	c.used = time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !keep || k.retired {
+		_ = c.Close() // its exchange is over
+		return
+	}
+	k.idle = append(k.idle, c)
+}
+
+// send sends a request once and keeps the estimates up to date.
+func (k *backend) send(ctx context.Context, o *outbound, once bool, dialect Dialect) (*inbound, error) {
+	k.mu.Lock()
+	k.load.Start()
+	k.mu.Unlock()
+	started := time.Now()
+	in, err := k.sendCounted(ctx, o, once, dialect)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	defer k.load.End()
+	if err != nil {
+		k.countFailure(err)
+		return nil, err
+	}
+	if in.info.Load != nil {
+		k.load.TakeReport(clockNow(), *in.info.Load)
+	}
+	k.countResponse(in, time.Since(started))
+	return in, nil
+}
+
+func (k *backend) sendCounted(ctx context.Context, o *outbound, once bool, dialect Dialect) (*inbound, error) {
+	dialContext, cancel := context.WithDeadline(ctx, o.deadline)
+	defer cancel()
+	c, err := k.connect(dialContext, once)
+	if err != nil {
+		return nil, &failure{reason: reasonConnect, noServer: errors.Is(err, syscall.ECONNREFUSED), err: err}
+	}
+	return exchange(ctx, c, o, dialect, k.release)
+}
+
+// countFailure is called with the lock held.
+func (k *backend) countFailure(err error) {
+	var f *failure
+	if !errors.As(err, &f) || f.reason == reasonCanceled {
+		return
+	}
+	k.failed = clockNow()
+	if f.noServer {
+		k.seen.Refused++
+	}
+}
+
+// countResponse is called with the lock held.
+func (k *backend) countResponse(in *inbound, took time.Duration) {
+	switch {
+	case in.info.Misdirected:
+		k.seen.Misdirected++
+		k.failed = clockNow()
+	case in.info.NotRun:
+	case in.info.Load == nil || in.info.Load.Waiting == 0:
+		k.load.TakeWorkTime(took)
+		k.seen.Count++
+		k.seen.WorkMicros += took.Microseconds()
+	}
+}
+
+// candidate returns the backend as a choice for a request.
+func (k *backend) candidate(now time.Duration, s keyrange.Server, connections int, distance dispatch.Distance) dispatch.Candidate {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	load := k.load
+	return dispatch.Candidate{
+		ID: s.ID, Load: &load, Slots: int(s.Slots), Connections: connections, Distance: distance,
+		Suspect: k.failed != 0 && now-k.failed < suspectFor,
+	}
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, section
+// 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns a copy of a header without what concerns one connection only.
+func endToEnd(header http.Header) http.Header {
+	out := header.Clone()
+	for _, named := range header.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/galenalug/galenalug/dispatch"
+)
+
+// NoKey is the key of a request that has none.
+const NoKey = -1
+
+// RequestInfo is what the headers of a client's request say.
+type RequestInfo struct {
+	ID   string        // id of the client's attempt
+	Left time.Duration // how long the client waits; 0 if it does not say
+	Key  int64         // NoKey for none
+}
+
+// ResponseInfo is what the headers of a backend server's response say.
+type ResponseInfo struct {
+	ID          string // id of the attempt that it answers; empty if it does not say
+	NotRun      bool   // the server says that it did not run the request
+	Misdirected bool   // another incarnation runs at the address
+	Sealed      bool   // the server vouches for the response
+	Load        *dispatch.Report
+}
+
+// Dialect reads and writes the headers that the network's services agreed on.
+type Dialect interface {
+	// Request reads a client's request.
+	Request(header http.Header) RequestInfo
+	// Forward sets the headers of a request to a backend server: the time left
+	// and the incarnation that is to run it.
+	Forward(header http.Header, left time.Duration, serverID string)
+	// Response reads a backend server's response.
+	Response(status int, header http.Header) ResponseInfo
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,377 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/eventlog"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+const (
+	// bufferedBody is the longest request body that is read whole before it is
+	// sent, so that it can be sent again.
+	bufferedBody = 1 << 20
+	// defaultTimeout bounds a request whose client names no deadline.
+	defaultTimeout = 30 * time.Second
+	// holdPart is the part of its time for which a request waits for an owner of
+	// its key or room at a server before it is refused.
+	holdPart = 0.33
+	// returnPart is the part of the time left after which a refused client is
+	// told to return.
+	returnPart = 0.3
+	// misdirectedPause is the wait before a request is sent again to an owner that
+	// did not know of its grant yet.
+	misdirectedPause = 10 * time.Millisecond
+)
+
+// Reasons of refusals, besides those of dispatch and failures.
+const (
+	reasonNoConfig   = "no-configuration"
+	reasonNoRoute    = "no-route"
+	reasonNoOwner    = "no-owner"
+	reasonNoServer   = "no-server"
+	reasonNoBudget   = "no-retry-budget"
+	reasonBody       = "request-body"
+	reasonBodyLarge  = "request-body-too-large"
+	reasonNoKey      = "no-key"
+	reasonNotRun     = "server-did-not-run-it"
+	reasonDeadline   = "deadline"
+	reasonFromServer = "response"
+)
+
+// call is one request of a client on its way.
+type call struct {
+	host     *Host
+	request  *http.Request
+	writer   http.ResponseWriter
+	info     RequestInfo
+	started  time.Time
+	deadline time.Time
+	route    *routes.Route
+	service  string
+	stamp    Stamp
+	body     []byte
+	stream   io.Reader // the body if it is too long to be kept
+	attempts int
+	server   string // the server of the last attempt
+	mayRun   bool   // whether an attempt without a response may have run
+	load     float64
+}
+
+// serve answers one request.
+func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
+	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.Request(r.Header)}
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table, stamp, _ := h.view.snapshot(clockNow())
+	c.stamp = stamp
+	c.setDeadline(defaultTimeout)
+	if table == nil {
+		c.refuse(reasonNoConfig)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	c.route = table.Match(r.Host, path)
+	if c.route == nil {
+		c.end(http.StatusNotFound, reasonNoRoute)
+		return
+	}
+	c.setDeadline(time.Duration(c.route.TimeoutMillis) * time.Millisecond)
+	c.service = h.pick(table.Version(), c.route)
+	h.countRequest(c.service, c.info.Key)
+	if !c.readBody(table.Limits()) {
+		return
+	}
+	service := table.Service(c.service)
+	if service.Keyed && c.info.Key == NoKey {
+		c.end(http.StatusBadRequest, reasonNoKey)
+		return
+	}
+	c.run(service)
+}
+
+// setDeadline bounds the request by the client's deadline and a timeout.
+func (c *call) setDeadline(timeout time.Duration) {
+	if c.info.Left > 0 {
+		timeout = min(timeout, c.info.Left)
+	}
+	c.deadline = c.started.Add(timeout)
+}
+
+// readBody reads the request's body. It answers the client and returns false if
+// it can't be read.
+func (c *call) readBody(limits routes.Limits) bool {
+	most := limits.BodyBytes
+	if most > 0 && c.request.ContentLength > most {
+		c.end(http.StatusRequestEntityTooLarge, reasonBodyLarge)
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(c.request.Body, bufferedBody))
+	if err != nil {
+		c.end(http.StatusBadRequest, reasonBody)
+		return false
+	}
+	c.body = body
+	if len(body) == bufferedBody {
+		c.stream = io.MultiReader(bytes.NewReader(body), c.request.Body)
+		_ = http.NewResponseController(c.writer).EnableFullDuplex() // HTTP/1 only; there the default is half duplex
+	}
+	return true
+}
+
+// run sends the request until it has a final response.
+func (c *call) run(service *routes.Service) {
+	last := reasonNotRun
+	for {
+		if c.request.Context().Err() != nil {
+			c.log("client left", reasonCanceled, 0, true)
+			return
+		}
+		target, reason := c.target(service)
+		if target == nil {
+			c.refuse(reason)
+			return
+		}
+		if !c.mayAttempt() {
+			c.refuse(last)
+			return
+		}
+		in, err := c.attempt(target)
+		if err == nil && !c.rejected(in) {
+			c.respond(in)
+			return
+		}
+		again := false
+		if again, last = c.afterFailure(in, err); !again {
+			return
+		}
+	}
+}
+
+// mayAttempt tells whether the request may be sent once more, and spends from
+// the retry budget.
+func (c *call) mayAttempt() bool {
+	if c.attempts == 0 {
+		return true
+	}
+	return c.attempts < int(c.route.MaxAttempts) && c.host.spendRetry(c.service)
+}
+
+// rejected tells whether the response is no final response: the server did not
+// run the request, or does not vouch for what looks like a success.
+func (c *call) rejected(in *inbound) bool {
+	if in.info.NotRun {
+		return true
+	}
+	return !in.info.Sealed && (in.status < http.StatusBadRequest || isPromise(in.status))
+}
+
+// isPromise tells whether a status says that the request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// afterFailure tells whether the request is to be sent again, and why the
+// attempt failed. It answers the client if not.
+func (c *call) afterFailure(in *inbound, err error) (again bool, reason string) {
+	ran := false
+	reason = reasonNotRun
+	switch {
+	case err != nil:
+		var f *failure
+		errors.As(err, &f)
+		ran, reason = f.mayRun, f.reason
+	case in.info.NotRun:
+		in.finish(true)
+	default:
+		in.finish(false)
+		ran, reason = true, reasonUnsealed
+	}
+	if in != nil && in.info.Misdirected {
+		c.pause(misdirectedPause)
+	}
+	c.mayRun = c.mayRun || ran
+	switch {
+	case reason == reasonCanceled:
+		c.log("client left", reason, 0, true)
+		return false, reason
+	case c.mayRun && !c.route.Kind.Repeatable():
+		c.fail(reason)
+		return false, reason
+	case reason == reasonTimeout || time.Until(c.deadline) <= 0:
+		c.fail(reason)
+		return false, reason
+	}
+	return true, reason
+}
+
+func (c *call) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-c.request.Context().Done():
+	}
+}
+
+// target returns the server for the next attempt. It waits for an owner of the
+// key or for room as long as that leaves the client time to return.
+func (c *call) target(service *routes.Service) (*backend, string) {
+	until := c.started.Add(time.Duration(holdPart * float64(c.deadline.Sub(c.started))))
+	for {
+		now := clockNow()
+		_, stamp, changed := c.host.view.snapshot(now)
+		c.stamp = stamp
+		target, reason := c.choose(now, service)
+		left := time.Until(until)
+		if target != nil || left <= 0 || c.attempts > 0 && reason != reasonNoOwner {
+			return target, reason
+		}
+		timer := time.NewTimer(min(left, waitStep))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-c.request.Context().Done():
+			timer.Stop()
+			return nil, reasonCanceled
+		}
+		timer.Stop()
+	}
+}
+
+// waitStep is the longest time between two looks for room.
+const waitStep = 25 * time.Millisecond
+
+func (c *call) choose(now time.Duration, service *routes.Service) (*backend, string) {
+	request := dispatch.Request{
+		Priority: c.route.Priority,
+		Left:     time.Until(c.deadline),
+		Target:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)),
+		Bulk:     c.route.Kind == routes.Upload,
+	}
+	var servers []keyrange.Server
+	if service.Keyed {
+		owner, known := c.host.view.owner(now, service.Name, c.info.Key)
+		if !known {
+			return nil, reasonNoOwner
+		}
+		servers = []keyrange.Server{owner}
+	} else if servers = c.host.view.serversOf(now, service.Name); len(servers) == 0 {
+		return nil, reasonNoServer
+	}
+	connections := c.host.view.connections(service.Name)
+	candidates := make([]dispatch.Candidate, len(servers))
+	for i, s := range servers {
+		candidates[i] = c.host.backends.of(s).candidate(now, s, connections, c.host.distance(s.Domain))
+	}
+	best, reason := dispatch.Choose(now, candidates, request)
+	if best < 0 {
+		return nil, string(reason)
+	}
+	c.load = candidates[best].Load.Requests(now)
+	return c.host.backends.of(servers[best]), ""
+}
+
+// attempt sends the request to a server.
+func (c *call) attempt(target *backend) (*inbound, error) {
+	c.attempts++
+	c.server = target.id
+	header := endToEnd(c.request.Header)
+	header.Del("Host")
+	c.host.dialect.Forward(header, time.Until(c.deadline), target.id)
+	o := &outbound{
+		method: c.request.Method, target: c.request.RequestURI, host: c.request.Host,
+		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
+	}
+	if c.stream != nil {
+		o.body, o.stream, o.streamLength = nil, c.stream, c.request.ContentLength
+	}
+	once := !c.route.Kind.Repeatable()
+	ctx := c.request.Context()
+	if once {
+		// The client's leaving does not stop what may run only once.
+		ctx = context.WithoutCancel(ctx)
+	}
+	return target.send(ctx, o, once, c.host.dialect)
+}
+
+// respond passes a response on to the client.
+func (c *call) respond(in *inbound) {
+	header := c.writer.Header()
+	for name, values := range endToEnd(in.header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // net/http would guess one
+	}
+	c.log("answered", reasonFromServer, in.status, in.status >= http.StatusInternalServerError)
+	if in.rest == nil {
+		header.Set("Content-Length", strconv.Itoa(len(in.body)))
+		c.writer.WriteHeader(in.status)
+		_, err := c.writer.Write(in.body)
+		_ = err // a client that left gets nothing
+		in.finish(true)
+		return
+	}
+	c.writer.WriteHeader(in.status)
+	_, err := c.writer.Write(in.body)
+	if err == nil {
+		_, err = io.Copy(c.writer, in.rest)
+	}
+	in.finish(err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the client must see that the body broke off
+	}
+}
+
+// refuse tells the client that the request has not run and never will, and when
+// to return. It fails the request instead if an attempt may have run.
+func (c *call) refuse(reason string) {
+	if c.mayRun {
+		c.fail(reason)
+		return
+	}
+	left := max(time.Until(c.deadline), 0)
+	wait := time.Duration(returnPart * float64(left)).Seconds()
+	c.writer.Header().Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+	c.end(http.StatusServiceUnavailable, reason)
+}
+
+// fail ends a request whose outcome is not known.
+func (c *call) fail(reason string) {
+	status := http.StatusBadGateway
+	if reason == reasonTimeout || time.Until(c.deadline) <= 0 {
+		status = http.StatusGatewayTimeout
+	}
+	c.end(status, reason)
+}
+
+// end answers the client without a response of a server.
+func (c *call) end(status int, reason string) {
+	c.log("refused", reason, status, true)
+	c.writer.Header().Set("Content-Length", "0")
+	c.writer.WriteHeader(status)
+}
+
+func (c *call) log(outcome, reason string, status int, important bool) {
+	c.host.metrics.count(c.service, outcome, reason, time.Since(c.started))
+	c.host.events.Add(eventlog.Event{
+		Name: "request", Request: c.info.ID, Service: c.service, Server: c.server, Key: c.info.Key,
+		Outcome: outcome, Reason: reason, Status: status, Attempts: c.attempts,
+		Config: c.stamp.Config, Term: c.stamp.Term, Table: c.stamp.Version, TableAge: c.stamp.Age,
+		LoadSeen: c.load, Left: time.Until(c.deadline), Took: time.Since(c.started), Important: important,
+	})
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// knownServer is a backend server of the view.
+type knownServer struct {
+	keyrange.Server
+	term       uint64        // of the leader that told of it last
+	leavesFrom time.Duration // when it was first told to leave; 0 if it was not
+}
+
+// Stamp says how new a view is.
+type Stamp struct {
+	Config  uint64
+	Term    uint64
+	Version uint64
+	Age     time.Duration
+}
+
+// view is what a gateway knows of routes, servers and owners.
+type view struct {
+	drain time.Duration // how long a leaving server gets requests
+
+	mu       sync.RWMutex // guards the fields below
+	routes   *routes.Table
+	servers  map[string]*knownServer
+	owners   map[string][]keyrange.Owner // by service, ascending, without overlap
+	controls []string
+	entries  int64 // gateways that are connected
+	term     uint64
+	version  uint64
+	heard    time.Duration
+	changed  chan struct{} // closed at the next change
+}
+
+func newView(drain time.Duration) *view {
+	return &view{
+		drain: drain, servers: map[string]*knownServer{}, owners: map[string][]keyrange.Owner{},
+		entries: 1, changed: make(chan struct{}),
+	}
+}
+
+// apply takes in an update of the leader.
+func (v *view) apply(now time.Duration, u keyrange.TableUpdate) {
+	config := decodeConfig(u.Config)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if u.Term < v.term {
+		return // of a leader that was replaced
+	}
+	if u.Whole && !u.Partial {
+		v.owners = map[string][]keyrange.Owner{}
+	}
+	v.term, v.version, v.heard = u.Term, u.Version, now
+	v.controls, v.entries = u.Controls, max(u.EntryHosts, 1)
+	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
+		v.routes = routes.NewTable(*config)
+		log.WithField("version", config.Version).Info("route configuration in force")
+	}
+	v.takeServers(now, u)
+	for _, o := range u.Owners {
+		v.owners[o.Service] = overlay(v.owners[o.Service], o)
+	}
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func decodeConfig(data []byte) *routes.Config {
+	if len(data) == 0 {
+		return nil
+	}
+	var config routes.Config
+	if err := cbor.Unmarshal(data, &config); err != nil {
+		log.WithError(err).Error("route configuration can't be read; the one before stays in force")
+		return nil
+	}
+	return &config
+}
+
+// takeServers takes in servers. A new leader knows all of them only when its
+// table is no longer partial; until then those of the one before stay.
+func (v *view) takeServers(now time.Duration, u keyrange.TableUpdate) {
+	for _, s := range u.Servers {
+		known := &knownServer{Server: s, term: u.Term}
+		if old := v.servers[s.ID]; old != nil && old.BornMillis == s.BornMillis {
+			known.leavesFrom = old.leavesFrom
+		}
+		if s.Draining && known.leavesFrom == 0 {
+			known.leavesFrom = now
+		}
+		v.servers[s.ID] = known
+	}
+	for _, id := range u.Gone {
+		delete(v.servers, id)
+	}
+	if u.Partial {
+		return
+	}
+	for id, s := range v.servers {
+		if s.term != u.Term {
+			delete(v.servers, id)
+		}
+	}
+}
+
+// overlay puts an owner's run of keys over a list.
+func overlay(list []keyrange.Owner, o keyrange.Owner) []keyrange.Owner {
+	out := make([]keyrange.Owner, 0, len(list)+2)
+	for _, old := range list {
+		if old.From < o.From {
+			left := old
+			left.To = min(old.To, o.From-1)
+			out = append(out, left)
+		}
+	}
+	out = append(out, o)
+	for _, old := range list {
+		if old.To > o.To {
+			right := old
+			right.From = max(old.From, o.To+1)
+			out = append(out, right)
+		}
+	}
+	return out
+}
+
+// snapshot returns the routes, how new the view is, and a channel that is
+// closed when it changes.
+func (v *view) snapshot(now time.Duration) (*routes.Table, Stamp, <-chan struct{}) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.heard}
+	if v.routes != nil {
+		stamp.Config = v.routes.Version()
+	}
+	return v.routes, stamp, v.changed
+}
+
+// owner returns the server that owns a key, if one does that may get requests.
+func (v *view) owner(now time.Duration, service string, key int64) (keyrange.Server, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	list := v.owners[service]
+	i := sort.Search(len(list), func(i int) bool { return list[i].To >= key })
+	if i >= len(list) || list[i].From > key || list[i].ServerID == "" {
+		return keyrange.Server{}, false
+	}
+	s := v.servers[list[i].ServerID]
+	if s == nil || v.ending(now, s) {
+		return keyrange.Server{}, false
+	}
+	return s.Server, true
+}
+
+// ending tells whether a leaving server gets no more requests.
+func (v *view) ending(now time.Duration, s *knownServer) bool {
+	return s.leavesFrom != 0 && now-s.leavesFrom >= v.drain-drainReserve
+}
+
+// drainReserve is how long before the end of its drain time a server gets no
+// more requests: updates reach a gateway late by up to half of it.
+const drainReserve = 1200 * time.Millisecond
+
+// serversOf returns the servers of a service that may get new requests. Leaving
+// ones are named only if there are no others.
+func (v *view) serversOf(now time.Duration, service string) []keyrange.Server {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var staying, leaving []keyrange.Server
+	for _, s := range v.servers {
+		switch {
+		case s.Service != service || v.ending(now, s):
+		case s.Draining:
+			leaving = append(leaving, s.Server)
+		default:
+			staying = append(staying, s.Server)
+		}
+	}
+	if len(staying) == 0 {
+		staying = leaving
+	}
+	slices.SortFunc(staying, func(a, b keyrange.Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return staying
+}
+
+// connections returns the number of connections that this gateway may open to a
+// server of a service.
+func (v *view) connections(service string) int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.routes == nil || v.routes.Service(service) == nil {
+		return 1
+	}
+	most := v.routes.Service(service).MaxConnections
+	return int(max(2, most/v.entries))
+}
+
+// has tells whether a server is in the view.
+func (v *view) has(id string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.servers[id] != nil
+}
+
+// contacts returns the addresses of control hosts.
+func (v *view) contacts() []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return slices.Clone(v.controls)
+}
+
+// complete tells whether requests can be served.
+func (v *view) complete() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.routes != nil && len(v.servers) > 0
+}
+
+// clockNow is the clock of a gateway's decisions.
+func clockNow() time.Duration { return clock.Now() }
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/replog"
 	"github.com/galenalug/galenalug/storage"
 	"github.com/pkg/errors"
@@ -53,7 +54,7 @@
 	options Options
 	node    *replog.Node
 	store   *storage.Store
-	start   time.Time
+	start   time.Duration // on clock.Now
 
 	mu     sync.Mutex // guards inbox, closed and view
 	inbox  inbox
@@ -92,7 +93,7 @@
 		return nil, err
 	}
 	r := &Runner{
-		options: o, node: node, store: store, start: time.Now(),
+		options: o, node: node, store: store, start: clock.Now(),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		waiting: map[uint64]*request{}, reading: map[uint64]*request{}, names: map[uint64]string{},
 	}
@@ -103,8 +104,9 @@
 	return r, nil
 }
 
-// now reads the one clock of the runner, which is monotonic.
-func (r *Runner) now() time.Duration { return time.Since(r.start) }
+// now reads the one clock of the runner. It counts suspended time too, so that a
+// leader that was suspended does not take its lease for valid when it wakes.
+func (r *Runner) now() time.Duration { return clock.Now() - r.start }
 
 // Propose adds data to the log and returns what Apply returned for it, and its
 // index. Errors: ErrNotLeader, ErrUnavailable, ErrStopped and ErrTooLarge mean
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -29,6 +29,14 @@
 	wire.KindPropose:   "propose",
 	wire.KindJoin:      "join",
 	wire.KindReport:    "report",
+
+	wire.KindServerHeartbeat: "server_heartbeat",
+	wire.KindServerLeave:     "server_leave",
+	wire.KindPutConfig:       "put_config",
+	wire.KindGetConfig:       "get_config",
+	wire.KindSubscribe:       "subscribe",
+	wire.KindFleetTable:      "fleet_table",
+	wire.KindLoadReport:      "load_report",
 }
 
 func kindName(kind int) string {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -214,6 +214,125 @@
 	Workers int `json:"workers,omitempty,omitzero" yaml:"workers,omitempty" cbor:"workers,omitempty"`
 }
 
+// Settings of galena-control as a control host of gateways.
+type FleetSettings struct {
+	// TCP port for metrics and the state dump.
+	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
+
+	// Address for backend servers and operators, IP:port.
+	ControlListen string `json:"control_listen" yaml:"control_listen" cbor:"control_listen"`
+
+	// Folder for durable state.
+	DataDir string `json:"data_dir" yaml:"data_dir" cbor:"data_dir"`
+
+	// Failure domain of this host.
+	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
+
+	// Longest time for which a leaving server gets requests, milliseconds. Default:
+	// 2500.
+	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+
+	// Shortest election timeout, milliseconds. Default: 600.
+	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
+
+	// Whether the whole system starts for the first time: the hosts of seeds then
+	// found the group. Default: false.
+	Found bool `json:"found,omitempty,omitzero" yaml:"found,omitempty" cbor:"found,omitempty"`
+
+	// IP address of this host, on which it listens for its peers.
+	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
+
+	// Lease of key ranges, milliseconds. Default: 4000.
+	LeaseMs int `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
+
+	// Structured logging.
+	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
+
+	// Unique host name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// Whether peers are accepted without a secret. Set it only where nobody else
+	// reaches the peer port. Default: false.
+	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
+
+	// TCP port for peers, the same on every control host.
+	PeerPort int `json:"peer_port" yaml:"peer_port" cbor:"peer_port"`
+
+	// File with the secret shared by entry and control hosts. Needed unless
+	// open_network is set.
+	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
+
+	// Time between two heartbeats of the leader, milliseconds. Default: 120.
+	RaftHeartbeatMs int `json:"raft_heartbeat_ms,omitempty,omitzero" yaml:"raft_heartbeat_ms,omitempty" cbor:"raft_heartbeat_ms,omitempty"`
+
+	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
+	// peer_port.
+	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
+
+	// Control hosts that may be lost at the same time; the group keeps twice as many
+	// members and one. Default: 2.
+	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
+}
+
+// Settings of galena-entry as a gateway, which routes by host and path.
+type GatewaySettings struct {
+	// TCP port for metrics and the state dump.
+	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
+
+	// Failure domain of this host.
+	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
+
+	// Region by failure domain.
+	Domains GatewaySettingsDomains `json:"domains" yaml:"domains" cbor:"domains"`
+
+	// Longest time for which a leaving server gets requests, milliseconds. Default:
+	// 2500.
+	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+
+	// IP address of this host, on which it listens for its peers.
+	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
+
+	// Address for clients, IP:port.
+	Listen string `json:"listen" yaml:"listen" cbor:"listen"`
+
+	// Structured logging.
+	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
+
+	// Unique host name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// Whether peers are accepted without a secret. Set it only where nobody else
+	// reaches the peer port. Default: false.
+	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
+
+	// TCP port for peers, the same on every control host.
+	PeerPort int `json:"peer_port" yaml:"peer_port" cbor:"peer_port"`
+
+	// File with the secret shared by entry and control hosts. Needed unless
+	// open_network is set.
+	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
+
+	// Address of the balancer check, IP:port.
+	ReadyListen string `json:"ready_listen" yaml:"ready_listen" cbor:"ready_listen"`
+
+	// Requests sent to a second server, as a part of all requests for the service.
+	// Default: 0.1.
+	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero" yaml:"retry_ratio,omitempty" cbor:"retry_ratio,omitempty"`
+
+	// Window of the retry budget, milliseconds. Default: 10000.
+	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero" yaml:"retry_window_ms,omitempty" cbor:"retry_window_ms,omitempty"`
+
+	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
+	// peer_port.
+	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
+
+	// Longest time that a stop may take, milliseconds. Default: 6000.
+	StopMs int `json:"stop_ms,omitempty,omitzero" yaml:"stop_ms,omitempty" cbor:"stop_ms,omitempty"`
+}
+
+// Region by failure domain.
+type GatewaySettingsDomains map[string]string
+
 type LogFormat string
 
 const LogFormatJson LogFormat = "json"
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -18,6 +18,15 @@
 	KindPropose   = 8  // Proposal, answered by ProposalReply
 	KindJoin      = 9  // Join, answered by ProposalReply
 	KindReport    = 10 // RegionReport, answered by ReportReply
+
+	// Between gateways and their control hosts.
+	KindServerHeartbeat = 11 // keyrange.Heartbeat, answered by keyrange.HeartbeatReply
+	KindServerLeave     = 12 // keyrange.Leave, answered by an empty body
+	KindPutConfig       = 13 // routes.Put, answered by routes.PutReply
+	KindGetConfig       = 14 // empty, answered by the operator's text of the configuration
+	KindSubscribe       = 15 // empty, entry to control; answered by an empty body
+	KindFleetTable      = 16 // keyrange.TableUpdate, one-way, control to entry
+	KindLoadReport      = 17 // keyrange.LoadReport, one-way, entry to control
 )
 
 // GroupGlobal is the name of the log group that all control hosts are in.
--- /dev/null
+++ b/keyrange/load.go
@@ -0,0 +1,88 @@
+package keyrange
+
+import (
+	"math"
+	"time"
+)
+
+// loadTimeConstant is the time after which an old rate counts by 1/e.
+const loadTimeConstant = 2 * time.Second
+
+// idleKeyRate is the load, requests a second, that every key is taken to have
+// beyond what was seen, so that unused keys are divided evenly, too.
+const idleKeyRate = 0.0005
+
+// load is the rate of requests by key, an exponentially weighted average.
+type load struct {
+	rates   []float32
+	updated time.Duration
+}
+
+func newLoad(keys int64) *load { return &load{rates: make([]float32, keys)} }
+
+// decay ages all rates to now.
+func (l *load) decay(now time.Duration) {
+	if now <= l.updated {
+		return
+	}
+	factor := float32(math.Exp(-float64(now-l.updated) / float64(loadTimeConstant)))
+	for i := range l.rates {
+		l.rates[i] *= factor
+	}
+	l.updated = now
+}
+
+// add takes in the requests of one key; reports of all entry hosts add up.
+func (l *load) add(key, count int64) {
+	if key < 0 || key >= int64(len(l.rates)) {
+		return
+	}
+	l.rates[key] += float32(float64(count) / loadTimeConstant.Seconds())
+}
+
+// of returns the rate of a key with the idle rate.
+func (l *load) of(key int64) float64 { return float64(l.rates[key]) + idleKeyRate }
+
+// sum returns the rate of a run of keys.
+func (l *load) sum(from, to int64) float64 {
+	total := 0.0
+	for _, rate := range l.rates[from : to+1] {
+		total += float64(rate)
+	}
+	return total + idleKeyRate*float64(to-from+1)
+}
+
+// workTimeWeight is the part of a new report in a server's average work time.
+const workTimeWeight = 0.3
+
+// decayInterval is how often rates are aged.
+const decayInterval = 250 * time.Millisecond
+
+// Report takes in an entry host's view of the load.
+func (c *Coordinator) Report(now time.Duration, report LoadReport) {
+	for _, part := range report.Services {
+		svc := c.services[part.Service]
+		if svc == nil {
+			continue
+		}
+		if now-svc.load.updated >= decayInterval {
+			svc.load.decay(now)
+		}
+		for _, k := range part.Keys {
+			svc.load.add(k.Key, k.Count)
+		}
+	}
+	for _, seen := range report.Servers {
+		if s := c.servers[seen.ServerID]; s != nil && seen.Count > 0 {
+			s.addWorkTime(float64(seen.WorkMicros) / 1e6 / float64(seen.Count))
+		}
+	}
+}
+
+func (s *server) addWorkTime(seconds float64) {
+	if s.workTime == 0 {
+		s.workTime = seconds
+		return
+	}
+	s.workTime += workTimeWeight * (seconds - s.workTime)
+}
--- /dev/null
+++ b/keyrange/options.go
@@ -0,0 +1,49 @@
+package keyrange
+
+import "time"
+
+// Bounds and times of a Coordinator.
+const (
+	// tokenCounterBits is the part of a token that counts within a term. Tokens
+	// stay below 2^53, so that any JSON reader keeps them whole.
+	tokenCounterBits = 24
+	// clockDrift is how much slower a holder's clock may run than ours.
+	clockDrift = 0.02
+	// leaseMargin covers rounding and the holder's own timers.
+	leaseMargin = 100 * time.Millisecond
+	// settleTime is how long a service waits for servers to show up before its
+	// keys are divided for the first time.
+	settleTime = 1200 * time.Millisecond
+	// maxGrantRows bounds the ranges of one reply; heartbeat replies must stay
+	// below 4 KiB, and one row takes up to 55 bytes of JSON.
+	maxGrantRows = 56
+	// compactRows is the number of ranges of one server from which neighbours
+	// are joined.
+	compactRows = 16
+	// maxHolderRows is the number of ranges from which a server's ranges are not
+	// split any more.
+	maxHolderRows = 32
+)
+
+// Options of a Coordinator.
+type Options struct {
+	// Term of the leader.
+	Term uint64
+	// Keys is the number of keys of a service; they are 0 to Keys-1.
+	Keys int64
+	// Lease is how long a grant holds from when its heartbeat was sent.
+	Lease time.Duration
+	// Inherited is when every lease of earlier terms is over; 0 if none was
+	// ever given.
+	Inherited time.Duration
+	// Drain is how long a leaving server may still get requests.
+	Drain time.Duration
+	// Forget is the silence after which a server is left out of the table.
+	Forget time.Duration
+}
+
+// LeaseBound returns the longest time from the receipt of a heartbeat for which
+// its sender may act on the reply.
+func LeaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+clockDrift)) + leaseMargin
+}
--- /dev/null
+++ b/keyrange/publish.go
@@ -0,0 +1,115 @@
+package keyrange
+
+import "time"
+
+// warmupTold is the warm-up time that the table shows for every server that is
+// slow after its start: the rest is not worth an update.
+const warmupTold = 1000
+
+// published is the table as it was last told.
+type published struct {
+	version uint64
+	partial bool
+	servers map[string]Server
+	owners  map[string][]Owner
+}
+
+// Changes returns what changed in the table since the last call, and whether
+// anything did.
+func (c *Coordinator) Changes(now time.Duration) (TableUpdate, bool) {
+	update := TableUpdate{Term: c.options.Term, Partial: c.Partial(now)}
+	servers := c.visibleServers()
+	for id, s := range servers {
+		if c.published.servers[id] != s {
+			update.Servers = append(update.Servers, s)
+		}
+	}
+	for id := range c.published.servers {
+		if _, known := servers[id]; !known {
+			update.Gone = append(update.Gone, id)
+		}
+	}
+	owners := map[string][]Owner{}
+	for name, svc := range c.services {
+		owners[name] = c.visibleOwners(now, svc)
+		update.Owners = append(update.Owners, changedOwners(c.published.owners[name], owners[name])...)
+	}
+	changed := len(update.Servers)+len(update.Gone)+len(update.Owners) > 0 || c.published.partial != update.Partial
+	if changed {
+		c.published.version++
+	}
+	c.published.servers, c.published.owners, c.published.partial = servers, owners, update.Partial
+	update.Version = c.published.version
+	return update, changed
+}
+
+// Whole returns the table as it was last told by Changes.
+func (c *Coordinator) Whole() TableUpdate {
+	update := TableUpdate{Term: c.options.Term, Version: c.published.version, Whole: true, Partial: c.published.partial}
+	for _, s := range c.published.servers {
+		update.Servers = append(update.Servers, s)
+	}
+	for _, owners := range c.published.owners {
+		update.Owners = append(update.Owners, owners...)
+	}
+	return update
+}
+
+func (c *Coordinator) visibleServers() map[string]Server {
+	visible := make(map[string]Server, len(c.servers))
+	for id, s := range c.servers {
+		info := s.info
+		if info.WarmupMillis > 0 {
+			info.WarmupMillis = warmupTold
+		}
+		visible[id] = info
+	}
+	return visible
+}
+
+// visibleOwners returns the owners to send requests to. Keys that an earlier
+// leader may have granted are left out.
+func (c *Coordinator) visibleOwners(now time.Duration, svc *service) []Owner {
+	var owners []Owner
+	for i := range svc.rows {
+		w := &svc.rows[i]
+		if w.unknown {
+			continue
+		}
+		id := ""
+		if w.holder != "" && !w.leaving && !c.drained(now, w.holder) {
+			id = w.holder
+		}
+		if last := len(owners) - 1; last >= 0 && owners[last].ServerID == id && owners[last].To+1 == w.from {
+			owners[last].To = w.to
+			continue
+		}
+		owners = append(owners, Owner{Service: svc.name, From: w.from, To: w.to, ServerID: id})
+	}
+	return owners
+}
+
+// drainReserve is how long before the end of its drain time a server gets no
+// more requests, so that those under way arrive in time.
+const drainReserve = 700 * time.Millisecond
+
+// drained tells whether a server that left gets no more requests.
+func (c *Coordinator) drained(now time.Duration, id string) bool {
+	s := c.servers[id]
+	return s == nil || s.leftAt != 0 && now >= s.leftAt+c.options.Drain-drainReserve
+}
+
+// changedOwners returns the entries of next that are not in previous alike.
+func changedOwners(previous, next []Owner) []Owner {
+	known := make(map[Owner]struct{}, len(previous))
+	for _, o := range previous {
+		known[o] = struct{}{}
+	}
+	var changed []Owner
+	for _, o := range next {
+		if _, same := known[o]; !same {
+			changed = append(changed, o)
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/keyrange/report.go
@@ -0,0 +1,99 @@
+package keyrange
+
+import "time"
+
+// takeReport brings the rows in line with what a server says it holds and gave
+// back.
+func (svc *service) takeReport(now time.Duration, s *server, hb Heartbeat, bound time.Duration) {
+	for i := range svc.rows {
+		if svc.rows[i].holder == s.info.ID {
+			svc.rows[i].reported = false
+		}
+	}
+	for _, held := range hb.Holds {
+		if valid(held.From, held.To, svc.keys()) {
+			svc.takeHeld(now, s, held, bound)
+		}
+	}
+	for _, given := range hb.Released {
+		if valid(given.From, given.To, svc.keys()) {
+			svc.takeReleased(now, s, given)
+		}
+	}
+}
+
+func (svc *service) keys() int64 { return svc.rows[len(svc.rows)-1].to + 1 }
+
+func valid(from, to, keys int64) bool { return from >= 0 && from <= to && to < keys }
+
+// takeHeld notes keys that the server holds. Keys of an earlier leader's grant
+// are adopted; of two such holders, the one with the higher token is right.
+func (svc *service) takeHeld(now time.Duration, s *server, held Range, bound time.Duration) {
+	svc.rows.each(held.From, held.To, func(w *row) {
+		switch {
+		case w.holder == s.info.ID:
+			w.reported = true
+			w.token = max(w.token, held.Token)
+		case w.unknown, w.holder != "" && held.Token > w.token:
+			*w = row{
+				from: w.from, to: w.to, holder: s.info.ID, born: s.info.BornMillis,
+				token: held.Token, until: now + bound, reported: true,
+			}
+		case w.holder == "":
+			// The holder's lease is over by our count; wait until it agrees.
+			w.freeAt = max(w.freeAt, now+bound)
+		}
+	})
+}
+
+// takeReleased frees keys that the server was told to give back.
+func (svc *service) takeReleased(now time.Duration, s *server, given Release) {
+	svc.rows.each(given.From, given.To, func(w *row) {
+		if w.holder == s.info.ID && w.leaving && !w.reported {
+			w.free(now, given.Handover)
+		}
+	})
+}
+
+// renew returns the grants of everything that the server is to hold, and lets
+// its leases run until the given time.
+func (svc *service) renew(s *server, until time.Duration) []Grant {
+	var grants []Grant
+	for i := range svc.rows {
+		w := &svc.rows[i]
+		if w.holder != s.info.ID || w.leaving {
+			continue
+		}
+		w.until = until
+		grants = append(grants, Grant{From: w.from, To: w.to, Token: w.token, Handover: w.handover})
+		if w.reported {
+			w.handover = ""
+		}
+	}
+	svc.heldRows[s.info.ID] = len(grants)
+	return grants
+}
+
+// compact joins neighbours of a server that holds many ranges, under one new
+// token.
+func (svc *service) compact(s *server, nextToken func() uint64) {
+	if svc.heldRows[s.info.ID] < compactRows {
+		return
+	}
+	out := svc.rows[:0]
+	for _, next := range svc.rows {
+		last := len(out) - 1
+		if last >= 0 && joinable(&out[last], &next, s.info.ID) {
+			out[last].to = next.to
+			out[last].token = nextToken()
+			continue
+		}
+		out = append(out, next)
+	}
+	svc.rows = out
+}
+
+func joinable(a, b *row, id string) bool {
+	return a.holder == id && b.holder == id && a.reported && b.reported &&
+		!a.leaving && !b.leaving && a.handover == "" && b.handover == ""
+}
--- /dev/null
+++ b/keyrange/rows.go
@@ -0,0 +1,79 @@
+package keyrange
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// row is a run of keys in one state.
+type row struct {
+	from, to int64
+	holder   string        // ID of the server that may hold the keys; empty for none
+	born     int64         // incarnation of the holder
+	token    uint64        // of the newest grant
+	until    time.Duration // when the holder's lease is over at the latest
+	leaving  bool          // the holder is told to give the keys back
+	reported bool          // the holder's newest heartbeat names the keys
+	unknown  bool          // an earlier leader may have granted the keys
+	freeAt   time.Duration // when keys without a holder may be granted
+	handover string        // reference from the last holder
+}
+
+// rows cover all keys of a service without gaps, in ascending order.
+type rows []row
+
+// index returns the place of the row that holds key.
+func (r rows) index(key int64) int {
+	return sort.Search(len(r), func(i int) bool { return r[i].to >= key })
+}
+
+// splitAt makes a row begin at key and returns its place; key may be one past
+// the last key.
+func (r *rows) splitAt(key int64) int {
+	if key <= 0 {
+		return 0
+	}
+	i := r.index(key)
+	if i >= len(*r) || (*r)[i].from == key {
+		return i
+	}
+	left := (*r)[i]
+	left.to = key - 1
+	(*r)[i].from = key
+	*r = slices.Insert(*r, i, left)
+	return i + 1
+}
+
+// each calls visit for rows that cover exactly from to to, after splitting at
+// both ends.
+func (r *rows) each(from, to int64, visit func(*row)) {
+	first := r.splitAt(from)
+	end := r.splitAt(to + 1)
+	for i := first; i < end; i++ {
+		visit(&(*r)[i])
+	}
+}
+
+// joinFree joins neighbours that nobody holds and that are alike.
+func (r *rows) joinFree() {
+	out := (*r)[:0]
+	for _, next := range *r {
+		if last := len(out) - 1; last >= 0 && alikeFree(&out[last], &next) {
+			out[last].to = next.to
+			continue
+		}
+		out = append(out, next)
+	}
+	*r = out
+}
+
+func alikeFree(a, b *row) bool {
+	return a.holder == "" && b.holder == "" && a.unknown == b.unknown &&
+		a.freeAt == b.freeAt && a.handover == b.handover
+}
+
+// free marks the row as held by nobody.
+func (w *row) free(now time.Duration, handover string) {
+	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover}
+}
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,60 @@
+package retry
+
+import "time"
+
+// windowBuckets is the number of parts that a Window is counted in. A bucket
+// leaves the window whole, so the window is up to one part longer than asked for.
+const windowBuckets = 40
+
+// Window bounds the repeats of one service to a part of its requests within a
+// sliding window. Bounds of several hosts add up: if each keeps to its part of
+// its own requests, all of them together keep to that part of all requests.
+type Window struct {
+	ratio   float64
+	bucket  time.Duration
+	newest  int64 // number of the newest bucket
+	buckets [windowBuckets + 1]windowCount
+}
+
+type windowCount struct{ requests, repeats int64 }
+
+// NewWindow returns a window of the given length that allows ratio repeats for
+// each request.
+func NewWindow(ratio float64, length time.Duration) *Window {
+	return &Window{ratio: ratio, bucket: max(length/windowBuckets, 1)}
+}
+
+// Request counts one request.
+func (w *Window) Request(now time.Duration) { w.at(now).requests++ }
+
+// Spend counts one repeat, or returns false if the window has no room for it.
+func (w *Window) Spend(now time.Duration) bool {
+	current := w.at(now)
+	requests, repeats := w.totals()
+	if float64(repeats+1) > w.ratio*float64(requests) {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+func (w *Window) totals() (requests, repeats int64) {
+	for _, b := range w.buckets {
+		requests += b.requests
+		repeats += b.repeats
+	}
+	return requests, repeats
+}
+
+// at returns the bucket of now, and empties those that left the window.
+func (w *Window) at(now time.Duration) *windowCount {
+	number := int64(now / w.bucket)
+	for w.newest < number {
+		if number-w.newest > int64(len(w.buckets)) {
+			w.newest = number - int64(len(w.buckets))
+		}
+		w.newest++
+		w.buckets[w.newest%int64(len(w.buckets))] = windowCount{}
+	}
+	return &w.buckets[w.newest%int64(len(w.buckets))]
+}
--- /dev/null
+++ b/routes/store.go
@@ -0,0 +1,106 @@
+package routes
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// MaxHistory is the number of accepted configurations that a Store remembers:
+// more than two days of changes at the size that the project is built for.
+const MaxHistory = 4096
+
+// ErrEncoding means that a configuration or a snapshot can't be encoded or read.
+var ErrEncoding = errors.New("routes: cannot encode or decode")
+
+// Store is the state machine of the configuration. Apply must be called with
+// the same changes in the same order on each replica.
+type Store struct {
+	state Snapshot
+}
+
+// Current returns the configuration in force; its version is 0 before the first.
+func (s *Store) Current() Config { return s.state.Current }
+
+// Document returns the operator's text of the configuration in force.
+func (s *Store) Document() []byte { return s.state.Document }
+
+// Check tells what Apply would answer now, without a change.
+func (s *Store) Check(p Put) PutReply {
+	digest, err := Digest(p.Config)
+	if err != nil {
+		return s.reply(OutcomeInvalid, err.Error())
+	}
+	if s.accepted(p, digest) {
+		return s.reply(OutcomeAccepted, "")
+	}
+	if p.Base != s.state.Current.Version {
+		return s.reply(OutcomeConflict, "another version is in force")
+	}
+	if p.Config.Version <= s.state.Current.Version {
+		return s.reply(OutcomeInvalid, "the version is not above the one in force")
+	}
+	if err := Validate(p.Config); err != nil {
+		return s.reply(OutcomeInvalid, err.Error())
+	}
+	return s.reply(OutcomeAccepted, "")
+}
+
+// Apply takes in a change and tells what became of it.
+func (s *Store) Apply(p Put) PutReply {
+	reply := s.Check(p)
+	digest, err := Digest(p.Config)
+	if reply.Outcome != OutcomeAccepted || err != nil || s.accepted(p, digest) {
+		return reply
+	}
+	s.state.Current = p.Config
+	s.state.Document = p.Document
+	s.state.History = append(s.state.History, Accepted{Version: p.Config.Version, Base: p.Base, Digest: digest})
+	if extra := len(s.state.History) - MaxHistory; extra > 0 {
+		s.state.History = s.state.History[extra:]
+	}
+	reply.Current = p.Config.Version
+	return reply
+}
+
+func (s *Store) reply(outcome Outcome, detail string) PutReply {
+	return PutReply{Outcome: outcome, Current: s.state.Current.Version, Detail: detail}
+}
+
+// accepted tells whether this very change was accepted before.
+func (s *Store) accepted(p Put, digest uint64) bool {
+	for _, a := range s.state.History {
+		if a.Version == p.Config.Version && a.Base == p.Base && a.Digest == digest {
+			return true
+		}
+	}
+	return false
+}
+
+// Digest returns a digest of a configuration's content.
+func Digest(c Config) (uint64, error) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return 0, errors.Wrap(ErrEncoding, err.Error())
+	}
+	return xxhash.Sum64(data), nil
+}
+
+// Snapshot returns the state in CBOR.
+func (s *Store) Snapshot() ([]byte, error) {
+	data, err := cbor.Marshal(s.state)
+	if err != nil {
+		return nil, errors.Wrap(ErrEncoding, err.Error())
+	}
+	return data, nil
+}
+
+// Restore replaces the state by that of a snapshot.
+func (s *Store) Restore(data []byte) error {
+	var state Snapshot
+	if err := cbor.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(ErrEncoding, err.Error())
+	}
+	s.state = state
+	return nil
+}
--- a/scripts/settingsdoc/main.go
+++ b/scripts/settingsdoc/main.go
@@ -23,6 +23,8 @@
 	config.KindControl: "galena-control",
 	config.KindBackend: "galena-backend",
 	config.KindCtl:     "galenactl",
+	config.KindGateway: "galena-entry platform",
+	config.KindFleet:   "galena-control platform",
 }
 
 func main() {
