Spread key ranges by measured speed; keep a server that left out of the table

Change: ranges up to the room of a server, hot keys to the fastest, a line by rank and arrival before a full server, departures kept apart from server records.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -4,11 +4,12 @@
 
 const (
 	// urgentFill is the number of requests for each slot up to which a server
-	// gets urgent requests. A server's queue holds about four for each slot.
-	urgentFill = 4.0
-	// ordinaryFill is the same for less urgent requests: the rest of the queue
-	// is kept for urgent ones.
-	ordinaryFill = 3.3
+	// gets urgent requests. More would wait longer at the server than in the
+	// gateway, from where they can still go to another owner.
+	urgentFill = 2.5
+	// ordinaryFill is the same for less urgent requests: the rest is kept for
+	// urgent ones.
+	ordinaryFill = 2.0
 	// urgentPriority is the last rank that counts as urgent.
 	urgentPriority = 1
 )
@@ -21,6 +22,15 @@
 	Bulk     bool          // whether it has a large body
 }
 
+// fill returns the number of requests for each slot up to which a server gets
+// requests of the rank.
+func (r Request) fill() float64 {
+	if r.Priority <= urgentPriority {
+		return urgentFill
+	}
+	return ordinaryFill
+}
+
 // Reason says why a request is not sent.
 type Reason string
 
@@ -32,21 +42,15 @@
 	NoConnection Reason = "no-connection" // all connections allowed are in use
 )
 
-// Admit tells whether a server can answer the request in time. Slots is the
-// number of requests that the server runs at once, connections the number that
-// this gateway may open to it.
-func Admit(now time.Duration, l *Load, slots, connections int, r Request) Reason {
-	fill := ordinaryFill
-	if r.Priority <= urgentPriority {
-		fill = urgentFill
-	}
+// Admit tells whether a server can answer the request in time.
+func Admit(now time.Duration, c *Candidate, r Request) Reason {
 	switch {
-	case l.Own() >= connections:
+	case c.Load.Wait(now, c.Slots)+c.Load.WorkTime()/2 > r.Left:
+		return TooLate
+	case c.Load.Own()+c.Ahead >= c.Connections:
 		return NoConnection
-	case l.Requests(now) >= fill*float64(slots):
+	case c.Load.Requests(now)+float64(c.Ahead) >= r.fill()*float64(c.Slots):
 		return QueueFull
-	case l.Wait(now, slots)+l.WorkTime()/2 > r.Left:
-		return TooLate
 	}
 	return Admitted
 }
@@ -65,8 +69,9 @@
 type Candidate struct {
 	ID          string
 	Load        *Load
-	Slots       int
-	Connections int
+	Slots       int // requests that it runs at once
+	Connections int // connections that this gateway may open to it
+	Ahead       int // requests of this gateway that wait for room there and go first
 	Distance    Distance
 	Suspect     bool // it failed requests a short time ago
 }
@@ -79,7 +84,7 @@
 	best, reason := -1, QueueFull
 	var bestRank rank
 	for i, c := range candidates {
-		verdict := Admit(now, c.Load, c.Slots, c.Connections, r)
+		verdict := Admit(now, &c, r)
 		if verdict != Admitted {
 			reason = verdict
 			continue
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -239,6 +239,7 @@
 	term          uint64
 	coordinator   *keyrange.Coordinator
 	configVersion uint64 // newest configuration told to subscribers
+	inherited     bool   // whether the coordinator knows of servers that left before
 }
 
 // onLeader is called by the log's goroutine when this host begins and ends to
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -64,6 +64,7 @@
 	l.coordinator.SetKeyed(keyedServices(config))
 	h.tellLeavers(now, l)
 	l.coordinator.Tick(now)
+	logEvents(l)
 	update, changed := l.coordinator.Changes(now)
 	if config.Version != l.configVersion {
 		l.configVersion = config.Version
@@ -85,12 +86,32 @@
 	}
 }
 
-// tellLeavers tells the coordinator of servers that left since the last call.
+// logEvents writes what happened to keys since the last call.
+func logEvents(l *leadership) {
+	events, dropped := l.coordinator.Events()
+	for _, e := range events {
+		log.WithFields(log.Fields{
+			"service": e.Service, "from": e.From, "to": e.To, "server": e.Server, "token": e.Token,
+			"heartbeat_age_ms": e.Age.Milliseconds(), "load": e.Load, "term": l.term,
+		}).Info("keys " + string(e.Kind))
+	}
+	if dropped > 0 {
+		log.WithField("count", dropped).Warn("lines about keys dropped")
+	}
+}
+
+// tellLeavers tells the coordinator of servers that left. Those in the log at the
+// beginning of this leadership left before it.
 func (h *Host) tellLeavers(now time.Duration, l *leadership) {
 	left := h.state.leavers()
 	for _, leave := range left {
-		l.coordinator.Leave(now, leave)
+		if l.inherited {
+			l.coordinator.Leave(now, leave)
+		} else {
+			l.coordinator.LeftBefore(now, leave)
+		}
 	}
+	l.inherited = true
 }
 
 func keyedServices(config routes.Config) []string {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -51,6 +51,7 @@
 	mu      sync.Mutex // guards the fields below
 	idle    []*conn    // the one used last stands last
 	load    dispatch.Load
+	line    dispatch.Line       // requests that wait for room
 	seen    keyrange.ServerLoad // for the next load report
 	failed  time.Duration       // of the last failure; 0 for none
 	retired bool
@@ -182,6 +183,7 @@
 // send sends a request once and keeps the estimates up to date.
 func (k *backend) send(ctx context.Context, o *outbound, once bool, dialect Dialect) (*inbound, error) {
 	k.mu.Lock()
+	queued := k.load.Requests(clockNow()) >= float64(o.slots)
 	k.load.Start()
 	k.mu.Unlock()
 	started := time.Now()
@@ -196,7 +198,7 @@
 	if in.info.Load != nil {
 		k.load.TakeReport(clockNow(), *in.info.Load)
 	}
-	k.countResponse(in, time.Since(started))
+	k.countResponse(in, time.Since(started), queued)
 	return in, nil
 }
 
@@ -222,14 +224,15 @@
 	}
 }
 
-// countResponse is called with the lock held.
-func (k *backend) countResponse(in *inbound, took time.Duration) {
+// countResponse is called with the lock held. The time of a request that probably
+// waited at the server says nothing of the server's speed.
+func (k *backend) countResponse(in *inbound, took time.Duration, queued bool) {
 	switch {
 	case in.info.Misdirected:
 		k.seen.Misdirected++
 		k.failed = clockNow()
-	case in.info.NotRun:
-	case in.info.Load == nil || in.info.Load.Waiting == 0:
+	case in.info.NotRun, queued, in.info.Load != nil && in.info.Load.Waiting > 0:
+	default:
 		k.load.TakeWorkTime(took)
 		k.seen.Count++
 		k.seen.WorkMicros += took.Microseconds()
@@ -247,6 +250,34 @@
 	}
 }
 
+// joinLine puts a request into the line for room, unless the line is so long that
+// the request would wait beyond limit.
+func (k *backend) joinLine(now, limit time.Duration, slots int, priority int64) (dispatch.Ticket, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if dispatch.LineWait(now, &k.load, slots, k.line.AheadOf(priority)) > limit {
+		return dispatch.Ticket{}, false
+	}
+	return k.line.Join(priority), true
+}
+
+func (k *backend) leaveLine(t dispatch.Ticket) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.line.Leave(t)
+}
+
+// ahead returns the number of requests in the line before a ticket, or before a
+// new request if the ticket is nil.
+func (k *backend) ahead(t *dispatch.Ticket, priority int64) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t != nil {
+		return k.line.Ahead(*t)
+	}
+	return k.line.AheadOf(priority)
+}
+
 // hopByHop are the headers that concern one connection only (RFC 9110, section
 // 7.6.1).
 var hopByHop = []string{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -65,6 +65,7 @@
 	stream               io.Reader // the body, when not nil, instead of body
 	streamLength         int64     // of stream; -1 if not known
 	deadline             time.Time
+	slots                int // requests that the server runs at once
 }
 
 // inbound is a backend server's response. Either body holds the whole of it, or
@@ -168,7 +169,7 @@
 	if err != nil {
 		stop()
 		release(c, false)
-		_ = <-sent // the read failed first, and says why
+		<-sent //nolint:errcheck // the read failed first, and says why
 		return nil, describe(ctx, c, err)
 	}
 	keep := in.finish != nil
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -228,73 +228,151 @@
 }
 
 // target returns the server for the next attempt. It waits for an owner of the
-// key or for room as long as that leaves the client time to return.
-func (c *call) target(service *routes.Service) (*backend, string) {
+// key or for room at a server as long as the client still has time to return,
+// and refuses at once what would wait longer.
+func (c *call) target(service *routes.Service) (*target, string) {
 	until := c.started.Add(time.Duration(holdPart * float64(c.deadline.Sub(c.started))))
+	place := &place{priority: c.route.Priority}
+	defer place.leave()
 	for {
 		now := clockNow()
 		_, stamp, changed := c.host.view.snapshot(now)
 		c.stamp = stamp
-		target, reason := c.choose(now, service)
+		target, full, reason := c.choose(now, service, place)
 		left := time.Until(until)
-		if target != nil || left <= 0 || c.attempts > 0 && reason != reasonNoOwner {
+		if target != nil || left <= 0 || !waitable(reason) {
 			return target, reason
 		}
-		timer := time.NewTimer(min(left, waitStep))
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-c.request.Context().Done():
-			timer.Stop()
+		if full != nil && !place.take(now, left, full) {
+			return nil, reason
+		}
+		if !c.waitForChange(min(left, waitStep), changed) {
 			return nil, reasonCanceled
 		}
-		timer.Stop()
 	}
 }
 
 // waitStep is the longest time between two looks for room.
-const waitStep = 25 * time.Millisecond
+const waitStep = 20 * time.Millisecond
+
+// waitable tells whether a reason may pass within a short time.
+func waitable(reason string) bool {
+	switch reason {
+	case reasonNoOwner, reasonNoServer, string(dispatch.QueueFull), string(dispatch.NoConnection):
+		return true
+	}
+	return false
+}
+
+// waitForChange waits for a change of the view, or some time. It returns false if
+// the client left.
+func (c *call) waitForChange(most time.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-c.request.Context().Done():
+		return false
+	}
+	return true
+}
+
+// place is a request's place in the line of at most one server.
+type place struct {
+	priority int64
+	at       *target
+	ticket   dispatch.Ticket
+}
+
+// target is a server chosen for a request.
+type target struct {
+	*backend
+	slots int
+}
 
-func (c *call) choose(now time.Duration, service *routes.Service) (*backend, string) {
+// take puts the request into a server's line, and out of any other.
+func (p *place) take(now, limit time.Duration, at *target) bool {
+	if p.at != nil && p.at.backend == at.backend {
+		return true
+	}
+	p.leave()
+	ticket, joined := at.joinLine(now, limit, at.slots, p.priority)
+	if joined {
+		p.at, p.ticket = at, ticket
+	}
+	return joined
+}
+
+func (p *place) leave() {
+	if p.at != nil {
+		p.at.leaveLine(p.ticket)
+		p.at = nil
+	}
+}
+
+// ahead returns the number of requests that go to a server before this one.
+func (p *place) ahead(k *backend) int {
+	if p.at != nil && p.at.backend == k {
+		return k.ahead(&p.ticket, p.priority)
+	}
+	return k.ahead(nil, p.priority)
+}
+
+// choose returns the server that takes the request now, or the one to wait for,
+// and why.
+func (c *call) choose(now time.Duration, service *routes.Service, place *place) (chosen, full *target, reason string) {
 	request := dispatch.Request{
 		Priority: c.route.Priority,
 		Left:     time.Until(c.deadline),
 		Target:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)),
 		Bulk:     c.route.Kind == routes.Upload,
 	}
-	var servers []keyrange.Server
-	if service.Keyed {
-		owner, known := c.host.view.owner(now, service.Name, c.info.Key)
-		if !known {
-			return nil, reasonNoOwner
-		}
-		servers = []keyrange.Server{owner}
-	} else if servers = c.host.view.serversOf(now, service.Name); len(servers) == 0 {
-		return nil, reasonNoServer
+	servers, reason := c.servers(now, service)
+	if len(servers) == 0 {
+		return nil, nil, reason
 	}
 	connections := c.host.view.connections(service.Name)
 	candidates := make([]dispatch.Candidate, len(servers))
 	for i, s := range servers {
-		candidates[i] = c.host.backends.of(s).candidate(now, s, connections, c.host.distance(s.Domain))
+		k := c.host.backends.of(s)
+		candidates[i] = k.candidate(now, s, connections, c.host.distance(s.Domain))
+		candidates[i].Ahead = place.ahead(k)
 	}
-	best, reason := dispatch.Choose(now, candidates, request)
+	best, verdict := dispatch.Choose(now, candidates, request)
 	if best < 0 {
-		return nil, string(reason)
+		if service.Keyed {
+			full = &target{backend: c.host.backends.of(servers[0]), slots: int(servers[0].Slots)}
+		}
+		return nil, full, string(verdict)
 	}
 	c.load = candidates[best].Load.Requests(now)
-	return c.host.backends.of(servers[best]), ""
+	return &target{backend: c.host.backends.of(servers[best]), slots: int(servers[best].Slots)}, nil, ""
+}
+
+// servers returns the servers that may run the request, or why there are none.
+func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
+	if !service.Keyed {
+		return c.host.view.serversOf(now, service.Name), reasonNoServer
+	}
+	owner, known := c.host.view.owner(now, service.Name, c.info.Key)
+	if !known {
+		return nil, reasonNoOwner
+	}
+	return []keyrange.Server{owner}, ""
 }
 
 // attempt sends the request to a server.
-func (c *call) attempt(target *backend) (*inbound, error) {
+func (c *call) attempt(to *target) (*inbound, error) {
 	c.attempts++
-	c.server = target.id
+	c.server = to.id
 	header := endToEnd(c.request.Header)
 	header.Del("Host")
-	c.host.dialect.Forward(header, time.Until(c.deadline), target.id)
+	c.host.dialect.Forward(header, time.Until(c.deadline), to.id)
 	o := &outbound{
 		method: c.request.Method, target: c.request.RequestURI, host: c.request.Host,
 		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
+		slots: to.slots,
 	}
 	if c.stream != nil {
 		o.body, o.stream, o.streamLength = nil, c.stream, c.request.ContentLength
@@ -305,7 +383,7 @@
 		// The client's leaving does not stop what may run only once.
 		ctx = context.WithoutCancel(ctx)
 	}
-	return target.send(ctx, o, once, c.host.dialect)
+	return to.send(ctx, o, once, c.host.dialect)
 }
 
 // respond passes a response on to the client.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -38,6 +38,9 @@
 	unreadyTime = 2300 * time.Millisecond
 	// stopReserve is the part of the stop's time that is left for its end.
 	stopReserve = 300 * time.Millisecond
+	// retryPart is the part of the retry budget that is used: requests arrive at
+	// servers a little after they were counted.
+	retryPart = 0.85
 	// sweepInterval is the time between two looks for unused connections.
 	sweepInterval = time.Second
 )
@@ -219,7 +222,7 @@
 func (h *Host) window(service string) *retry.Window {
 	w := h.windows[service]
 	if w == nil {
-		w = retry.NewWindow(h.settings.RetryRatio, milliseconds(h.settings.RetryWindowMs))
+		w = retry.NewWindow(retryPart*h.settings.RetryRatio, milliseconds(h.settings.RetryWindowMs))
 		h.windows[service] = w
 	}
 	return w
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -21,7 +21,7 @@
 	// nextContactWait is the wait before the next control host is asked.
 	nextContactWait = 60 * time.Millisecond
 	// reportInterval is the time between two load reports.
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
 )
 
 // link keeps one subscription with the leader of the control hosts.
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -11,23 +11,47 @@
 	// warmupFactor is the part of its capacity that a server counts with while
 	// it is slow after its start.
 	warmupFactor = 0.5
+	// busyUtilization is the part of its slots from which requests begin to wait
+	// at a server. Below it no keys are moved for load.
+	busyUtilization = 0.6
+	// idleUtilization is the average below which a service counts as unused.
+	idleUtilization = 0.05
+	// calmUtilization is the part of its slots up to which a server takes keys
+	// whatever the others have.
+	calmUtilization = 0.45
 	// moveThreshold is how far, relative to the average, a server's utilization
 	// may exceed the average before it gives keys away.
 	moveThreshold = 1.2
-	// moveFloor is the utilization below which no keys are moved for load.
-	moveFloor = 0.35
+	// movedTo is the utilization, relative to the average, that a server which
+	// gives keys away keeps, and up to which others take them.
+	movedTo = 1.1
 	// movesInFlight is the part of a service's servers that may be giving keys
 	// away for load at the same time.
-	movesInFlight = 0.25
-	// pullThreshold is how far, relative to the average, a server may be filled
-	// with keys that nobody holds.
-	pullThreshold = 1.1
-	// pullPatience is how long keys wait for a server below the average before
-	// any server takes them.
+	movesInFlight = 0.34
+	// maxPieces is the number of ranges that a server gives away at once.
+	maxPieces = 6
+	// pullPatience is how long keys wait for a server with room before any server
+	// takes them.
 	pullPatience = 200 * time.Millisecond
-	// leastMoved is the part of the average load of a server below which a move
-	// is not worth the keys' unavailability.
-	leastMoved = 0.03
+	// forcedPart is the part of its capacity that a server takes of keys for which
+	// no server has room.
+	forcedPart = 0.15
+	// hotPart is the part of a server's capacity from which a single key counts as
+	// hot. A hot key goes to one of the fastest servers.
+	hotPart = 0.5
+	// hotPatience is how long a hot key waits for one of the fastest servers.
+	hotPatience = time.Second
+	// fasterFactor is how much faster a server must be for a hot key to move there.
+	fasterFactor = 1.3
+	// newcomerPart is the part of its fair load that a server without keys gets at
+	// once; the rest follows when servers are busy.
+	newcomerPart = 0.5
+	// giverPart is the utilization, relative to the average, from which a server
+	// gives keys to servers without any.
+	giverPart = 0.7
+	// leastMoved is the load, as a part of a server's average load, below which a
+	// move is not worth the keys' unavailability.
+	leastMoved = 0.1
 )
 
 // member is a server's share of a service's load.
@@ -127,39 +151,46 @@
 	}
 	f := c.survey(svc)
 	me := f.members[s.info.ID]
-	limit := f.average * pullThreshold
-	svc.rows.joinFree()
+	svc.rows.joinFree(now)
 	for i := 0; i < len(svc.rows) && me.rows < maxGrantRows; i++ {
 		w := &svc.rows[i]
-		if w.holder != "" || w.unknown || now < w.freeAt {
+		if !w.grantable(now) {
 			continue
 		}
-		room := (limit - me.utilization()) * me.capacity
-		rate := svc.load.sum(w.from, w.to)
-		patient := now-w.freeAt < pullPatience
-		if rate > room && patient && !f.isLeast(me) {
-			if room <= 0 || w.to-w.from+1 < 2 {
-				continue
-			}
-		}
-		if rate > room && w.to > w.from {
-			cut := svc.cutPrefix(w, room)
-			if cut < w.from {
-				if patient && !f.isLeast(me) {
-					continue
-				}
-				cut = w.from
-			}
-			svc.rows.splitAt(cut + 1)
-			w = &svc.rows[i]
-			rate = svc.load.sum(w.from, w.to)
+		waited := now - w.freeAt
+		last, fits := svc.fit(w, f.allowance(me, waited))
+		if !fits || waited < hotPatience && svc.load.of(w.from) > hotPart*me.capacity && !f.isFastest(me) {
+			continue
 		}
+		svc.rows.splitAt(last + 1)
+		w = &svc.rows[i]
 		c.grant(w, s)
-		me.load += rate
+		c.note(now, EventGranted, svc, w)
+		me.load += svc.load.sum(w.from, w.to)
 		me.rows++
 	}
 }
 
+// allowance returns the load of free keys, which waited for some time, that a
+// member may take: up to the level, and some more if nobody has less load or the
+// keys waited for long.
+func (f *fleet) allowance(me *member, waited time.Duration) float64 {
+	room := (f.level() - me.utilization()) * me.capacity
+	if waited >= pullPatience || f.isLeast(me) {
+		return max(room, forcedPart*me.capacity)
+	}
+	return room
+}
+
+// fit returns the last key of the longest prefix of a row whose load is within an
+// allowance. A first key that has more load alone fits where any key does.
+func (svc *service) fit(w *row, allowance float64) (last int64, fits bool) {
+	if allowance <= 0 {
+		return 0, false
+	}
+	return max(svc.cutPrefix(w, allowance), w.from), true
+}
+
 // grant gives a free row to a server under a new token.
 func (c *Coordinator) grant(w *row, s *server) {
 	*w = row{
@@ -169,9 +200,7 @@
 }
 
 func (svc *service) hasFree(now time.Duration) bool {
-	return slices.ContainsFunc(svc.rows, func(w row) bool {
-		return w.holder == "" && !w.unknown && now >= w.freeAt
-	})
+	return slices.ContainsFunc(svc.rows, func(w row) bool { return w.grantable(now) })
 }
 
 // cutPrefix returns the last key of the longest prefix of the row whose rate
@@ -198,11 +227,12 @@
 
 // shed marks keys that the server is to give back: all of them when it drains,
 // some when it has more load than its part.
-func (c *Coordinator) shed(svc *service, s *server) {
+func (c *Coordinator) shed(now time.Duration, svc *service, s *server) {
 	if !s.ready() {
 		for i := range svc.rows {
-			if w := &svc.rows[i]; w.holder == s.info.ID {
+			if w := &svc.rows[i]; w.holder == s.info.ID && !w.leaving {
 				w.leaving = true
+				c.note(now, EventLeaving, svc, w)
 			}
 		}
 		return
@@ -215,34 +245,70 @@
 	if me == nil || me.leaving > 0 || float64(f.moving) >= max(1, movesInFlight*float64(len(f.members))) {
 		return
 	}
-	least := f.least()
-	if least == me || me.utilization() < moveFloor && least.rows > 0 || me.utilization() < f.average*moveThreshold {
-		return
+	excess := f.excess(me)
+	if key, hot := svc.hotKey(s.info.ID, hotPart*me.capacity); hot && f.hasFaster(me) {
+		excess -= c.markRun(now, svc, key, key)
+		me.rows += 2
 	}
-	excess := (me.utilization() - f.average) * me.capacity
-	room := (f.average - least.utilization()) * least.capacity
-	amount := min(excess, room)
-	if amount < leastMoved*f.average*me.capacity {
-		return
+	for range maxPieces {
+		if excess < leastMoved*f.average*me.capacity {
+			return
+		}
+		moved := c.markLeaving(now, svc, s.info.ID, excess, me.rows < maxHolderRows)
+		if moved == 0 {
+			return
+		}
+		excess -= moved
+		me.rows++
+	}
+}
+
+// excess returns the load that a member gives away: what is above the level if it
+// is busy, or else some for servers that have no keys yet.
+func (f *fleet) excess(me *member) float64 {
+	if me.utilization() >= max(busyUtilization, f.average*moveThreshold) {
+		return (me.utilization() - f.level()) * me.capacity
 	}
-	svc.markLeaving(s.info.ID, amount, me.rows < maxHolderRows)
+	if me.utilization() < f.average*giverPart {
+		return 0
+	}
+	newcomers := 0
+	for _, m := range f.members {
+		if m.rows == 0 && m.server.info.WarmupMillis == 0 {
+			newcomers++
+		}
+	}
+	return newcomerPart * me.load * float64(newcomers) / float64(len(f.members))
 }
 
-// least returns the member with the lowest utilization.
-func (f *fleet) least() *member {
-	var least *member
+// hasFaster tells whether another member is so much faster that a key which fills
+// this one is better off there.
+func (f *fleet) hasFaster(me *member) bool {
 	for _, m := range f.members {
-		if least == nil || m.utilization() < least.utilization() {
-			least = m
+		if m.capacity > fasterFactor*me.capacity {
+			return true
 		}
 	}
-	return least
+	return false
+}
+
+// isFastest tells whether no other member is much faster.
+func (f *fleet) isFastest(me *member) bool { return !f.hasFaster(me) }
+
+// level is the utilization up to which servers take keys. As long as there is
+// hardly any load it follows the average, so that keys are divided evenly before
+// their load shows.
+func (f *fleet) level() float64 {
+	if f.average < idleUtilization {
+		return f.average * movedTo
+	}
+	return max(calmUtilization, f.average*movedTo)
 }
 
 // markLeaving marks about amount requests a second of the server's keys: the
 // whole row or, if rows may be split, the prefix or suffix that comes closest
-// without exceeding it.
-func (svc *service) markLeaving(id string, amount float64, split bool) {
+// without exceeding it. It returns the load of the keys marked.
+func (c *Coordinator) markLeaving(now time.Duration, svc *service, id string, amount float64, split bool) float64 {
 	bestRate, bestFrom, bestTo := 0.0, int64(0), int64(-1)
 	consider := func(from, to int64, rate float64) {
 		if from <= to && rate <= amount && rate > bestRate {
@@ -264,9 +330,34 @@
 		consider(suffix, w.to, svc.load.sum(min(suffix, w.to), w.to))
 	}
 	if bestTo < 0 {
-		return
+		return 0
+	}
+	return c.markRun(now, svc, bestFrom, bestTo)
+}
+
+// markRun marks a run of keys, and returns their load.
+func (c *Coordinator) markRun(now time.Duration, svc *service, from, to int64) float64 {
+	svc.rows.each(from, to, func(w *row) {
+		w.leaving = true
+		c.note(now, EventLeaving, svc, w)
+	})
+	return svc.load.sum(from, to)
+}
+
+// hotKey returns a key of the server that has more load than a bound.
+func (svc *service) hotKey(id string, bound float64) (int64, bool) {
+	for i := range svc.rows {
+		w := &svc.rows[i]
+		if w.holder != id || w.leaving || !w.reported {
+			continue
+		}
+		for key := w.from; key <= w.to; key++ {
+			if svc.load.of(key) > bound {
+				return key, true
+			}
+		}
 	}
-	svc.rows.each(bestFrom, bestTo, func(w *row) { w.leaving = true })
+	return 0, false
 }
 
 // cutSuffix returns the first key of the longest suffix of the row whose rate
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -10,12 +10,20 @@
 	info     Server
 	sequence int64
 	seen     time.Duration
-	leftAt   time.Duration // when it said that it leaves; 0 if it did not
+	left     bool          // whether it said that it leaves
+	leftAt   time.Duration // when it did
 	workTime float64       // seconds a request takes without queueing; 0 if not known
 }
 
+// departure is what is known of a server that said that it leaves. It outlives
+// the server's record: a late heartbeat must not bring the server back.
+type departure struct {
+	born int64
+	at   time.Duration
+}
+
 // ready tells whether the server may be given more keys.
-func (s *server) ready() bool { return !s.info.Draining && s.leftAt == 0 }
+func (s *server) ready() bool { return !s.info.Draining && !s.left }
 
 // service is one service that is divided by key.
 type service struct {
@@ -34,7 +42,11 @@
 	servers   map[string]*server
 	addresses map[string]string // server ID by address
 	services  map[string]*service
+	left      map[string]departure // by server ID
 	published published
+
+	events        []Event
+	droppedEvents int
 }
 
 // New returns a coordinator that knows no server.
@@ -44,6 +56,7 @@
 		servers:   map[string]*server{},
 		addresses: map[string]string{},
 		services:  map[string]*service{},
+		left:      map[string]departure{},
 		published: published{servers: map[string]Server{}, owners: map[string][]Owner{}},
 	}
 }
@@ -89,8 +102,8 @@
 	if svc.firstAt == 0 {
 		svc.firstAt = max(now, 1)
 	}
-	svc.takeReport(now, s, hb, LeaseBound(c.options.Lease))
-	c.shed(svc, s)
+	c.takeReport(now, svc, s, hb)
+	c.shed(now, svc, s)
 	c.pull(now, svc, s)
 	svc.compact(s, c.nextToken)
 	return HeartbeatReply{
@@ -124,9 +137,20 @@
 		c.addresses[info.Address] = info.ID
 	}
 	known.info, known.sequence, known.seen = info, hb.Sequence, now
+	c.markLeft(known)
 	return known
 }
 
+// markLeft notes on a server's record that it said that it leaves.
+func (c *Coordinator) markLeft(s *server) {
+	left, known := c.left[s.info.ID]
+	if !known || left.born < s.info.BornMillis {
+		return
+	}
+	s.left, s.leftAt = true, left.at
+	s.info.Draining = true
+}
+
 // takeAddress gives an address to a new incarnation: an older one there has
 // ended. It returns false for a late heartbeat of an older incarnation.
 func (c *Coordinator) takeAddress(now time.Duration, info Server) bool {
@@ -146,6 +170,7 @@
 	if svc := c.services[s.info.Service]; svc != nil {
 		for i := range svc.rows {
 			if w := &svc.rows[i]; w.holder == s.info.ID && w.born == s.info.BornMillis {
+				c.note(now, EventEnded, svc, w)
 				w.free(now, "")
 			}
 		}
@@ -163,30 +188,45 @@
 // Leave takes in that a server serves no more after the drain time. Its keys are
 // free once its lease is over or it gives them back.
 func (c *Coordinator) Leave(now time.Duration, leave Leave) {
-	s := c.servers[leave.ID]
-	if s == nil || leave.BornMillis < s.info.BornMillis || s.leftAt != 0 {
+	c.depart(leave, now)
+}
+
+// LeftBefore takes in that a server said to an earlier leader that it leaves. It
+// gets no more requests, since nobody knows when its drain time began.
+func (c *Coordinator) LeftBefore(now time.Duration, leave Leave) {
+	c.depart(leave, now-c.options.Drain)
+}
+
+func (c *Coordinator) depart(leave Leave, at time.Duration) {
+	if s := c.servers[leave.ID]; s != nil && leave.BornMillis == 0 {
+		leave.BornMillis = s.info.BornMillis // the server did not say which life
+	}
+	if left, known := c.left[leave.ID]; known && left.born >= leave.BornMillis {
 		return
 	}
-	s.leftAt = max(now, 1)
-	s.info.Draining = true
+	c.left[leave.ID] = departure{born: leave.BornMillis, at: at}
+	if s := c.servers[leave.ID]; s != nil {
+		c.markLeft(s)
+	}
 }
 
 // Tick frees keys whose leases are over and forgets silent servers.
 func (c *Coordinator) Tick(now time.Duration) {
 	for _, svc := range c.services {
-		svc.expire(now)
+		c.expire(now, svc)
 	}
 	for _, s := range c.servers {
-		if now-s.seen > c.options.Forget || s.leftAt != 0 && now-s.leftAt > c.options.Drain {
+		if now-s.seen > c.options.Forget {
 			c.forget(s)
 		}
 	}
 }
 
-func (svc *service) expire(now time.Duration) {
+func (c *Coordinator) expire(now time.Duration, svc *service) {
 	for i := range svc.rows {
 		w := &svc.rows[i]
 		if w.holder != "" && now > w.until {
+			c.note(now, EventExpired, svc, w)
 			w.free(now, "")
 		}
 		if w.unknown && now >= w.freeAt {
--- /dev/null
+++ b/keyrange/event.go
@@ -0,0 +1,54 @@
+package keyrange
+
+import "time"
+
+// EventKind says what happened to a run of keys.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventGranted  EventKind = "granted"       // a server got free keys
+	EventLeaving  EventKind = "leaving"       // a server is told to give keys back
+	EventReleased EventKind = "released"      // a server gave keys back
+	EventExpired  EventKind = "lease-expired" // a holder's lease ran out
+	EventAdopted  EventKind = "adopted"       // keys of an earlier leader's grant were reported
+	EventEnded    EventKind = "server-ended"  // the holder's process ended
+)
+
+// Event is one change of who holds keys.
+type Event struct {
+	Kind    EventKind
+	Service string
+	From    int64
+	To      int64
+	Server  string
+	Token   uint64
+	Age     time.Duration // since the server's last heartbeat
+	Load    float64       // requests a second of the keys
+}
+
+// maxEvents bounds the events that wait for Events.
+const maxEvents = 256
+
+// Events returns what happened since the last call, and how many events were
+// dropped because too many waited.
+func (c *Coordinator) Events() (events []Event, dropped int) {
+	events, dropped = c.events, c.droppedEvents
+	c.events, c.droppedEvents = nil, 0
+	return events, dropped
+}
+
+func (c *Coordinator) note(now time.Duration, kind EventKind, svc *service, w *row) {
+	if len(c.events) >= maxEvents {
+		c.droppedEvents++
+		return
+	}
+	e := Event{
+		Kind: kind, Service: svc.name, From: w.from, To: w.to, Server: w.holder, Token: w.token,
+		Load: svc.load.sum(w.from, w.to),
+	}
+	if s := c.servers[w.holder]; s != nil {
+		e.Age = now - s.seen
+	}
+	c.events = append(c.events, e)
+}
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -6,7 +6,10 @@
 )
 
 // loadTimeConstant is the time after which an old rate counts by 1/e.
-const loadTimeConstant = 2 * time.Second
+const loadTimeConstant = 1500 * time.Millisecond
+
+// minLoadAge is the time that the first report is taken to cover.
+const minLoadAge = 200 * time.Millisecond
 
 // idleKeyRate is the load, requests a second, that every key is taken to have
 // beyond what was seen, so that unused keys are divided evenly, too.
@@ -16,9 +19,11 @@
 type load struct {
 	rates   []float32
 	updated time.Duration
+	started time.Duration // time of the first report; 0 before it
+	scale   float64       // corrects for the short time since the first report
 }
 
-func newLoad(keys int64) *load { return &load{rates: make([]float32, keys)} }
+func newLoad(keys int64) *load { return &load{rates: make([]float32, keys), scale: 1} }
 
 // decay ages all rates to now.
 func (l *load) decay(now time.Duration) {
@@ -30,6 +35,10 @@
 		l.rates[i] *= factor
 	}
 	l.updated = now
+	if l.started == 0 {
+		l.started = now - minLoadAge
+	}
+	l.scale = 1 / (1 - math.Exp(-float64(now-l.started)/float64(loadTimeConstant)))
 }
 
 // add takes in the requests of one key; reports of all entry hosts add up.
@@ -41,7 +50,7 @@
 }
 
 // of returns the rate of a key with the idle rate.
-func (l *load) of(key int64) float64 { return float64(l.rates[key]) + idleKeyRate }
+func (l *load) of(key int64) float64 { return float64(l.rates[key])*l.scale + idleKeyRate }
 
 // sum returns the rate of a run of keys.
 func (l *load) sum(from, to int64) float64 {
@@ -49,14 +58,14 @@
 	for _, rate := range l.rates[from : to+1] {
 		total += float64(rate)
 	}
-	return total + idleKeyRate*float64(to-from+1)
+	return total*l.scale + idleKeyRate*float64(to-from+1)
 }
 
 // workTimeWeight is the part of a new report in a server's average work time.
 const workTimeWeight = 0.3
 
 // decayInterval is how often rates are aged.
-const decayInterval = 250 * time.Millisecond
+const decayInterval = 100 * time.Millisecond
 
 // Report takes in an entry host's view of the load.
 func (c *Coordinator) Report(now time.Duration, report LoadReport) {
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -19,7 +19,7 @@
 	maxGrantRows = 56
 	// compactRows is the number of ranges of one server from which neighbours
 	// are joined.
-	compactRows = 16
+	compactRows = 6
 	// maxHolderRows is the number of ranges from which a server's ranges are not
 	// split any more.
 	maxHolderRows = 32
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -18,7 +18,7 @@
 // anything did.
 func (c *Coordinator) Changes(now time.Duration) (TableUpdate, bool) {
 	update := TableUpdate{Term: c.options.Term, Partial: c.Partial(now)}
-	servers := c.visibleServers()
+	servers := c.visibleServers(now)
 	for id, s := range servers {
 		if c.published.servers[id] != s {
 			update.Servers = append(update.Servers, s)
@@ -55,9 +55,12 @@
 	return update
 }
 
-func (c *Coordinator) visibleServers() map[string]Server {
+func (c *Coordinator) visibleServers(now time.Duration) map[string]Server {
 	visible := make(map[string]Server, len(c.servers))
 	for id, s := range c.servers {
+		if c.drained(now, id) {
+			continue
+		}
 		info := s.info
 		if info.WarmupMillis > 0 {
 			info.WarmupMillis = warmupTold
@@ -96,7 +99,7 @@
 // drained tells whether a server that left gets no more requests.
 func (c *Coordinator) drained(now time.Duration, id string) bool {
 	s := c.servers[id]
-	return s == nil || s.leftAt != 0 && now >= s.leftAt+c.options.Drain-drainReserve
+	return s == nil || s.left && now >= s.leftAt+c.options.Drain-drainReserve
 }
 
 // changedOwners returns the entries of next that are not in previous alike.
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -4,7 +4,7 @@
 
 // takeReport brings the rows in line with what a server says it holds and gave
 // back.
-func (svc *service) takeReport(now time.Duration, s *server, hb Heartbeat, bound time.Duration) {
+func (c *Coordinator) takeReport(now time.Duration, svc *service, s *server, hb Heartbeat) {
 	for i := range svc.rows {
 		if svc.rows[i].holder == s.info.ID {
 			svc.rows[i].reported = false
@@ -12,12 +12,12 @@
 	}
 	for _, held := range hb.Holds {
 		if valid(held.From, held.To, svc.keys()) {
-			svc.takeHeld(now, s, held, bound)
+			c.takeHeld(now, svc, s, held)
 		}
 	}
 	for _, given := range hb.Released {
 		if valid(given.From, given.To, svc.keys()) {
-			svc.takeReleased(now, s, given)
+			c.takeReleased(now, svc, s, given)
 		}
 	}
 }
@@ -28,7 +28,8 @@
 
 // takeHeld notes keys that the server holds. Keys of an earlier leader's grant
 // are adopted; of two such holders, the one with the higher token is right.
-func (svc *service) takeHeld(now time.Duration, s *server, held Range, bound time.Duration) {
+func (c *Coordinator) takeHeld(now time.Duration, svc *service, s *server, held Range) {
+	bound := LeaseBound(c.options.Lease)
 	svc.rows.each(held.From, held.To, func(w *row) {
 		switch {
 		case w.holder == s.info.ID:
@@ -39,6 +40,7 @@
 				from: w.from, to: w.to, holder: s.info.ID, born: s.info.BornMillis,
 				token: held.Token, until: now + bound, reported: true,
 			}
+			c.note(now, EventAdopted, svc, w)
 		case w.holder == "":
 			// The holder's lease is over by our count; wait until it agrees.
 			w.freeAt = max(w.freeAt, now+bound)
@@ -47,9 +49,10 @@
 }
 
 // takeReleased frees keys that the server was told to give back.
-func (svc *service) takeReleased(now time.Duration, s *server, given Release) {
+func (c *Coordinator) takeReleased(now time.Duration, svc *service, s *server, given Release) {
 	svc.rows.each(given.From, given.To, func(w *row) {
 		if w.holder == s.info.ID && w.leaving && !w.reported {
+			c.note(now, EventReleased, svc, w)
 			w.free(now, given.Handover)
 		}
 	})
--- a/keyrange/rows.go
+++ b/keyrange/rows.go
@@ -55,12 +55,13 @@
 	}
 }
 
-// joinFree joins neighbours that nobody holds and that are alike.
-func (r *rows) joinFree() {
+// joinFree joins neighbours that nobody holds and that may be granted alike.
+func (r *rows) joinFree(now time.Duration) {
 	out := (*r)[:0]
 	for _, next := range *r {
-		if last := len(out) - 1; last >= 0 && alikeFree(&out[last], &next) {
+		if last := len(out) - 1; last >= 0 && alikeFree(now, &out[last], &next) {
 			out[last].to = next.to
+			out[last].freeAt = min(out[last].freeAt, next.freeAt)
 			continue
 		}
 		out = append(out, next)
@@ -68,9 +69,13 @@
 	*r = out
 }
 
-func alikeFree(a, b *row) bool {
-	return a.holder == "" && b.holder == "" && a.unknown == b.unknown &&
-		a.freeAt == b.freeAt && a.handover == b.handover
+func alikeFree(now time.Duration, a, b *row) bool {
+	return a.grantable(now) && b.grantable(now) && a.handover == b.handover
+}
+
+// grantable tells whether the keys may be granted.
+func (w *row) grantable(now time.Duration) bool {
+	return w.holder == "" && !w.unknown && now >= w.freeAt
 }
 
 // free marks the row as held by nobody.
