Test key ranges, routes, dispatch and the retry window; divide idle keys evenly

Cause: before any load the first server took all keys (its forced part exceeded their load), and a server that gives keys away took some back at the same heartbeat; both were found by the golden sessions divide and hot.

--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func loaded(own, others int, workTime time.Duration) *Load {
+	l := &Load{}
+	for range own {
+		l.Start()
+	}
+	l.TakeWorkTime(workTime)
+	if others > 0 {
+		l.TakeReport(time.Second, Report{Running: own + others - 1})
+	}
+	return l
+}
+
+// Pattern: a hot key fills its owner, and every gateway sees a part of the load.
+func TestAdmitCountsTheRequestsOfOtherGateways(t *testing.T) {
+	now := time.Second
+	for _, c := range []struct {
+		name     string
+		own      int
+		others   int
+		ahead    int
+		priority int64
+		left     time.Duration
+		want     Reason
+	}{
+		{"room", 2, 3, 0, 2, time.Second, Admitted},
+		{"full by others", 1, 12, 0, 2, time.Second, QueueFull},
+		{"full for ordinary, not for urgent requests", 1, 12, 0, 1, time.Second, Admitted},
+		{"room, but others of this gateway wait for it", 1, 9, 4, 2, time.Second, QueueFull},
+		{"no time left", 1, 11, 0, 1, 100 * ms, TooLate},
+	} {
+		candidate := Candidate{Load: loaded(c.own, c.others, 100*ms), Slots: 6, Connections: 20, Ahead: c.ahead}
+		if got := Admit(now, &candidate, Request{Priority: c.priority, Left: c.left}); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+func TestReportsLoseWeightAsTheyAge(t *testing.T) {
+	l := loaded(1, 10, 100*ms)
+	if got := l.Requests(time.Second + reportLife/2); got != 6 {
+		t.Errorf("after half the life of a report: %v requests, want 6", got)
+	}
+	if got := l.Requests(time.Second + reportLife); got != 1 {
+		t.Errorf("after the life of a report: %v requests, want 1", got)
+	}
+}
+
+func TestChooseKeepsLargeBodiesInTheRegion(t *testing.T) {
+	near := Candidate{ID: "near", Load: loaded(8, 0, 100*ms), Slots: 6, Connections: 20, Distance: SameRegion}
+	far := Candidate{ID: "far", Load: loaded(0, 0, 100*ms), Slots: 6, Connections: 20, Distance: OtherRegion}
+	r := Request{Priority: 1, Left: time.Second, Target: 50 * ms}
+	if i, _ := Choose(0, []Candidate{near, far}, r); i != 1 {
+		t.Error("a small request did not go to the idle server")
+	}
+	r.Bulk = true
+	if i, _ := Choose(0, []Candidate{near, far}, r); i != 0 {
+		t.Error("a large body crossed regions although the region has room")
+	}
+	near.Load = loaded(20, 0, 100*ms)
+	if i, _ := Choose(0, []Candidate{near, far}, r); i != 1 {
+		t.Error("a large body was not sent to the other region although its own is full")
+	}
+}
+
+// Pattern: more requests wait for one server than it can take in time.
+func TestLineServesUrgentRequestsFirstAndRefusesWhatWouldWaitTooLong(t *testing.T) {
+	var line Line
+	ordinary := line.Join(2)
+	urgent := line.Join(1)
+	later := line.Join(2)
+	if line.Ahead(urgent) != 0 || line.Ahead(ordinary) != 1 || line.Ahead(later) != 2 {
+		t.Errorf("places %d, %d, %d", line.Ahead(urgent), line.Ahead(ordinary), line.Ahead(later))
+	}
+	line.Leave(urgent)
+	if line.Ahead(later) != 1 || line.AheadOf(1) != 0 {
+		t.Error("a request that left still counts")
+	}
+	l := loaded(2, 10, 100*ms)
+	short, long := LineWait(time.Second, l, 6, 0), LineWait(time.Second, l, 6, 9)
+	if short >= 500*ms || long <= 500*ms {
+		t.Errorf("expected waits %v and %v around 500 ms", short, long)
+	}
+}
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -147,19 +147,21 @@
 		if now < svc.firstAt+settleTime {
 			return
 		}
-		svc.seeded = true
+		svc.seed(now)
 	}
 	f := c.survey(svc)
 	me := f.members[s.info.ID]
+	if me.leaving > 0 {
+		return
+	}
 	svc.rows.joinFree(now)
 	for i := 0; i < len(svc.rows) && me.rows < maxGrantRows; i++ {
 		w := &svc.rows[i]
 		if !w.grantable(now) {
 			continue
 		}
-		waited := now - w.freeAt
-		last, fits := svc.fit(w, f.allowance(me, waited))
-		if !fits || waited < hotPatience && svc.load.of(w.from) > hotPart*me.capacity && !f.isFastest(me) {
+		last, fits := svc.fit(w, &f, me, now-w.freeAt)
+		if !fits {
 			continue
 		}
 		svc.rows.splitAt(last + 1)
@@ -171,24 +173,33 @@
 	}
 }
 
-// allowance returns the load of free keys, which waited for some time, that a
-// member may take: up to the level, and some more if nobody has less load or the
-// keys waited for long.
-func (f *fleet) allowance(me *member, waited time.Duration) float64 {
-	room := (f.level() - me.utilization()) * me.capacity
-	if waited >= pullPatience || f.isLeast(me) {
-		return max(room, forcedPart*me.capacity)
-	}
-	return room
+// seed lets the keys be divided for the first time.
+func (svc *service) seed(now time.Duration) {
+	svc.seeded = true
+	for i := range svc.rows {
+		if w := &svc.rows[i]; w.grantable(now) {
+			w.freeAt = now
+		}
+	}
 }
 
-// fit returns the last key of the longest prefix of a row whose load is within an
-// allowance. A first key that has more load alone fits where any key does.
-func (svc *service) fit(w *row, allowance float64) (last int64, fits bool) {
-	if allowance <= 0 {
+// fit returns the last key of the longest prefix of a free row that a member may
+// take. A hot key waits some time for one of the fastest servers; a key for which
+// no server has room goes to the one with the least load, or after some time to
+// any.
+func (svc *service) fit(w *row, f *fleet, me *member, waited time.Duration) (last int64, fits bool) {
+	if svc.load.of(w.from) > hotPart*me.capacity && waited < hotPatience && !f.isFastest(me) {
 		return 0, false
 	}
-	return max(svc.cutPrefix(w, allowance), w.from), true
+	allowance := (f.level() - me.utilization()) * me.capacity
+	forced := waited >= pullPatience || f.isLeast(me)
+	if forced {
+		allowance = max(allowance, min(forcedPart, f.average)*me.capacity)
+	}
+	if last = svc.cutPrefix(w, allowance); last >= w.from {
+		return last, true
+	}
+	return w.from, forced
 }
 
 // grant gives a free row to a server under a new token.
--- /dev/null
+++ b/keyrange/session_test.go
@@ -0,0 +1,205 @@
+package keyrange
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+const (
+	testKeys    = 1000
+	testService = "stock"
+)
+
+// session plays one golden session against a Coordinator.
+type session struct {
+	t     *testing.T
+	now   time.Duration
+	coord *Coordinator
+	born  map[string]int64
+	seq   map[string]int64
+	holds map[string][]Range // what each server was granted last
+}
+
+// TestSessions plays the golden sessions. Commands:
+//
+//	elect term=N [lease=D]                  makes a new leader, of a first term if lease is left out
+//	advance D                               lets time pass
+//	heartbeat id=S [born=N] [seq=N] [address=A] [draining] [holds=(f-t:token,...)] [released=(f-t,...)] [lost]
+//	                                        a heartbeat; the server keeps the grants unless the reply is lost
+//	leave id=S                              a server says that it leaves
+//	left-before id=S                        the same, to an earlier leader
+//	load from=K to=K rate=N                 N requests a second on each key, for one second
+//	table                                   prints servers and owners
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		s := &session{born: map[string]int64{}, seq: map[string]int64{}, holds: map[string][]Range{}}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.play(d)
+		})
+	})
+}
+
+func (s *session) play(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "elect":
+		return s.elect(d)
+	case "advance":
+		step, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+		s.now += step
+		s.coord.Tick(s.now)
+		return ""
+	case "heartbeat":
+		return s.heartbeat(d)
+	case "leave", "left-before":
+		var id string
+		d.ScanArgs(s.t, "id", &id)
+		if d.Cmd == "leave" {
+			s.coord.Leave(s.now, Leave{ID: id, BornMillis: s.born[id]})
+		} else {
+			s.coord.LeftBefore(s.now, Leave{ID: id, BornMillis: s.born[id]})
+		}
+		return ""
+	case "load":
+		return s.load(d)
+	case "table":
+		return s.table()
+	}
+	d.Fatalf(s.t, "unknown command %s", d.Cmd)
+	return ""
+}
+
+func (s *session) elect(d *datadriven.TestData) string {
+	var term uint64
+	d.ScanArgs(s.t, "term", &term)
+	o := Options{Term: term, Keys: testKeys, Lease: 4 * time.Second, Drain: 2500 * time.Millisecond, Forget: 8 * time.Second}
+	if d.HasArg("lease") {
+		var text string
+		d.ScanArgs(s.t, "lease", &text)
+		lease, err := time.ParseDuration(text)
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+		o.Inherited = s.now + LeaseBound(lease)
+	}
+	s.coord = New(o)
+	s.coord.SetKeyed([]string{testService})
+	return ""
+}
+
+func (s *session) heartbeat(d *datadriven.TestData) string {
+	var id, address string
+	d.ScanArgs(s.t, "id", &id)
+	address = id + ":80"
+	if d.HasArg("address") {
+		d.ScanArgs(s.t, "address", &address)
+	}
+	if d.HasArg("born") {
+		var born int64
+		d.ScanArgs(s.t, "born", &born)
+		if born != s.born[id] {
+			s.born[id], s.seq[id], s.holds[id] = born, 0, nil
+		}
+	}
+	s.seq[id]++
+	if d.HasArg("seq") {
+		var seq int64
+		d.ScanArgs(s.t, "seq", &seq)
+		s.seq[id] = seq
+	}
+	hb := Heartbeat{
+		Server: Server{
+			ID: id, BornMillis: s.born[id], Service: testService, Address: address, Slots: 6,
+			Draining: d.HasArg("draining"),
+		},
+		Sequence: s.seq[id], Holds: s.holds[id],
+	}
+	if d.HasArg("holds") {
+		hb.Holds = nil
+		for _, text := range values(d, "holds") {
+			var r Range
+			scan(d, s.t, text, "%d-%d:%d", &r.From, &r.To, &r.Token)
+			hb.Holds = append(hb.Holds, r)
+		}
+	}
+	for _, text := range values(d, "released") {
+		r := Release{Handover: "h-" + id}
+		scan(d, s.t, text, "%d-%d", &r.From, &r.To)
+		hb.Released = append(hb.Released, r)
+	}
+	reply := s.coord.Heartbeat(s.now, hb)
+	if !reply.Renewed {
+		return "not renewed\n"
+	}
+	if !d.HasArg("lost") {
+		s.holds[id] = nil
+	}
+	var out strings.Builder
+	for _, g := range reply.Grants {
+		fmt.Fprintf(&out, "%d-%d token=%d.%d", g.From, g.To, g.Token>>tokenCounterBits, g.Token&(1<<tokenCounterBits-1))
+		if g.Handover != "" {
+			fmt.Fprintf(&out, " handover=%s", g.Handover)
+		}
+		out.WriteByte('\n')
+		if !d.HasArg("lost") {
+			s.holds[id] = append(s.holds[id], Range{From: g.From, To: g.To, Token: g.Token})
+		}
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func values(d *datadriven.TestData, name string) []string {
+	for _, arg := range d.CmdArgs {
+		if arg.Key == name && !slices.Equal(arg.Vals, []string{""}) {
+			return arg.Vals
+		}
+	}
+	return nil
+}
+
+func scan(d *datadriven.TestData, t *testing.T, text, format string, fields ...any) {
+	if _, err := fmt.Sscanf(text, format, fields...); err != nil {
+		d.Fatalf(t, "%q: %v", text, err)
+	}
+}
+
+func (s *session) load(d *datadriven.TestData) string {
+	var from, to, rate int64
+	d.ScanArgs(s.t, "from", &from)
+	d.ScanArgs(s.t, "to", &to)
+	d.ScanArgs(s.t, "rate", &rate)
+	report := LoadReport{SpanMillis: 1000, Services: []ServiceLoad{{Service: testService}}}
+	for key := from; key <= to; key++ {
+		report.Services[0].Keys = append(report.Services[0].Keys, KeyLoad{Key: key, Count: rate})
+	}
+	s.coord.Report(s.now, report)
+	return ""
+}
+
+func (s *session) table() string {
+	s.coord.Changes(s.now)
+	table := s.coord.Whole()
+	var lines []string
+	for _, v := range table.Servers {
+		lines = append(lines, fmt.Sprintf("server %s draining=%t", v.ID, v.Draining))
+	}
+	slices.Sort(lines)
+	for _, o := range table.Owners {
+		lines = append(lines, fmt.Sprintf("%d-%d %s", o.From, o.To, o.ServerID))
+	}
+	if table.Partial {
+		lines = append(lines, "partial")
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,39 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// Pattern: a service rejects most requests, and each rejected one asks to be sent
+// again.
+func TestWindowBoundsRepeatsToAPartOfTheRequests(t *testing.T) {
+	w := NewWindow(0.2, 10*time.Second)
+	requests, repeats := 0, 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		w.Request(now)
+		requests++
+		if w.Spend(now) {
+			repeats++
+		}
+		if float64(repeats) > 0.2*float64(requests) {
+			t.Fatalf("%d repeats for %d requests", repeats, requests)
+		}
+	}
+	if repeats < requests/6 {
+		t.Errorf("only %d repeats for %d requests", repeats, requests)
+	}
+}
+
+func TestWindowForgetsOldRequests(t *testing.T) {
+	w := NewWindow(0.5, time.Second)
+	for range 100 {
+		w.Request(0)
+	}
+	if !w.Spend(500 * time.Millisecond) {
+		t.Error("no repeat within the window")
+	}
+	if w.Spend(3 * time.Second) {
+		t.Error("a repeat for requests that left the window")
+	}
+}
