--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -39,7 +39,7 @@
 func (h *Host) takeHeartbeat(hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.leading == nil || h.state.lease() < milliseconds(h.settings.LeaseMs) {
+	if h.leading == nil || h.state.lease() < h.lease() {
 		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership begins")
 	}
 	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -72,12 +72,12 @@
 }
 
 // Notify takes messages of the log and load reports.
-func (a *handler) Notify(_ *peer.Conn, kind int, body []byte) {
+func (a *handler) Notify(from *peer.Conn, kind int, body []byte) {
 	switch kind {
 	case wire.KindRaft:
 		a.host.deliver(body)
 	case wire.KindLoadReport:
-		a.host.takeLoadReport(body)
+		a.host.takeLoadReport(from.Identity().Name, body)
 	default:
 		log.WithField("kind", kind).Warn("unknown message of a peer")
 	}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (h *Host) takeLoadReport(body []byte) {
+func (h *Host) takeLoadReport(gateway string, body []byte) {
 	var report keyrange.LoadReport
 	if err := cbor.Unmarshal(body, &report); err != nil {
 		log.WithError(err).Warn("load report can't be read")
@@ -118,6 +118,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading != nil {
-		h.leading.coordinator.Report(clock.Now(), report)
+		h.leading.coordinator.Report(clock.Now(), gateway, report)
 	}
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -35,13 +35,13 @@
 	snapshotEntries = 512
 )
 
-// peerLimits find a silent peer within about an election timeout.
+// peerLimits find a silent peer within a few election timeouts.
 var peerLimits = peer.Limits{
-	PingInterval:     400 * time.Millisecond,
-	SilenceTimeout:   1500 * time.Millisecond,
-	HandshakeTimeout: 700 * time.Millisecond,
-	BackoffMin:       50 * time.Millisecond,
-	BackoffMax:       500 * time.Millisecond,
+	PingInterval:     300 * time.Millisecond,
+	SilenceTimeout:   time.Second,
+	HandshakeTimeout: 500 * time.Millisecond,
+	BackoffMin:       30 * time.Millisecond,
+	BackoffMax:       200 * time.Millisecond,
 }
 
 // PeerLimits returns the limits of connections between gateways and control
@@ -232,6 +232,22 @@
 	}
 }
 
+// leaseHeartbeats and leaseSlack make up the lease: a server may miss two
+// heartbeats, and the control hosts may take the slack to elect a leader.
+const (
+	leaseHeartbeats = 3
+	leaseSlack      = 1500 * time.Millisecond
+)
+
+// lease returns the lease of key ranges.
+func (h *Host) lease() time.Duration {
+	if h.settings.LeaseMs > 0 {
+		return milliseconds(h.settings.LeaseMs)
+	}
+	lease := leaseHeartbeats*milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
+	return min(lease, milliseconds(h.settings.MaxLeaseMs))
+}
+
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // leadership is what a leader keeps in memory.
@@ -259,7 +275,7 @@
 	if previous := h.state.lease(); previous > 0 {
 		inherited = clock.Now() + keyrange.LeaseBound(previous)
 	}
-	lease := milliseconds(h.settings.LeaseMs)
+	lease := h.lease()
 	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
 		Term:      term,
 		Keys:      keySpace,
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -40,7 +40,7 @@
 // allowLease puts the lease into the log before the first grant, so that a later
 // leader knows how long to wait.
 func (h *Host) allowLease(ctx context.Context) {
-	lease := milliseconds(h.settings.LeaseMs)
+	lease := h.lease()
 	if !h.runner.Leads() || h.state.lease() >= lease {
 		return
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -30,6 +30,9 @@
 	suspectFor = 1500 * time.Millisecond
 )
 
+// refusedFor is how long a server whose host refused a connection is left alone.
+const refusedFor = 150 * time.Millisecond
+
 // idleTime returns how long a server keeps an unused connection.
 func idleTime(header http.Header) time.Duration {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
@@ -54,6 +57,8 @@
 	line    dispatch.Line       // requests that wait for room
 	seen    keyrange.ServerLoad // for the next load report
 	failed  time.Duration       // of the last failure; 0 for none
+	refused time.Duration       // when its host last refused a connection; 0 for never
+	ended   bool                // another incarnation answered at the address
 	retired bool
 }
 
@@ -220,6 +225,7 @@
 	}
 	k.failed = clockNow()
 	if f.noServer {
+		k.refused = k.failed
 		k.seen.Refused++
 	}
 }
@@ -228,9 +234,9 @@
 // waited at the server says nothing of the server's speed.
 func (k *backend) countResponse(in *inbound, took time.Duration, queued bool) {
 	switch {
-	case in.info.Misdirected:
+	case in.info.NotHolder && in.info.ServerID != "" && in.info.ServerID != k.id:
 		k.seen.Misdirected++
-		k.failed = clockNow()
+		k.ended = true
 	case in.info.NotRun, queued, in.info.Load != nil && in.info.Load.Waiting > 0:
 	default:
 		k.load.TakeWorkTime(took)
@@ -239,6 +245,14 @@
 	}
 }
 
+// absent tells whether the server's process has ended, or its host refused a
+// connection a moment ago.
+func (k *backend) absent(now time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ended || k.refused != 0 && now-k.refused < refusedFor
+}
+
 // candidate returns the backend as a choice for a request.
 func (k *backend) candidate(now time.Duration, s keyrange.Server, connections int, distance dispatch.Distance) dispatch.Candidate {
 	k.mu.Lock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -19,11 +19,12 @@
 
 // ResponseInfo is what the headers of a backend server's response say.
 type ResponseInfo struct {
-	ID          string // id of the attempt that it answers; empty if it does not say
-	NotRun      bool   // the server says that it did not run the request
-	Misdirected bool   // another incarnation runs at the address
-	Sealed      bool   // the server vouches for the response
-	Load        *dispatch.Report
+	ID        string // id of the attempt that it answers; empty if it does not say
+	NotRun    bool   // the server says that it did not run the request
+	NotHolder bool   // the server does not hold the request's key
+	ServerID  string // incarnation that answered; empty if it does not say
+	Sealed    bool   // the server vouches for the response
+	Load      *dispatch.Report
 }
 
 // Dialect reads and writes the headers that the network's services agreed on.
--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// testDialect has headers of its own, so that nothing here depends on any
+// platform's.
+type testDialect struct{}
+
+func (testDialect) Request(header http.Header) RequestInfo {
+	info := RequestInfo{ID: header.Get("Test-Id"), Key: NoKey}
+	if left, err := strconv.Atoi(header.Get("Test-Left")); err == nil {
+		info.Left = time.Duration(left) * time.Millisecond
+	}
+	if key, err := strconv.Atoi(header.Get("Test-Key")); err == nil {
+		info.Key = int64(key)
+	}
+	return info
+}
+
+func (testDialect) Forward(header http.Header, left time.Duration, serverID string) {
+	header.Set("Test-Left", strconv.FormatInt(left.Milliseconds(), 10))
+	header.Set("Test-Server", serverID)
+}
+
+func (testDialect) Response(status int, header http.Header) ResponseInfo {
+	return ResponseInfo{
+		ID: header.Get("Test-Id"), NotRun: header.Get("Test-Not-Run") != "", Sealed: header.Get("Test-Seal") != "",
+		NotHolder: status == http.StatusMisdirectedRequest, ServerID: header.Get("Test-Server"),
+		Load: &dispatch.Report{Slots: 6},
+	}
+}
+
+// reply is what a stand-in server does with one request; it may close the
+// connection by returning false.
+type reply func(conn net.Conn, r *http.Request, body []byte) (keep bool)
+
+// standIn is a backend server that speaks HTTP/1.1 on raw connections.
+type standIn struct {
+	t        *testing.T
+	listener net.Listener
+
+	mu       sync.Mutex // guards the fields below
+	replies  []reply    // of the next requests; the last one stays
+	requests []*http.Request
+	bodies   [][]byte
+}
+
+func newStandIn(t *testing.T, replies ...reply) *standIn {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{t: t, listener: listener, replies: replies}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !s.next(r, body)(conn, r, body) {
+			return
+		}
+	}
+}
+
+func (s *standIn) next(r *http.Request, body []byte) reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests, s.bodies = append(s.requests, r), append(s.bodies, body)
+	answer := s.replies[0]
+	if len(s.replies) > 1 {
+		s.replies = s.replies[1:]
+	}
+	return answer
+}
+
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func raw(text string) reply {
+	return func(conn net.Conn, r *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Test-Id")))
+		return true
+	}
+}
+
+func ok(body string) reply {
+	return raw("HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
+
+var (
+	notRun = raw("HTTP/1.1 503 Service Unavailable\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	broken = func(net.Conn, *http.Request, []byte) bool { return false }
+)
+
+// fixture is a gateway with one keyed service, "stock", and one without keys,
+// "photos".
+type fixture struct {
+	t    *testing.T
+	host *Host
+	url  string
+	logs bytes.Buffer
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t}
+	port := freePort(t)
+	s := &settings.GatewaySettings{
+		Name: "gateway-1", Domain: "d1", Domains: map[string]string{"d1": "r1"}, Ip: "127.0.0.1",
+		PeerPort: 1, Seeds: []string{"127.0.0.1:1"}, Listen: port, ReadyListen: freePort(t),
+		RetryRatio: 0.2, RetrySlack: 10, RetryWindowMs: 10000, DrainMs: 2500, StopMs: 6000,
+	}
+	host, err := New(Options{Settings: s, Dialect: testDialect{}, Registry: prometheus.NewRegistry(), Events: &f.logs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := host.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.host, f.url = host, "http://"+port
+	t.Cleanup(func() {
+		host.cancel()
+		_ = host.server.Close()
+		_ = host.ready.Close()
+		host.done.Wait()
+	})
+	return f
+}
+
+func freePort(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func testConfig() routes.Config {
+	route := func(name string, kind routes.Kind, service string) routes.Route {
+		return routes.Route{
+			Name: name, Host: "depot.example", PathPrefix: "/" + name + "/", Kind: kind, TimeoutMillis: 1000,
+			TargetMillis: 500, MaxAttempts: 2, Shares: []routes.Share{{Service: service, Weight: 1}},
+		}
+	}
+	return routes.Config{
+		Version: 1,
+		Routes: []routes.Route{
+			route("look", routes.Idempotent, "stock"),
+			route("order", routes.Once, "stock"),
+			route("photo", routes.Upload, "photos"),
+		},
+		Services: []routes.Service{{Name: "stock", Keyed: true, MaxConnections: 20}, {Name: "photos", MaxConnections: 20}},
+	}
+}
+
+// tell gives the gateway a table in which server owns all keys; nil for nobody.
+func (f *fixture) tell(server *standIn) {
+	update := keyrange.TableUpdate{Term: 1, Whole: true, Config: encode(f.t, testConfig()), EntryHosts: 1}
+	owner := ""
+	if server != nil {
+		owner = "s1"
+		address := server.listener.Addr().String()
+		update.Servers = []keyrange.Server{
+			{ID: "s1", Service: "stock", Address: address, Domain: "d1", Slots: 6},
+			{ID: "p1", Service: "photos", Address: address, Domain: "d1", Slots: 6},
+		}
+	}
+	update.Owners = []keyrange.Owner{{Service: "stock", From: 0, To: 999, ServerID: owner}}
+	f.host.view.apply(clockNow(), update)
+}
+
+func (f *fixture) do(method, path string, body io.Reader) (*http.Response, string) {
+	f.t.Helper()
+	r, err := http.NewRequest(method, f.url+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "depot.example"
+	r.Header.Set("Test-Id", "a1")
+	r.Header.Set("Test-Key", "7")
+	r.Header.Set("Test-Left", "900")
+	response, err := (&http.Transport{}).RoundTrip(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return response, string(content)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/keyrange"
+)
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestRequestGoesToTheOwnerUnchanged(t *testing.T) {
+	server := newStandIn(t, ok("three left"))
+	f := newFixture(t)
+	f.tell(server)
+	response, body := f.do("POST", "/order/a%20b?x=1&y", strings.NewReader("two wheels"))
+	if response.StatusCode != 200 || body != "three left" || response.Header.Get("Test-Seal") != "s" {
+		t.Errorf("response %d %q %v", response.StatusCode, body, response.Header)
+	}
+	r := server.requests[0]
+	if r.Method != "POST" || r.RequestURI != "/order/a%20b?x=1&y" || string(server.bodies[0]) != "two wheels" {
+		t.Errorf("server got %s %s %q", r.Method, r.RequestURI, server.bodies[0])
+	}
+	if r.Header.Get("Test-Server") != "s1" || r.Header.Get("Test-Id") != "a1" || r.Host != "depot.example" {
+		t.Errorf("server got %v", r.Header)
+	}
+}
+
+func TestRefusalsWithoutAServer(t *testing.T) {
+	f := newFixture(t)
+	if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 503 || response.Header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration: %d", response.StatusCode)
+	}
+	f.tell(nil)
+	if response, _ := f.do("GET", "/nowhere/1", nil); response.StatusCode != 404 {
+		t.Errorf("without a route: %d", response.StatusCode)
+	}
+	if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 503 || response.Header.Get("Retry-After") == "" {
+		t.Errorf("without an owner: %d", response.StatusCode)
+	}
+}
+
+func TestRequestWaitsForAnOwner(t *testing.T) {
+	server := newStandIn(t, ok("yes"))
+	f := newFixture(t)
+	f.tell(nil)
+	time.AfterFunc(100*time.Millisecond, func() { f.tell(server) })
+	if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 200 {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
+// What may run once is sent once, unless the server says that it did not run it.
+func TestRepeats(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		first  reply
+		status int
+		sends  int
+	}{
+		{"once, broken", "/order/1", broken, 502, 1},
+		{"once, not run", "/order/1", notRun, 200, 2},
+		{"once, success without a seal", "/order/1", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), 502, 1},
+		{"once, not a response", "/order/1", raw("gibberish\r\n\r\n"), 502, 1},
+		{"once, promise without a seal", "/order/1", raw("HTTP/1.1 503 Nope\r\nContent-Length: 0\r\n\r\n"), 502, 1},
+		{"once, sealed failure", "/order/1", raw("HTTP/1.1 500 Bad\r\nTest-Seal: s\r\nContent-Length: 0\r\n\r\n"), 500, 1},
+		{"idempotent, broken", "/look/1", broken, 200, 2},
+		{"idempotent, cut short", "/look/1", func(conn net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 10\r\n\r\nhalf")
+			return false
+		}, 200, 2},
+		{"upload, broken", "/photo/1", broken, 502, 1},
+		{"upload, not run", "/photo/1", notRun, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := newStandIn(t, c.first, ok("yes"))
+			f := newFixture(t)
+			f.tell(server)
+			response, _ := f.do("POST", c.path, strings.NewReader("body"))
+			if response.StatusCode != c.status || server.count() != c.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", response.StatusCode, server.count(), c.status, c.sends)
+			}
+			for _, body := range server.bodies {
+				if string(body) != "body" {
+					t.Errorf("body %q", body)
+				}
+			}
+		})
+	}
+}
+
+func TestNoMoreSendsThanTheRouteAllows(t *testing.T) {
+	server := newStandIn(t, notRun)
+	f := newFixture(t)
+	f.tell(server)
+	response, _ := f.do("POST", "/order/1", nil)
+	if response.StatusCode != 503 || server.count() != 2 {
+		t.Errorf("status %d after %d sends", response.StatusCode, server.count())
+	}
+}
+
+func TestResponseOfAnotherRequestIsPassedOver(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nother"
+	mine := "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nContent-Length: 4\r\n\r\nmine"
+	server := newStandIn(t, raw(late+mine))
+	f := newFixture(t)
+	f.tell(server)
+	if response, body := f.do("POST", "/order/1", nil); response.StatusCode != 200 || body != "mine" {
+		t.Errorf("response %d %q", response.StatusCode, body)
+	}
+}
+
+func TestConnectionWithBytesLeftOverIsNotUsedAgain(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 3\r\n\r\nyes" + "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nwrong"
+	server := newStandIn(t, raw(stray), ok("right"))
+	f := newFixture(t)
+	f.tell(server)
+	f.do("POST", "/order/1", nil)
+	if response, body := f.do("POST", "/order/2", nil); response.StatusCode != 200 || body != "right" {
+		t.Errorf("response %d %q", response.StatusCode, body)
+	}
+}
+
+// A response without a length ends with its connection: closed means whole, reset
+// means broken.
+func TestResponseWithoutALength(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		linger int
+		status int
+	}{{"closed", -1, 200}, {"reset", 0, 502}} {
+		t.Run(c.name, func(t *testing.T) {
+			server := newStandIn(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\n\r\nall of it")
+				time.Sleep(30 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(c.linger)
+				return false
+			})
+			f := newFixture(t)
+			f.tell(server)
+			response, body := f.do("POST", "/order/1", nil)
+			if response.StatusCode != c.status || c.status == 200 && body != "all of it" {
+				t.Errorf("response %d %q", response.StatusCode, body)
+			}
+		})
+	}
+}
+
+// A long response that breaks off must not look whole to the client.
+func TestLongResponseThatBreaksOffLooksBroken(t *testing.T) {
+	server := newStandIn(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n", 4*bufferedResponse)
+		_, _ = conn.Write(make([]byte, 2*bufferedResponse))
+		return false
+	})
+	f := newFixture(t)
+	f.tell(server)
+	r, err := http.NewRequest("GET", f.url+"/look/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "depot.example"
+	r.Header.Set("Test-Key", "7")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return // broken before the header: fine as well
+	}
+	defer response.Body.Close()
+	if _, err := io.ReadAll(response.Body); err == nil {
+		t.Error("the client saw a whole body")
+	}
+}
+
+func TestServerHearsOfAClientThatLeft(t *testing.T) {
+	left := make(chan struct{})
+	server := newStandIn(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = bufio.NewReader(conn).ReadByte() // until the gateway closes
+		close(left)
+		return false
+	})
+	f := newFixture(t)
+	f.tell(server)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "GET", f.url+"/look/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "depot.example"
+	r.Header.Set("Test-Key", "7")
+	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+		_ = response.Body.Close()
+		t.Fatal("the client got a response")
+	}
+	select {
+	case <-left:
+	case <-time.After(400 * time.Millisecond):
+		t.Error("the server's connection stayed open for 400 ms")
+	}
+}
+
+func TestFinalResponseAtTheDeadline(t *testing.T) {
+	server := newStandIn(t, func(net.Conn, *http.Request, []byte) bool {
+		time.Sleep(2 * time.Second)
+		return false
+	})
+	f := newFixture(t)
+	f.tell(server)
+	started := time.Now()
+	response, _ := f.do("POST", "/order/1", nil)
+	if took := time.Since(started); response.StatusCode != 504 || took > 1150*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 after 900 ms", response.StatusCode, took)
+	}
+}
+
+func TestStopFinishesRequestsUnderWay(t *testing.T) {
+	server := newStandIn(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(500 * time.Millisecond)
+		return ok("done")(conn, r, body)
+	})
+	f := newFixture(t)
+	f.host.settings.StopMs = 1600
+	f.tell(server)
+	stopped := make(chan error, 1)
+	time.AfterFunc(100*time.Millisecond, func() { stopped <- f.host.Stop(context.Background()) })
+	if response, body := f.do("POST", "/order/1", nil); response.StatusCode != 200 || body != "done" {
+		t.Errorf("response %d %q", response.StatusCode, body)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestViewOfANewLeaderKeepsWhatItDoesNotKnowYet(t *testing.T) {
+	v := newView(2500 * time.Millisecond)
+	server := func(id string) keyrange.Server {
+		return keyrange.Server{ID: id, Service: "stock", Address: id + ":80", Slots: 6}
+	}
+	owner := func(from, to int64, id string) keyrange.Owner {
+		return keyrange.Owner{Service: "stock", From: from, To: to, ServerID: id}
+	}
+	expect := func(step string, key int64, want string) {
+		t.Helper()
+		got, _, _ := v.owner(clockNow(), "stock", key)
+		if got.ID != want {
+			t.Errorf("%s: key %d belongs to %q, want %q", step, key, got.ID, want)
+		}
+	}
+	v.apply(clockNow(), keyrange.TableUpdate{
+		Term: 1, Version: 1, Whole: true, Servers: []keyrange.Server{server("a"), server("b")},
+		Owners: []keyrange.Owner{owner(0, 499, "a"), owner(500, 999, "b")},
+	})
+	v.apply(clockNow(), keyrange.TableUpdate{
+		Term: 2, Version: 1, Whole: true, Partial: true, Servers: []keyrange.Server{server("a")},
+		Owners: []keyrange.Owner{owner(0, 399, "a")},
+	})
+	expect("partial table", 450, "a")
+	expect("partial table", 600, "b")
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 9, Owners: []keyrange.Owner{owner(0, 999, "b")}})
+	expect("update of the old leader", 100, "a")
+	v.apply(clockNow(), keyrange.TableUpdate{
+		Term: 2, Version: 2, Owners: []keyrange.Owner{owner(400, 449, "a"), owner(450, 999, "")},
+	})
+	expect("complete table", 420, "a")
+	expect("complete table", 600, "")
+	if v.has("b") {
+		t.Error("a server that the new leader never heard of is still in the table")
+	}
+}
+
+func TestLeavingServerGetsNothingAtTheEndOfItsDrainTime(t *testing.T) {
+	v := newView(2500 * time.Millisecond)
+	leaving := keyrange.Server{ID: "a", Service: "photos", Address: "a:80", Slots: 6, Draining: true}
+	now := clockNow()
+	v.apply(now, keyrange.TableUpdate{Term: 1, Version: 1, Whole: true, Servers: []keyrange.Server{leaving}})
+	if len(v.serversOf(now+time.Second, "photos")) != 1 {
+		t.Error("the only server gets nothing within its drain time")
+	}
+	// A new leader tells of it again: its drain time does not begin anew.
+	v.apply(now+time.Second, keyrange.TableUpdate{Term: 2, Version: 1, Whole: true, Servers: []keyrange.Server{leaving}})
+	if len(v.serversOf(now+1500*time.Millisecond, "photos")) != 0 {
+		t.Error("the server still gets requests")
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -29,9 +29,12 @@
 	// returnPart is the part of the time left after which a refused client is
 	// told to return.
 	returnPart = 0.3
-	// misdirectedPause is the wait before a request is sent again to an owner that
-	// did not know of its grant yet.
-	misdirectedPause = 10 * time.Millisecond
+	// grantDelay is how much later than this gateway an owner may hear of its
+	// grant: its heartbeat's reply may have farther to go.
+	grantDelay = 60 * time.Millisecond
+	// soon is when a client is told to return if what it was refused for passes
+	// at once.
+	soon = 30 * time.Millisecond
 )
 
 // Reasons of refusals, besides those of dispatch and failures.
@@ -45,6 +48,7 @@
 	reasonBodyLarge  = "request-body-too-large"
 	reasonNoKey      = "no-key"
 	reasonNotRun     = "server-did-not-run-it"
+	reasonNotHolder  = "server-does-not-hold-the-key"
 	reasonDeadline   = "deadline"
 	reasonFromServer = "response"
 )
@@ -65,6 +69,8 @@
 	attempts int
 	server   string // the server of the last attempt
 	mayRun   bool   // whether an attempt without a response may have run
+	denied   string // server that said that it does not hold the key
+	deniedAt time.Duration
 	load     float64
 }
 
@@ -74,9 +80,8 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	table, stamp, _ := h.view.snapshot(clockNow())
-	c.stamp = stamp
 	c.setDeadline(defaultTimeout)
+	table := c.waitForRoutes()
 	if table == nil {
 		c.refuse(reasonNoConfig)
 		return
@@ -101,6 +106,25 @@
 	c.run(service)
 }
 
+// waitForRoutes returns the routes, for which a gateway that has just started may
+// have to wait; nil if there are none in time.
+func (c *call) waitForRoutes() *routes.Table {
+	until := c.holdUntil()
+	for {
+		table, stamp, changed := c.host.view.snapshot(clockNow())
+		c.stamp = stamp
+		left := time.Until(until)
+		if table != nil || left <= 0 || !c.waitForChange(left, changed) {
+			return table
+		}
+	}
+}
+
+// holdUntil returns until when the request may wait before it is sent.
+func (c *call) holdUntil() time.Time {
+	return c.started.Add(time.Duration(holdPart * float64(c.deadline.Sub(c.started))))
+}
+
 // setDeadline bounds the request by the client's deadline and a timeout.
 func (c *call) setDeadline(timeout time.Duration) {
 	if c.info.Left > 0 {
@@ -196,14 +220,18 @@
 		var f *failure
 		errors.As(err, &f)
 		ran, reason = f.mayRun, f.reason
+		if reason == reasonConnect {
+			c.attempts-- // nothing reached a server
+		}
 	case in.info.NotRun:
 		in.finish(true)
 	default:
 		in.finish(false)
 		ran, reason = true, reasonUnsealed
 	}
-	if in != nil && in.info.Misdirected {
-		c.pause(misdirectedPause)
+	if in != nil && in.info.NotHolder {
+		c.denied, c.deniedAt = c.server, clockNow()
+		reason = reasonNotHolder
 	}
 	c.mayRun = c.mayRun || ran
 	switch {
@@ -220,18 +248,11 @@
 	return true, reason
 }
 
-func (c *call) pause(d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-c.request.Context().Done():
-	}
-}
-
 // target returns the server for the next attempt. It waits for an owner of the
 // key or for room at a server as long as the client still has time to return,
 // and refuses at once what would wait longer.
 func (c *call) target(service *routes.Service) (*target, string) {
-	until := c.started.Add(time.Duration(holdPart * float64(c.deadline.Sub(c.started))))
+	until := c.holdUntil()
 	place := &place{priority: c.route.Priority}
 	defer place.leave()
 	for {
@@ -353,15 +374,25 @@
 // servers returns the servers that may run the request, or why there are none.
 func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
 	if !service.Keyed {
-		return c.host.view.serversOf(now, service.Name), reasonNoServer
+		return c.host.present(now, c.host.view.serversOf(now, service.Name)), reasonNoServer
 	}
-	owner, known := c.host.view.owner(now, service.Name, c.info.Key)
-	if !known {
+	owner, since, known := c.host.view.owner(now, service.Name, c.info.Key)
+	if !known || c.host.backends.of(owner).absent(now) || c.unaware(now, owner.ID, since) {
 		return nil, reasonNoOwner
 	}
 	return []keyrange.Server{owner}, ""
 }
 
+// unaware tells whether the owner said that it does not hold the key and is not
+// to be asked again: not before it may have heard of a grant that is new, and
+// never if the grant is old, since then the table is behind.
+func (c *call) unaware(now time.Duration, owner string, since time.Duration) bool {
+	if c.denied != owner || since > c.deniedAt {
+		return false
+	}
+	return c.deniedAt-since > grantDelay || now-c.deniedAt < grantDelay
+}
+
 // attempt sends the request to a server.
 func (c *call) attempt(to *target) (*inbound, error) {
 	c.attempts++
@@ -422,12 +453,21 @@
 		c.fail(reason)
 		return
 	}
-	left := max(time.Until(c.deadline), 0)
-	wait := time.Duration(returnPart * float64(left)).Seconds()
-	c.writer.Header().Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+	c.writer.Header().Set("Retry-After", strconv.FormatFloat(c.returnAfter(reason).Seconds(), 'f', 3, 64))
 	c.end(http.StatusServiceUnavailable, reason)
 }
 
+// returnAfter returns when a refused client should return: as late as it may wait
+// if a server is full or a key has no owner, at once if the server failed by
+// itself.
+func (c *call) returnAfter(reason string) time.Duration {
+	latest := time.Duration(returnPart * float64(max(time.Until(c.deadline), 0)))
+	if reason == reasonNotRun {
+		return min(soon, latest)
+	}
+	return latest
+}
+
 // fail ends a request whose outcome is not known.
 func (c *call) fail(reason string) {
 	status := http.StatusBadGateway
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,9 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
+	// cutOffAfter is how long a gateway without a control host still takes new
+	// connections: longer than an election, shorter than a lease.
+	cutOffAfter = 2500 * time.Millisecond
 	// unreadyTime is how long a stopping gateway still takes connections: the
 	// balancer asks each second and takes a host out after two misses.
 	unreadyTime = 2300 * time.Millisecond
@@ -41,6 +45,9 @@
 	// retryPart is the part of the retry budget that is used: requests arrive at
 	// servers a little after they were counted.
 	retryPart = 0.85
+	// slackPart is the part of a gateway's share of the slack that it uses: the
+	// number of gateways that it knows may be too small for a while.
+	slackPart = 0.5
 	// sweepInterval is the time between two looks for unused connections.
 	sweepInterval = time.Second
 )
@@ -167,7 +174,8 @@
 
 // serveReady answers the balancer check.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if h.stopping.Load() || !h.view.complete() {
+	cutOff := h.link.lostFor(clockNow()) > cutOffAfter
+	if h.stopping.Load() || cutOff || !h.view.complete() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -213,9 +221,10 @@
 
 // spendRetry takes one repeat from the service's budget.
 func (h *Host) spendRetry(service string) bool {
+	slack := slackPart * float64(h.settings.RetrySlack) / float64(h.view.gateways())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.window(service).Spend(clockNow())
+	return h.window(service).Spend(clockNow(), slack)
 }
 
 // window is called with the lock held.
@@ -244,6 +253,11 @@
 	return report
 }
 
+// present returns the servers that are not known to be gone.
+func (h *Host) present(now time.Duration, servers []keyrange.Server) []keyrange.Server {
+	return slices.DeleteFunc(servers, func(s keyrange.Server) bool { return h.backends.of(s).absent(now) })
+}
+
 // distance returns how far a failure domain is.
 func (h *Host) distance(domain string) dispatch.Distance {
 	switch {
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -17,9 +18,9 @@
 
 const (
 	// subscribeTimeout bounds the opening of a connection and the subscription.
-	subscribeTimeout = 700 * time.Millisecond
+	subscribeTimeout = 500 * time.Millisecond
 	// nextContactWait is the wait before the next control host is asked.
-	nextContactWait = 60 * time.Millisecond
+	nextContactWait = 20 * time.Millisecond
 	// reportInterval is the time between two load reports.
 	reportInterval = 250 * time.Millisecond
 )
@@ -32,6 +33,17 @@
 	seeds   func() []string
 	view    *view
 	report  func(span time.Duration) keyrange.LoadReport
+
+	lostAt atomic.Int64 // when the newest subscription ended, on clock.Now; 0 while one stands
+}
+
+// lostFor returns how long there has been no subscription.
+func (l *link) lostFor(now time.Duration) time.Duration {
+	lost := time.Duration(l.lostAt.Load())
+	if lost == 0 {
+		return 0
+	}
+	return now - lost
 }
 
 // run subscribes to one leader after another until the context ends.
@@ -93,7 +105,9 @@
 		return leader
 	}
 	log.WithField("control", address).Info("control host connected")
+	l.lostAt.Store(0)
 	l.reportLoad(ctx, client, ended)
+	l.lostAt.Store(int64(clockNow()))
 	log.WithField("control", address).Warn("control host lost; going on with the table known")
 	return ""
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -21,6 +21,12 @@
 	leavesFrom time.Duration // when it was first told to leave; 0 if it was not
 }
 
+// ownership is an owner's run of keys and when it was told.
+type ownership struct {
+	keyrange.Owner
+	since time.Duration
+}
+
 // Stamp says how new a view is.
 type Stamp struct {
 	Config  uint64
@@ -36,7 +42,7 @@
 	mu       sync.RWMutex // guards the fields below
 	routes   *routes.Table
 	servers  map[string]*knownServer
-	owners   map[string][]keyrange.Owner // by service, ascending, without overlap
+	owners   map[string][]ownership // by service, ascending, without overlap
 	controls []string
 	entries  int64 // gateways that are connected
 	term     uint64
@@ -47,7 +53,7 @@
 
 func newView(drain time.Duration) *view {
 	return &view{
-		drain: drain, servers: map[string]*knownServer{}, owners: map[string][]keyrange.Owner{},
+		drain: drain, servers: map[string]*knownServer{}, owners: map[string][]ownership{},
 		entries: 1, changed: make(chan struct{}),
 	}
 }
@@ -61,7 +67,7 @@
 		return // of a leader that was replaced
 	}
 	if u.Whole && !u.Partial {
-		v.owners = map[string][]keyrange.Owner{}
+		v.owners = map[string][]ownership{}
 	}
 	v.term, v.version, v.heard = u.Term, u.Version, now
 	v.controls, v.entries = u.Controls, max(u.EntryHosts, 1)
@@ -71,7 +77,7 @@
 	}
 	v.takeServers(now, u)
 	for _, o := range u.Owners {
-		v.owners[o.Service] = overlay(v.owners[o.Service], o)
+		v.owners[o.Service] = overlay(v.owners[o.Service], ownership{o, now})
 	}
 	close(v.changed)
 	v.changed = make(chan struct{})
@@ -116,8 +122,8 @@
 }
 
 // overlay puts an owner's run of keys over a list.
-func overlay(list []keyrange.Owner, o keyrange.Owner) []keyrange.Owner {
-	out := make([]keyrange.Owner, 0, len(list)+2)
+func overlay(list []ownership, o ownership) []ownership {
+	out := make([]ownership, 0, len(list)+2)
 	for _, old := range list {
 		if old.From < o.From {
 			left := old
@@ -148,20 +154,21 @@
 	return v.routes, stamp, v.changed
 }
 
-// owner returns the server that owns a key, if one does that may get requests.
-func (v *view) owner(now time.Duration, service string, key int64) (keyrange.Server, bool) {
+// owner returns the server that owns a key, if one does that may get requests,
+// and when it was told.
+func (v *view) owner(now time.Duration, service string, key int64) (owner keyrange.Server, since time.Duration, known bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	list := v.owners[service]
 	i := sort.Search(len(list), func(i int) bool { return list[i].To >= key })
 	if i >= len(list) || list[i].From > key || list[i].ServerID == "" {
-		return keyrange.Server{}, false
+		return keyrange.Server{}, 0, false
 	}
 	s := v.servers[list[i].ServerID]
 	if s == nil || v.ending(now, s) {
-		return keyrange.Server{}, false
+		return keyrange.Server{}, 0, false
 	}
-	return s.Server, true
+	return s.Server, list[i].since, true
 }
 
 // ending tells whether a leaving server gets no more requests.
@@ -226,6 +233,13 @@
 	return slices.Clone(v.controls)
 }
 
+// gateways returns the number of gateways that are connected.
+func (v *view) gateways() int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.entries
+}
+
 // complete tells whether requests can be served.
 func (v *view) complete() bool {
 	v.mu.RLock()
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -232,7 +232,7 @@
 	// 2500.
 	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
-	// Shortest election timeout, milliseconds. Default: 600.
+	// Shortest election timeout, milliseconds. Default: 300.
 	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
 
 	// Whether the whole system starts for the first time: the hosts of seeds then
@@ -242,12 +242,16 @@
 	// IP address of this host, on which it listens for its peers.
 	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
 
-	// Lease of key ranges, milliseconds. Default: 4000.
+	// Lease of key ranges, milliseconds; 0 takes three heartbeats of a backend server
+	// and 1.5 s, and at most max_lease_ms. Default: 0.
 	LeaseMs int `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
 
 	// Structured logging.
 	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
 
+	// Longest lease that backend servers accept, milliseconds. Default: 10000.
+	MaxLeaseMs int `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
+
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
 
@@ -262,13 +266,16 @@
 	// open_network is set.
 	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
 
-	// Time between two heartbeats of the leader, milliseconds. Default: 120.
+	// Time between two heartbeats of the leader, milliseconds. Default: 75.
 	RaftHeartbeatMs int `json:"raft_heartbeat_ms,omitempty,omitzero" yaml:"raft_heartbeat_ms,omitempty" cbor:"raft_heartbeat_ms,omitempty"`
 
 	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
 	// peer_port.
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
+	// Time between two heartbeats of a backend server, milliseconds. Default: 1000.
+	ServerHeartbeatMs int `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
+
 	// Control hosts that may be lost at the same time; the group keeps twice as many
 	// members and one. Default: 2.
 	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
@@ -319,6 +326,10 @@
 	// Default: 0.1.
 	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero" yaml:"retry_ratio,omitempty" cbor:"retry_ratio,omitempty"`
 
+	// Requests sent to a second server within the window beyond that part, over all
+	// gateways together. Default: 0.
+	RetrySlack int `json:"retry_slack,omitempty,omitzero" yaml:"retry_slack,omitempty" cbor:"retry_slack,omitempty"`
+
 	// Window of the retry budget, milliseconds. Default: 10000.
 	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero" yaml:"retry_window_ms,omitempty" cbor:"retry_window_ms,omitempty"`
 
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -10,9 +10,11 @@
 	info     Server
 	sequence int64
 	seen     time.Duration
-	left     bool          // whether it said that it leaves
-	leftAt   time.Duration // when it did
-	workTime float64       // seconds a request takes without queueing; 0 if not known
+	left     bool                     // whether it said that it leaves
+	leftAt   time.Duration            // when it did
+	interval time.Duration            // longest time between two heartbeats; 0 if not known
+	refusals map[string]time.Duration // by entry host, when it last saw a connection refused
+	workTime float64                  // seconds a request takes without queueing; 0 if not known
 }
 
 // departure is what is known of a server that said that it leaves. It outlives
@@ -136,6 +138,9 @@
 		c.servers[info.ID] = known
 		c.addresses[info.Address] = info.ID
 	}
+	if known.seen != 0 {
+		known.noteInterval(now - known.seen)
+	}
 	known.info, known.sequence, known.seen = info, hb.Sequence, now
 	c.markLeft(known)
 	return known
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -67,8 +67,8 @@
 // decayInterval is how often rates are aged.
 const decayInterval = 100 * time.Millisecond
 
-// Report takes in an entry host's view of the load.
-func (c *Coordinator) Report(now time.Duration, report LoadReport) {
+// Report takes in the view of the load of the entry host from.
+func (c *Coordinator) Report(now time.Duration, from string, report LoadReport) {
 	for _, part := range report.Services {
 		svc := c.services[part.Service]
 		if svc == nil {
@@ -82,9 +82,14 @@
 		}
 	}
 	for _, seen := range report.Servers {
-		if s := c.servers[seen.ServerID]; s != nil && seen.Count > 0 {
+		s := c.servers[seen.ServerID]
+		if s == nil {
+			continue
+		}
+		if seen.Count > 0 {
 			s.addWorkTime(float64(seen.WorkMicros) / 1e6 / float64(seen.Count))
 		}
+		c.takeEvidence(now, s, seen, from)
 	}
 }
 
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -183,7 +183,7 @@
 	for key := from; key <= to; key++ {
 		report.Services[0].Keys = append(report.Services[0].Keys, KeyLoad{Key: key, Count: rate})
 	}
-	s.coord.Report(s.now, report)
+	s.coord.Report(s.now, "gateway", report)
 	return ""
 }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -27,11 +27,12 @@
 // Request counts one request.
 func (w *Window) Request(now time.Duration) { w.at(now).requests++ }
 
-// Spend counts one repeat, or returns false if the window has no room for it.
-func (w *Window) Spend(now time.Duration) bool {
+// Spend counts one repeat, or returns false if the window has no room for it. Slack
+// is the number of repeats that need no requests.
+func (w *Window) Spend(now time.Duration, slack float64) bool {
 	current := w.at(now)
 	requests, repeats := w.totals()
-	if float64(repeats+1) > w.ratio*float64(requests) {
+	if float64(repeats+1) > w.ratio*float64(requests)+slack {
 		return false
 	}
 	current.repeats++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -13,7 +13,7 @@
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
 		w.Request(now)
 		requests++
-		if w.Spend(now) {
+		if w.Spend(now, 0) {
 			repeats++
 		}
 		if float64(repeats) > 0.2*float64(requests) {
@@ -30,10 +30,19 @@
 	for range 100 {
 		w.Request(0)
 	}
-	if !w.Spend(500 * time.Millisecond) {
+	if !w.Spend(500*time.Millisecond, 0) {
 		t.Error("no repeat within the window")
 	}
-	if w.Spend(3 * time.Second) {
+	if w.Spend(3*time.Second, 0) {
 		t.Error("a repeat for requests that left the window")
 	}
 }
+
+func TestWindowGivesSlackWithoutRequests(t *testing.T) {
+	w := NewWindow(0.2, time.Second)
+	for i := range 3 {
+		if got, want := w.Spend(0, 2), i < 2; got != want {
+			t.Errorf("repeat %d: allowed %t, want %t", i+1, got, want)
+		}
+	}
+}
