Elect near a quorum and at once after a restart; judge speeds by more than one request

Change: connections at the start, quick pre-vote retries, later candidacy far from a quorum, a lease of two heartbeats and 4 s, work times mixed with the average. Ruled out: slow starts (control hosts log their start 0.3 s before others').

--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -7,8 +7,10 @@
 	reportLife = time.Second
 	// initialWorkTime is taken for a request before the first answer.
 	initialWorkTime = 100 * time.Millisecond
-	// workTimeWeight is the part of a new answer in the average work time.
+	// workTimeWeight is the least part of a new answer in the average work time.
 	workTimeWeight = 0.1
+	// workTimePrior is the number of answers that initialWorkTime counts for.
+	workTimePrior = 3
 )
 
 // Report is what a server says of its load in an answer.
@@ -24,6 +26,7 @@
 	others   int // requests of others by the newest report
 	reported time.Duration
 	workTime time.Duration // of a request that did not wait
+	samples  int           // answers in workTime
 }
 
 // Start counts a request that is sent.
@@ -44,11 +47,9 @@
 
 // TakeWorkTime takes in the time of a request that did not wait.
 func (l *Load) TakeWorkTime(took time.Duration) {
-	if l.workTime == 0 {
-		l.workTime = took
-		return
-	}
-	l.workTime += time.Duration(workTimeWeight * float64(took-l.workTime))
+	weight := max(workTimeWeight, 1/float64(l.samples+workTimePrior+1))
+	l.workTime = l.WorkTime() + time.Duration(weight*float64(took-l.WorkTime()))
+	l.samples++
 }
 
 // WorkTime returns the average time of a request that does not wait.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -63,6 +64,7 @@
 	server   *peer.Server
 	peers    *peers
 	runner   *group.Runner
+	voters   atomic.Value  // []string: addresses of the log's voters, for the loop
 	wake     chan struct{} // the table may have changed
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -129,6 +131,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
+	for _, address := range h.contacts() {
+		h.peers.client(address) // connects in the background
+	}
 	h.done.Go(func() { h.joinLoop(ctx) })
 	h.done.Go(func() { h.publishLoop(ctx) })
 	return nil
@@ -148,6 +153,7 @@
 		Applier:         h.state,
 		Transport:       h,
 		OnLeader:        h.onLeader,
+		ElectionDelay:   h.electionDelay,
 	}
 	founders := h.founders()
 	switch {
@@ -162,6 +168,18 @@
 	return runner, errors.Wrap(err, "replicated log")
 }
 
+// roundTripsWaited is the number of round trips to its nearest quorum that a host
+// waits longer before it stands for election: the log is fastest, and least
+// harmed by a full link between regions, where a quorum is near.
+const roundTripsWaited = 8
+
+// electionDelay returns how much later than others this host stands for election.
+func (h *Host) electionDelay() time.Duration {
+	most := milliseconds(h.settings.ElectionMs)
+	voters, _ := h.voters.Load().([]string)
+	return min(roundTripsWaited*h.peers.quorumRoundTrip(h.name, voters, most), most)
+}
+
 // founders returns the first members, or nil if this host does not found.
 func (h *Host) founders() []replog.Member {
 	if !h.settings.Found {
@@ -232,11 +250,11 @@
 	}
 }
 
-// leaseHeartbeats and leaseSlack make up the lease: a server may miss two
-// heartbeats, and the control hosts may take the slack to elect a leader.
+// leaseHeartbeats and leaseSlack make up the lease: a server may miss a heartbeat,
+// and all control hosts may be down and elect a leader within the slack.
 const (
-	leaseHeartbeats = 3
-	leaseSlack      = 1500 * time.Millisecond
+	leaseHeartbeats = 2
+	leaseSlack      = 4 * time.Second
 )
 
 // lease returns the lease of key ranges.
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -30,6 +30,7 @@
 func (h *Host) joinLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		status := h.runner.Status().Node
+		h.voters.Store(voterNames(status))
 		switch {
 		case status.Leads:
 			h.removeSilent(ctx, status)
@@ -44,6 +45,16 @@
 	}
 }
 
+func voterNames(status replog.Status) []string {
+	var names []string
+	for _, m := range status.Members {
+		if !m.Learner {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // votes tells whether the disk is a voter by its own log.
 func votes(status replog.Status) bool {
 	for _, m := range status.Members {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -1,9 +1,13 @@
 package fleet
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"os"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/galenalug/galenalug/internal/peer"
 )
@@ -14,12 +18,51 @@
 	secret  []byte
 	metrics *peer.Metrics
 
-	mu      sync.Mutex // guards clients
-	clients map[string]*peer.Client
+	mu         sync.Mutex // guards the fields below
+	clients    map[string]*peer.Client
+	roundTrips map[string]time.Duration // by address, of the newest connection's opening
 }
 
 func newPeers(self peer.Identity, secret []byte, metrics *peer.Metrics) *peers {
-	return &peers{self: self, secret: secret, metrics: metrics, clients: map[string]*peer.Client{}}
+	return &peers{self: self, secret: secret, metrics: metrics, clients: map[string]*peer.Client{}, roundTrips: map[string]time.Duration{}}
+}
+
+// dial opens a connection and notes how long that took, which is one round trip.
+func (p *peers) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	started := time.Now()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roundTrips[address] = time.Since(started)
+	return conn, nil
+}
+
+// quorumRoundTrip returns the round trip to the farthest member of the nearest
+// quorum of the addresses, of which self is one, or far if it is not known.
+func (p *peers) quorumRoundTrip(self string, addresses []string, far time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var trips []time.Duration
+	for _, address := range addresses {
+		if address == self {
+			continue
+		}
+		trip, known := p.roundTrips[address]
+		if !known {
+			trip = far
+		}
+		trips = append(trips, trip)
+	}
+	slices.Sort(trips)
+	others := len(addresses) / 2
+	if others == 0 || others > len(trips) {
+		return 0
+	}
+	return trips[others-1]
 }
 
 // client returns the connection to an address, and makes it at its first use.
@@ -36,6 +79,7 @@
 			Seed:    rand.Uint64(),
 			Limits:  peerLimits,
 			Metrics: p.metrics,
+			Dial:    p.dial,
 		})
 		p.clients[address] = c
 	}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -47,6 +47,7 @@
 func (r *Runner) handle(work inbox) {
 	// The clock is read after the messages were received: see Node.Step.
 	now := r.now()
+	r.node.SetElectionDelay(r.options.ElectionDelay())
 	for _, m := range work.messages {
 		if m.FromName != "" {
 			r.names[m.From] = m.FromName
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -75,6 +75,9 @@
 	// Election is the shortest election timeout, Heartbeat the interval.
 	Election  time.Duration
 	Heartbeat time.Duration
+	// ElectionDelay returns how much later than others this member stands for
+	// election; nil for not at all. It is asked by the loop and must not block.
+	ElectionDelay func() time.Duration
 	// SnapshotEntries is the number of entries between two snapshots.
 	SnapshotEntries int
 	// Seed of the random election timeouts.
@@ -97,6 +100,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.ElectionDelay == nil {
+		o.ElectionDelay = func() time.Duration { return 0 }
+	}
 	if o.OnLeader == nil {
 		o.OnLeader = func(bool, uint64) {}
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -232,7 +232,7 @@
 	// 2500.
 	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
-	// Shortest election timeout, milliseconds. Default: 300.
+	// Shortest election timeout, milliseconds. Default: 400.
 	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
 
 	// Whether the whole system starts for the first time: the hosts of seeds then
@@ -242,8 +242,8 @@
 	// IP address of this host, on which it listens for its peers.
 	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
 
-	// Lease of key ranges, milliseconds; 0 takes three heartbeats of a backend server
-	// and 1.5 s, and at most max_lease_ms. Default: 0.
+	// Lease of key ranges, milliseconds; 0 takes two heartbeats of a backend server
+	// and 4 s, and at most max_lease_ms. Default: 0.
 	LeaseMs int `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
 
 	// Structured logging.
@@ -266,7 +266,7 @@
 	// open_network is set.
 	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
 
-	// Time between two heartbeats of the leader, milliseconds. Default: 75.
+	// Time between two heartbeats of the leader, milliseconds. Default: 80.
 	RaftHeartbeatMs int `json:"raft_heartbeat_ms,omitempty,omitzero" yaml:"raft_heartbeat_ms,omitempty" cbor:"raft_heartbeat_ms,omitempty"`
 
 	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -111,26 +111,21 @@
 	return f
 }
 
+// averageWorkTime returns the time of a request over all servers of a service.
 func (c *Coordinator) averageWorkTime(name string) float64 {
-	total, count := 0.0, 0
+	var all workTimes
 	for _, s := range c.servers {
-		if s.info.Service == name && s.workTime > 0 {
-			total += s.workTime
-			count++
+		if s.info.Service == name {
+			all.seconds += s.work.seconds
+			all.count += s.work.count
 		}
 	}
-	if count == 0 {
-		return defaultWorkTime
-	}
-	return total / float64(count)
+	return all.average(defaultWorkTime)
 }
 
 // capacity returns the requests a second that fill the server's slots.
 func (s *server) capacity(average float64) float64 {
-	workTime := s.workTime
-	if workTime == 0 {
-		workTime = average
-	}
+	workTime := s.work.average(average)
 	capacity := float64(max(s.info.Slots, 1)) / workTime
 	if s.info.WarmupMillis > 0 {
 		capacity *= warmupFactor
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -14,7 +14,7 @@
 	leftAt   time.Duration            // when it did
 	interval time.Duration            // longest time between two heartbeats; 0 if not known
 	refusals map[string]time.Duration // by entry host, when it last saw a connection refused
-	workTime float64                  // seconds a request takes without queueing; 0 if not known
+	work     workTimes
 }
 
 // departure is what is known of a server that said that it leaves. It outlives
@@ -79,7 +79,10 @@
 
 func (c *Coordinator) newService(name string) *service {
 	all := row{from: 0, to: c.options.Keys - 1, unknown: c.options.Inherited > 0, freeAt: c.options.Inherited}
-	return &service{name: name, rows: rows{all}, load: newLoad(c.options.Keys), heldRows: map[string]int{}}
+	return &service{
+		name: name, rows: rows{all}, load: newLoad(c.options.Keys), heldRows: map[string]int{},
+		seeded: c.options.Inherited > 0, // an earlier leader divided them
+	}
 }
 
 // Partial tells whether owners named by an earlier leader may still be unknown.
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -61,8 +61,34 @@
 	return total*l.scale + idleKeyRate*float64(to-from+1)
 }
 
-// workTimeWeight is the part of a new report in a server's average work time.
-const workTimeWeight = 0.3
+const (
+	// workTimeConstant is the time after which an old observation of a server's
+	// speed counts by 1/e.
+	workTimeConstant = 6 * time.Second
+	// priorRequests is the number of requests of the average work time that each
+	// server's observations are mixed with: single requests differ widely.
+	priorRequests = 6.0
+)
+
+// workTimes is what was observed of a server's speed.
+type workTimes struct {
+	seconds float64 // work of the requests
+	count   float64 // requests
+	updated time.Duration
+}
+
+// add takes in requests that did not wait in the server's queue.
+func (w *workTimes) add(now time.Duration, seconds float64, count int64) {
+	factor := math.Exp(-float64(now-w.updated) / float64(workTimeConstant))
+	w.seconds = w.seconds*factor + seconds
+	w.count = w.count*factor + float64(count)
+	w.updated = now
+}
+
+// average returns the time of one request, given that of an average server.
+func (w *workTimes) average(others float64) float64 {
+	return (w.seconds + priorRequests*others) / (w.count + priorRequests)
+}
 
 // decayInterval is how often rates are aged.
 const decayInterval = 100 * time.Millisecond
@@ -87,16 +113,8 @@
 			continue
 		}
 		if seen.Count > 0 {
-			s.addWorkTime(float64(seen.WorkMicros) / 1e6 / float64(seen.Count))
+			s.work.add(now, float64(seen.WorkMicros)/1e6, seen.Count)
 		}
 		c.takeEvidence(now, s, seen, from)
 	}
 }
-
-func (s *server) addWorkTime(seconds float64) {
-	if s.workTime == 0 {
-		s.workTime = seconds
-		return
-	}
-	s.workTime += workTimeWeight * (seconds - s.workTime)
-}
--- a/replog/election.go
+++ b/replog/election.go
@@ -9,7 +9,19 @@
 // resetElection draws a new time for the member to stand for election.
 func (n *Node) resetElection() {
 	timeout := n.cfg.ElectionTimeout
-	n.electionDeadline = n.now + timeout + time.Duration(n.cfg.Rand.Int64N(int64(timeout)))
+	n.electionDeadline = n.now + n.electionDelay + timeout + time.Duration(n.cfg.Rand.Int64N(int64(timeout)))
+}
+
+// SetElectionDelay makes the member stand for election later than others by delay,
+// so that a member that is better placed to lead wins if there is one.
+func (n *Node) SetElectionDelay(delay time.Duration) { n.electionDelay = delay }
+
+// preVoteRetry draws the time after which a pre-vote is tried again. It is short:
+// a pre-vote disturbs nobody, and others may refuse the first one only because
+// they started a moment ago.
+func (n *Node) preVoteRetry() time.Duration {
+	quarter := n.cfg.ElectionTimeout / 4
+	return quarter + time.Duration(n.cfg.Rand.Int64N(int64(quarter)+1))
 }
 
 // hearsLeader tells whether the member promised not to vote: it leads, or
@@ -30,7 +42,9 @@
 	n.votes = map[uint64]bool{n.cfg.ID: true}
 	request := Message{Kind: KindPreVote, Term: n.term + 1}
 	n.role = PreCandidate
-	if !pre {
+	if pre {
+		n.electionDeadline = n.now + n.preVoteRetry()
+	} else {
 		n.role = Candidate
 		n.term++
 		n.vote = n.cfg.ID
--- a/replog/node.go
+++ b/replog/node.go
@@ -38,6 +38,7 @@
 
 	lastHeard        time.Duration // when a leader was last heard of, or the start
 	electionDeadline time.Duration
+	electionDelay    time.Duration // added to each election timeout
 	votes            map[uint64]bool
 
 	// On the leader only.
