Keep a leader whose answers come late; bulk stays in its region; ask all control hosts at once

Large bodies that crossed regions filled the link. Change: a quorum timeout of four election timeouts, reads confirmed by a quorum when the lease is over, parallel subscriptions, no bulk abroad while the region has a server, servers never tried go first.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// urgentFill is the number of requests for each slot up to which a server
@@ -78,12 +81,16 @@
 
 // Choose returns the place of the server that takes the request, or -1 and the
 // reason why none does. Among servers that answer within the latency objective
-// it takes the nearest; a large body goes to another region only if no server of
-// the own region has room.
+// it takes the nearest. A large body leaves the region only if no server is in
+// it: the link between regions is slow, and full when servers are.
 func Choose(now time.Duration, candidates []Candidate, r Request) (int, Reason) {
 	best, reason := -1, QueueFull
 	var bestRank rank
+	stay := r.Bulk && slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Distance != OtherRegion })
 	for i, c := range candidates {
+		if stay && c.Distance == OtherRegion {
+			continue
+		}
 		verdict := Admit(now, &c, r)
 		if verdict != Admitted {
 			reason = verdict
@@ -102,17 +109,20 @@
 // rank orders candidates; the lowest takes the request.
 type rank struct {
 	suspect bool
-	abroad  bool // a large body would cross regions
 	late    bool
 	near    Distance
 	finish  time.Duration
 }
 
+// rankOf returns a candidate's rank. A server of the region that this gateway does
+// not know yet goes first: its speed shows only with a request.
 func rankOf(now time.Duration, c Candidate, r Request) rank {
+	if c.Load.Untried() && c.Distance != OtherRegion {
+		return rank{suspect: c.Suspect}
+	}
 	finish := c.Load.Wait(now, c.Slots) + c.Load.WorkTime()
 	return rank{
 		suspect: c.Suspect,
-		abroad:  r.Bulk && c.Distance == OtherRegion,
 		late:    finish > r.Target,
 		near:    c.Distance,
 		finish:  finish,
@@ -123,8 +133,6 @@
 	switch {
 	case a.suspect != b.suspect:
 		return b.suspect
-	case a.abroad != b.abroad:
-		return b.abroad
 	case a.late != b.late:
 		return b.late
 	case a.near != b.near && !a.late:
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -35,6 +35,9 @@
 // End counts a request that is no longer under way.
 func (l *Load) End() { l.own-- }
 
+// Untried tells whether no request was sent yet.
+func (l *Load) Untried() bool { return l.own == 0 && l.samples == 0 && l.reported == 0 }
+
 // Own returns the number of this gateway's requests under way.
 func (l *Load) Own() int { return l.own }
 
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -25,27 +25,33 @@
 
 // Heartbeat takes in a backend server's heartbeat.
 func (h *Host) Heartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
-	if !h.runner.Leads() {
+	if !h.leads() {
 		var reply keyrange.HeartbeatReply
 		err := h.callLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
 		return reply, err
 	}
-	reply, err := h.takeHeartbeat(hb)
+	reply, err := h.takeHeartbeat(ctx, hb)
 	reply.Contact = "" // the caller is there already
 	return reply, err
 }
 
 // takeHeartbeat answers a heartbeat on the leader.
-func (h *Host) takeHeartbeat(hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+func (h *Host) takeHeartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	received := clock.Now()
+	if err := h.confirm(ctx); err != nil {
+		return keyrange.HeartbeatReply{}, err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading == nil || h.state.lease() < h.lease() {
 		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership begins")
 	}
-	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
-	if !h.runner.Leads() {
-		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership ended")
+	if clock.Now()-received > heartbeatTimeout {
+		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "this host was suspended")
 	}
+	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
 	reply.Contact = h.settings.ControlListen
 	h.wakeUp()
 	return reply, nil
@@ -54,7 +60,7 @@
 // Leave takes in that a backend server leaves. It is in the log before it is
 // acknowledged, so that a new leader knows of it.
 func (h *Host) Leave(ctx context.Context, leave keyrange.Leave) error {
-	if !h.runner.Leads() {
+	if !h.leads() {
 		return h.callLeader(ctx, wire.KindServerLeave, leave, nil)
 	}
 	log.WithField("server", leave.ID).Info("backend server leaves")
@@ -66,7 +72,7 @@
 // Put asks to replace the configuration.
 func (h *Host) Put(ctx context.Context, put routes.Put) (routes.PutReply, error) {
 	var reply routes.PutReply
-	if !h.runner.Leads() {
+	if !h.leads() {
 		err := h.callLeader(ctx, wire.KindPutConfig, put, &reply)
 		return reply, err
 	}
@@ -96,7 +102,7 @@
 // Document returns the operator's text of the configuration in force, which no
 // newer one had replaced at the time of the call.
 func (h *Host) Document(ctx context.Context) ([]byte, error) {
-	if !h.runner.Leads() {
+	if !h.leads() {
 		var document []byte
 		err := h.callLeader(ctx, wire.KindGetConfig, struct{}{}, &document)
 		return document, err
@@ -132,5 +138,8 @@
 	}
 }
 
+// heartbeatTimeout bounds the work on a heartbeat: its sender waits for a second.
+const heartbeatTimeout = 900 * time.Millisecond
+
 // callTimeout bounds a call that another control host passed on.
 const callTimeout = 3 * time.Second
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -27,12 +27,12 @@
 	if kind == wire.KindJoin {
 		return answer(decoded(body, func(join wire.Join) (any, error) { return nil, h.admit(ctx, join) }))
 	}
-	if !h.runner.Leads() {
+	if !h.leads() {
 		return nil, &peer.Error{Code: wire.CodeNotLeader, Detail: h.runner.Leader()}
 	}
 	switch kind {
 	case wire.KindServerHeartbeat:
-		return answer(decoded(body, func(hb keyrange.Heartbeat) (any, error) { return h.takeHeartbeat(hb) }))
+		return answer(decoded(body, func(hb keyrange.Heartbeat) (any, error) { return h.takeHeartbeat(ctx, hb) }))
 	case wire.KindServerLeave:
 		return answer(decoded(body, func(leave keyrange.Leave) (any, error) { return nil, h.Leave(ctx, leave) }))
 	case wire.KindPutConfig:
@@ -41,7 +41,11 @@
 		document, err := h.Document(ctx)
 		return answer(document, err)
 	case wire.KindSubscribe:
-		return answer(nil, h.subscribe(from))
+		err := h.confirm(ctx)
+		if err == nil {
+			err = h.subscribe(from)
+		}
+		return answer(nil, err)
 	}
 	return nil, &peer.Error{Code: wire.CodeInvalid, Detail: "unknown call"}
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -36,11 +36,15 @@
 	snapshotEntries = 512
 )
 
+// quorumTimeouts is the number of election timeouts for which a leader waits for
+// its quorum: a full link between regions delays answers by a second.
+const quorumTimeouts = 4
+
 // peerLimits find a silent peer within a few election timeouts.
 var peerLimits = peer.Limits{
-	PingInterval:     300 * time.Millisecond,
-	SilenceTimeout:   time.Second,
-	HandshakeTimeout: 500 * time.Millisecond,
+	PingInterval:     400 * time.Millisecond,
+	SilenceTimeout:   1500 * time.Millisecond,
+	HandshakeTimeout: 1500 * time.Millisecond,
 	BackoffMin:       30 * time.Millisecond,
 	BackoffMax:       200 * time.Millisecond,
 }
@@ -148,6 +152,7 @@
 		Dir:             filepath.Join(h.settings.DataDir, groupName),
 		Election:        milliseconds(h.settings.ElectionMs),
 		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
+		QuorumTimeout:   quorumTimeouts * milliseconds(h.settings.ElectionMs),
 		SnapshotEntries: snapshotEntries,
 		Seed:            rand.Uint64(),
 		Applier:         h.state,
@@ -268,6 +273,22 @@
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// leads tells whether this host leads as far as it knows. What must not be done by
+// a leader that was replaced asks for confirm as well.
+func (h *Host) leads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leading != nil
+}
+
+// confirm returns once this host has proved that it led after the call began.
+func (h *Host) confirm(ctx context.Context) error {
+	if h.runner.Leads() {
+		return nil
+	}
+	return translate(h.runner.ReadBarrier(ctx))
+}
+
 // leadership is what a leader keeps in memory.
 type leadership struct {
 	term          uint64
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -32,7 +32,7 @@
 		status := h.runner.Status().Node
 		h.voters.Store(voterNames(status))
 		switch {
-		case status.Leads:
+		case h.leads():
 			h.removeSilent(ctx, status)
 		case !votes(status):
 			h.askToJoin(ctx, status)
@@ -113,7 +113,7 @@
 // admit makes a disk a voter in place of other disks of its host. It is done on
 // the leader; other hosts pass the request on.
 func (h *Host) admit(ctx context.Context, join wire.Join) error {
-	if !h.runner.Leads() {
+	if !h.leads() {
 		return h.callLeader(ctx, wire.KindJoin, join, nil)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -41,7 +41,7 @@
 // leader knows how long to wait.
 func (h *Host) allowLease(ctx context.Context) {
 	lease := h.lease()
-	if !h.runner.Leads() || h.state.lease() >= lease {
+	if !h.leads() || h.state.lease() >= lease {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -56,7 +56,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.leading
-	if l == nil || !h.runner.Leads() {
+	if l == nil {
 		return
 	}
 	now := clock.Now()
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -41,7 +41,7 @@
 	// balancer asks each second and takes a host out after two misses.
 	unreadyTime = 2300 * time.Millisecond
 	// stopReserve is the part of the stop's time that is left for its end.
-	stopReserve = 300 * time.Millisecond
+	stopReserve = 900 * time.Millisecond
 	// retryPart is the part of the retry budget that is used: requests arrive at
 	// servers a little after they were counted.
 	retryPart = 0.85
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// subscribeTimeout bounds the opening of a connection and the subscription.
-	subscribeTimeout = 500 * time.Millisecond
-	// nextContactWait is the wait before the next control host is asked.
-	nextContactWait = 20 * time.Millisecond
+	// subscribeTimeout bounds the opening of a connection and the subscription. A
+	// full link between regions delays each of its round trips.
+	subscribeTimeout = 2500 * time.Millisecond
+	// nextContactWait is the wait before the next control host is asked, too.
+	nextContactWait = 100 * time.Millisecond
 	// reportInterval is the time between two load reports.
 	reportInterval = 250 * time.Millisecond
 )
@@ -46,95 +47,129 @@
 	return now - lost
 }
 
+// subscription is a connection to the leader, or an attempt to get one.
+type subscription struct {
+	address string
+	client  *peer.Client
+	ended   chan struct{}
+	leader  string // the leader that the host named instead
+	err     error
+}
+
 // run subscribes to one leader after another until the context ends.
 func (l *link) run(ctx context.Context) {
-	hint := ""
 	for ctx.Err() == nil {
-		for _, address := range l.candidates(hint) {
-			hint = l.follow(ctx, address)
-			if hint != "" || ctx.Err() != nil {
-				break
-			}
-			wait(ctx, nextContactWait)
+		s := l.find(ctx)
+		if s == nil {
+			continue
 		}
+		log.WithField("control", s.address).Info("control host connected")
+		l.lostAt.Store(0)
+		l.reportLoad(ctx, s.client, s.ended)
+		l.lostAt.Store(int64(clockNow()))
+		s.client.Close()
+		log.WithField("control", s.address).Warn("control host lost; going on with the table known")
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// find asks the control hosts one after another, without waiting for slow ones,
+// and returns the first subscription; nil if there is none.
+func (l *link) find(ctx context.Context) *subscription {
+	ctx, cancel := context.WithCancel(ctx)
+	waiting := l.candidates()
+	results := make(chan *subscription)
+	asked := map[string]bool{}
+	running := 0
+	defer func() {
+		cancel()
+		for range running {
+			(<-results).client.Close()
+		}
+	}()
+	ask := func(address string) {
+		if address == "" || asked[address] {
+			return
+		}
+		asked[address] = true
+		running++
+		go func() { results <- l.subscribe(ctx, address) }()
 	}
+	ticker := time.NewTicker(nextContactWait)
+	defer ticker.Stop()
+	for len(waiting) > 0 || running > 0 {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-results:
+			running--
+			if s.err == nil {
+				return s
+			}
+			s.client.Close()
+			ask(s.leader)
+		case <-ticker.C:
+			if len(waiting) > 0 {
+				ask(waiting[0])
+				waiting = waiting[1:]
+			}
+		}
+	}
+	return nil
 }
 
-// candidates returns the control hosts to ask: the one named as the leader, those
-// of the newest table, and the seeds, each in random order.
-func (l *link) candidates(hint string) []string {
+// candidates returns the control hosts to ask: those of the newest table, and the
+// seeds, each in random order.
+func (l *link) candidates() []string {
 	known := l.view.contacts()
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	seeds := l.seeds()
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	if hint != "" {
-		return append([]string{hint}, append(known, seeds...)...)
-	}
 	return append(known, seeds...)
 }
 
-// follow subscribes at a control host and stays until the connection ends. It
-// returns the address of the leader if another host was named.
-func (l *link) follow(ctx context.Context, address string) string {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// subscribe connects to a control host and subscribes there.
+func (l *link) subscribe(ctx context.Context, address string) *subscription {
 	connected := make(chan struct{}, 1)
-	ended := make(chan struct{}, 1)
-	client := peer.NewClient(peer.ClientOptions{
+	s := &subscription{address: address, ended: make(chan struct{}, 1)}
+	s.client = peer.NewClient(peer.ClientOptions{
 		Address:   address,
 		Self:      l.self,
 		Expect:    address,
 		Secret:    l.secret,
-		Handler:   &updates{view: l.view, ended: ended},
+		Handler:   &updates{view: l.view, ended: s.ended},
 		OnConnect: func() { signal(connected) },
 		Seed:      rand.Uint64(),
 		Limits:    fleet.PeerLimits(),
 		Metrics:   l.metrics,
 	})
-	defer client.Close()
-	leader, err := l.subscribe(ctx, client, connected)
-	if err != nil {
-		log.WithFields(log.Fields{"contact": address, "leader": leader, "error": err.Error()}).Debug("no subscription")
-		return leader
+	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
+	defer cancel()
+	select {
+	case <-connected:
+	case <-ctx.Done():
+		s.err = ctx.Err()
+		return s
 	}
-	log.WithField("control", address).Info("control host connected")
-	l.lostAt.Store(0)
-	l.reportLoad(ctx, client, ended)
-	l.lostAt.Store(int64(clockNow()))
-	log.WithField("control", address).Warn("control host lost; going on with the table known")
-	return ""
+	_, s.err = s.client.Call(ctx, wire.KindSubscribe, nil)
+	var refused *peer.Error
+	if errors.As(s.err, &refused) && refused.Code == wire.CodeNotLeader {
+		s.leader = refused.Detail
+	}
+	return s
 }
 
-func signal(c chan struct{}) {
+func wait(ctx context.Context, d time.Duration) {
 	select {
-	case c <- struct{}{}:
-	default:
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
-// subscribe returns the leader's address along with an error if the host named
-// another leader.
-func (l *link) subscribe(ctx context.Context, client *peer.Client, connected <-chan struct{}) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
-	defer cancel()
+func signal(c chan struct{}) {
 	select {
-	case <-connected:
-	case <-ctx.Done():
-		return "", ctx.Err()
-	}
-	_, err := client.Call(ctx, wire.KindSubscribe, nil)
-	var refused *peer.Error
-	if errors.As(err, &refused) && refused.Code == wire.CodeNotLeader {
-		return refused.Detail, err
+	case c <- struct{}{}:
+	default:
 	}
-	return "", err
 }
 
 // reportLoad sends load reports until the connection ends.
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -53,7 +53,7 @@
 	}
 	config := replog.Config{
 		ID: recovered.Identity, Name: o.HostName,
-		ElectionTimeout: o.Election, HeartbeatInterval: o.Heartbeat,
+		ElectionTimeout: o.Election, HeartbeatInterval: o.Heartbeat, QuorumTimeout: o.QuorumTimeout,
 		MaxInflight: maxInflight,
 		Rand:        rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
 	}
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -75,6 +75,9 @@
 	// Election is the shortest election timeout, Heartbeat the interval.
 	Election  time.Duration
 	Heartbeat time.Duration
+	// QuorumTimeout is the time without an answer of a quorum after which a leader
+	// steps down; 0 means Election.
+	QuorumTimeout time.Duration
 	// ElectionDelay returns how much later than others this member stands for
 	// election; nil for not at all. It is asked by the loop and must not block.
 	ElectionDelay func() time.Duration
--- a/replog/config.go
+++ b/replog/config.go
@@ -79,6 +79,10 @@
 	// ElectionTimeout is the shortest time without a leader after which a
 	// member stands for election; the longest is twice that.
 	ElectionTimeout time.Duration
+	// QuorumTimeout is the time without an answer of a quorum after which a leader
+	// steps down; 0 means ElectionTimeout. A longer one keeps a leader whose
+	// answers come late; its lease ends at the election timeout all the same.
+	QuorumTimeout time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a leader.
 	HeartbeatInterval time.Duration
 	// MaxDrift is the largest error of any member's clock rate: 0.01 means
@@ -97,6 +101,9 @@
 	if c.MaxDrift == 0 {
 		c.MaxDrift = DefaultMaxDrift
 	}
+	if c.QuorumTimeout == 0 {
+		c.QuorumTimeout = c.ElectionTimeout
+	}
 	if c.MaxEntriesPerMessage == 0 {
 		c.MaxEntriesPerMessage = DefaultMaxEntriesPerMessage
 	}
--- a/replog/doc.go
+++ b/replog/doc.go
@@ -17,7 +17,7 @@
 //     member returns the same entries in the same order.
 //   - Elections take a pre-vote (thesis 9.6), so that a member that was cut off
 //     does not disturb the others when it returns. A leader steps down when no
-//     quorum answered it within the election timeout (check quorum, 6.2).
+//     quorum answered it within the quorum timeout (check quorum, 6.2).
 //   - Leads is a lease (6.4.1): while it holds, no other member can be elected.
 //     Members refuse votes within the election timeout after they heard from a
 //     leader or started; the leader counts from when it sent what a quorum
--- a/replog/node.go
+++ b/replog/node.go
@@ -104,7 +104,7 @@
 		}
 		return
 	}
-	if n.now-max(n.quorumSent(), n.electedAt) >= n.cfg.ElectionTimeout {
+	if n.now-max(n.quorumSent(), n.electedAt) >= n.cfg.QuorumTimeout {
 		n.becomeFollower(n.term, 0)
 		return
 	}
