Record grants before servers hear of them, so that a new leader knows who may hold a key

Change: grants go through the log before the reply; a new leader frees what its recorded holder does not report in two heartbeats.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -43,18 +43,45 @@
 	if err := h.confirm(ctx); err != nil {
 		return keyrange.HeartbeatReply{}, err
 	}
+	reply, granted, err := h.decideHeartbeat(hb, received)
+	if err != nil {
+		return reply, err
+	}
+	if err := h.recordGrants(ctx, granted); err != nil {
+		return keyrange.HeartbeatReply{}, err
+	}
+	h.wakeUp()
+	return reply, nil
+}
+
+// recordGrants puts grants into the log before their server hears of them.
+func (h *Host) recordGrants(ctx context.Context, granted []keyrange.Assignment) error {
+	if len(granted) == 0 {
+		return nil
+	}
+	_, err := h.propose(ctx, command{Granted: granted})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading != nil {
+		h.leading.coordinator.Recorded(clock.Now(), granted, err == nil)
+	}
+	return err
+}
+
+// decideHeartbeat returns the reply to a heartbeat and the grants to record before
+// it is sent.
+func (h *Host) decideHeartbeat(hb keyrange.Heartbeat, received time.Duration) (keyrange.HeartbeatReply, []keyrange.Assignment, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading == nil || h.state.lease() < h.lease() {
-		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "leadership begins")
+		return keyrange.HeartbeatReply{}, nil, errors.Wrap(ErrUnavailable, "leadership begins")
 	}
 	if clock.Now()-received > heartbeatTimeout {
-		return keyrange.HeartbeatReply{}, errors.Wrap(ErrUnavailable, "this host was suspended")
+		return keyrange.HeartbeatReply{}, nil, errors.Wrap(ErrUnavailable, "this host was suspended")
 	}
 	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
 	reply.Contact = h.settings.ControlListen
-	h.wakeUp()
-	return reply, nil
+	return reply, h.leading.coordinator.Granted(), nil
 }
 
 // Leave takes in that a backend server leaves. It is in the log before it is
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -320,6 +320,7 @@
 		Keys:      keySpace,
 		Lease:     lease,
 		Inherited: inherited,
+		Recorded:  h.state.granted(),
 		Drain:     milliseconds(h.settings.DrainMs),
 		Forget:    2 * lease,
 	})}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -21,6 +21,8 @@
 	Put         *routes.Put     `cbor:"p,omitempty"`
 	LeaseMillis int64           `cbor:"l,omitempty"` // lease that grants may carry from now on
 	Left        *keyrange.Leave `cbor:"x,omitempty"`
+
+	Granted []keyrange.Assignment `cbor:"g,omitempty"`
 }
 
 // stateImage is a snapshot of the state.
@@ -28,6 +30,8 @@
 	Routes      []byte           `cbor:"r"`
 	LeaseMillis int64            `cbor:"l"`
 	Left        []keyrange.Leave `cbor:"x"`
+
+	Granted []keyrange.Assignment `cbor:"g"`
 }
 
 // fleetState is the replicated state. Apply, Snapshot and Restore are called by
@@ -39,6 +43,7 @@
 	routes      routes.Store
 	leaseMillis int64
 	left        []keyrange.Leave
+	record      keyrange.Record
 }
 
 // Apply takes in one command.
@@ -59,6 +64,8 @@
 		if extra := len(s.left) - maxLeft; extra > 0 {
 			s.left = s.left[extra:]
 		}
+	case len(c.Granted) > 0:
+		s.record.Apply(c.Granted)
 	case c.LeaseMillis > 0:
 		s.leaseMillis = max(s.leaseMillis, c.LeaseMillis)
 	}
@@ -73,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := cbor.Marshal(stateImage{Routes: routesImage, LeaseMillis: s.leaseMillis, Left: s.left})
+	data, err := cbor.Marshal(stateImage{Routes: routesImage, LeaseMillis: s.leaseMillis, Left: s.left, Granted: s.record.All()})
 	return data, errors.Wrap(err, "encode snapshot")
 }
 
@@ -87,6 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaseMillis, s.left = image.LeaseMillis, image.Left
+	s.record.Restore(image.Granted)
 	return s.routes.Restore(image.Routes)
 }
 
@@ -119,6 +127,13 @@
 	return time.Duration(s.leaseMillis) * time.Millisecond
 }
 
+// granted returns the newest grant of each key.
+func (s *fleetState) granted() []keyrange.Assignment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.All()
+}
+
 // leavers returns the servers that said that they leave.
 func (s *fleetState) leavers() []keyrange.Leave {
 	s.mu.Lock()
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -161,7 +161,7 @@
 		}
 		svc.rows.splitAt(last + 1)
 		w = &svc.rows[i]
-		c.grant(w, s)
+		c.grant(now, svc, w, s)
 		c.note(now, EventGranted, svc, w)
 		me.load += svc.load.sum(w.from, w.to)
 		me.rows++
@@ -198,11 +198,14 @@
 }
 
 // grant gives a free row to a server under a new token.
-func (c *Coordinator) grant(w *row, s *server) {
+func (c *Coordinator) grant(now time.Duration, svc *service, w *row, s *server) {
 	*w = row{
 		from: w.from, to: w.to, holder: s.info.ID, born: s.info.BornMillis,
-		token: c.nextToken(), handover: w.handover,
+		token: c.nextToken(), handover: w.handover, pendingAt: max(now, 1),
 	}
+	c.granted = append(c.granted, Assignment{
+		Service: svc.name, From: w.from, To: w.to, ServerID: w.holder, BornMillis: w.born, Token: w.token,
+	})
 }
 
 func (svc *service) hasFree(now time.Duration) bool {
@@ -236,7 +239,7 @@
 func (c *Coordinator) shed(now time.Duration, svc *service, s *server) {
 	if !s.ready() {
 		for i := range svc.rows {
-			if w := &svc.rows[i]; w.holder == s.info.ID && !w.leaving {
+			if w := &svc.rows[i]; w.holder == s.info.ID && !w.leaving && !w.unproven {
 				w.leaving = true
 				c.note(now, EventLeaving, svc, w)
 			}
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -10,6 +10,7 @@
 	info     Server
 	sequence int64
 	seen     time.Duration
+	firstAt  time.Duration            // when its first heartbeat of this term came
 	left     bool                     // whether it said that it leaves
 	leftAt   time.Duration            // when it did
 	interval time.Duration            // longest time between two heartbeats; 0 if not known
@@ -47,6 +48,7 @@
 	left      map[string]departure // by server ID
 	published published
 
+	granted       []Assignment // since the last call of Granted
 	events        []Event
 	droppedEvents int
 }
@@ -77,15 +79,26 @@
 	}
 }
 
+// newService returns a service whose keys are held as earlier terms recorded.
 func (c *Coordinator) newService(name string) *service {
-	all := row{from: 0, to: c.options.Keys - 1, unknown: c.options.Inherited > 0, freeAt: c.options.Inherited}
-	return &service{
-		name: name, rows: rows{all}, load: newLoad(c.options.Keys), heldRows: map[string]int{},
-		seeded: c.options.Inherited > 0, // an earlier leader divided them
+	svc := &service{
+		name: name, rows: rows{{from: 0, to: c.options.Keys - 1}}, load: newLoad(c.options.Keys),
+		heldRows: map[string]int{},
 	}
+	for _, a := range c.options.Recorded {
+		if a.Service != name || !valid(a.From, a.To, c.options.Keys) {
+			continue
+		}
+		svc.seeded = true
+		svc.rows.each(a.From, a.To, func(w *row) {
+			w.holder, w.born, w.token = a.ServerID, a.BornMillis, a.Token
+			w.until, w.unproven = c.options.Inherited, true
+		})
+	}
+	return svc
 }
 
-// Partial tells whether owners named by an earlier leader may still be unknown.
+// Partial tells whether holders of earlier terms may still be silent.
 func (c *Coordinator) Partial(now time.Duration) bool { return now < c.options.Inherited }
 
 func (c *Coordinator) nextToken() uint64 {
@@ -93,7 +106,36 @@
 	return c.options.Term<<tokenCounterBits | c.counter
 }
 
-// Heartbeat takes in a heartbeat and returns its reply.
+// Granted returns the grants of the last heartbeat. They must be recorded before
+// its reply is sent, and Recorded must tell how that ended.
+func (c *Coordinator) Granted() []Assignment {
+	granted := c.granted
+	c.granted = nil
+	return granted
+}
+
+// Recorded tells that grants are recorded, or that they are not and that their
+// reply is never sent: then the keys are free again.
+func (c *Coordinator) Recorded(now time.Duration, grants []Assignment, ok bool) {
+	for _, g := range grants {
+		svc := c.services[g.Service]
+		if svc == nil {
+			continue
+		}
+		for i := range svc.rows {
+			w := &svc.rows[i]
+			if w.pendingAt == 0 || w.token != g.Token {
+				continue
+			}
+			w.pendingAt = 0
+			if !ok {
+				w.free(now, w.handover)
+			}
+		}
+	}
+}
+
+// Heartbeat takes in a heartbeat and returns its reply. See Granted.
 func (c *Coordinator) Heartbeat(now time.Duration, hb Heartbeat) HeartbeatReply {
 	c.Tick(now)
 	s := c.admit(now, hb)
@@ -110,10 +152,10 @@
 	c.takeReport(now, svc, s, hb)
 	c.shed(now, svc, s)
 	c.pull(now, svc, s)
-	svc.compact(s, c.nextToken)
+	c.compact(svc, s)
 	return HeartbeatReply{
 		Renewed:     true,
-		Grants:      svc.renew(s, now+LeaseBound(c.options.Lease)),
+		Grants:      svc.renew(now, s, now+LeaseBound(c.options.Lease)),
 		LeaseMillis: c.options.Lease.Milliseconds(),
 	}
 }
@@ -144,6 +186,9 @@
 	if known.seen != 0 {
 		known.noteInterval(now - known.seen)
 	}
+	if known.firstAt == 0 {
+		known.firstAt = max(now, 1)
+	}
 	known.info, known.sequence, known.seen = info, hb.Sequence, now
 	c.markLeft(known)
 	return known
@@ -237,8 +282,5 @@
 			c.note(now, EventExpired, svc, w)
 			w.free(now, "")
 		}
-		if w.unknown && now >= w.freeAt {
-			w.unknown = false
-		}
 	}
 }
--- a/keyrange/doc.go
+++ b/keyrange/doc.go
@@ -15,9 +15,10 @@
 //     given on it is over by the slowest clock allowed.
 //   - Fencing tokens rise: the term of the leader is their upper part. Terms
 //     never repeat, so tokens don't either, whatever happens to disks.
-//   - A Coordinator of a new term grants nothing that it has not heard of until
-//     the leases of earlier terms are over. Meanwhile it renews what servers
-//     report to hold.
+//   - A grant is recorded durably before its server hears of it (Granted, Record).
+//     A Coordinator of a new term starts from the record: a key is granted anew
+//     only after its recorded holder reported twice without it, or ended, or
+//     after the leases of earlier terms are over.
 //   - A heartbeat that is older than one already seen changes nothing.
 //
 // Fencing tokens and leases follow C. Gray and D. Cheriton, "Leases", SOSP 1989,
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -2,6 +2,27 @@
 
 package keyrange
 
+// Assignment records that a run of keys was granted to a server.
+type Assignment struct {
+	// Incarnation of the server.
+	BornMillis int64 `json:"b" yaml:"b" cbor:"b"`
+
+	// First key.
+	From int64 `json:"f" yaml:"f" cbor:"f"`
+
+	// Server.
+	ServerID string `json:"i" yaml:"i" cbor:"i"`
+
+	// Fencing token.
+	Token uint64 `json:"k" yaml:"k" cbor:"k"`
+
+	// Service.
+	Service string `json:"s" yaml:"s" cbor:"s"`
+
+	// Last key.
+	To int64 `json:"t" yaml:"t" cbor:"t"`
+}
+
 // Grant is a run of keys that a backend server is to hold.
 type Grant struct {
 	// First key.
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -17,6 +17,9 @@
 	// maxGrantRows bounds the ranges of one reply; heartbeat replies must stay
 	// below 4 KiB, and one row takes up to 55 bytes of JSON.
 	maxGrantRows = 56
+	// cleanInterval is the least time between two heartbeats of a server that show
+	// together what it holds: a single one may be old and come late.
+	cleanInterval = 250 * time.Millisecond
 	// compactRows is the number of ranges of one server from which neighbours
 	// are joined.
 	compactRows = 6
@@ -36,6 +39,9 @@
 	// Inherited is when every lease of earlier terms is over; 0 if none was
 	// ever given.
 	Inherited time.Duration
+	// Recorded are the newest grants of earlier terms. Without them, every key may
+	// have a holder that is not known.
+	Recorded []Assignment
 	// Drain is how long a leaving server may still get requests.
 	Drain time.Duration
 	// Forget is the silence after which a server is left out of the table.
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -70,13 +70,13 @@
 	return visible
 }
 
-// visibleOwners returns the owners to send requests to. Keys that an earlier
-// leader may have granted are left out.
+// visibleOwners returns the owners to send requests to. Keys that a
+// server of an earlier term may hold are left out.
 func (c *Coordinator) visibleOwners(now time.Duration, svc *service) []Owner {
 	var owners []Owner
 	for i := range svc.rows {
 		w := &svc.rows[i]
-		if w.unknown {
+		if w.unproven {
 			continue
 		}
 		id := ""
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -15,6 +15,9 @@
 			c.takeHeld(now, svc, s, held)
 		}
 	}
+	if now-s.firstAt >= cleanInterval {
+		c.freeUnproven(now, svc, s)
+	}
 	for _, given := range hb.Released {
 		if valid(given.From, given.To, svc.keys()) {
 			c.takeReleased(now, svc, s, given)
@@ -32,10 +35,13 @@
 	bound := LeaseBound(c.options.Lease)
 	svc.rows.each(held.From, held.To, func(w *row) {
 		switch {
-		case w.holder == s.info.ID:
-			w.reported = true
+		case w.holder == s.info.ID && w.born == s.info.BornMillis:
+			if w.unproven {
+				c.note(now, EventAdopted, svc, w)
+			}
+			w.reported, w.unproven = true, false
 			w.token = max(w.token, held.Token)
-		case w.unknown, w.holder != "" && held.Token > w.token:
+		case w.holder != "" && held.Token > w.token:
 			*w = row{
 				from: w.from, to: w.to, holder: s.info.ID, born: s.info.BornMillis,
 				token: held.Token, until: now + bound, reported: true,
@@ -58,13 +64,29 @@
 	})
 }
 
+// freeUnproven frees keys that were granted to the server in an earlier term, but
+// that it does not hold by two heartbeats.
+func (c *Coordinator) freeUnproven(now time.Duration, svc *service, s *server) {
+	for i := range svc.rows {
+		w := &svc.rows[i]
+		if w.holder == s.info.ID && w.unproven && !w.reported {
+			c.note(now, EventReleased, svc, w)
+			w.free(now, "")
+		}
+	}
+}
+
 // renew returns the grants of everything that the server is to hold, and lets
-// its leases run until the given time.
-func (svc *service) renew(s *server, until time.Duration) []Grant {
+// its leases run until the given time. Grants of earlier heartbeats that are not
+// recorded yet are left out.
+func (svc *service) renew(now time.Duration, s *server, until time.Duration) []Grant {
 	var grants []Grant
 	for i := range svc.rows {
 		w := &svc.rows[i]
-		if w.holder != s.info.ID || w.leaving {
+		if w.holder != s.info.ID || w.leaving || w.unproven {
+			continue
+		}
+		if w.pendingAt != 0 && w.pendingAt != max(now, 1) {
 			continue
 		}
 		w.until = until
@@ -79,7 +101,7 @@
 
 // compact joins neighbours of a server that holds many ranges, under one new
 // token.
-func (svc *service) compact(s *server, nextToken func() uint64) {
+func (c *Coordinator) compact(svc *service, s *server) {
 	if svc.heldRows[s.info.ID] < compactRows {
 		return
 	}
@@ -88,7 +110,7 @@
 		last := len(out) - 1
 		if last >= 0 && joinable(&out[last], &next, s.info.ID) {
 			out[last].to = next.to
-			out[last].token = nextToken()
+			out[last].token = c.nextToken() // the record needs no change: the holder stays
 			continue
 		}
 		out = append(out, next)
--- a/keyrange/rows.go
+++ b/keyrange/rows.go
@@ -15,9 +15,11 @@
 	until    time.Duration // when the holder's lease is over at the latest
 	leaving  bool          // the holder is told to give the keys back
 	reported bool          // the holder's newest heartbeat names the keys
-	unknown  bool          // an earlier leader may have granted the keys
-	freeAt   time.Duration // when keys without a holder may be granted
-	handover string        // reference from the last holder
+	// pendingAt is when the keys were granted, until the grant is recorded; 0 then.
+	pendingAt time.Duration
+	unproven  bool          // granted in an earlier term; the holder did not report it yet
+	freeAt    time.Duration // when keys without a holder may be granted
+	handover  string        // reference from the last holder
 }
 
 // rows cover all keys of a service without gaps, in ascending order.
@@ -75,7 +77,7 @@
 
 // grantable tells whether the keys may be granted.
 func (w *row) grantable(now time.Duration) bool {
-	return w.holder == "" && !w.unknown && now >= w.freeAt
+	return w.holder == "" && now >= w.freeAt
 }
 
 // free marks the row as held by nobody.
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -17,20 +17,22 @@
 
 // session plays one golden session against a Coordinator.
 type session struct {
-	t     *testing.T
-	now   time.Duration
-	coord *Coordinator
-	born  map[string]int64
-	seq   map[string]int64
-	holds map[string][]Range // what each server was granted last
+	t      *testing.T
+	now    time.Duration
+	coord  *Coordinator
+	born   map[string]int64
+	seq    map[string]int64
+	holds  map[string][]Range // what each server was granted last
+	record Record
 }
 
 // TestSessions plays the golden sessions. Commands:
 //
 //	elect term=N [lease=D]                  makes a new leader, of a first term if lease is left out
 //	advance D                               lets time pass
-//	heartbeat id=S [born=N] [seq=N] [address=A] [draining] [holds=(f-t:token,...)] [released=(f-t,...)] [lost]
+//	heartbeat id=S [born=N] [seq=N] [address=A] [draining] [holds=(f-t:token,...)] [released=(f-t,...)] [lost] [unrecorded]
 //	                                        a heartbeat; the server keeps the grants unless the reply is lost
+//	                                        or its grants could not be recorded
 //	leave id=S                              a server says that it leaves
 //	left-before id=S                        the same, to an earlier leader
 //	load from=K to=K rate=N                 N requests a second on each key, for one second
@@ -89,6 +91,7 @@
 			d.Fatalf(s.t, "%v", err)
 		}
 		o.Inherited = s.now + LeaseBound(lease)
+		o.Recorded = s.record.All()
 	}
 	s.coord = New(o)
 	s.coord.SetKeyed([]string{testService})
@@ -136,6 +139,12 @@
 		hb.Released = append(hb.Released, r)
 	}
 	reply := s.coord.Heartbeat(s.now, hb)
+	granted := s.coord.Granted()
+	s.coord.Recorded(s.now, granted, !d.HasArg("unrecorded"))
+	if d.HasArg("unrecorded") {
+		return "no reply\n"
+	}
+	s.record.Apply(granted)
 	if !reply.Renewed {
 		return "not renewed\n"
 	}
