Send an unanswered idempotent request once more; learn slowness from what was not answered

Change: hedged requests within the retry budget; the time of an unanswered request counts as a lower bound of the server's work time.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -197,7 +197,7 @@
 	defer k.mu.Unlock()
 	defer k.load.End()
 	if err != nil {
-		k.countFailure(err)
+		k.countFailure(err, time.Since(started), queued)
 		return nil, err
 	}
 	if in.info.Load != nil {
@@ -217,10 +217,18 @@
 	return exchange(ctx, c, o, dialect, k.release)
 }
 
-// countFailure is called with the lock held.
-func (k *backend) countFailure(err error) {
+// countFailure is called with the lock held. A request that got no response in a
+// long time shows how slow the server is at least.
+func (k *backend) countFailure(err error, took time.Duration, queued bool) {
 	var f *failure
-	if !errors.As(err, &f) || f.reason == reasonCanceled {
+	if !errors.As(err, &f) {
+		return
+	}
+	unanswered := f.reason == reasonTimeout || f.reason == reasonCanceled
+	if unanswered && !queued && took > k.load.WorkTime() {
+		k.countWork(took)
+	}
+	if f.reason == reasonCanceled {
 		return
 	}
 	k.failed = clockNow()
@@ -239,12 +247,24 @@
 		k.ended = true
 	case in.info.NotRun, queued, in.info.Load != nil && in.info.Load.Waiting > 0:
 	default:
-		k.load.TakeWorkTime(took)
-		k.seen.Count++
-		k.seen.WorkMicros += took.Microseconds()
+		k.countWork(took)
 	}
 }
 
+// countWork is called with the lock held.
+func (k *backend) countWork(took time.Duration) {
+	k.load.TakeWorkTime(took)
+	k.seen.Count++
+	k.seen.WorkMicros += took.Microseconds()
+}
+
+// expected returns how long a request that is sent now is expected to take.
+func (k *backend) expected(now time.Duration, slots int) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.load.Wait(now, slots) + k.load.WorkTime()
+}
+
 // absent tells whether the server's process has ended, or its host refused a
 // connection a moment ago.
 func (k *backend) absent(now time.Duration) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// Pattern: a server runs requests and their responses are lost.
+func TestIdempotentRequestWithoutAResponseIsSentOnceMore(t *testing.T) {
+	lost := func(net.Conn, *http.Request, []byte) bool {
+		time.Sleep(2 * time.Second)
+		return false
+	}
+	for path, want := range map[string]struct{ status, sends int }{"/look/1": {200, 2}, "/order/1": {504, 1}} {
+		server := newStandIn(t, lost, ok("yes"))
+		f := newFixture(t)
+		f.tell(server)
+		response, _ := f.do("GET", path, nil)
+		if response.StatusCode != want.status || server.count() != want.sends {
+			t.Errorf("%s: status %d after %d sends, want %d after %d", path, response.StatusCode, server.count(), want.status, want.sends)
+		}
+	}
+}
+
 func TestFinalResponseAtTheDeadline(t *testing.T) {
 	server := newStandIn(t, func(net.Conn, *http.Request, []byte) bool {
 		time.Sleep(2 * time.Second)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -171,7 +170,7 @@
 			c.refuse(last)
 			return
 		}
-		in, err := c.attempt(target)
+		in, err := c.send(target, service)
 		if err == nil && !c.rejected(in) {
 			c.respond(in)
 			return
@@ -393,30 +392,6 @@
 	return c.deniedAt-since > grantDelay || now-c.deniedAt < grantDelay
 }
 
-// attempt sends the request to a server.
-func (c *call) attempt(to *target) (*inbound, error) {
-	c.attempts++
-	c.server = to.id
-	header := endToEnd(c.request.Header)
-	header.Del("Host")
-	c.host.dialect.Forward(header, time.Until(c.deadline), to.id)
-	o := &outbound{
-		method: c.request.Method, target: c.request.RequestURI, host: c.request.Host,
-		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
-		slots: to.slots,
-	}
-	if c.stream != nil {
-		o.body, o.stream, o.streamLength = nil, c.stream, c.request.ContentLength
-	}
-	once := !c.route.Kind.Repeatable()
-	ctx := c.request.Context()
-	if once {
-		// The client's leaving does not stop what may run only once.
-		ctx = context.WithoutCancel(ctx)
-	}
-	return to.send(ctx, o, once, c.host.dialect)
-}
-
 // respond passes a response on to the client.
 func (c *call) respond(in *inbound) {
 	header := c.writer.Header()
