--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
 
+	"github.com/galenalug/galenalug/internal/admin"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/logging"
 	"github.com/galenalug/galenalug/platform"
@@ -20,11 +23,14 @@
 		Name:  "platform",
 		Usage: "run as a control host of gateways; settings from $" + platform.SettingsVariable,
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			debug.SetGCPercent(daemon.SmallHeapPercent)
 			s, err := config.LoadFleet(os.Getenv(platform.SettingsVariable))
 			if err != nil {
 				return err
 			}
-			if err := logging.Setup(s.Log, os.Stdout); err != nil {
+			lines := eventlog.NewWriter(os.Stdout)
+			defer lines.Close()
+			if err := logging.Setup(s.Log, lines); err != nil {
 				return err
 			}
 			var secret []byte
@@ -33,10 +39,16 @@
 					return err
 				}
 			}
-			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: prometheus.NewRegistry()})
+			registry := prometheus.NewRegistry()
+			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: registry})
 			if err != nil {
 				return err
 			}
+			operators, err := admin.Start(fleet.PeerAddress(s.Ip, s.AdminPort), registry, host.Dump)
+			if err != nil {
+				return err
+			}
+			defer operators.Stop()
 			calls, err := platform.NewControl(s.ControlListen, host)
 			if err != nil {
 				return err
--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
 
+	"github.com/galenalug/galenalug/internal/admin"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/eventlog"
+	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/gateway"
 	"github.com/galenalug/galenalug/internal/logging"
 	"github.com/galenalug/galenalug/platform"
@@ -25,24 +29,33 @@
 		Name:  "platform",
 		Usage: "run as a gateway that routes by host and path; settings from $" + platform.SettingsVariable,
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			debug.SetGCPercent(daemon.SmallHeapPercent)
 			path := os.Getenv(platform.SettingsVariable)
 			s, err := config.LoadGateway(path)
 			if err != nil {
 				return err
 			}
-			if err := logging.Setup(s.Log, os.Stdout); err != nil {
+			lines := eventlog.NewWriter(os.Stdout)
+			defer lines.Close()
+			if err := logging.Setup(s.Log, lines); err != nil {
 				return err
 			}
 			secret, err := optionalSecret(s.PeerSecretFile)
 			if err != nil {
 				return err
 			}
+			registry := prometheus.NewRegistry()
 			host, err := gateway.New(gateway.Options{
-				Settings: &s, Secret: secret, Dialect: platform.Dialect{}, Registry: prometheus.NewRegistry(),
+				Settings: &s, Secret: secret, Dialect: platform.Dialect{}, Registry: registry,
 			})
 			if err != nil {
 				return err
 			}
+			operators, err := admin.Start(fleet.PeerAddress(s.Ip, s.AdminPort), registry, host.Dump)
+			if err != nil {
+				return err
+			}
+			defer operators.Stop()
 			p := &gatewayProcess{Host: host, path: path}
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,11 @@
 	ExitSettings = 2 // wrong command line or settings
 )
 
+// SmallHeapPercent is a garbage collection target for small hosts, on which memory
+// is scarcer than processor time: the heap grows by this part before it is
+// collected.
+const SmallHeapPercent = 30
+
 // Process is one daemon.
 type Process interface {
 	// Start begins the work and returns.
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -30,7 +30,9 @@
 		err := h.callLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
 		return reply, err
 	}
+	started := time.Now()
 	reply, err := h.takeHeartbeat(ctx, hb)
+	h.metrics.countHeartbeat(started, err)
 	reply.Contact = "" // the caller is there already
 	return reply, err
 }
@@ -120,6 +122,7 @@
 }
 
 func (h *Host) logPut(put routes.Put, reply routes.PutReply) {
+	h.metrics.changes.WithLabelValues(string(reply.Outcome)).Inc()
 	log.WithFields(log.Fields{
 		"version": put.Config.Version, "base": put.Base, "outcome": reply.Outcome,
 		"in_force": reply.Current, "detail": reply.Detail,
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -65,6 +65,7 @@
 	settings *settings.FleetSettings
 	name     string // address for peers, IP:port
 	state    *fleetState
+	metrics  *metrics
 	server   *peer.Server
 	peers    *peers
 	runner   *group.Runner
@@ -88,16 +89,19 @@
 		subscribers: map[*peer.Conn]struct{}{},
 	}
 	h.state = &fleetState{changed: h.wakeUp}
-	metrics := peer.NewMetrics(o.Registry)
-	h.peers = newPeers(h.identity(), o.Secret, metrics)
 	var err error
+	if h.metrics, err = newMetrics(o.Registry); err != nil {
+		return nil, err
+	}
+	traffic := peer.NewMetrics(o.Registry)
+	h.peers = newPeers(h.identity(), o.Secret, traffic)
 	h.server, err = peer.NewServer(peer.ServerOptions{
 		Listen:  h.name,
 		Self:    h.identity(),
 		Secret:  o.Secret,
 		Handler: &handler{host: h},
 		Limits:  peerLimits,
-		Metrics: metrics,
+		Metrics: traffic,
 	})
 	return h, errors.Wrap(err, "peer listener")
 }
@@ -304,6 +308,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !leads {
+		h.metrics.leads.Set(0)
 		h.leading = nil
 		for conn := range h.subscribers {
 			conn.Close()
@@ -314,6 +319,7 @@
 	if previous := h.state.lease(); previous > 0 {
 		inherited = clock.Now() + keyrange.LeaseBound(previous)
 	}
+	h.metrics.leads.Set(1)
 	lease := h.lease()
 	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
 		Term:      term,
--- /dev/null
+++ b/internal/fleet/metrics.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are a control host's counters.
+type metrics struct {
+	heartbeats *prometheus.CounterVec
+	seconds    prometheus.Histogram
+	keys       *prometheus.CounterVec
+	changes    *prometheus.CounterVec
+	leads      prometheus.Gauge
+}
+
+func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		heartbeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenalug_fleet_heartbeats_total", Help: "Heartbeats of backend servers, by whether they were answered.",
+		}, []string{"answered"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "galenalug_fleet_heartbeat_seconds", Help: "Time to answer a heartbeat, with the records of its grants.",
+			Buckets: []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1},
+		}),
+		keys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenalug_fleet_key_events_total", Help: "Changes of who holds keys, by kind.",
+		}, []string{"kind"}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "galenalug_fleet_config_changes_total", Help: "Changes of the configuration asked for, by outcome.",
+		}, []string{"outcome"}),
+		leads: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "galenalug_fleet_leads", Help: "1 while this host leads.",
+		}),
+	}
+	for _, c := range []prometheus.Collector{m.heartbeats, m.seconds, m.keys, m.changes, m.leads} {
+		if err := registry.Register(c); err != nil {
+			return nil, errors.Wrap(err, "register metrics")
+		}
+	}
+	return m, nil
+}
+
+func (m *metrics) countHeartbeat(started time.Time, err error) {
+	answered := "yes"
+	if err != nil {
+		answered = "no"
+	}
+	m.heartbeats.WithLabelValues(answered).Inc()
+	m.seconds.Observe(time.Since(started).Seconds())
+}
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -64,7 +64,7 @@
 	l.coordinator.SetKeyed(keyedServices(config))
 	h.tellLeavers(now, l)
 	l.coordinator.Tick(now)
-	logEvents(l)
+	h.logEvents(l)
 	update, changed := l.coordinator.Changes(now)
 	if config.Version != l.configVersion {
 		l.configVersion = config.Version
@@ -87,9 +87,10 @@
 }
 
 // logEvents writes what happened to keys since the last call.
-func logEvents(l *leadership) {
+func (h *Host) logEvents(l *leadership) {
 	events, dropped := l.coordinator.Events()
 	for _, e := range events {
+		h.metrics.keys.WithLabelValues(string(e.Kind)).Inc()
 		log.WithFields(log.Fields{
 			"service": e.Service, "from": e.From, "to": e.To, "server": e.Server, "token": e.Token,
 			"heartbeat_age_ms": e.Age.Milliseconds(), "load": e.Load, "term": l.term,
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -460,7 +460,7 @@
 }
 
 func (c *call) log(outcome, reason string, status int, important bool) {
-	c.host.metrics.count(c.service, outcome, reason, time.Since(c.started))
+	c.host.metrics.count(outcome, reason, time.Since(c.started))
 	c.host.events.Add(eventlog.Event{
 		Name: "request", Request: c.info.ID, Service: c.service, Server: c.server, Key: c.info.Key,
 		Outcome: outcome, Reason: reason, Status: status, Attempts: c.attempts,
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +105,9 @@
 		keys:     map[string]map[int64]int64{},
 		seeds:    fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
+	if err := m.watch(o.Registry, h.view); err != nil {
+		return nil, err
+	}
 	h.link = &link{
 		self:    peer.Identity{Name: o.Settings.Name, Role: peer.RoleEntry},
 		secret:  o.Secret,
@@ -111,6 +115,7 @@
 		seeds:   h.currentSeeds,
 		view:    h.view,
 		report:  h.takeReport,
+		onLost:  m.lost.Inc,
 	}
 	quiet := stdlog.New(io.Discard, "", 0) // net/http reports clients' faults there
 	h.server = &http.Server{
@@ -224,7 +229,9 @@
 	slack := slackPart * float64(h.settings.RetrySlack) / float64(h.view.gateways())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.window(service).Spend(clockNow(), slack)
+	allowed := h.window(service).Spend(clockNow(), slack)
+	h.metrics.repeats.WithLabelValues(strconv.FormatBool(allowed)).Inc()
+	return allowed
 }
 
 // window is called with the lock held.
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -34,6 +34,7 @@
 	seeds   func() []string
 	view    *view
 	report  func(span time.Duration) keyrange.LoadReport
+	onLost  func() // called when a subscription ended
 
 	lostAt atomic.Int64 // when the newest subscription ended, on clock.Now; 0 while one stands
 }
@@ -67,6 +68,7 @@
 		l.lostAt.Store(0)
 		l.reportLoad(ctx, s.client, s.ended)
 		l.lostAt.Store(int64(clockNow()))
+		l.onLost()
 		s.client.Close()
 		log.WithField("control", s.address).Warn("control host lost; going on with the table known")
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,8 @@
 type metrics struct {
 	requests *prometheus.CounterVec
 	latency  prometheus.Histogram
+	repeats  *prometheus.CounterVec
+	lost     prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -23,7 +25,13 @@
 			Buckets: []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.4, 5},
 		}),
 	}
-	for _, c := range []prometheus.Collector{m.requests, m.latency} {
+	m.repeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenalug_gateway_repeats_total", Help: "Repeats asked for, by whether the retry budget had room.",
+	}, []string{"allowed"})
+	m.lost = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_control_lost_total", Help: "Times that the connection to the control hosts was lost.",
+	})
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.repeats, m.lost} {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
@@ -31,7 +39,29 @@
 	return m, nil
 }
 
-func (m *metrics) count(_, outcome, reason string, took time.Duration) {
+// watch registers what is read when the metrics are asked for.
+func (m *metrics) watch(registry prometheus.Registerer, v *view) error {
+	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_table_age_seconds", Help: "Time since the newest update of the ownership table.",
+	}, func() float64 {
+		_, stamp, _ := v.snapshot(clockNow())
+		return stamp.Age.Seconds()
+	})
+	config := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_config_version", Help: "Version of the route configuration in force.",
+	}, func() float64 {
+		_, stamp, _ := v.snapshot(clockNow())
+		return float64(stamp.Config)
+	})
+	for _, c := range []prometheus.Collector{age, config} {
+		if err := registry.Register(c); err != nil {
+			return errors.Wrap(err, "register metrics")
+		}
+	}
+	return nil
+}
+
+func (m *metrics) count(outcome, reason string, took time.Duration) {
 	m.requests.WithLabelValues(outcome, reason).Inc()
 	m.latency.Observe(took.Seconds())
 }
