Tell many gateways the part that an overloaded server takes

Change: the leader tells the part of its requests that an overloaded server takes; gateways let that part pass, urgent requests first, where one request of each is too much already. Test: TestShareLetsItsPartPassUrgentRequestsFirst.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -107,3 +107,31 @@
 		t.Errorf("expected waits %v and %v around 500 ms", short, long)
 	}
 }
+
+// Pattern: one key is asked for by eighty gateways, each of which sees one request
+// at a time.
+func TestShareLetsItsPartPassUrgentRequestsFirst(t *testing.T) {
+	var s Share
+	passed := map[int64]int{}
+	for i := range 1000 {
+		priority := int64(2)
+		if i%10 == 0 {
+			priority = 1
+		}
+		if s.Pass(300, priority) {
+			passed[priority]++
+		}
+	}
+	if total := passed[1] + passed[2]; total < 290 || total > 310 {
+		t.Errorf("%d of 1000 passed, want about 300", total)
+	}
+	if passed[1] < 95 {
+		t.Errorf("%d of 100 urgent requests passed", passed[1])
+	}
+	if !s.Pass(0, 2) {
+		t.Error("a request for a server without overload did not pass")
+	}
+	if OneIsTooMany(10, 6) || !OneIsTooMany(80, 6) {
+		t.Error("ten gateways can judge by themselves, eighty can't")
+	}
+}
--- /dev/null
+++ b/dispatch/share.go
@@ -0,0 +1,40 @@
+package dispatch
+
+const (
+	// shareBurst is the number of requests that a Share saves up for.
+	shareBurst = 2.0
+	// urgentDebt is the number of requests that urgent ones may take in advance, at
+	// the cost of later ones.
+	urgentDebt = 3.0
+)
+
+// Share lets a part of the requests for an overloaded server pass, the urgent ones
+// first. Where there are many gateways, the leader tells them the part: each sees
+// too few requests to judge by itself.
+type Share struct {
+	credit float64
+}
+
+// Pass tells whether a request may go to a server that can take the given part of
+// all requests, in thousandths; 0 stands for all.
+func (s *Share) Pass(permille, priority int64) bool {
+	if permille <= 0 {
+		s.credit = 0
+		return true
+	}
+	s.credit = min(s.credit+float64(permille)/1000, shareBurst)
+	needed := 1.0
+	if priority <= urgentPriority {
+		needed = 1 - urgentDebt
+	}
+	if s.credit < needed {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// OneIsTooMany tells whether one request from each gateway overfills a server.
+func OneIsTooMany(gateways int64, slots int) bool {
+	return float64(gateways) > ordinaryFill*float64(slots)
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -54,7 +54,8 @@
 	mu      sync.Mutex // guards the fields below
 	idle    []*conn    // the one used last stands last
 	load    dispatch.Load
-	line    dispatch.Line       // requests that wait for room
+	line    dispatch.Line // requests that wait for room
+	share   dispatch.Share
 	seen    keyrange.ServerLoad // for the next load report
 	failed  time.Duration       // of the last failure; 0 for none
 	refused time.Duration       // when its host last refused a connection; 0 for never
@@ -265,6 +266,13 @@
 	return k.load.Wait(now, slots) + k.load.WorkTime()
 }
 
+// pass tells whether a request is in the part that an overloaded server takes.
+func (k *backend) pass(permille, priority int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.share.Pass(permille, priority)
+}
+
 // absent tells whether the server's process has ended, or its host refused a
 // connection a moment ago.
 func (k *backend) absent(now time.Duration) bool {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -42,6 +42,7 @@
 	reasonNoRoute    = "no-route"
 	reasonNoOwner    = "no-owner"
 	reasonNoServer   = "no-server"
+	reasonOverload   = "owner-overloaded"
 	reasonNoBudget   = "no-retry-budget"
 	reasonBody       = "request-body"
 	reasonBodyLarge  = "request-body-too-large"
@@ -70,6 +71,7 @@
 	mayRun   bool   // whether an attempt without a response may have run
 	denied   string // server that said that it does not hold the key
 	deniedAt time.Duration
+	passed   string // overloaded server whose part the request is in
 	load     float64
 }
 
@@ -379,9 +381,25 @@
 	if !known || c.host.backends.of(owner).absent(now) || c.unaware(now, owner.ID, since) {
 		return nil, reasonNoOwner
 	}
+	if !c.passes(owner) {
+		return nil, reasonOverload
+	}
 	return []keyrange.Server{owner}, ""
 }
 
+// passes tells whether the request may go to its key's owner. Among many gateways
+// it must be in the part that an overloaded owner takes.
+func (c *call) passes(owner keyrange.Server) bool {
+	if c.passed == owner.ID || !dispatch.OneIsTooMany(c.host.view.gateways(), int(owner.Slots)) {
+		return true
+	}
+	if !c.host.backends.of(owner).pass(owner.AdmitPermille, c.route.Priority) {
+		return false
+	}
+	c.passed = owner.ID
+	return true
+}
+
 // unaware tells whether the owner said that it does not hold the key and is not
 // to be asked again: not before it may have heard of a grant that is new, and
 // never if the grant is old, since then the table is behind.
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -47,6 +47,8 @@
 	services  map[string]*service
 	left      map[string]departure // by server ID
 	published published
+	overload  map[string]int64 // AdmitPermille by server ID
+	ratedAt   time.Duration    // when overload was set
 
 	granted       []Assignment // since the last call of Granted
 	events        []Event
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -163,6 +163,10 @@
 	// Requests that run at the same time.
 	Slots int64 `json:"n" yaml:"n" cbor:"n"`
 
+	// Part of the requests for its keys that the server can take, thousandths; 0 for
+	// all. Set by the leader.
+	AdmitPermille int64 `json:"p" yaml:"p" cbor:"p"`
+
 	// Service.
 	Service string `json:"s" yaml:"s" cbor:"s"`
 
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -57,6 +57,7 @@
 
 func (c *Coordinator) visibleServers(now time.Duration) map[string]Server {
 	visible := make(map[string]Server, len(c.servers))
+	c.rateOverload(now)
 	for id, s := range c.servers {
 		if c.drained(now, id) {
 			continue
@@ -65,11 +66,40 @@
 		if info.WarmupMillis > 0 {
 			info.WarmupMillis = warmupTold
 		}
+		info.AdmitPermille = c.overload[id]
 		visible[id] = info
 	}
 	return visible
 }
 
+const (
+	// overloadInterval is the time between two looks for overloaded servers.
+	overloadInterval = 300 * time.Millisecond
+	// overloadFrom is the utilization from which a server counts as overloaded.
+	overloadFrom = 1.15
+	// admitStep is the step of AdmitPermille, so that small changes are not told.
+	admitStep = 50
+)
+
+// rateOverload finds servers that are asked for more than they can do, and the
+// part that they can. Many gateways can't tell that each by itself: one request
+// from each of them is too much already.
+func (c *Coordinator) rateOverload(now time.Duration) {
+	if c.ratedAt != 0 && now-c.ratedAt < overloadInterval {
+		return
+	}
+	c.ratedAt = max(now, 1)
+	c.overload = map[string]int64{}
+	for _, svc := range c.services {
+		for id, m := range c.survey(svc).members {
+			if m.utilization() > overloadFrom {
+				permille := int64(1000 / m.utilization())
+				c.overload[id] = max(permille/admitStep, 1) * admitStep
+			}
+		}
+	}
+}
+
 // visibleOwners returns the owners to send requests to. Keys that a
 // server of an earlier term may hold are left out.
 func (c *Coordinator) visibleOwners(now time.Duration, svc *service) []Owner {
