Check key ranges against a model of servers, leaders and a misbehaving network

With the wait for earlier leases, the lease's bound or the record removed, two holders are found within 500 schedules.

--- /dev/null
+++ b/keyrange/model_test.go
@@ -0,0 +1,329 @@
+package keyrange
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The model check plays a Coordinator against servers, leaders and a network that
+// misbehave, and looks after each step whether two processes hold the same key.
+// A long run: go test ./keyrange -run TestModel -rapid.checks=20000 -v
+
+const (
+	modelKeys    = 12
+	modelServers = 4
+	modelLease   = 2 * time.Second
+	// modelPatience is how long a server waits for a reply.
+	modelPatience = time.Second
+	// modelDelay is the longest delay of a message.
+	modelDelay = 3 * time.Second
+	modelSteps = 250
+)
+
+// modelProcess is one life of a server.
+type modelProcess struct {
+	id       string
+	born     int64
+	address  string
+	slow     float64 // how many true seconds its clock takes for one
+	sequence int64
+	held     []Range
+	released []Release
+	ends     time.Duration // true time at which its lease ends
+	seen     [modelKeys]uint64
+	waitFor  int64         // sequence of the heartbeat whose reply it takes; 0 for none
+	sentAt   time.Duration // of that heartbeat
+	nextAt   time.Duration
+	draining bool
+}
+
+type modelMessage struct {
+	at    time.Duration
+	to    *modelProcess // of a reply; nil for a heartbeat
+	hb    Heartbeat
+	reply HeartbeatReply
+	seq   int64
+}
+
+type model struct {
+	random    *rand.Rand
+	failed    string // the first violation
+	now       time.Duration
+	term      uint64
+	born      int64
+	leader    *Coordinator
+	record    Record
+	processes []*modelProcess
+	messages  []modelMessage
+	tokens    [modelKeys]uint64 // highest token that any other process used
+	users     [modelKeys]*modelProcess
+	steps     int
+	held      int    // keys with a holder, summed over the steps
+	without   string // guard that is removed: inherited, lease or recorded
+}
+
+func TestModelNeverTwoHolders(t *testing.T) {
+	steps, held := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		m := play(rapid.Uint64().Draw(rt, "seed"), "")
+		if m.failed != "" {
+			rt.Fatal(m.failed)
+		}
+		steps += m.steps
+		held += m.held
+	})
+	t.Logf("%d steps, in which %.0f%% of the keys had a holder", steps, 100*float64(held)/float64(steps*modelKeys))
+}
+
+// TestModelFindsRemovedGuards shows that the model check can fail: with a guard
+// removed it finds two holders.
+func TestModelFindsRemovedGuards(t *testing.T) {
+	for _, guard := range []string{"inherited", "lease", "recorded"} {
+		found := ""
+		for seed := uint64(0); seed < 500 && found == ""; seed++ {
+			found = play(seed, guard).failed
+		}
+		if found == "" {
+			t.Errorf("the model does not notice that the guard %q is missing", guard)
+		}
+	}
+}
+
+// play plays one schedule, without a guard unless it is empty.
+func play(seed uint64, without string) *model {
+	m := &model{random: rand.New(rand.NewPCG(seed, 0)), without: without}
+	m.elect()
+	for i := range modelServers {
+		m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("a%d", i))
+	}
+	for range modelSteps {
+		m.step()
+	}
+	return m
+}
+
+// draw returns a number from 0 to most.
+func (m *model) draw(most int) int { return m.random.IntN(most + 1) }
+
+func (m *model) elect() {
+	m.term++
+	o := Options{Term: m.term, Keys: modelKeys, Lease: modelLease, Drain: 2500 * time.Millisecond, Forget: 4 * time.Second}
+	if m.term > 1 {
+		o.Inherited = m.now + LeaseBound(modelLease)
+		o.Recorded = m.record.All()
+	}
+	switch m.without {
+	case "inherited":
+		o.Inherited = m.now
+	case "recorded":
+		o.Recorded = nil
+	case "lease":
+		o.Lease = modelLease / 2 // what the leader believes; servers get the whole
+	}
+	m.leader = New(o)
+	m.leader.SetKeyed([]string{testService})
+}
+
+func (m *model) start(id, address string) {
+	m.born++
+	m.processes = append(m.processes, &modelProcess{
+		id: id, born: m.born, address: address, slow: 1 + float64(m.draw(20))/1000, nextAt: m.now,
+	})
+}
+
+func (m *model) step() {
+	m.steps++
+	m.now += time.Duration(m.draw(120)) * time.Millisecond
+	m.deliver()
+	m.expire()
+	switch m.draw(60) {
+	case 0:
+		m.elect()
+	case 1:
+		m.crash()
+	case 2:
+		p := m.processes[m.draw(len(m.processes)-1)]
+		p.draining = !p.draining
+	case 3:
+		m.leader.Report(m.now, "gateway", LoadReport{Services: []ServiceLoad{{
+			Service: testService, Keys: []KeyLoad{{Key: int64(m.draw(modelKeys - 1)), Count: 60}},
+		}}})
+	}
+	for _, p := range m.processes {
+		m.heartbeat(p)
+	}
+	m.check()
+}
+
+// crash ends a process and starts another, under its name or at its address.
+func (m *model) crash() {
+	i := m.draw(len(m.processes) - 1)
+	old := m.processes[i]
+	m.processes = append(m.processes[:i], m.processes[i+1:]...)
+	id := old.id
+	if m.draw(1) == 0 {
+		id = fmt.Sprintf("s%d", 100+m.born)
+	}
+	m.start(id, old.address)
+}
+
+func (m *model) expire() {
+	for _, p := range m.processes {
+		if len(p.held) > 0 && m.now >= p.ends {
+			p.held = nil // an expired lease is not reported as released
+		}
+	}
+}
+
+func (m *model) heartbeat(p *modelProcess) {
+	if p.waitFor != 0 && m.now-p.sentAt < modelPatience || m.now < p.nextAt {
+		return
+	}
+	p.sequence++
+	p.waitFor, p.sentAt, p.nextAt = p.sequence, m.now, m.now+300*time.Millisecond
+	hb := Heartbeat{
+		Server: Server{
+			ID: p.id, BornMillis: p.born, Service: testService, Address: p.address, Slots: 2, Draining: p.draining,
+		},
+		Sequence: p.sequence, Holds: append([]Range(nil), p.held...), Released: append([]Release(nil), p.released...),
+	}
+	m.send(modelMessage{hb: hb, seq: p.sequence}, p)
+}
+
+// send delivers a message after a delay that is mostly short.
+func (m *model) send(message modelMessage, from *modelProcess) {
+	delay := time.Duration(m.draw(60)) * time.Millisecond
+	if m.draw(9) == 0 {
+		delay = time.Duration(m.draw(int(modelDelay/time.Millisecond))) * time.Millisecond
+	}
+	if m.draw(15) == 0 {
+		return
+	}
+	message.at = m.now + delay
+	if message.to == nil {
+		message.to = from
+	}
+	m.messages = append(m.messages, message)
+}
+
+func (m *model) deliver() {
+	var later []modelMessage
+	due := m.messages
+	m.messages = nil
+	for _, message := range due {
+		switch {
+		case message.at > m.now:
+			later = append(later, message)
+		case message.hb.Sequence != 0:
+			m.lead(message)
+		default:
+			m.receive(message)
+		}
+	}
+	m.messages = append(m.messages, later...)
+}
+
+// lead answers a heartbeat on the current leader.
+func (m *model) lead(message modelMessage) {
+	reply := m.leader.Heartbeat(m.now, message.hb)
+	granted := m.leader.Granted()
+	recorded := m.draw(19) != 0
+	m.leader.Recorded(m.now, granted, recorded)
+	if len(granted) > 0 && !recorded {
+		if m.draw(1) == 0 {
+			m.record.Apply(granted)
+		}
+		return
+	}
+	m.record.Apply(granted)
+	m.send(modelMessage{to: message.to, reply: reply, seq: message.seq}, message.to)
+}
+
+// receive takes a reply at a server, if it still waits for it.
+func (m *model) receive(message modelMessage) {
+	p := message.to
+	alive := false
+	for _, other := range m.processes {
+		alive = alive || other == p
+	}
+	if !alive || p.waitFor != message.seq || m.now-p.sentAt >= modelPatience {
+		return
+	}
+	p.waitFor = 0
+	p.released = nil // this heartbeat is acknowledged
+	if !message.reply.Renewed {
+		return
+	}
+	p.ends = p.sentAt + time.Duration(float64(modelLease)*p.slow)
+	var next []Range
+	for _, g := range message.reply.Grants {
+		if m.accept(p, g) {
+			next = append(next, Range{From: g.From, To: g.To, Token: g.Token})
+		}
+	}
+	for _, old := range p.held {
+		for key := old.From; key <= old.To; key++ {
+			if !covers(next, key) {
+				p.released = append(p.released, Release{From: key, To: key, Handover: "h"})
+			}
+		}
+	}
+	p.held = next
+}
+
+func covers(rows []Range, key int64) bool {
+	for _, r := range rows {
+		if key >= r.From && key <= r.To {
+			return true
+		}
+	}
+	return false
+}
+
+// accept takes a grant unless the server has seen a higher token on one of its
+// keys, and checks that the token is above those of all other holders.
+func (m *model) accept(p *modelProcess, g Grant) bool {
+	for key := g.From; key <= g.To; key++ {
+		if p.seen[key] > g.Token {
+			return false
+		}
+	}
+	for key := g.From; key <= g.To; key++ {
+		p.seen[key] = g.Token
+		if m.users[key] != p && g.Token <= m.tokens[key] {
+			m.fail("key %d: token %d after %d of another process", key, g.Token, m.tokens[key])
+		}
+		m.users[key] = p
+		m.tokens[key] = max(m.tokens[key], g.Token)
+	}
+	return true
+}
+
+func (m *model) check() {
+	for key := int64(0); key < modelKeys; key++ {
+		var holder *modelProcess
+		for _, p := range m.processes {
+			if m.now >= p.ends || !covers(p.held, key) {
+				continue
+			}
+			if holder != nil {
+				m.fail("at %v key %d is held by %s and %s", m.now, key, holder.id, p.id)
+			}
+			holder = p
+		}
+		if holder != nil {
+			m.held++
+		}
+	}
+}
+
+// fail notes the first violation.
+func (m *model) fail(format string, args ...any) {
+	if m.failed == "" {
+		m.failed = fmt.Sprintf(format, args...)
+	}
+}
