Count a server as overloaded only at twice its capacity

Ruled out: work times (98 ms on average against 74 ms of work and 20 ms of path). Change: overloaded from twice the capacity, for a quarter more than the capacity.

--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -75,8 +75,12 @@
 const (
 	// overloadInterval is the time between two looks for overloaded servers.
 	overloadInterval = 300 * time.Millisecond
-	// overloadFrom is the utilization from which a server counts as overloaded.
-	overloadFrom = 1.15
+	// overloadFrom is the utilization from which a server counts as overloaded. It is
+	// well above 1, since clients that were refused come back and count twice.
+	overloadFrom = 2.0
+	// overloadPart is the part of its capacity that an overloaded server is asked
+	// for: its queue should not run dry.
+	overloadPart = 1.25
 	// admitStep is the step of AdmitPermille, so that small changes are not told.
 	admitStep = 50
 )
@@ -93,7 +97,7 @@
 	for _, svc := range c.services {
 		for id, m := range c.survey(svc).members {
 			if m.utilization() > overloadFrom {
-				permille := int64(1000 / m.utilization())
+				permille := int64(1000 * overloadPart / m.utilization())
 				c.overload[id] = max(permille/admitStep, 1) * admitStep
 			}
 		}
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -201,7 +201,11 @@
 	table := s.coord.Whole()
 	var lines []string
 	for _, v := range table.Servers {
-		lines = append(lines, fmt.Sprintf("server %s draining=%t", v.ID, v.Draining))
+		line := fmt.Sprintf("server %s draining=%t", v.ID, v.Draining)
+		if v.AdmitPermille > 0 {
+			line += fmt.Sprintf(" admit=%d", v.AdmitPermille)
+		}
+		lines = append(lines, line)
 	}
 	slices.Sort(lines)
 	for _, o := range table.Owners {
