--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -22,6 +24,22 @@
 	err error
 }
 
+// mayRun tells whether the server may have run the request.
+func (r result) mayRun() bool {
+	var f *failure
+	if errors.As(r.err, &f) {
+		return f.mayRun
+	}
+	return r.err != nil || !r.in.info.NotRun
+}
+
+// discard ends an exchange whose response goes to nobody.
+func (r result) discard() {
+	if r.err == nil {
+		r.in.finish(false)
+	}
+}
+
 // send sends the request to a server. An idempotent one that has no response in a
 // long time is sent once more beside the first (a hedged request: J. Dean and L.
 // Barroso, "The Tail at Scale", CACM 2013), and the first response counts.
@@ -46,12 +64,13 @@
 	go c.attemptInto(ctx, second, c.prepare(second), results)
 	first := <-results
 	if first.err != nil || c.rejected(first.in) {
-		c.discard(first)
+		c.mayRun = c.mayRun || first.mayRun()
+		first.discard()
 		return c.settle(cancel, <-results)
 	}
 	go func() {
 		cancel()
-		c.discard(<-results)
+		(<-results).discard()
 	}()
 	return first.in, nil
 }
@@ -70,12 +89,6 @@
 	return r.in, nil
 }
 
-func (c *call) discard(r result) {
-	if r.err == nil {
-		r.in.finish(false)
-	}
-}
-
 // hedgeTarget returns the server for a second send, or nil if the request may not
 // be sent again or would come too late.
 func (c *call) hedgeTarget(service *routes.Service) *target {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,6 +233,24 @@
 	}
 }
 
+// A request that may have run in one of two sends is not refused as not run.
+func TestRefusalAfterTwoSendsIsTrue(t *testing.T) {
+	late := func(net.Conn, *http.Request, []byte) bool {
+		time.Sleep(550 * time.Millisecond)
+		return false // may have run
+	}
+	slowRefusal := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(300 * time.Millisecond)
+		return notRun(conn, r, body)
+	}
+	server := newStandIn(t, late, slowRefusal)
+	f := newFixture(t)
+	f.tell(server)
+	if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 502 || server.count() != 2 {
+		t.Errorf("status %d after %d sends, want 502 after 2", response.StatusCode, server.count())
+	}
+}
+
 func TestFinalResponseAtTheDeadline(t *testing.T) {
 	server := newStandIn(t, func(net.Conn, *http.Request, []byte) bool {
 		time.Sleep(2 * time.Second)
--- /dev/null
+++ b/keyrange/survey.go
@@ -0,0 +1,114 @@
+package keyrange
+
+// member is a server's share of a service's load.
+type member struct {
+	server   *server
+	capacity float64 // requests a second at full use of its slots
+	load     float64 // requests a second
+	rows     int
+	leaving  int
+}
+
+func (m *member) utilization() float64 { return m.load / m.capacity }
+
+// fleet is the load of a service's servers at one moment.
+type fleet struct {
+	members map[string]*member
+	average float64 // utilization if the load were spread by capacity
+	moving  int     // servers that are giving keys away
+}
+
+// survey returns the load of the servers that may be given keys.
+func (c *Coordinator) survey(svc *service) fleet {
+	f := fleet{members: map[string]*member{}}
+	workTime := c.averageWorkTime(svc.name)
+	capacity := 0.0
+	for id, s := range c.servers {
+		if s.info.Service == svc.name && s.ready() {
+			m := &member{server: s, capacity: s.capacity(workTime)}
+			f.members[id] = m
+			capacity += m.capacity
+		}
+	}
+	total := 0.0
+	for i := range svc.rows {
+		w := &svc.rows[i]
+		rate := svc.load.sum(w.from, w.to)
+		total += rate
+		m := f.members[w.holder]
+		if m == nil {
+			continue
+		}
+		m.rows++
+		if w.leaving {
+			m.leaving++
+		} else {
+			m.load += rate
+		}
+	}
+	for _, m := range f.members {
+		if m.leaving > 0 {
+			f.moving++
+		}
+	}
+	if capacity > 0 {
+		f.average = total / capacity
+	}
+	return f
+}
+
+// averageWorkTime returns the time of a request over all servers of a service.
+func (c *Coordinator) averageWorkTime(name string) float64 {
+	var all workTimes
+	for _, s := range c.servers {
+		if s.info.Service == name {
+			all.seconds += s.work.seconds
+			all.count += s.work.count
+		}
+	}
+	return all.average(defaultWorkTime)
+}
+
+// capacity returns the requests a second that fill the server's slots.
+func (s *server) capacity(average float64) float64 {
+	workTime := s.work.average(average)
+	capacity := float64(max(s.info.Slots, 1)) / workTime
+	if s.info.WarmupMillis > 0 {
+		capacity *= warmupFactor
+	}
+	return capacity
+}
+
+// isLeast tells whether no server has a lower utilization.
+func (f *fleet) isLeast(me *member) bool {
+	for _, m := range f.members {
+		if m.utilization() < me.utilization() {
+			return false
+		}
+	}
+	return true
+}
+
+// hasFaster tells whether another member is so much faster that a key which fills
+// this one is better off there.
+func (f *fleet) hasFaster(me *member) bool {
+	for _, m := range f.members {
+		if m.capacity > fasterFactor*me.capacity {
+			return true
+		}
+	}
+	return false
+}
+
+// isFastest tells whether no other member is much faster.
+func (f *fleet) isFastest(me *member) bool { return !f.hasFaster(me) }
+
+// level is the utilization up to which servers take keys. As long as there is
+// hardly any load it follows the average, so that keys are divided evenly before
+// their load shows.
+func (f *fleet) level() float64 {
+	if f.average < idleUtilization {
+		return f.average * movedTo
+	}
+	return max(calmUtilization, f.average*movedTo)
+}
