Keep the look at idle connections and the codec of log messages in one place each

Cause: duplicates showed both written twice, in internal/forward and internal/gateway, and in internal/control and internal/fleet.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/membership"
-	"github.com/galenalug/galenalug/replog"
 )
 
 // handler takes the calls and messages of entry hosts and other control hosts.
@@ -78,13 +78,12 @@
 	if from.Identity().Role != peer.RoleControl {
 		return
 	}
-	var batch wire.RaftBatch
-	var messages []replog.Message
-	if cbor.Unmarshal(body, &batch) != nil || cbor.Unmarshal(batch.Messages, &messages) != nil {
-		log.WithField("peer", from.Identity().Name).Warn("invalid log messages dropped")
+	name, messages, err := groupcall.DecodeRaft(body)
+	if err != nil {
+		log.WithError(err).WithField("peer", from.Identity().Name).Warn("invalid log messages dropped")
 		return
 	}
-	if runner, ok := h.runners[batch.Group]; ok {
+	if runner, ok := h.runners[name]; ok {
 		runner.Deliver(messages)
 	}
 }
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -15,7 +15,6 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -351,14 +350,9 @@
 	if !ok {
 		return
 	}
-	encoded, err := cbor.Marshal(messages)
+	body, err := groupcall.EncodeRaft(groupName, messages)
 	if err != nil {
-		log.WithError(err).Error("encode log messages")
-		return
-	}
-	body, err := cbor.Marshal(wire.RaftBatch{Group: groupName, Messages: encoded})
-	if err != nil {
-		log.WithError(err).Error("encode log messages")
+		log.WithError(err).Error("log messages not sent")
 		return
 	}
 	// A lost message is sent again by the log.
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
-	"github.com/galenalug/galenalug/replog"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -98,14 +98,9 @@
 }
 
 func (h *Host) deliver(body []byte) {
-	var batch wire.RaftBatch
-	if err := cbor.Unmarshal(body, &batch); err != nil {
-		log.WithError(err).Warn("log message can't be read")
-		return
-	}
-	var messages []replog.Message
-	if err := cbor.Unmarshal(batch.Messages, &messages); err != nil {
-		log.WithError(err).Warn("log message can't be read")
+	_, messages, err := groupcall.DecodeRaft(body)
+	if err != nil {
+		log.WithError(err).Warn("invalid log messages dropped")
 		return
 	}
 	if h.runner != nil {
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -12,12 +12,12 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -238,14 +238,9 @@
 	if to.Name == "" {
 		return // the address comes with the member's next message
 	}
-	encoded, err := cbor.Marshal(messages)
+	body, err := groupcall.EncodeRaft(name, messages)
 	if err != nil {
-		log.WithError(err).Error("encode log messages")
-		return
-	}
-	body, err := cbor.Marshal(wire.RaftBatch{Group: name, Messages: encoded})
-	if err != nil {
-		log.WithError(err).Error("encode log messages")
+		log.WithError(err).Error("log messages not sent")
 		return
 	}
 	// A lost message is sent again by the log.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,10 +3,11 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/idle"
 )
 
 // readBufferBytes bounds the header of an answer, too.
@@ -95,39 +96,11 @@
 	return p, nil
 }
 
-// idleState is what a look at an idle connection shows.
-type idleState int
-
-const (
-	idleQuiet  idleState = iota // open, nothing to read
-	idleClosed                  // closed or broken
-	idleLate                    // bytes that no request asked for
-)
-
 // peekIdle looks at an idle connection without blocking and without taking
 // bytes from it.
-func (c *conn) peekIdle() idleState {
+func (c *conn) peekIdle() idle.State {
 	if c.reader.Buffered() > 0 {
-		return idleLate
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return idleClosed
-	}
-	state := idleQuiet
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case n > 0:
-			state = idleLate
-		case peekErr != syscall.EAGAIN && peekErr != syscall.EINTR:
-			state = idleClosed
-		}
-		return true
-	})
-	if err != nil {
-		return idleClosed
+		return idle.Late
 	}
-	return state
+	return idle.Peek(c.Conn)
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/idle"
 )
 
 // errPoolFull means that every connection allowed to the server is in use.
@@ -40,10 +42,10 @@
 			return p.connect(ctx)
 		}
 		switch c.peekIdle() {
-		case idleQuiet:
+		case idle.Quiet:
 			c.written = 0
 			return c, nil
-		case idleLate:
+		case idle.Late:
 			p.counts.lateAnswers.Add(1)
 		}
 		p.discard(c)
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/idle"
 )
 
 // pair returns a pool and the server's ends of the connections it opens.
@@ -52,7 +54,7 @@
 			first := acquire(t, p, time.Time{})
 			p.release(first)
 			spoil(<-accepted)
-			for first.peekIdle() == idleQuiet {
+			for first.peekIdle() == idle.Quiet {
 				<-time.After(time.Millisecond) // waits for the state, proves nothing by itself
 			}
 			if second := acquire(t, p, time.Time{}); second == first {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/galenalug/galenalug/internal/idle"
 )
 
 const (
@@ -136,22 +138,7 @@
 	if c.reader.Buffered() > 0 || time.Since(c.used) > c.idleFor {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(peekErr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return idle.Peek(c.Conn) == idle.Quiet
 }
 
 // exchange sends a request on a connection and reads its response. The
