Share connections among all gateways while a new leader still counts them

Cause: found by reading: the first gateway that subscribed at a new leader was told that it is the only one, and could open all connections that a server accepts. Test: TestNewLeaderDoesNotGiveOneGatewayAllConnections, which failed with 20 before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -320,6 +320,21 @@
 	}
 }
 
+// Pattern: all gateways subscribe at a new leader, which counts them one by one.
+func TestNewLeaderDoesNotGiveOneGatewayAllConnections(t *testing.T) {
+	v := newView(2500 * time.Millisecond)
+	config := encode(t, testConfig())
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Whole: true, Config: config, EntryHosts: 10})
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 1, Whole: true, Partial: true, EntryHosts: 1})
+	if got := v.connections("stock"); got != 2 {
+		t.Errorf("%d of 20 connections while the new leader counts, want 2", got)
+	}
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 2, EntryHosts: 5})
+	if got := v.connections("stock"); got != 4 {
+		t.Errorf("%d of 20 connections among 5 gateways, want 4", got)
+	}
+}
+
 func TestLeavingServerGetsNothingAtTheEndOfItsDrainTime(t *testing.T) {
 	v := newView(2500 * time.Millisecond)
 	leaving := keyrange.Server{ID: "a", Service: "photos", Address: "a:80", Slots: 6, Draining: true}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -70,7 +70,8 @@
 		v.owners = map[string][]ownership{}
 	}
 	v.term, v.version, v.heard = u.Term, u.Version, now
-	v.controls, v.entries = u.Controls, max(u.EntryHosts, 1)
+	v.controls = u.Controls
+	v.takeGateways(u)
 	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
 		v.routes = routes.NewTable(*config)
 		log.WithField("version", config.Version).Info("route configuration in force")
@@ -83,6 +84,16 @@
 	v.changed = make(chan struct{})
 }
 
+// takeGateways takes in the number of gateways, by which connections and budgets
+// are shared. To a new leader they come one by one.
+func (v *view) takeGateways(u keyrange.TableUpdate) {
+	if u.Partial {
+		v.entries = max(v.entries, u.EntryHosts)
+		return
+	}
+	v.entries = max(u.EntryHosts, 1)
+}
+
 func decodeConfig(data []byte) *routes.Config {
 	if len(data) == 0 {
 		return nil
