--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -233,6 +233,24 @@
 	}
 }
 
+// A request that may have run in one of two sends is not refused as not run.
+func TestRefusalAfterTwoSendsIsTrue(t *testing.T) {
+	late := func(net.Conn, *http.Request, []byte) bool {
+		time.Sleep(550 * time.Millisecond)
+		return false // may have run
+	}
+	slowRefusal := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(300 * time.Millisecond)
+		return notRun(conn, r, body)
+	}
+	server := newStandIn(t, late, slowRefusal)
+	f := newFixture(t)
+	f.tell(server)
+	if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 502 || server.count() != 2 {
+		t.Errorf("status %d after %d sends, want 502 after 2", response.StatusCode, server.count())
+	}
+}
+
 func TestFinalResponseAtTheDeadline(t *testing.T) {
 	server := newStandIn(t, func(net.Conn, *http.Request, []byte) bool {
 		time.Sleep(2 * time.Second)
@@ -302,6 +320,21 @@
 	}
 }
 
+// Pattern: all gateways subscribe at a new leader, which counts them one by one.
+func TestNewLeaderDoesNotGiveOneGatewayAllConnections(t *testing.T) {
+	v := newView(2500 * time.Millisecond)
+	config := encode(t, testConfig())
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Whole: true, Config: config, EntryHosts: 10})
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 1, Whole: true, Partial: true, EntryHosts: 1})
+	if got := v.connections("stock"); got != 2 {
+		t.Errorf("%d of 20 connections while the new leader counts, want 2", got)
+	}
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 2, EntryHosts: 5})
+	if got := v.connections("stock"); got != 4 {
+		t.Errorf("%d of 20 connections among 5 gateways, want 4", got)
+	}
+}
+
 func TestLeavingServerGetsNothingAtTheEndOfItsDrainTime(t *testing.T) {
 	v := newView(2500 * time.Millisecond)
 	leaving := keyrange.Server{ID: "a", Service: "photos", Address: "a:80", Slots: 6, Draining: true}
