Never send a long body a second time; count passed-on heartbeats

Cause: found by reading: the body of a request above 1 MiB is not kept, so that a second send after a rejection carried only its rest. Test: TestLongBodyIsSentOnce; before, the client got 504 at its deadline in place of 503 at once, since the server waited for the rest of the second body.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -30,15 +30,20 @@
 		err := h.callLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
 		return reply, err
 	}
-	started := time.Now()
 	reply, err := h.takeHeartbeat(ctx, hb)
-	h.metrics.countHeartbeat(started, err)
 	reply.Contact = "" // the caller is there already
 	return reply, err
 }
 
-// takeHeartbeat answers a heartbeat on the leader.
+// takeHeartbeat answers a heartbeat on the leader, and counts it.
 func (h *Host) takeHeartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+	started := time.Now()
+	reply, err := h.answerHeartbeat(ctx, hb)
+	h.metrics.countHeartbeat(started, err)
+	return reply, err
+}
+
+func (h *Host) answerHeartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	received := clock.Now()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -106,6 +107,22 @@
 	}
 }
 
+// A body that is too long to be kept can't be sent again.
+func TestLongBodyIsSentOnce(t *testing.T) {
+	server := newStandIn(t, notRun, ok("yes"))
+	f := newFixture(t)
+	f.tell(server)
+	body := bytes.Repeat([]byte("x"), 2*bufferedBody)
+	response, _ := f.do("POST", "/photo/1", bytes.NewReader(body))
+	if response.StatusCode != 503 || server.count() != 1 {
+		t.Errorf("status %d after %d sends, want 503 after 1", response.StatusCode, server.count())
+	}
+	response, _ = f.do("POST", "/photo/2", bytes.NewReader(body))
+	if response.StatusCode != 200 || !bytes.Equal(server.bodies[1], body) {
+		t.Errorf("status %d, %d of %d bytes arrived", response.StatusCode, len(server.bodies[1]), len(body))
+	}
+}
+
 func TestNoMoreSendsThanTheRouteAllows(t *testing.T) {
 	server := newStandIn(t, notRun)
 	f := newFixture(t)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -41,13 +41,11 @@
 	reasonNoOwner    = "no-owner"
 	reasonNoServer   = "no-server"
 	reasonOverload   = "owner-overloaded"
-	reasonNoBudget   = "no-retry-budget"
 	reasonBody       = "request-body"
 	reasonBodyLarge  = "request-body-too-large"
 	reasonNoKey      = "no-key"
 	reasonNotRun     = "server-did-not-run-it"
 	reasonNotHolder  = "server-does-not-hold-the-key"
-	reasonDeadline   = "deadline"
 	reasonFromServer = "response"
 )
 
@@ -142,7 +140,7 @@
 			c.log("client left", reasonCanceled, 0, true)
 			return
 		}
-		target, reason := c.target(service)
+		target, reason := c.awaitServer(service)
 		if target == nil {
 			c.refuse(reason)
 			return
@@ -224,6 +222,9 @@
 	case reason == reasonTimeout || time.Until(c.deadline) <= 0:
 		c.fail(reason)
 		return false, reason
+	case c.stream != nil:
+		c.refuse(reason) // what was sent of the body is gone
+		return false, reason
 	}
 	return true, reason
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -27,10 +27,10 @@
 	return c.started.Add(time.Duration(holdPart * float64(c.deadline.Sub(c.started))))
 }
 
-// target returns the server for the next attempt. It waits for an owner of the
+// awaitServer returns the server for the next attempt. It waits for an owner of the
 // key or for room at a server as long as the client still has time to return,
 // and refuses at once what would wait longer.
-func (c *call) target(service *routes.Service) (*target, string) {
+func (c *call) awaitServer(service *routes.Service) (*target, string) {
 	until := c.holdUntil()
 	place := &place{priority: c.route.Priority}
 	defer place.leave()
