--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 VERSION       := $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 FUZZ_TIME     ?= 300x
 
-.PHONY: all build test fmt fmt-check lint generate generate-check unit fuzz demo faults bench tools clean
+.PHONY: all build test fmt fmt-check lint generate generate-check unit fuzz demo faults soak bench tools clean
 
 all: build
 
@@ -54,6 +54,13 @@
 	bash scripts/faults.sh fencing
 	bash scripts/faults.sh mixed
 
+# Harms the real programs of the users' platform from outside; see platform/soak_test.go.
+SOAK_FIRST   ?= 1
+SOAK_SEEDS   ?= 50
+SOAK_SECONDS ?= 8
+soak:
+	$(GO) test ./platform -run TestSoak -soak.first $(SOAK_FIRST) -soak.seeds $(SOAK_SEEDS) -soak.seconds $(SOAK_SECONDS) -v -timeout 3h
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
 
