Try pre-votes fast only before a leader was ever heard of

Since a follower that missed heartbeats tried a pre-vote every quarter to half election timeout, so that two followers that were starved for a moment unseated a leader that was alive. Ruled out: the clock of leases and the look at idle connections, which stay as they are. Change: fast retries only until a leader was heard of since the start.

--- a/replog/election.go
+++ b/replog/election.go
@@ -16,9 +16,10 @@
 // so that a member that is better placed to lead wins if there is one.
 func (n *Node) SetElectionDelay(delay time.Duration) { n.electionDelay = delay }
 
-// preVoteRetry draws the time after which a pre-vote is tried again. It is short:
-// a pre-vote disturbs nobody, and others may refuse the first one only because
-// they started a moment ago.
+// preVoteRetry draws the time after which a member that heard of no leader since
+// its start tries a pre-vote again. It is short, since others may have refused the
+// first one only because they started a moment ago. Later, short retries would
+// unseat a leader whose heartbeats come late.
 func (n *Node) preVoteRetry() time.Duration {
 	quarter := n.cfg.ElectionTimeout / 4
 	return quarter + time.Duration(n.cfg.Rand.Int64N(int64(quarter)+1))
@@ -42,9 +43,10 @@
 	n.votes = map[uint64]bool{n.cfg.ID: true}
 	request := Message{Kind: KindPreVote, Term: n.term + 1}
 	n.role = PreCandidate
-	if pre {
+	if pre && !n.heardLeader {
 		n.electionDeadline = n.now + n.preVoteRetry()
-	} else {
+	}
+	if !pre {
 		n.role = Candidate
 		n.term++
 		n.vote = n.cfg.ID
@@ -108,6 +110,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader = Leader, n.cfg.ID
+	n.heardLeader = true
 	n.votes = nil
 	n.electedAt = n.now
 	n.reads = nil
--- a/replog/node.go
+++ b/replog/node.go
@@ -36,6 +36,7 @@
 	members      []Member
 	membersIndex uint64 // index of the last member change in the log
 
+	heardLeader      bool          // whether a leader was heard of since the start
 	lastHeard        time.Duration // when a leader was last heard of, or the start
 	electionDeadline time.Duration
 	electionDelay    time.Duration // added to each election timeout
@@ -233,6 +234,7 @@
 		n.becomeFollower(n.term, leader)
 	}
 	n.leader = leader
+	n.heardLeader = true
 	n.lastHeard = n.now
 	n.resetElection()
 	return nil
--- a/replog/node_test.go
+++ b/replog/node_test.go
@@ -229,3 +229,40 @@
 		t.Fatal("a member that lost entries counts")
 	}
 }
+
+// A follower whose leader's heartbeats come late tries a pre-vote no more often
+// than once in an election timeout: each further one is a chance to unseat the
+// leader. Only before it ever heard of a leader does it try faster.
+func TestPreVotesAreRareOnceALeaderWasHeard(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		members := []Member{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}, {ID: 3, Name: "c"}}
+		config := Config{
+			ID: 1, Name: "a", ElectionTimeout: time.Second, HeartbeatInterval: 100 * time.Millisecond,
+			Rand: rand.New(rand.NewPCG(1, 1)),
+		}
+		n, err := New(config, Bootstrap(members), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if heard {
+			if err := n.Step(0, Message{Kind: KindAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rounds := 0
+		for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+			n.Tick(now)
+			for ready := n.Ready(); !ready.Empty(); ready = n.Ready() {
+				for _, m := range ready.Messages {
+					if m.Kind == KindPreVote && m.To == 2 {
+						rounds++
+					}
+				}
+				n.Advance()
+			}
+		}
+		if heard && rounds > 10 || !heard && rounds < 15 {
+			t.Errorf("a leader was heard of: %t; %d pre-votes in 10 election timeouts", heard, rounds)
+		}
+	}
+}
