--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// Pattern: a server ended, and its address belongs to one of another service. Each
+// request that went on there was counted against the other service's budget.
+func TestServerWhoseAddressWasTakenGetsNothingMore(t *testing.T) {
+	other := raw("HTTP/1.1 421 Misdirected\r\nTest-Not-Run: 1\r\nTest-Server: other\r\nContent-Length: 0\r\n\r\n")
+	server := newStandIn(t, other)
+	f := newFixture(t)
+	f.tell(server)
+	for range 3 {
+		if response, _ := f.do("POST", "/order/1", nil); response.StatusCode != 503 {
+			t.Errorf("status %d, want 503", response.StatusCode)
+		}
+	}
+	if server.count() != 1 {
+		t.Errorf("%d requests reached the other server, want the first alone", server.count())
+	}
+	if seen := f.host.backends.observations(); len(seen) != 1 || seen[0].Misdirected != 1 {
+		t.Errorf("reported %+v", seen)
+	}
+}
+
 func TestResponseOfAnotherRequestIsPassedOver(t *testing.T) {
 	late := "HTTP/1.1 200 OK\r\nTest-Id: other\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nother"
 	mine := "HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nContent-Length: 4\r\n\r\nmine"
