Tell gateways of servers that left before a new leader heard of them

The leader knew of no such server and told nobody; gateways kept it from the leader before, and sent on for up to the lease. Ruled out: a late push (the gateways were connected 0.5 s before the acknowledgement). Change: servers that left and are not in the table are told to be gone.

--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -63,7 +63,7 @@
 		addresses: map[string]string{},
 		services:  map[string]*service{},
 		left:      map[string]departure{},
-		published: published{servers: map[string]Server{}, owners: map[string][]Owner{}},
+		published: published{servers: map[string]Server{}, owners: map[string][]Owner{}, departed: map[string]bool{}},
 	}
 }
 
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -12,6 +12,9 @@
 	partial bool
 	servers map[string]Server
 	owners  map[string][]Owner
+	// departed are servers that left and are not in servers. Gateways may know them
+	// from an earlier leader.
+	departed map[string]bool
 }
 
 // Changes returns what changed in the table since the last call, and whether
@@ -29,6 +32,7 @@
 			update.Gone = append(update.Gone, id)
 		}
 	}
+	update.Gone = append(update.Gone, c.newlyDeparted(servers)...)
 	owners := map[string][]Owner{}
 	for name, svc := range c.services {
 		owners[name] = c.visibleOwners(now, svc)
@@ -49,12 +53,31 @@
 	for _, s := range c.published.servers {
 		update.Servers = append(update.Servers, s)
 	}
+	for id := range c.published.departed {
+		update.Gone = append(update.Gone, id)
+	}
 	for _, owners := range c.published.owners {
 		update.Owners = append(update.Owners, owners...)
 	}
 	return update
 }
 
+// newlyDeparted returns servers that left and that were not told to be gone yet.
+func (c *Coordinator) newlyDeparted(visible map[string]Server) []string {
+	var ids []string
+	for id := range c.left {
+		_, known := visible[id]
+		switch {
+		case known:
+			delete(c.published.departed, id)
+		case !c.published.departed[id]:
+			c.published.departed[id] = true
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (c *Coordinator) visibleServers(now time.Duration) map[string]Server {
 	visible := make(map[string]Server, len(c.servers))
 	c.rateOverload(now)
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -207,6 +207,9 @@
 		}
 		lines = append(lines, line)
 	}
+	for _, id := range table.Gone {
+		lines = append(lines, "gone "+id)
+	}
 	slices.Sort(lines)
 	for _, o := range table.Owners {
 		lines = append(lines, fmt.Sprintf("%d-%d %s", o.From, o.To, o.ServerID))
