Keep the look for a store, the optional secret and the log writers' loop in one place each

Cause: read over the whole change: holdsStore stood in internal/control and internal/fleet, the reading of an optional secret in two mains, and the loop that flushes lines twice in internal/eventlog.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -33,11 +33,9 @@
 			if err := logging.Setup(s.Log, lines); err != nil {
 				return err
 			}
-			var secret []byte
-			if s.PeerSecretFile != nil {
-				if secret, err = config.ReadSecret(*s.PeerSecretFile); err != nil {
-					return err
-				}
+			secret, err := config.ReadOptionalSecret(s.PeerSecretFile)
+			if err != nil {
+				return err
 			}
 			registry := prometheus.NewRegistry()
 			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: registry})
--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operatorSecret, err := optionalSecret(s.OperatorSecretFile)
+	operatorSecret, err := config.ReadOptionalSecret(s.OperatorSecretFile)
 	if err != nil {
 		return nil, err
 	}
@@ -100,13 +100,6 @@
 	return &process{link: link, host: host, done: make(chan struct{})}, nil
 }
 
-func optionalSecret(path *string) ([]byte, error) {
-	if path == nil || *path == "" {
-		return nil, nil
-	}
-	return config.ReadSecret(*path)
-}
-
 // newIncarnation returns a name for this start of the process.
 func newIncarnation() string {
 	var id [8]byte
--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -40,7 +40,7 @@
 			if err := logging.Setup(s.Log, lines); err != nil {
 				return err
 			}
-			secret, err := optionalSecret(s.PeerSecretFile)
+			secret, err := config.ReadOptionalSecret(s.PeerSecretFile)
 			if err != nil {
 				return err
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,14 @@
 	return secret, nil
 }
 
+// ReadOptionalSecret reads a credential, or returns nil if no file is named.
+func ReadOptionalSecret(path *string) ([]byte, error) {
+	if path == nil || *path == "" {
+		return nil, nil
+	}
+	return ReadSecret(*path)
+}
+
 // load runs all checks in turn; each later one needs what the earlier ones ensured.
 func load[T any](path, kind string, check func(T) []Problem, secrets func(T) []secretFile) (T, error) {
 	var value T
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -166,19 +165,13 @@
 	if first {
 		options.ID = memberID(g.Name, h.settings.Name)
 		options.Bootstrap = initialMembers(g)
-	} else if !holdsStore(options.Dir) {
+	} else if !group.HoldsStore(options.Dir) {
 		options.ID = rand.Uint64()
 	}
 	runner, err := group.Start(options)
 	return runner, errors.Wrapf(err, "group %s", g.Name)
 }
 
-// holdsStore reports whether a folder holds a member's store.
-func holdsStore(dir string) bool {
-	entries, err := os.ReadDir(dir)
-	return err == nil && len(entries) > 0
-}
-
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // Start starts the host's groups and listeners. It fails with ErrDataInUse if
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -94,15 +94,21 @@
 }
 
 func (l *Log) run() {
+	out := bufio.NewWriter(l.writer)
+	flushUntil(l.stop, func(most int) { l.flush(out, most) })
+}
+
+// flushUntil flushes a bounded number of lines at each interval, and all of a queue
+// at the stop.
+func flushUntil(stop <-chan struct{}, flush func(most int)) {
 	ticker := time.NewTicker(flushInterval)
 	defer ticker.Stop()
-	out := bufio.NewWriter(l.writer)
 	for {
 		select {
 		case <-ticker.C:
-			l.flush(out, int(linesPerSecond*flushInterval/time.Second))
-		case <-l.stop:
-			l.flush(out, queueLines)
+			flush(int(linesPerSecond * flushInterval / time.Second))
+		case <-stop:
+			flush(queueLines)
 			return
 		}
 	}
--- a/internal/eventlog/writer.go
+++ b/internal/eventlog/writer.go
@@ -22,7 +22,7 @@
 // NewWriter starts a writer.
 func NewWriter(out io.Writer) *Writer {
 	w := &Writer{out: out, lines: make(chan []byte, queueLines), stop: make(chan struct{})}
-	w.done.Go(w.run)
+	w.done.Go(func() { flushUntil(w.stop, w.flush) })
 	return w
 }
 
@@ -42,20 +42,6 @@
 	w.done.Wait()
 }
 
-func (w *Writer) run() {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			w.flush(int(linesPerSecond * flushInterval / time.Second))
-		case <-w.stop:
-			w.flush(queueLines)
-			return
-		}
-	}
-}
-
 func (w *Writer) flush(most int) {
 	var batch []byte
 	for range most {
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -166,7 +166,7 @@
 	}
 	founders := h.founders()
 	switch {
-	case holdsStore(options.Dir):
+	case group.HoldsStore(options.Dir):
 	case len(founders) > 0:
 		options.ID, options.Bootstrap = memberID(h.name), founders
 	default:
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -93,9 +92,3 @@
 		c.Close()
 	}
 }
-
-// holdsStore reports whether a folder holds a member's store.
-func holdsStore(dir string) bool {
-	entries, err := os.ReadDir(dir)
-	return err == nil && len(entries) > 0
-}
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"slices"
 
 	"github.com/galenalug/galenalug/replog"
@@ -9,6 +10,12 @@
 	"github.com/pkg/errors"
 )
 
+// HoldsStore reports whether a folder holds a member's store.
+func HoldsStore(dir string) bool {
+	entries, err := os.ReadDir(dir)
+	return err == nil && len(entries) > 0
+}
+
 // openStore opens the store, or makes one on a new disk.
 func openStore(o Options) (*storage.Store, storage.Recovered, error) {
 	store, recovered, err := storage.Open(o.Dir, o.Storage)
