Let operators get, check and put routes with galenactl

galenactl had no way to the route configuration: only the platform's own call reached it. Control hosts of gateways now take GET and PUT of routes on their admin address in the product's YAML format, checked by a schema of its own; what is put there reads back in the platform's format. A secret guards it, or the setting open_network says that none is needed.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"runtime/debug"
 
@@ -14,6 +15,7 @@
 	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/logging"
+	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/platform"
 )
 
@@ -37,12 +39,19 @@
 			if err != nil {
 				return err
 			}
+			operatorSecret, err := config.ReadOptionalSecret(s.OperatorSecretFile)
+			if err != nil {
+				return err
+			}
 			registry := prometheus.NewRegistry()
 			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: registry})
 			if err != nil {
 				return err
 			}
-			operators, err := admin.Start(fleet.PeerAddress(s.Ip, s.AdminPort), registry, host.Dump)
+			operators, err := admin.Start(admin.Options{
+				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+				Handlers: map[string]http.Handler{wire.PathRoutes: host.OperatorAPI(operatorSecret, s.OpenNetwork)},
+			})
 			if err != nil {
 				return err
 			}
--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -51,7 +51,9 @@
 			if err != nil {
 				return err
 			}
-			operators, err := admin.Start(fleet.PeerAddress(s.Ip, s.AdminPort), registry, host.Dump)
+			operators, err := admin.Start(admin.Options{
+				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+			})
 			if err != nil {
 				return err
 			}
--- a/internal/config/checks.go
+++ b/internal/config/checks.go
@@ -32,7 +32,14 @@
 }
 
 func ctlSecrets(s settings.CtlSettings) []secretFile {
-	return []secretFile{{"operator_secret_file", s.OperatorSecretFile}}
+	return optionalSecret("operator_secret_file", s.OperatorSecretFile)
+}
+
+func optionalSecret(setting string, file *string) []secretFile {
+	if file == nil {
+		return nil
+	}
+	return []secretFile{{setting, *file}}
 }
 
 func checkSecrets(files []secretFile) []Problem {
@@ -71,7 +78,9 @@
 }
 
 func checkCtl(s settings.CtlSettings) []Problem {
-	return checkDistinct("controls", s.Controls)
+	problems := checkSecretOrOpen("operator_secret_file", s.OpenNetwork, s.OperatorSecretFile)
+	problems = append(problems, checkDistinct("controls", s.Controls)...)
+	return append(problems, checkDistinct("entries", s.Entries)...)
 }
 
 func hasName(hosts []settings.ControlHost, name string) bool {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	KindCtl     = "ctl"
 	KindGateway = "gateway"
 	KindFleet   = "fleet"
+	KindRoutes  = "routes"
 )
 
 const (
@@ -106,6 +107,8 @@
 		_, err = load(path, kind, checkGateway, only(withSecrets, gatewaySecrets))
 	case KindFleet:
 		_, err = load(path, kind, checkFleet, only(withSecrets, fleetSecrets))
+	case KindRoutes:
+		_, err = load(path, kind, checkRoutes, noSecrets)
 	default:
 		err = &Error{File: path, Problems: []Problem{{Detail: fmt.Sprintf(
 			"unknown kind of settings %q; must be one of %s", kind, strings.Join(Kinds(), ", "))}}}
--- a/internal/config/describe.go
+++ b/internal/config/describe.go
@@ -9,7 +9,7 @@
 
 // Kinds lists the kinds of settings files.
 func Kinds() []string {
-	return []string{KindEntry, KindControl, KindBackend, KindCtl, KindGateway, KindFleet}
+	return []string{KindEntry, KindControl, KindBackend, KindCtl, KindGateway, KindFleet, KindRoutes}
 }
 
 // Setting describes one setting, for the manual.
--- /dev/null
+++ b/internal/config/routes.go
@@ -0,0 +1,124 @@
+package config
+
+import (
+	"gopkg.in/yaml.v3"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// LoadRoutes reads the route configuration of a file. It fails with *Error.
+func LoadRoutes(path string) (routes.Put, error) {
+	file, err := load(path, KindRoutes, checkRoutes, noSecrets)
+	return routesPut(file), err
+}
+
+// ParseRoutes reads a route configuration of YAML, which errors call by the given
+// name. It fails with *Error.
+func ParseRoutes(name string, content []byte) (routes.Put, error) {
+	file, problems := decode[settings.RoutesFile](content, KindRoutes)
+	if len(problems) == 0 {
+		problems = checkRoutes(file)
+	}
+	if len(problems) > 0 {
+		return routes.Put{}, &Error{File: name, Problems: problems}
+	}
+	return routesPut(file), nil
+}
+
+// FormatRoutes returns the configuration in force as YAML. Its base is its own
+// version, so that it can be edited into the next one.
+func FormatRoutes(c routes.Config) ([]byte, error) {
+	file := settings.RoutesFile{
+		Version: int(c.Version),
+		Base:    int(c.Version),
+		Limits: settings.LimitsEntry{
+			HeaderBytes: int(c.Limits.HeaderBytes),
+			BodyBytes:   int(c.Limits.BodyBytes),
+			HeaderMs:    int(c.Limits.HeaderMillis),
+			IdleMs:      int(c.Limits.IdleMillis),
+		},
+	}
+	for _, s := range c.Services {
+		file.Services = append(file.Services, serviceEntry(s))
+	}
+	for _, r := range c.Routes {
+		file.Routes = append(file.Routes, routeEntry(r))
+	}
+	text, err := yaml.Marshal(file)
+	return text, errors.Wrap(err, "encode route configuration")
+}
+
+func checkRoutes(file settings.RoutesFile) []Problem {
+	if err := routes.Validate(routesPut(file).Config); err != nil {
+		return []Problem{{Detail: oneLine(err)}}
+	}
+	return nil
+}
+
+func noSecrets(settings.RoutesFile) []secretFile { return nil }
+
+func routesPut(file settings.RoutesFile) routes.Put {
+	put := routes.Put{Base: uint64(file.Base), Config: routes.Config{
+		Version:  uint64(file.Version),
+		Routes:   []routes.Route{},
+		Services: []routes.Service{},
+		Limits: routes.Limits{
+			HeaderBytes:  int64(file.Limits.HeaderBytes),
+			BodyBytes:    int64(file.Limits.BodyBytes),
+			HeaderMillis: int64(file.Limits.HeaderMs),
+			IdleMillis:   int64(file.Limits.IdleMs),
+		},
+	}}
+	for _, s := range file.Services {
+		put.Config.Services = append(put.Config.Services, routes.Service{
+			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int64(s.MaxConnections), Keyed: s.Keyed, WarmMillis: int64(s.WarmMs),
+		})
+	}
+	for _, r := range file.Routes {
+		put.Config.Routes = append(put.Config.Routes, route(r))
+	}
+	return put
+}
+
+func route(entry settings.RouteEntry) routes.Route {
+	r := routes.Route{
+		Name:          entry.Name,
+		Host:          entry.Host,
+		PathPrefix:    entry.PathPrefix,
+		Kind:          routes.Kind(entry.Kind),
+		TimeoutMillis: int64(entry.TimeoutMs),
+		TargetMillis:  int64(entry.TargetMs),
+		Priority:      int64(entry.Priority),
+		MaxAttempts:   int64(entry.MaxAttempts),
+	}
+	for _, share := range entry.Shares {
+		r.Shares = append(r.Shares, routes.Share{Service: share.Service, Weight: int64(share.Weight)})
+	}
+	return r
+}
+
+func routeEntry(r routes.Route) settings.RouteEntry {
+	entry := settings.RouteEntry{
+		Name:        r.Name,
+		Host:        r.Host,
+		PathPrefix:  r.PathPrefix,
+		Kind:        settings.RouteKind(r.Kind),
+		TimeoutMs:   int(r.TimeoutMillis),
+		TargetMs:    int(r.TargetMillis),
+		Priority:    int(r.Priority),
+		MaxAttempts: int(r.MaxAttempts),
+	}
+	for _, share := range r.Shares {
+		entry.Shares = append(entry.Shares, settings.ShareEntry{Service: share.Service, Weight: int(share.Weight)})
+	}
+	return entry
+}
+
+func serviceEntry(s routes.Service) settings.ServiceEntry {
+	return settings.ServiceEntry{
+		Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int(s.MaxConnections), Keyed: s.Keyed, WarmMs: int(s.WarmMillis),
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,10 +77,11 @@
 		Commands: []*cli.Command{
 			p.listCommand("plans", "the plan of each customer", pathPlans),
 			p.listCommand("allowances", "what each plan may use", pathAllowances),
+			p.routesCommand(),
 			{Name: "status", Usage: "print a control host's status", Action: p.status},
 			{Name: "dump", Usage: "print the state of the process at an admin address", ArgsUsage: "ADDRESS", Action: p.dump},
 			{Name: "settings", Usage: "settings files", Action: group, Commands: []*cli.Command{
-				{Name: "check", Usage: "check a settings file; KIND is entry, control, backend or ctl", ArgsUsage: "KIND FILE", Action: p.checkSettings},
+				{Name: "check", Usage: "check a settings file; KIND is one of " + strings.Join(config.Kinds(), ", "), ArgsUsage: "KIND FILE", Action: p.checkSettings},
 			}},
 			{Name: "control", Usage: "control hosts", Action: group, Commands: []*cli.Command{
 				{Name: "status", Usage: "print each control host's view of the log groups", Action: p.controlStatus},
@@ -115,8 +116,14 @@
 		{Name: "get", Usage: "print the list in force as YAML", Action: func(ctx context.Context, c *cli.Command) error {
 			return p.printAnswer(ctx, c, path)
 		}},
-		{Name: "set", Usage: "replace the list by the one in FILE, which carries a higher version", ArgsUsage: "FILE",
-			Action: func(ctx context.Context, c *cli.Command) error { return p.set(ctx, c, path) }},
+		p.replaceCommand("set", "replace the list by the one in FILE, which carries a higher version", path),
+	}}
+}
+
+// replaceCommand returns a command that sends a file to a path.
+func (p *program) replaceCommand(name, usage, path string) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, ArgsUsage: "FILE", Action: func(ctx context.Context, c *cli.Command) error {
+		return p.set(ctx, c, path)
 	}}
 }
 
@@ -272,7 +279,7 @@
 	if err != nil {
 		return nil, err
 	}
-	secret, err := config.ReadSecret(s.OperatorSecretFile)
+	secret, err := config.ReadOptionalSecret(s.OperatorSecretFile)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -25,8 +25,12 @@
 func TestSessions(t *testing.T) {
 	dir := t.TempDir()
 	secret, list := filepath.Join(dir, "secret"), filepath.Join(dir, "list.yaml")
+	routesFile := filepath.Join(dir, "routes.yaml")
 	write(t, secret, "0123456789abcdef")
 	write(t, list, "version: 2\n")
+	write(t, routesFile, `{version: 2, base: 1, limits: {header_bytes: 1, body_bytes: 1, header_ms: 1, idle_ms: 1},
+  services: [{name: s, health_path: /health}],
+  routes: [{name: r, host: h, path_prefix: /, kind: once, timeout_ms: 9, shares: [{service: s, weight: 1}]}]}`)
 	settings := filepath.Join(dir, "ctl.yaml")
 	var hosts []string
 	datadriven.RunTest(t, "testdata/sessions", func(t *testing.T, d *datadriven.TestData) string {
@@ -41,7 +45,7 @@
 		case "run":
 			arguments := []string{"galenactl", "--settings", settings}
 			for _, argument := range strings.Fields(d.Input) {
-				arguments = append(arguments, strings.NewReplacer("LIST", list, "ADDRESS", hosts[0]).Replace(argument))
+				arguments = append(arguments, strings.NewReplacer("LIST", list, "ROUTES", routesFile, "ADDRESS", hosts[0]).Replace(argument))
 			}
 			var output bytes.Buffer
 			code := Main(arguments, &output, &output)
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -135,21 +135,43 @@
 }
 
 // Document returns the operator's text of the configuration in force, which no
-// newer one had replaced at the time of the call.
+// newer one had replaced at the time of the call. It is empty if the
+// configuration was put without one; see Config.
 func (h *Host) Document(ctx context.Context) ([]byte, error) {
+	var document []byte
 	if !h.leads() {
-		var document []byte
-		err := h.callLeader(ctx, wire.KindGetConfig, struct{}{}, &document)
+		err := h.callLeader(ctx, wire.KindGetDocument, struct{}{}, &document)
 		return document, err
 	}
+	if err := h.confirmRead(ctx); err != nil {
+		return nil, err
+	}
+	return h.state.document(), nil
+}
+
+// Config returns the configuration in force, which no newer one had replaced at
+// the time of the call.
+func (h *Host) Config(ctx context.Context) (routes.Config, error) {
+	var config routes.Config
+	if !h.leads() {
+		err := h.callLeader(ctx, wire.KindGetConfig, struct{}{}, &config)
+		return config, err
+	}
+	if err := h.confirmRead(ctx); err != nil {
+		return config, err
+	}
+	return h.state.config(), nil
+}
+
+// confirmRead returns once what this host read after it is the newest state.
+func (h *Host) confirmRead(ctx context.Context) error {
 	if err := h.runner.ReadBarrier(ctx); err != nil {
-		return nil, translate(err)
+		return translate(err)
 	}
-	document, version := h.state.document()
-	if version == 0 {
-		return nil, errors.Wrap(ErrUnavailable, "there is no configuration yet")
+	if h.state.config().Version == 0 {
+		return errors.Wrap(ErrUnavailable, "there is no configuration yet")
 	}
-	return document, nil
+	return nil
 }
 
 func (h *Host) propose(ctx context.Context, c command) (any, error) {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -37,9 +37,12 @@
 		return answer(decoded(body, func(leave keyrange.Leave) (any, error) { return nil, h.Leave(ctx, leave) }))
 	case wire.KindPutConfig:
 		return answer(decoded(body, func(put routes.Put) (any, error) { return h.Put(ctx, put) }))
-	case wire.KindGetConfig:
+	case wire.KindGetDocument:
 		document, err := h.Document(ctx)
 		return answer(document, err)
+	case wire.KindGetConfig:
+		config, err := h.Config(ctx)
+		return answer(config, err)
 	case wire.KindSubscribe:
 		err := h.confirm(ctx)
 		if err == nil {
--- /dev/null
+++ b/internal/fleet/operator_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+const routesText = `base: 0
+version: 4
+routes:
+- {name: stock, host: a.example, path_prefix: /stock/, kind: idempotent, timeout_ms: 1200, max_attempts: 2, shares: [{service: stock, weight: 1}]}
+services:
+- {name: stock, health_path: /health, keyed: true}
+limits: {header_bytes: 16384, body_bytes: 67108864, header_ms: 3000, idle_ms: 15000}
+`
+
+// operatorCall sends one call and returns its status and body.
+func operatorCall(t *testing.T, server *httptest.Server, method, credential, body string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, server.URL+"/galena/v1/routes", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+credential)
+	response, err := server.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(answer)
+}
+
+func TestOperatorsReadAndReplaceRoutesAtAnyHost(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.wait("leader", func() bool { return c.leader() != nil })
+	for _, h := range c.hosts {
+		server := httptest.NewServer(h.OperatorAPI(nil, true))
+		t.Cleanup(server.Close)
+		// The same change is accepted again at every host.
+		c.wait("change accepted at "+h.name, func() bool {
+			status, body := operatorCall(t, server, "PUT", "", routesText)
+			return status == http.StatusOK && body == `{"outcome":"accepted","version":4}`
+		})
+		status, body := operatorCall(t, server, "GET", "", "")
+		if status != http.StatusOK || !strings.Contains(body, "version: 4") || !strings.Contains(body, "base: 4") {
+			t.Errorf("read at %s: %d %s", h.name, status, body)
+		}
+		other := strings.Replace(routesText, "version: 4", "version: 5", 1)
+		status, body = operatorCall(t, server, "PUT", "", other)
+		if status != http.StatusConflict || !strings.Contains(body, "another version is in force: 4") {
+			t.Errorf("change on an old base: %d %s", status, body)
+		}
+		status, body = operatorCall(t, server, "PUT", "", strings.Replace(routesText, "kind: idempotent", "kind: safe", 1))
+		if status != http.StatusBadRequest || !strings.Contains(body, "kind") {
+			t.Errorf("invalid change: %d %s", status, body)
+		}
+	}
+}
+
+func TestOperatorsNeedTheirCredential(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	c.wait("leader", func() bool { return c.leader() != nil })
+	for _, e := range []struct {
+		name       string
+		secret     string
+		open       bool
+		credential string
+		want       int
+	}{
+		{"right", "0123456789abcdef", true, "0123456789abcdef", http.StatusOK},
+		{"wrong", "0123456789abcdef", true, "0123456789abcdeX", http.StatusUnauthorized},
+		{"missing", "0123456789abcdef", true, "", http.StatusUnauthorized},
+		{"none set, closed network", "", false, "", http.StatusUnauthorized},
+		{"none set, open network", "", true, "", http.StatusOK},
+	} {
+		server := httptest.NewServer(c.hosts["127.0.0.1"].OperatorAPI([]byte(e.secret), e.open))
+		if status, body := operatorCall(t, server, "PUT", e.credential, routesText); status != e.want {
+			t.Errorf("%s: %d %s, want %d", e.name, status, body, e.want)
+		}
+		server.Close()
+	}
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -105,12 +105,11 @@
 	return s.routes.Current()
 }
 
-// document returns the operator's text of the configuration in force, and its
-// version.
-func (s *fleetState) document() ([]byte, uint64) {
+// document returns the operator's text of the configuration in force.
+func (s *fleetState) document() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes.Document(), s.routes.Current().Version
+	return s.routes.Document()
 }
 
 // check tells what would become of a change.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -140,8 +140,15 @@
 	// Control hosts' admin addresses, IP:port.
 	Controls []string `json:"controls" yaml:"controls" cbor:"controls"`
 
-	// File with the operators' credential.
-	OperatorSecretFile string `json:"operator_secret_file" yaml:"operator_secret_file" cbor:"operator_secret_file"`
+	// Entry hosts' admin addresses, IP:port, which traces ask too. Default: none.
+	Entries []string `json:"entries,omitempty,omitzero" yaml:"entries,omitempty" cbor:"entries,omitempty"`
+
+	// Whether the control hosts take operators' calls without a credential. Default:
+	// false.
+	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
+
+	// File with the operators' credential. Needed unless open_network is set.
+	OperatorSecretFile *string `json:"operator_secret_file,omitempty,omitzero" yaml:"operator_secret_file,omitempty" cbor:"operator_secret_file,omitempty"`
 
 	// Longest wait for an answer, milliseconds. Default: 5000.
 	TimeoutMs int `json:"timeout_ms,omitempty,omitzero" yaml:"timeout_ms,omitempty" cbor:"timeout_ms,omitempty"`
@@ -259,6 +266,10 @@
 	// reaches the peer port. Default: false.
 	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
 
+	// File with the operators' credential. Without one, operators' calls are taken
+	// only if open_network is set.
+	OperatorSecretFile *string `json:"operator_secret_file,omitempty,omitzero" yaml:"operator_secret_file,omitempty" cbor:"operator_secret_file,omitempty"`
+
 	// TCP port for peers, the same on every control host.
 	PeerPort int `json:"peer_port" yaml:"peer_port" cbor:"peer_port"`
 
@@ -344,6 +355,21 @@
 // Region by failure domain.
 type GatewaySettingsDomains map[string]string
 
+// What a client may send, and how long it may take.
+type LimitsEntry struct {
+	// Largest request body, bytes.
+	BodyBytes int `json:"body_bytes" yaml:"body_bytes" cbor:"body_bytes"`
+
+	// Largest request header, bytes.
+	HeaderBytes int `json:"header_bytes" yaml:"header_bytes" cbor:"header_bytes"`
+
+	// Longest time for a request header, milliseconds.
+	HeaderMs int `json:"header_ms" yaml:"header_ms" cbor:"header_ms"`
+
+	// Longest time that a connection may be idle, milliseconds.
+	IdleMs int `json:"idle_ms" yaml:"idle_ms" cbor:"idle_ms"`
+}
+
 type LogFormat string
 
 const LogFormatJson LogFormat = "json"
@@ -364,3 +390,88 @@
 	// Least severe level written. Default: info.
 	Level LogLevel `json:"level,omitempty,omitzero" yaml:"level,omitempty" cbor:"level,omitempty"`
 }
+
+// Where the requests of one host and path prefix go.
+type RouteEntry struct {
+	// Host of the requests.
+	Host string `json:"host" yaml:"host" cbor:"host"`
+
+	// Whether a request may run more than once; an upload is a request with a large
+	// body that may not.
+	Kind RouteKind `json:"kind" yaml:"kind" cbor:"kind"`
+
+	// Backend servers that one client attempt may be sent to. Default: 1.
+	MaxAttempts int `json:"max_attempts,omitempty,omitzero" yaml:"max_attempts,omitempty" cbor:"max_attempts,omitempty"`
+
+	// Unique name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// Prefix of the paths; begins and ends with a slash.
+	PathPrefix string `json:"path_prefix" yaml:"path_prefix" cbor:"path_prefix"`
+
+	// Rank under load; 0 is the highest. Default: 0.
+	Priority int `json:"priority,omitempty,omitzero" yaml:"priority,omitempty" cbor:"priority,omitempty"`
+
+	// Services that share the requests.
+	Shares []ShareEntry `json:"shares" yaml:"shares" cbor:"shares"`
+
+	// Latency objective, milliseconds; 0 for none. Default: 0.
+	TargetMs int `json:"target_ms,omitempty,omitzero" yaml:"target_ms,omitempty" cbor:"target_ms,omitempty"`
+
+	// Longest time until a final response, milliseconds.
+	TimeoutMs int `json:"timeout_ms" yaml:"timeout_ms" cbor:"timeout_ms"`
+}
+
+type RouteKind string
+
+const RouteKindIdempotent RouteKind = "idempotent"
+const RouteKindOnce RouteKind = "once"
+const RouteKindUpload RouteKind = "upload"
+
+// A whole route configuration, for galenactl routes.
+type RoutesFile struct {
+	// Version that this configuration replaces; 0 for the first one. Default: 0.
+	Base int `json:"base,omitempty,omitzero" yaml:"base,omitempty" cbor:"base,omitempty"`
+
+	// What a client may send, and how long it may take.
+	Limits LimitsEntry `json:"limits" yaml:"limits" cbor:"limits"`
+
+	// Routes. A request takes the one with its host and the longest prefix of its
+	// path.
+	Routes []RouteEntry `json:"routes" yaml:"routes" cbor:"routes"`
+
+	// Services that routes lead to.
+	Services []ServiceEntry `json:"services" yaml:"services" cbor:"services"`
+
+	// Number of this configuration; above the one in force.
+	Version int `json:"version" yaml:"version" cbor:"version"`
+}
+
+// A set of backend servers that run the same requests.
+type ServiceEntry struct {
+	// Path of the health check.
+	HealthPath string `json:"health_path" yaml:"health_path" cbor:"health_path"`
+
+	// Whether each request belongs to a key that one server holds. Default: false.
+	Keyed bool `json:"keyed,omitempty,omitzero" yaml:"keyed,omitempty" cbor:"keyed,omitempty"`
+
+	// Connections that one server accepts from all gateways together; 0 for no limit.
+	// Default: 0.
+	MaxConnections int `json:"max_connections,omitempty,omitzero" yaml:"max_connections,omitempty" cbor:"max_connections,omitempty"`
+
+	// Unique name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// How long a server is slow on keys that came without a handover, milliseconds.
+	// Default: 0.
+	WarmMs int `json:"warm_ms,omitempty,omitzero" yaml:"warm_ms,omitempty" cbor:"warm_ms,omitempty"`
+}
+
+// One service of a route and its part of the requests.
+type ShareEntry struct {
+	// Name of a service.
+	Service string `json:"service" yaml:"service" cbor:"service"`
+
+	// Part of the requests, relative to the other shares.
+	Weight int `json:"weight" yaml:"weight" cbor:"weight"`
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -23,10 +23,11 @@
 	KindServerHeartbeat = 11 // keyrange.Heartbeat, answered by keyrange.HeartbeatReply
 	KindServerLeave     = 12 // keyrange.Leave, answered by an empty body
 	KindPutConfig       = 13 // routes.Put, answered by routes.PutReply
-	KindGetConfig       = 14 // empty, answered by the operator's text of the configuration
+	KindGetDocument     = 14 // empty, answered by the operator's text of the configuration
 	KindSubscribe       = 15 // empty, entry to control; answered by an empty body
 	KindFleetTable      = 16 // keyrange.TableUpdate, one-way, control to entry
 	KindLoadReport      = 17 // keyrange.LoadReport, one-way, entry to control
+	KindGetConfig       = 18 // empty, answered by routes.Config
 )
 
 // GroupGlobal is the name of the log group that all control hosts are in.
@@ -102,6 +103,10 @@
 	OutcomeUnknown  = "unknown"
 )
 
+// PathRoutes is the path on a control host's admin address where operators read
+// (GET) and replace (PUT) the route configuration, as YAML.
+const PathRoutes = "/galena/v1/routes"
+
 // Paths between backend servers and entry hosts.
 const (
 	PathAnnounce = "/galena/v1/servers/announce" // POST Announcement, answered by AnnouncementReply
--- a/scripts/settingsdoc/main.go
+++ b/scripts/settingsdoc/main.go
@@ -25,6 +25,7 @@
 	config.KindCtl:     "galenactl",
 	config.KindGateway: "galena-entry platform",
 	config.KindFleet:   "galena-control platform",
+	config.KindRoutes:  "galenactl routes: the configuration file",
 }
 
 func main() {
