Trace a configuration and a key's owners from the state dumps; check the deploy file

Operators had only raw dumps of one host at a time. Gateways and control hosts now keep a bounded history of versions in force and of changes of owners, and galenactl puts the dumps of all hosts in the order of time. galenactl deploy check fills the templates in with example values, which only a test did before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -90,37 +90,53 @@
 	return load(path, KindFleet, checkFleet, fleetSecrets)
 }
 
+// checkers check the text of a settings file, by kind.
+var checkers = map[string]func(content []byte, withSecrets bool) []Problem{
+	KindEntry:   checker(KindEntry, checkEntry, entrySecrets),
+	KindControl: checker(KindControl, checkControl, controlSecrets),
+	KindBackend: checker(KindBackend, checkBackend, backendSecrets),
+	KindCtl:     checker(KindCtl, checkCtl, ctlSecrets),
+	KindGateway: checker(KindGateway, checkGateway, gatewaySecrets),
+	KindFleet:   checker(KindFleet, checkFleet, fleetSecrets),
+	KindRoutes:  checker(KindRoutes, checkRoutes, noSecrets),
+}
+
+func checker[T any](kind string, check func(T) []Problem, secrets func(T) []secretFile) func([]byte, bool) []Problem {
+	return func(content []byte, withSecrets bool) []Problem {
+		value, problems := examine(content, kind, check)
+		if len(problems) == 0 && withSecrets {
+			problems = checkSecrets(secrets(value))
+		}
+		return problems
+	}
+}
+
 // Check checks a settings file of the given kind, and with withSecrets also the
 // secret files that it names. It fails with *Error.
 func Check(kind, path string, withSecrets bool) error {
-	var err error
-	switch kind {
-	case KindEntry:
-		_, err = load(path, kind, checkEntry, only(withSecrets, entrySecrets))
-	case KindControl:
-		_, err = load(path, kind, checkControl, only(withSecrets, controlSecrets))
-	case KindBackend:
-		_, err = load(path, kind, checkBackend, only(withSecrets, backendSecrets))
-	case KindCtl:
-		_, err = load(path, kind, checkCtl, only(withSecrets, ctlSecrets))
-	case KindGateway:
-		_, err = load(path, kind, checkGateway, only(withSecrets, gatewaySecrets))
-	case KindFleet:
-		_, err = load(path, kind, checkFleet, only(withSecrets, fleetSecrets))
-	case KindRoutes:
-		_, err = load(path, kind, checkRoutes, noSecrets)
-	default:
-		err = &Error{File: path, Problems: []Problem{{Detail: fmt.Sprintf(
-			"unknown kind of settings %q; must be one of %s", kind, strings.Join(Kinds(), ", "))}}}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{File: path, Problems: []Problem{{Detail: err.Error()}}}
 	}
-	return err
+	return checkText(kind, path, content, withSecrets)
+}
+
+// CheckText checks the text of a settings file, which errors call by the given
+// name. Secret files are not read. It fails with *Error.
+func CheckText(kind, name string, content []byte) error {
+	return checkText(kind, name, content, false)
 }
 
-func only[T any](enabled bool, secrets func(T) []secretFile) func(T) []secretFile {
-	if enabled {
-		return secrets
+func checkText(kind, name string, content []byte, withSecrets bool) error {
+	check, known := checkers[kind]
+	if !known {
+		return &Error{File: name, Problems: []Problem{{Detail: fmt.Sprintf(
+			"unknown kind of settings %q; must be one of %s", kind, strings.Join(Kinds(), ", "))}}}
+	}
+	if problems := check(content, withSecrets); len(problems) > 0 {
+		return &Error{File: name, Problems: problems}
 	}
-	return func(T) []secretFile { return nil }
+	return nil
 }
 
 // ReadSecret reads a credential, without the white space around it. It fails
@@ -160,10 +176,7 @@
 	if err != nil {
 		return value, &Error{File: path, Problems: []Problem{{Detail: err.Error()}}}
 	}
-	value, problems := decode[T](content, kind)
-	if len(problems) == 0 {
-		problems = check(value)
-	}
+	value, problems := examine(content, kind, check)
 	if len(problems) == 0 {
 		problems = checkSecrets(secrets(value))
 	}
@@ -173,6 +186,15 @@
 	return value, nil
 }
 
+// examine decodes a settings file and checks what no schema can say.
+func examine[T any](content []byte, kind string, check func(T) []Problem) (T, []Problem) {
+	value, problems := decode[T](content, kind)
+	if len(problems) == 0 {
+		problems = check(value)
+	}
+	return value, problems
+}
+
 // decode turns YAML into a settings struct by way of the schema.
 func decode[T any](content []byte, kind string) (T, []Problem) {
 	var value T
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -18,10 +18,7 @@
 // ParseRoutes reads a route configuration of YAML, which errors call by the given
 // name. It fails with *Error.
 func ParseRoutes(name string, content []byte) (routes.Put, error) {
-	file, problems := decode[settings.RoutesFile](content, KindRoutes)
-	if len(problems) == 0 {
-		problems = checkRoutes(file)
-	}
+	file, problems := examine(content, KindRoutes, checkRoutes)
 	if len(problems) > 0 {
 		return routes.Put{}, &Error{File: name, Problems: problems}
 	}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -38,7 +38,8 @@
 // hostClient sends requests to control hosts' admin addresses.
 type hostClient struct {
 	http      *client.Client
-	addresses []string
+	addresses []string // of control hosts
+	entries   []string // of entry hosts, which only traces ask
 	secret    []byte
 	operator  string
 	timeout   time.Duration
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -19,6 +19,7 @@
 
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/version"
+	"github.com/galenalug/galenalug/platform"
 )
 
 // Exit codes of galenactl.
@@ -78,11 +79,15 @@
 			p.listCommand("plans", "the plan of each customer", pathPlans),
 			p.listCommand("allowances", "what each plan may use", pathAllowances),
 			p.routesCommand(),
+			p.traceCommand(),
 			{Name: "status", Usage: "print a control host's status", Action: p.status},
 			{Name: "dump", Usage: "print the state of the process at an admin address", ArgsUsage: "ADDRESS", Action: p.dump},
 			{Name: "settings", Usage: "settings files", Action: group, Commands: []*cli.Command{
 				{Name: "check", Usage: "check a settings file; KIND is one of " + strings.Join(config.Kinds(), ", "), ArgsUsage: "KIND FILE", Action: p.checkSettings},
 			}},
+			{Name: "deploy", Usage: "the deploy file of the users' platform", Action: group, Commands: []*cli.Command{
+				{Name: "check", Usage: "check the deploy file under ROOT and the settings that its templates give", ArgsUsage: "ROOT", Action: p.checkDeployment},
+			}},
 			{Name: "control", Usage: "control hosts", Action: group, Commands: []*cli.Command{
 				{Name: "status", Usage: "print each control host's view of the log groups", Action: p.controlStatus},
 			}},
@@ -181,6 +186,13 @@
 	return config.Check(c.Args().Get(0), c.Args().Get(1), true)
 }
 
+func (p *program) checkDeployment(_ context.Context, c *cli.Command) error {
+	if err := needArguments(c, 1); err != nil {
+		return err
+	}
+	return platform.CheckDeployment(c.Args().First())
+}
+
 // hostStatus is the part of a control host's status that the table shows.
 type hostStatus struct {
 	Host   string `json:"host"`
@@ -283,7 +295,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return newHostClient(s.Controls, secret, c.String("operator"), time.Duration(s.TimeoutMs)*time.Millisecond)
+	hosts, err := newHostClient(s.Controls, secret, c.String("operator"), time.Duration(s.TimeoutMs)*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	hosts.entries = s.Entries
+	return hosts, nil
 }
 
 // accountName returns the name of the account that runs the program.
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,90 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/galenalug/galenalug/internal/trace"
+)
+
+// traceCommand tells from the state dumps of gateways and their control hosts how
+// something came about.
+func (p *program) traceCommand() *cli.Command {
+	return &cli.Command{Name: "trace", Usage: "tell from all hosts' state dumps how something came about", Action: group, Commands: []*cli.Command{
+		{Name: "config", Usage: "when each host put a version of the routes into force", ArgsUsage: "[VERSION]", Action: p.traceConfig},
+		{Name: "key", Usage: "who owned a key, and who each host thinks owns it", ArgsUsage: "SERVICE KEY", Action: p.traceKey},
+	}}
+}
+
+func (p *program) traceConfig(ctx context.Context, c *cli.Command) error {
+	var version uint64
+	if c.Args().Len() > 0 {
+		if err := needArguments(c, 1); err != nil {
+			return err
+		}
+		var err error
+		if version, err = strconv.ParseUint(c.Args().First(), 10, 64); err != nil {
+			return errors.Wrapf(errUsage, "VERSION must be a number, not %q", c.Args().First())
+		}
+	}
+	dumps, err := p.dumps(ctx, c)
+	if err != nil {
+		return err
+	}
+	return trace.TellConfig(p.stdout, dumps, version)
+}
+
+func (p *program) traceKey(ctx context.Context, c *cli.Command) error {
+	if err := needArguments(c, 2); err != nil {
+		return err
+	}
+	key, err := strconv.ParseInt(c.Args().Get(1), 10, 64)
+	if err != nil {
+		return errors.Wrapf(errUsage, "KEY must be a number, not %q", c.Args().Get(1))
+	}
+	dumps, err := p.dumps(ctx, c)
+	if err != nil {
+		return err
+	}
+	return trace.TellKey(p.stdout, dumps, c.Args().First(), key)
+}
+
+// dumps returns the dumps of all hosts that answer, and names the others on the
+// error stream. It fails if none answers.
+func (p *program) dumps(ctx context.Context, c *cli.Command) ([]trace.Dump, error) {
+	hosts, err := open(c)
+	if err != nil {
+		return nil, err
+	}
+	var dumps []trace.Dump
+	for _, address := range append(hosts.addresses, hosts.entries...) {
+		dump, err := askDump(ctx, hosts, address)
+		if err != nil {
+			_, _ = fmt.Fprintln(p.stderr, err)
+			continue
+		}
+		dumps = append(dumps, dump)
+	}
+	if len(dumps) == 0 {
+		return nil, errors.Wrap(errRefused, "no host answered")
+	}
+	return dumps, nil
+}
+
+func askDump(ctx context.Context, hosts *hostClient, address string) (trace.Dump, error) {
+	var dump trace.Dump
+	got, err := hosts.send(ctx, consts.MethodGet, address, pathDump, nil)
+	if err != nil {
+		return dump, err
+	}
+	if !got.ok() {
+		return dump, errors.Errorf("%s: %s", address, got.detail())
+	}
+	return dump, errors.Wrap(json.Unmarshal(got.body, &dump), address)
+}
--- /dev/null
+++ b/internal/fleet/dump.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/internal/trace"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// stateDump is a control host's state.
+type stateDump struct {
+	trace.Dump
+	Log         group.Status          `json:"log"`
+	Config      routes.Config         `json:"config"`
+	Subscribers int                   `json:"subscribers"`     // gateways that are connected
+	Table       *keyrange.TableUpdate `json:"table,omitempty"` // of a leader
+}
+
+// Dump returns the host's state.
+func (h *Host) Dump() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	dump := stateDump{
+		Dump: trace.Dump{
+			Host: h.name, Leads: h.leading != nil, Versions: h.state.versions.All(), Keys: h.keyEvents.All(),
+			Recorded: recordedOwners(h.state.granted()),
+		},
+		Log:         h.runner.Status(),
+		Config:      h.state.config(),
+		Subscribers: len(h.subscribers),
+	}
+	if h.leading != nil {
+		whole := h.leading.coordinator.Whole()
+		dump.Table, dump.Owners = &whole, tableOwners(whole)
+	}
+	return dump
+}
+
+func recordedOwners(granted []keyrange.Assignment) []trace.Owner {
+	var owners []trace.Owner
+	for _, a := range granted {
+		owners = append(owners, trace.Owner{Service: a.Service, From: a.From, To: a.To, Server: a.ServerID})
+	}
+	return owners
+}
+
+func tableOwners(table keyrange.TableUpdate) []trace.Owner {
+	var owners []trace.Owner
+	for _, o := range table.Owners {
+		owners = append(owners, trace.Owner{Service: o.Service, From: o.From, To: o.To, Server: o.ServerID})
+	}
+	return owners
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -20,6 +20,7 @@
 	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/replog"
@@ -78,6 +79,8 @@
 	mu          sync.Mutex
 	leading     *leadership // nil while this host does not lead
 	subscribers map[*peer.Conn]struct{}
+
+	keyEvents trace.History[trace.KeyEvent] // of the times when this host led
 }
 
 // New makes a host and opens its listener for peers. Start starts it.
@@ -220,19 +223,6 @@
 	return err
 }
 
-// Dump returns the host's state.
-func (h *Host) Dump() any {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	dump := map[string]any{
-		"host": h.name, "log": h.runner.Status(), "config": h.state.config(), "subscribers": len(h.subscribers),
-	}
-	if h.leading != nil {
-		dump["table"] = h.leading.coordinator.Whole()
-	}
-	return dump
-}
-
 // Send implements group.Transport.
 func (h *Host) Send(name string, to replog.Member, messages []replog.Message) {
 	if to.Name == "" {
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
@@ -90,6 +91,10 @@
 func (h *Host) logEvents(l *leadership) {
 	events, dropped := l.coordinator.Events()
 	for _, e := range events {
+		h.keyEvents.Add(time.Now(), trace.KeyEvent{
+			Kind: string(e.Kind), Service: e.Service, From: e.From, To: e.To, Server: e.Server, Token: e.Token,
+			Term: l.term, HeartbeatAge: e.Age.Milliseconds(),
+		})
 		h.metrics.keys.WithLabelValues(string(e.Kind)).Inc()
 		log.WithFields(log.Fields{
 			"service": e.Service, "from": e.From, "to": e.To, "server": e.Server, "token": e.Token,
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -44,6 +45,7 @@
 	leaseMillis int64
 	left        []keyrange.Leave
 	record      keyrange.Record
+	versions    trace.History[uint64] // configurations as this host applied them
 }
 
 // Apply takes in one command.
@@ -58,7 +60,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case c.Put != nil:
-		return s.routes.Apply(*c.Put)
+		return s.applyPut(*c.Put)
 	case c.Left != nil:
 		s.left = append(s.left, *c.Left)
 		if extra := len(s.left) - maxLeft; extra > 0 {
@@ -72,6 +74,16 @@
 	return nil
 }
 
+// applyPut is called with the lock held.
+func (s *fleetState) applyPut(put routes.Put) routes.PutReply {
+	before := s.routes.Current().Version
+	reply := s.routes.Apply(put)
+	if reply.Current != before {
+		s.versions.Add(time.Now(), reply.Current)
+	}
+	return reply
+}
+
 // Snapshot returns the state in CBOR.
 func (s *fleetState) Snapshot() ([]byte, error) {
 	s.mu.Lock()
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -22,6 +22,7 @@
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/retry"
 	"github.com/galenalug/galenalug/routes"
@@ -276,8 +277,22 @@
 	return dispatch.OtherRegion
 }
 
+// stateDump is the gateway's state.
+type stateDump struct {
+	trace.Dump
+	View     Stamp    `json:"view"`
+	Controls []string `json:"controls"`
+}
+
 // Dump returns the gateway's state.
 func (h *Host) Dump() any {
-	_, stamp, _ := h.view.snapshot(clockNow())
-	return map[string]any{"host": h.settings.Name, "view": stamp, "controls": h.view.contacts()}
+	now := clockNow()
+	_, stamp, _ := h.view.snapshot(now)
+	return stateDump{
+		Dump: trace.Dump{
+			Host: h.settings.Name, Versions: h.view.versions.All(), Owners: h.view.ownersKnown(now),
+		},
+		View:     stamp,
+		Controls: h.view.contacts(),
+	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -49,6 +50,8 @@
 	version  uint64
 	heard    time.Duration
 	changed  chan struct{} // closed at the next change
+
+	versions trace.History[uint64] // configurations as they came into force
 }
 
 func newView(drain time.Duration) *view {
@@ -74,6 +77,7 @@
 	v.takeGateways(u)
 	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
 		v.routes = routes.NewTable(*config)
+		v.versions.Add(time.Now(), config.Version)
 		log.WithField("version", config.Version).Info("route configuration in force")
 	}
 	v.takeServers(now, u)
@@ -230,6 +234,20 @@
 	return int(max(2, most/v.entries))
 }
 
+// ownersKnown returns all owners, for the state dump.
+func (v *view) ownersKnown(now time.Duration) []trace.Owner {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var known []trace.Owner
+	for service, owners := range v.owners {
+		for _, o := range owners {
+			since := time.Now().Add(o.since - now)
+			known = append(known, trace.Owner{Service: service, From: o.From, To: o.To, Server: o.ServerID, Since: since})
+		}
+	}
+	return known
+}
+
 // has tells whether a server is in the view.
 func (v *view) has(id string) bool {
 	v.mu.RLock()
--- /dev/null
+++ b/internal/trace/tell.go
@@ -0,0 +1,107 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// timeFormat is the format of times, in UTC.
+const timeFormat = "15:04:05.000"
+
+// TellConfig writes when each version came into force on each host, by version and
+// time; only one version if it is not 0.
+func TellConfig(w io.Writer, dumps []Dump, version uint64) error {
+	type line struct {
+		Stamped[uint64]
+		host string
+	}
+	var lines []line
+	for _, d := range dumps {
+		for _, v := range d.Versions {
+			if version == 0 || v.Entry == version {
+				lines = append(lines, line{v, d.Host})
+			}
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int {
+		if a.Entry != b.Entry {
+			return int(int64(a.Entry) - int64(b.Entry))
+		}
+		return a.At.Compare(b.At)
+	})
+	rows := [][]string{{"VERSION", "IN FORCE AT", "HOST"}}
+	for _, l := range lines {
+		rows = append(rows, []string{fmt.Sprint(l.Entry), at(l.At), l.host})
+	}
+	return table(w, rows)
+}
+
+// TellKey writes what happened to a key in the order of time, and then its owner
+// as each host knows it.
+func TellKey(w io.Writer, dumps []Dump, service string, key int64) error {
+	rows := [][]string{{"AT", "HOST", "WHAT", "SERVER", "KEYS", "DETAIL"}}
+	rows = append(rows, keyRows(dumps, service, key)...)
+	for _, d := range dumps {
+		rows = append(rows, ownerRows(d.Host, "owner now", d.Owners, service, key)...)
+		rows = append(rows, ownerRows(d.Host, "newest grant in the log", d.Recorded, service, key)...)
+	}
+	return table(w, rows)
+}
+
+func keyRows(dumps []Dump, service string, key int64) [][]string {
+	type event struct {
+		Stamped[KeyEvent]
+		host string
+	}
+	var events []event
+	for _, d := range dumps {
+		for _, e := range d.Keys {
+			if e.Entry.Service == service && e.Entry.From <= key && key <= e.Entry.To {
+				events = append(events, event{e, d.Host})
+			}
+		}
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return a.At.Compare(b.At) })
+	var rows [][]string
+	for _, e := range events {
+		detail := fmt.Sprintf("token %d, term %d, heartbeat %d ms old", e.Entry.Token, e.Entry.Term, e.Entry.HeartbeatAge)
+		rows = append(rows, []string{at(e.At), e.host, e.Entry.Kind, e.Entry.Server, keys(e.Entry.From, e.Entry.To), detail})
+	}
+	return rows
+}
+
+func ownerRows(host, what string, owners []Owner, service string, key int64) [][]string {
+	for _, o := range owners {
+		if o.Service != service || key < o.From || o.To < key {
+			continue
+		}
+		server := o.Server
+		if server == "" {
+			server = "-"
+		}
+		detail := "-"
+		if !o.Since.IsZero() {
+			detail = "told at " + at(o.Since)
+		}
+		return [][]string{{"-", host, what, server, keys(o.From, o.To), detail}}
+	}
+	return nil
+}
+
+func at(t time.Time) string { return t.UTC().Format(timeFormat) }
+
+func keys(from, to int64) string { return fmt.Sprintf("%d-%d", from, to) }
+
+func table(w io.Writer, rows [][]string) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(out, strings.Join(row, "\t")) // Flush returns the error
+	}
+	return errors.Wrap(out.Flush(), "print table")
+}
