Put table updates together where there are many gateways

Cause: at 87 gateways the leader sent 37 updates a second to each, 3,200 messages; sending them took as long as deciding.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -31,8 +31,6 @@
 	groupName = "fleet"
 	// keySpace is the number of keys of a service that is divided by key.
 	keySpace = 1 << 16
-	// publishInterval is the time between two looks for changes of the table.
-	publishInterval = 20 * time.Millisecond
 	// snapshotEntries is the number of log entries between two snapshots.
 	snapshotEntries = 512
 )
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -19,6 +19,22 @@
 // tickInterval is the longest time between two looks at leases.
 const tickInterval = 100 * time.Millisecond
 
+const (
+	// leastPublishInterval is the least time between two updates of the table.
+	leastPublishInterval = 20 * time.Millisecond
+	// updatesPerSecond bounds the updates that all gateways together are sent: each
+	// is a message of its own.
+	updatesPerSecond = 1500
+	// mostPublishInterval keeps an update well below a request's time.
+	mostPublishInterval = 100 * time.Millisecond
+)
+
+// publishInterval returns the time between two updates of the table.
+func publishInterval(gateways int) time.Duration {
+	interval := time.Duration(gateways) * time.Second / updatesPerSecond
+	return min(max(interval, leastPublishInterval), mostPublishInterval)
+}
+
 // publishLoop does the leader's regular work: it lets leases run out and tells
 // gateways what changed.
 func (h *Host) publishLoop(ctx context.Context) {
@@ -30,10 +46,10 @@
 		case <-time.After(tickInterval):
 		}
 		h.allowLease(ctx)
-		h.publish()
+		gateways := h.publish()
 		select {
 		case <-ctx.Done():
-		case <-time.After(publishInterval):
+		case <-time.After(publishInterval(gateways)):
 		}
 	}
 }
@@ -52,14 +68,19 @@
 	}
 }
 
-// publish sends changes of the table and the configuration to all gateways.
-func (h *Host) publish() {
+// publish sends changes of the table and the configuration to all gateways, and
+// returns their number.
+func (h *Host) publish() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	l := h.leading
-	if l == nil {
-		return
+	if l := h.leading; l != nil {
+		h.publishTable(l)
 	}
+	return len(h.subscribers)
+}
+
+// publishTable is called with the lock held.
+func (h *Host) publishTable(l *leadership) {
 	now := clock.Now()
 	config := h.state.config()
 	l.coordinator.SetKeyed(keyedServices(config))
--- /dev/null
+++ b/internal/fleet/publish_test.go
@@ -0,0 +1,22 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func TestUpdatesArePutTogetherWhereThereAreManyGateways(t *testing.T) {
+	for _, c := range []struct {
+		gateways int
+		want     time.Duration
+	}{
+		{0, 20 * time.Millisecond},
+		{10, 20 * time.Millisecond},
+		{75, 50 * time.Millisecond},
+		{440, 100 * time.Millisecond},
+	} {
+		if got := publishInterval(c.gateways); got != c.want {
+			t.Errorf("%d gateways: %v, want %v", c.gateways, got, c.want)
+		}
+	}
+}
