--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/galenalug/galenalug/internal/admin"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/eventlog"
@@ -62,7 +63,7 @@
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			go daemon.WatchFile(ctx, path, settingsInterval, p.reloadLogged)
-			return daemon.Run(ctx, p, time.Duration(s.StopMs)*time.Millisecond, os.Stderr)
+			return daemon.Run(ctx, p, clock.Seconds(s.StopSeconds), os.Stderr)
 		},
 	}
 }
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
@@ -155,8 +156,8 @@
 		Name:            g.Name,
 		HostName:        h.settings.Name,
 		Dir:             filepath.Join(h.settings.DataDir, g.Name),
-		Election:        milliseconds(h.settings.RaftElectionMs),
-		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
+		Election:        clock.Milliseconds(h.settings.RaftElectionMs),
+		Heartbeat:       clock.Milliseconds(h.settings.RaftHeartbeatMs),
 		SnapshotEntries: h.settings.SnapshotEntries,
 		Seed:            rand.Uint64(),
 		Applier:         state,
@@ -172,8 +173,6 @@
 	return runner, errors.Wrapf(err, "group %s", g.Name)
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // Start starts the host's groups and listeners. It fails with ErrDataInUse if
 // another process has the data folder open.
 func (h *Host) Start() error {
@@ -255,8 +254,8 @@
 		name: g.Name,
 		settings: ownership.Settings{
 			Region:      g.Name,
-			Lease:       milliseconds(h.settings.LeaseMs),
-			MaxDeadline: milliseconds(h.settings.MaxDeadlineMs),
+			Lease:       clock.Milliseconds(h.settings.LeaseMs),
+			MaxDeadline: clock.Milliseconds(h.settings.MaxDeadlineMs),
 			RampUp:      rampUp,
 		},
 		planner: newPlanner(string(h.settings.Placement)),
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -155,9 +155,9 @@
 		Name:            groupName,
 		HostName:        h.name,
 		Dir:             filepath.Join(h.settings.DataDir, groupName),
-		Election:        milliseconds(h.settings.ElectionMs),
-		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
-		QuorumTimeout:   quorumTimeouts * milliseconds(h.settings.ElectionMs),
+		Election:        clock.Milliseconds(h.settings.ElectionMs),
+		Heartbeat:       clock.Milliseconds(h.settings.RaftHeartbeatMs),
+		QuorumTimeout:   quorumTimeouts * clock.Milliseconds(h.settings.ElectionMs),
 		SnapshotEntries: snapshotEntries,
 		Seed:            rand.Uint64(),
 		Applier:         h.state,
@@ -185,7 +185,7 @@
 
 // electionDelay returns how much later than others this host stands for election.
 func (h *Host) electionDelay() time.Duration {
-	most := milliseconds(h.settings.ElectionMs)
+	most := clock.Milliseconds(h.settings.ElectionMs)
 	voters, _ := h.voters.Load().([]string)
 	return min(roundTripsWaited*h.peers.quorumRoundTrip(h.name, voters, most), most)
 }
@@ -252,14 +252,12 @@
 // lease returns the lease of key ranges.
 func (h *Host) lease() time.Duration {
 	if h.settings.LeaseMs > 0 {
-		return milliseconds(h.settings.LeaseMs)
+		return clock.Milliseconds(h.settings.LeaseMs)
 	}
-	lease := leaseHeartbeats*milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
-	return min(lease, milliseconds(h.settings.MaxLeaseMs))
+	lease := leaseHeartbeats*clock.Milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
+	return min(lease, clock.Milliseconds(h.settings.MaxLeaseMs))
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // leads tells whether this host leads as far as it knows. What must not be done by
 // a leader that was replaced asks for confirm as well.
 func (h *Host) leads() bool {
@@ -310,7 +308,7 @@
 		Lease:     lease,
 		Inherited: inherited,
 		Recorded:  h.state.granted(),
-		Drain:     milliseconds(h.settings.DrainMs),
+		Drain:     clock.Milliseconds(h.settings.DrainMs),
 		Forget:    2 * lease,
 	})}
 	h.wakeUp()
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -148,7 +148,7 @@
 	s := &settings.GatewaySettings{
 		Name: "gateway-1", Domain: "d1", Domains: map[string]string{"d1": "r1"}, Ip: "127.0.0.1",
 		PeerPort: 1, Seeds: []string{"127.0.0.1:1"}, Listen: port, ReadyListen: freePort(t),
-		RetryRatio: 0.2, RetrySlack: 10, RetryWindowMs: 10000, DrainMs: 2500, StopMs: 6000,
+		RetryRatio: 0.2, RetrySlack: 10, RetryWindowSeconds: 10, DrainMs: 2500, StopSeconds: 6,
 	}
 	host, err := New(Options{Settings: s, Dialect: testDialect{}, Registry: prometheus.NewRegistry(), Events: &f.logs})
 	if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -308,7 +308,7 @@
 		return ok("done")(conn, r, body)
 	})
 	f := newFixture(t)
-	f.host.settings.StopMs = 1600
+	f.host.settings.StopSeconds = 1.6
 	f.tell(server)
 	stopped := make(chan error, 1)
 	time.AfterFunc(100*time.Millisecond, func() { stopped <- f.host.Stop(context.Background()) })
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/peer"
@@ -98,7 +99,7 @@
 	h := &Host{
 		settings: o.Settings,
 		dialect:  o.Dialect,
-		view:     newView(milliseconds(o.Settings.DrainMs)),
+		view:     newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends: newBackends(),
 		metrics:  m,
 		events:   eventlog.New(o.Events, o.Settings.Name),
@@ -132,8 +133,6 @@
 	return h, nil
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // Start listens and serves in the background.
 func (h *Host) Start() error {
 	listener, err := net.Listen("tcp", h.settings.Listen)
@@ -166,7 +165,7 @@
 func (h *Host) Stop(ctx context.Context) error {
 	log.WithField("host", h.settings.Name).Info("gateway stops")
 	h.stopping.Store(true)
-	total := milliseconds(h.settings.StopMs)
+	total := clock.Seconds(h.settings.StopSeconds)
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	wait(ctx, min(unreadyTime, total/2))
@@ -227,7 +226,7 @@
 
 // spendRetry takes one repeat from the service's budget.
 func (h *Host) spendRetry(service string) bool {
-	slack := slackPart * float64(h.settings.RetrySlack) / float64(h.view.gateways())
+	slack := slackPart * h.settings.RetrySlack / float64(h.view.gateways())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	allowed := h.window(service).Spend(clockNow(), slack)
@@ -239,7 +238,7 @@
 func (h *Host) window(service string) *retry.Window {
 	w := h.windows[service]
 	if w == nil {
-		w = retry.NewWindow(retryPart*h.settings.RetryRatio, milliseconds(h.settings.RetryWindowMs))
+		w = retry.NewWindow(retryPart*h.settings.RetryRatio, clock.Seconds(h.settings.RetryWindowSeconds))
 		h.windows[service] = w
 	}
 	return w
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -237,7 +237,7 @@
 
 	// Longest time for which a leaving server gets requests, milliseconds. Default:
 	// 2500.
-	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+	DrainMs float64 `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
 	// Shortest election timeout, milliseconds. Default: 400.
 	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
@@ -251,13 +251,13 @@
 
 	// Lease of key ranges, milliseconds; 0 takes two heartbeats of a backend server
 	// and 4 s, and at most max_lease_ms. Default: 0.
-	LeaseMs int `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
+	LeaseMs float64 `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
 
 	// Structured logging.
 	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
 
 	// Longest lease that backend servers accept, milliseconds. Default: 10000.
-	MaxLeaseMs int `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
+	MaxLeaseMs float64 `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
 
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
@@ -285,7 +285,7 @@
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
 	// Time between two heartbeats of a backend server, milliseconds. Default: 1000.
-	ServerHeartbeatMs int `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
+	ServerHeartbeatMs float64 `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
 
 	// Control hosts that may be lost at the same time; the group keeps twice as many
 	// members and one. Default: 2.
@@ -305,7 +305,7 @@
 
 	// Longest time for which a leaving server gets requests, milliseconds. Default:
 	// 2500.
-	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+	DrainMs float64 `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
 	// IP address of this host, on which it listens for its peers.
 	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
@@ -339,17 +339,17 @@
 
 	// Requests sent to a second server within the window beyond that part, over all
 	// gateways together. Default: 0.
-	RetrySlack int `json:"retry_slack,omitempty,omitzero" yaml:"retry_slack,omitempty" cbor:"retry_slack,omitempty"`
+	RetrySlack float64 `json:"retry_slack,omitempty,omitzero" yaml:"retry_slack,omitempty" cbor:"retry_slack,omitempty"`
 
-	// Window of the retry budget, milliseconds. Default: 10000.
-	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero" yaml:"retry_window_ms,omitempty" cbor:"retry_window_ms,omitempty"`
+	// Window of the retry budget, seconds. Default: 10.
+	RetryWindowSeconds float64 `json:"retry_window_seconds,omitempty,omitzero" yaml:"retry_window_seconds,omitempty" cbor:"retry_window_seconds,omitempty"`
 
 	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
 	// peer_port.
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
-	// Longest time that a stop may take, milliseconds. Default: 6000.
-	StopMs int `json:"stop_ms,omitempty,omitzero" yaml:"stop_ms,omitempty" cbor:"stop_ms,omitempty"`
+	// Longest time that a stop may take, seconds. Default: 6.
+	StopSeconds float64 `json:"stop_seconds,omitempty,omitzero" yaml:"stop_seconds,omitempty" cbor:"stop_seconds,omitempty"`
 }
 
 // Region by failure domain.
