Expect of a server that was not asked yet what its service's requests take

Cause: each gateway knew a server's time by its own requests only, and took 100 ms before the first.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -135,3 +135,24 @@
 		t.Error("ten gateways can judge by themselves, eighty can't")
 	}
 }
+
+// Pattern: many gateways before many servers. Each pair meets once in many seconds,
+// so what one server takes is known only by what the others took.
+func TestServerThatWasNotTriedIsExpectedToTakeWhatOthersTake(t *testing.T) {
+	var service Typical
+	for range 20 {
+		service.Take(600 * ms)
+	}
+	var l Load
+	if l.Known() {
+		t.Error("known before anything was seen")
+	}
+	l.Expect(service.Time())
+	if got := l.WorkTime(); !l.Known() || got < 550*ms {
+		t.Errorf("work time %v, known %v; want that of the service, 600ms", got, l.Known())
+	}
+	l.TakeWorkTime(200 * ms)
+	if got := l.WorkTime(); got < 400*ms || got > 600*ms {
+		t.Errorf("work time %v after one answer in 200ms; want between that and the service's", got)
+	}
+}
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -9,10 +9,31 @@
 	initialWorkTime = 100 * time.Millisecond
 	// workTimeWeight is the least part of a new answer in the average work time.
 	workTimeWeight = 0.1
-	// workTimePrior is the number of answers that initialWorkTime counts for.
+	// workTimePrior is the number of answers that the time expected before the first
+	// one counts for.
 	workTimePrior = 3
+	// typicalWeight is the least part of a new answer in the average of a service.
+	typicalWeight = 0.02
 )
 
+// Typical is the average time of a service's requests that did not wait, over all
+// its servers. A gateway that sends a server one request in many seconds knows by
+// it what to expect. Its zero value knows nothing.
+type Typical struct {
+	average time.Duration
+	samples int
+}
+
+// Take takes in the time of a request.
+func (t *Typical) Take(took time.Duration) {
+	t.samples++
+	weight := max(typicalWeight, 1/float64(t.samples))
+	t.average += time.Duration(weight * float64(took-t.average))
+}
+
+// Time returns the average, or 0 if nothing is known.
+func (t *Typical) Time() time.Duration { return t.average }
+
 // Report is what a server says of its load in an answer.
 type Report struct {
 	Running int
@@ -27,6 +48,7 @@
 	reported time.Duration
 	workTime time.Duration // of a request that did not wait
 	samples  int           // answers in workTime
+	prior    time.Duration // expected before the first answer; 0 if not known
 }
 
 // Start counts a request that is sent.
@@ -55,14 +77,24 @@
 	l.samples++
 }
 
+// Expect sets the time that a request is expected to take before the first answer;
+// 0 if it is not known.
+func (l *Load) Expect(workTime time.Duration) { l.prior = workTime }
+
 // WorkTime returns the average time of a request that does not wait.
 func (l *Load) WorkTime() time.Duration {
-	if l.workTime == 0 {
-		return initialWorkTime
+	switch {
+	case l.workTime > 0:
+		return l.workTime
+	case l.prior > 0:
+		return l.prior
 	}
-	return l.workTime
+	return initialWorkTime
 }
 
+// Known tells whether WorkTime rests on any answer.
+func (l *Load) Known() bool { return l.workTime > 0 || l.prior > 0 }
+
 // Requests returns the estimated number of requests at the server. A report
 // loses weight as it ages.
 func (l *Load) Requests(now time.Duration) float64 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithCancel(c.request.Context())
 	results := make(chan result, 2)
 	go c.attemptInto(ctx, to, c.prepare(to), results)
-	timer := time.NewTimer(max(hedgeLeast, hedgeFactor*to.expected(clockNow(), to.slots)))
+	timer := time.NewTimer(c.hedgeAfter(to))
 	defer timer.Stop()
 	select {
 	case r := <-results:
@@ -75,6 +75,17 @@
 	return first.in, nil
 }
 
+// hedgeAfter returns how long the request waits for a response before it is sent
+// once more. Where nothing is known of the service's servers, half of its latency
+// objective is left for the second send.
+func (c *call) hedgeAfter(to *target) time.Duration {
+	expected, known := to.expected(clockNow(), to.slots)
+	if !known {
+		return max(hedgeLeast, time.Duration(c.route.TargetMillis)*time.Millisecond/2)
+	}
+	return max(hedgeLeast, hedgeFactor*expected)
+}
+
 // settle ends the attempts' context with the response.
 func (c *call) settle(cancel context.CancelFunc, r result) (*inbound, error) {
 	if r.err != nil {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -50,6 +50,7 @@
 // backend is what this gateway knows of one incarnation of a backend server.
 type backend struct {
 	id, address string
+	typical     *typical // of the service
 
 	mu      sync.Mutex // guards the fields below
 	idle    []*conn    // the one used last stands last
@@ -63,13 +64,34 @@
 	retired bool
 }
 
+// typical is the average time of a service's requests.
+type typical struct {
+	mu    sync.Mutex // guards times; a leaf
+	times dispatch.Typical
+}
+
+func (t *typical) take(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.times.Take(took)
+}
+
+func (t *typical) time() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.times.Time()
+}
+
 // backends are the backend servers by ID and address.
 type backends struct {
-	mu   sync.Mutex // guards list
-	list map[string]*backend
+	mu       sync.Mutex // guards the fields below
+	list     map[string]*backend
+	services map[string]*typical
 }
 
-func newBackends() *backends { return &backends{list: map[string]*backend{}} }
+func newBackends() *backends {
+	return &backends{list: map[string]*backend{}, services: map[string]*typical{}}
+}
 
 // of returns a server's backend, and makes it at its first use.
 func (b *backends) of(s keyrange.Server) *backend {
@@ -80,12 +102,22 @@
 		if known != nil {
 			known.retire()
 		}
-		known = &backend{id: s.ID, address: s.Address}
+		known = &backend{id: s.ID, address: s.Address, typical: b.typical(s.Service)}
 		b.list[s.ID] = known
 	}
 	return known
 }
 
+// typical is called with the lock held.
+func (b *backends) typical(service string) *typical {
+	known := b.services[service]
+	if known == nil {
+		known = &typical{}
+		b.services[service] = known
+	}
+	return known
+}
+
 // sweep closes connections that are unused for long, and forgets servers that
 // keep returns false for.
 func (b *backends) sweep(keep func(id string) bool) {
@@ -254,16 +286,20 @@
 
 // countWork is called with the lock held.
 func (k *backend) countWork(took time.Duration) {
+	k.load.Expect(k.typical.time())
 	k.load.TakeWorkTime(took)
+	k.typical.take(took)
 	k.seen.Count++
 	k.seen.WorkMicros += took.Microseconds()
 }
 
-// expected returns how long a request that is sent now is expected to take.
-func (k *backend) expected(now time.Duration, slots int) time.Duration {
+// expected returns how long a request that is sent now is expected to take, and
+// whether anything is known of that.
+func (k *backend) expected(now time.Duration, slots int) (time.Duration, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.load.Wait(now, slots) + k.load.WorkTime()
+	k.load.Expect(k.typical.time())
+	return k.load.Wait(now, slots) + k.load.WorkTime(), k.load.Known()
 }
 
 // pass tells whether a request is in the part that an overloaded server takes.
@@ -285,6 +321,7 @@
 func (k *backend) candidate(now time.Duration, s keyrange.Server, connections int, distance dispatch.Distance) dispatch.Candidate {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.load.Expect(k.typical.time())
 	load := k.load
 	return dispatch.Candidate{
 		ID: s.ID, Load: &load, Slots: int(s.Slots), Connections: connections, Distance: distance,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -270,6 +270,28 @@
 	}
 }
 
+// Pattern: many gateways before many servers. A server that this gateway never
+// asked before is given the time that the service's requests take.
+func TestServerThatWasNotAskedYetGetsTheUsualTime(t *testing.T) {
+	usual := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(500 * time.Millisecond)
+		return ok("yes")(conn, r, body)
+	}
+	f := newFixture(t)
+	for _, name := range []string{"first", "second"} {
+		server := newStandIn(t, usual, ok("again"))
+		f.tell(server)
+		if name == "first" { // nothing is known of the service yet
+			_, _ = f.do("GET", "/look/1", nil)
+			continue
+		}
+		response, _ := f.do("GET", "/look/1", nil)
+		if response.StatusCode != http.StatusOK || server.count() != 1 {
+			t.Errorf("%s server: status %d after %d sends, want 200 after 1", name, response.StatusCode, server.count())
+		}
+	}
+}
+
 // A request that may have run in one of two sends is not refused as not run.
 func TestRefusalAfterTwoSendsIsTrue(t *testing.T) {
 	late := func(net.Conn, *http.Request, []byte) bool {
