Divide keys of an unused service once, apart, and move keys only for sure loads

Change: a rate counts beyond a bound only if it is more than one standard deviation above it; keys of an unused service wait for every server; what is given for a server without keys is kept for one; four ranges a server that lie apart. A gateway bounds its connections to a server by its part of the server's room, too.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -156,3 +156,21 @@
 		t.Errorf("work time %v after one answer in 200ms; want between that and the service's", got)
 	}
 }
+
+// Pattern: a key turns hot, and all gateways send to its owner at the same moment.
+func TestGatewaysTogetherDoNotOverrunAServer(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		most, gateways int64
+		slots, want    int
+	}{
+		{"few gateways", 120, 10, 6, 12},
+		{"many gateways", 580, 87, 6, 2},
+		{"more gateways than connections", 120, 440, 6, 2},
+		{"no other gateway is known yet", 120, 0, 6, 120},
+	} {
+		if got := Connections(c.most, c.gateways, c.slots); got != c.want {
+			t.Errorf("%s: %d connections, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -34,6 +34,25 @@
 	return true
 }
 
+const (
+	// leastConnections is the number of connections that a gateway may always open to
+	// a server: one may be held by a request that never ends.
+	leastConnections = 2
+	// unevenness is how many times its equal part of a server's room a gateway may
+	// take: clients choose gateways unevenly, and most of them ask for other servers.
+	unevenness = 8
+)
+
+// Connections returns the number of connections that one of many gateways may open
+// to a server which accepts most in all. When a key turns hot all gateways send at
+// the same moment, before any of them can see the others' requests.
+func Connections(most, gateways int64, slots int) int {
+	gateways = max(gateways, 1)
+	part := most / gateways
+	room := int64(unevenness * urgentFill * float64(slots) / float64(gateways))
+	return int(max(leastConnections, min(part, room)))
+}
+
 // OneIsTooMany tells whether one request from each gateway overfills a server.
 func OneIsTooMany(gateways int64, slots int) bool {
 	return float64(gateways) > ordinaryFill*float64(slots)
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -31,6 +31,9 @@
 	groupName = "fleet"
 	// keySpace is the number of keys of a service that is divided by key.
 	keySpace = 1 << 16
+	// piecesApart is the number of ranges in which a server gets its keys at first: a
+	// table of hundreds of servers must still be sent to a gateway in a moment.
+	piecesApart = 4
 	// snapshotEntries is the number of log entries between two snapshots.
 	snapshotEntries = 512
 )
@@ -305,6 +308,7 @@
 	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
 		Term:      term,
 		Keys:      keySpace,
+		Pieces:    piecesApart,
 		Lease:     lease,
 		Inherited: inherited,
 		Recorded:  h.state.granted(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -385,11 +385,11 @@
 	config := encode(t, testConfig())
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Whole: true, Config: config, EntryHosts: 10})
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 1, Whole: true, Partial: true, EntryHosts: 1})
-	if got := v.connections("stock"); got != 2 {
+	if got := v.connections(keyrange.Server{Service: "stock", Slots: 6}); got != 2 {
 		t.Errorf("%d of 20 connections while the new leader counts, want 2", got)
 	}
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 2, EntryHosts: 5})
-	if got := v.connections("stock"); got != 4 {
+	if got := v.connections(keyrange.Server{Service: "stock", Slots: 6}); got != 4 {
 		t.Errorf("%d of 20 connections among 5 gateways, want 4", got)
 	}
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -132,11 +132,10 @@
 	if len(servers) == 0 {
 		return nil, nil, reason
 	}
-	connections := c.host.view.connections(service.Name)
 	candidates := make([]dispatch.Candidate, len(servers))
 	for i, s := range servers {
 		k := c.host.backends.of(s)
-		candidates[i] = k.candidate(now, s, connections, c.host.distance(s.Domain))
+		candidates[i] = k.candidate(now, s, c.host.view.connections(s), c.host.distance(s.Domain))
 		candidates[i].Ahead = place.ahead(k)
 	}
 	best, verdict := dispatch.Choose(now, candidates, request)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
@@ -223,15 +224,14 @@
 }
 
 // connections returns the number of connections that this gateway may open to a
-// server of a service.
-func (v *view) connections(service string) int {
+// server.
+func (v *view) connections(s keyrange.Server) int {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if v.routes == nil || v.routes.Service(service) == nil {
+	if v.routes == nil || v.routes.Service(s.Service) == nil {
 		return 1
 	}
-	most := v.routes.Service(service).MaxConnections
-	return int(max(2, most/v.entries))
+	return dispatch.Connections(v.routes.Service(s.Service).MaxConnections, v.entries, int(s.Slots))
 }
 
 // ownersKnown returns all owners, for the state dump.
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -19,6 +19,9 @@
 	// moveThreshold is how far, relative to the average, a server's utilization
 	// may exceed the average before it gives keys away.
 	moveThreshold = 1.2
+	// chanceDeviations is the number of standard deviations that a rate must be above
+	// a bound to count as above it.
+	chanceDeviations = 1.0
 	// movedTo is the utilization, relative to the average, that a server which
 	// gives keys away keeps, and up to which others take them.
 	movedTo = 1.1
@@ -40,9 +43,17 @@
 	hotPatience = time.Second
 	// fasterFactor is how much faster a server must be for a hot key to move there.
 	fasterFactor = 1.3
-	// newcomerPart is the part of its fair load that a server without keys gets at
-	// once; the rest follows when servers are busy.
+	// idleLevel is the utilization, relative to the average, up to which servers take
+	// keys of an unused service: just above 1, so that the last servers get some too.
+	idleLevel = 1.01
+	// newcomerPart is the part of its load that a server gives to one without keys;
+	// the rest follows when servers are busy.
 	newcomerPart = 0.5
+	// newcomerPatience is how long keys that were given up for a server without any
+	// wait for one: until its next heartbeat.
+	newcomerPatience = 900 * time.Millisecond
+	// newcomerSilence is the silence after which a server without keys counts no more.
+	newcomerSilence = 2 * time.Second
 	// giverPart is the utilization, relative to the average, from which a server
 	// gives keys to servers without any.
 	giverPart = 0.7
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -63,6 +63,20 @@
 	return total*l.scale + idleKeyRate*float64(to-from+1)
 }
 
+// surely returns the part of a rate that is more than chance. Rates are counted
+// over a short time, and few requests may be many by chance: those of a Poisson
+// process have the root of their number as standard deviation.
+func (l *load) surely(rate float64) float64 {
+	return max(0, rate-chanceDeviations*math.Sqrt(rate/l.window()))
+}
+
+// window returns the time, seconds, over which a plain average varies as much as
+// the exponentially weighted one. It is short after the first report.
+func (l *load) window() float64 {
+	outside := 1 - 1/l.scale // weight of the time before the first report
+	return 2 * loadTimeConstant.Seconds() * (1 - outside) / (1 + outside)
+}
+
 // rate returns the requests a second of a row's keys, up to decayInterval old:
 // every heartbeat asks for those of all rows.
 func (svc *service) rate(w *row) float64 {
--- /dev/null
+++ b/keyrange/load_test.go
@@ -0,0 +1,402 @@
+package keyrange
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The load tests play requests, servers with slots and queues, and their heartbeats
+// against a Coordinator, in simulated time and without a network.
+
+const (
+	loadStep = 10 * time.Millisecond
+	// loadQueue is the number of requests that wait at a server at most.
+	loadQueue = 8
+	// loadHold is how long a request waits for an owner or for room.
+	loadHold = 1650 * time.Millisecond
+	// loadReport is the time between two load reports.
+	loadReportEvery = 250 * time.Millisecond
+	loadKeys        = 1 << 16
+)
+
+// hotSpell is a time in which a share of the requests goes to neighbouring keys.
+type hotSpell struct {
+	from, to time.Duration
+	share    float64
+	first    int64
+	keys     int64
+}
+
+// loadCase is one pattern of load.
+type loadCase struct {
+	servers  int
+	slots    int
+	work     time.Duration // of a request on a server of speed 1
+	rate     float64       // requests a second
+	aim      time.Duration
+	deadline time.Duration
+	beat     time.Duration
+	spells   []hotSpell
+	begins   time.Duration // of the requests
+	warmup   time.Duration // not counted
+	pieces   int
+	length   time.Duration
+}
+
+// loadRequest is a request at a server or on its way to one.
+type loadRequest struct {
+	key  int64
+	at   time.Duration
+	ends time.Duration // once it runs
+}
+
+// loadServer is a backend server.
+type loadServer struct {
+	id       string
+	speed    float64
+	sequence int64
+	held     []Range
+	released []Release
+	dropping []Range // to be released once no request on them is left
+	nextAt   time.Duration
+	running  []loadRequest
+	queue    []loadRequest
+}
+
+type loadPlay struct {
+	loadCase
+	random  *rand.Rand
+	now     time.Duration
+	leader  *Coordinator
+	servers []*loadServer
+	waiting []loadRequest
+	counts  map[int64]int64
+	seen    map[string]*ServerLoad
+	result  loadResult
+}
+
+// loadResult is what clients saw.
+type loadResult struct {
+	asked, inAim, late, refused int
+	moved                       float64 // shares of all keys that changed hands
+	grants                      int
+	ownerless                   float64 // part of the requests that found no owner at once
+}
+
+// ended returns the number of requests that were answered or refused.
+func (r loadResult) ended() float64 { return float64(r.inAim + r.late + r.refused) }
+
+func (r loadResult) String() string {
+	return fmt.Sprintf("ended %.0f, in aim %.3f, late %.3f, refused %.3f, grants %d, keys moved %.2f times, no owner at once %.3f",
+		r.ended(), float64(r.inAim)/r.ended(), float64(r.late)/r.ended(), float64(r.refused)/r.ended(), r.grants, r.moved,
+		float64(r.ownerless)/float64(r.asked))
+}
+
+func playLoad(c loadCase, seed uint64) loadResult {
+	p := &loadPlay{loadCase: c, random: rand.New(rand.NewPCG(seed, 1)), counts: map[int64]int64{}, seen: map[string]*ServerLoad{}}
+	p.now = time.Second
+	p.leader = New(Options{Term: 1, Keys: loadKeys, Pieces: c.pieces, Lease: 2*c.beat + 4*time.Second, Drain: 2500 * time.Millisecond, Forget: 20 * time.Second})
+	p.leader.SetKeyed([]string{testService})
+	speeds := []float64{0.7, 0.7, 1.6}
+	for i := range c.servers {
+		p.servers = append(p.servers, &loadServer{
+			id: fmt.Sprint("s", i), speed: speeds[i%len(speeds)], nextAt: p.now + time.Duration(p.random.Int64N(int64(c.beat))),
+		})
+	}
+	end := p.now + c.length
+	nextReport := p.now
+	for p.now < end {
+		p.now += loadStep
+		p.arrive()
+		p.serve()
+		p.place()
+		if p.now >= nextReport {
+			p.report()
+			nextReport = p.now + loadReportEvery
+		}
+		p.beatAll()
+	}
+	return p.result
+}
+
+func (p *loadPlay) counted(r loadRequest) bool { return r.at >= p.warmup }
+
+// arrive adds the requests of one step.
+func (p *loadPlay) arrive() {
+	if p.now < p.begins {
+		return
+	}
+	mean := p.rate * loadStep.Seconds()
+	for n := poisson(p.random, mean); n > 0; n-- {
+		r := loadRequest{key: p.key(), at: p.now}
+		p.counts[r.key]++
+		p.waiting = append(p.waiting, r)
+		if p.counted(r) {
+			p.result.asked++
+			if p.owner(r.key) == nil {
+				p.result.ownerless++
+			}
+		}
+	}
+}
+
+func (p *loadPlay) key() int64 {
+	for _, s := range p.spells {
+		if p.now >= s.from && p.now < s.to && p.random.Float64() < s.share {
+			return s.first + p.random.Int64N(s.keys)
+		}
+	}
+	return p.random.Int64N(loadKeys)
+}
+
+func poisson(random *rand.Rand, mean float64) int {
+	limit, n := math.Exp(-mean), 0
+	for product := random.Float64(); product > limit; product *= random.Float64() {
+		n++
+	}
+	return n
+}
+
+func (p *loadPlay) owner(key int64) *loadServer {
+	svc := p.leader.services[testService]
+	w := &svc.rows[svc.rows.index(key)]
+	if w.holder == "" || w.leaving {
+		return nil
+	}
+	for _, s := range p.servers {
+		if s.id == w.holder {
+			return s
+		}
+	}
+	return nil
+}
+
+// place hands waiting requests to the owners of their keys.
+func (p *loadPlay) place() {
+	owners := map[int64]*loadServer{}
+	svc := p.leader.services[testService]
+	byID := map[string]*loadServer{}
+	for _, s := range p.servers {
+		byID[s.id] = s
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(r loadRequest) bool {
+		s, known := owners[r.key]
+		if !known {
+			if w := &svc.rows[svc.rows.index(r.key)]; w.holder != "" && !w.leaving {
+				s = byID[w.holder]
+			}
+			owners[r.key] = s
+		}
+		if s != nil && s.holds(r.key) && len(s.running)+len(s.queue) < p.slots+loadQueue {
+			s.queue = append(s.queue, r)
+			return true
+		}
+		if p.now-r.at >= loadHold {
+			p.count(r, &p.result.refused)
+			return true
+		}
+		return false
+	})
+}
+
+func (p *loadPlay) count(r loadRequest, in *int) {
+	if p.counted(r) {
+		*in++
+	}
+}
+
+func (s *loadServer) holds(key int64) bool {
+	return slices.ContainsFunc(s.held, func(r Range) bool { return r.From <= key && key <= r.To })
+}
+
+// serve ends requests that are done and starts others.
+func (p *loadPlay) serve() {
+	for _, s := range p.servers {
+		s.running = slices.DeleteFunc(s.running, func(r loadRequest) bool {
+			if r.ends > p.now {
+				return false
+			}
+			switch took := p.now - r.at; {
+			case took <= p.aim:
+				p.count(r, &p.result.inAim)
+			case took <= p.deadline:
+				p.count(r, &p.result.late)
+			default:
+				p.count(r, &p.result.refused)
+			}
+			return true
+		})
+		for len(s.running) < p.slots && len(s.queue) > 0 {
+			r := s.queue[0]
+			s.queue = s.queue[1:]
+			took := time.Duration(float64(p.work) * math.Exp(0.45*p.random.NormFloat64()-0.1) / s.speed)
+			r.ends = p.now + took
+			s.running = append(s.running, r)
+			seen := p.seen[s.id]
+			if seen == nil {
+				seen = &ServerLoad{ServerID: s.id}
+				p.seen[s.id] = seen
+			}
+			seen.Count++
+			seen.WorkMicros += took.Microseconds()
+		}
+	}
+}
+
+func (p *loadPlay) report() {
+	report := LoadReport{Services: []ServiceLoad{{Service: testService}}}
+	for key, count := range p.counts {
+		report.Services[0].Keys = append(report.Services[0].Keys, KeyLoad{Key: key, Count: count})
+	}
+	for _, seen := range p.seen {
+		report.Servers = append(report.Servers, *seen)
+	}
+	p.leader.Report(p.now, "gateway", report)
+	p.counts, p.seen = map[int64]int64{}, map[string]*ServerLoad{}
+}
+
+// beatAll sends the heartbeats that are due.
+func (p *loadPlay) beatAll() {
+	for _, s := range p.servers {
+		s.dropping = slices.DeleteFunc(s.dropping, func(r Range) bool {
+			if s.works(r) {
+				return false
+			}
+			s.released = append(s.released, Release{From: r.From, To: r.To, Handover: "h"})
+			s.nextAt = min(s.nextAt, p.now)
+			return true
+		})
+		if p.now < s.nextAt {
+			continue
+		}
+		p.beatOnce(s)
+	}
+}
+
+func (s *loadServer) works(r Range) bool {
+	on := func(q loadRequest) bool { return r.From <= q.key && q.key <= r.To }
+	return slices.ContainsFunc(s.running, on) || slices.ContainsFunc(s.queue, on)
+}
+
+func (p *loadPlay) beatOnce(s *loadServer) {
+	s.sequence++
+	reply := p.leader.Heartbeat(p.now, Heartbeat{
+		Server:   Server{ID: s.id, BornMillis: 1, Service: testService, Address: s.id + ":80", Slots: int64(p.slots)},
+		Sequence: s.sequence, Holds: append(slices.Clone(s.held), s.dropping...), Released: s.released,
+	})
+	granted := p.leader.Granted()
+	p.leader.Recorded(p.now, granted, true)
+	p.leader.Events()
+	if p.now >= p.warmup {
+		for _, g := range granted {
+			p.result.grants++
+			p.result.moved += float64(g.To-g.From+1) / loadKeys
+		}
+	}
+	s.released = nil
+	var next []Range
+	for _, g := range reply.Grants {
+		next = append(next, Range{From: g.From, To: g.To, Token: g.Token})
+	}
+	for _, old := range s.held {
+		s.dropping = append(s.dropping, without(old, next)...)
+	}
+	s.held = next
+	s.nextAt = p.now + p.beat
+	if len(s.dropping) > 0 {
+		s.nextAt = p.now + 100*time.Millisecond
+	}
+}
+
+// without returns the parts of a range that none of the others cover.
+func without(r Range, others []Range) []Range {
+	left := []Range{r}
+	for _, o := range others {
+		var next []Range
+		for _, l := range left {
+			if o.To < l.From || o.From > l.To {
+				next = append(next, l)
+				continue
+			}
+			if l.From < o.From {
+				next = append(next, Range{From: l.From, To: o.From - 1, Token: l.Token})
+			}
+			if l.To > o.To {
+				next = append(next, Range{From: o.To + 1, To: l.To, Token: l.Token})
+			}
+		}
+		left = next
+	}
+	return left
+}
+
+// manyServers is a deployment of hundreds of servers, each of which serves few
+// requests a second.
+var manyServers = loadCase{
+	servers: 353, slots: 6, work: 590 * time.Millisecond, rate: 1230, aim: 1600 * time.Millisecond, deadline: 5 * time.Second,
+	beat: 870 * time.Millisecond, pieces: 4, warmup: 8 * time.Second, length: 24 * time.Second,
+}
+
+// Bounds of the load tests: in calm times no more than one request in a hundred is
+// refused, and nine in ten end within their latency objective.
+const (
+	mostRefused = 0.01
+	leastInAim  = 0.9
+)
+
+func (r loadResult) check(t *testing.T) {
+	t.Helper()
+	t.Log(r)
+	if part := float64(r.refused) / r.ended(); !(part <= mostRefused) {
+		t.Errorf("%.3f of the requests were refused, want at most %.3f", part, mostRefused)
+	}
+	if part := float64(r.inAim) / r.ended(); !(part >= leastInAim) {
+		t.Errorf("%.3f of the requests ended within their objective, want at least %.3f", part, leastInAim)
+	}
+}
+
+// Pattern: hundreds of servers start one after another, and nobody asks for
+// anything yet. Every key is granted once, but for what the last few servers get
+// from others.
+func TestKeysOfAnUnusedServiceAreDividedOnce(t *testing.T) {
+	c := manyServers
+	c.begins, c.warmup, c.length = time.Hour, 0, 8*time.Second
+	r := playLoad(c, 1)
+	if most := 1 + 3/float64(c.servers); r.moved > most || r.grants > 2*c.pieces*c.servers {
+		t.Errorf("%d grants; each key changed hands %.4f times, want 1", r.grants, r.moved)
+	}
+}
+
+// Pattern: hundreds of servers with a few requests a second each, which are many
+// at one and few at another by chance alone.
+func TestSteadyLoadOnManyServers(t *testing.T) {
+	c := manyServers
+	c.begins, c.warmup, c.length = 4*time.Second, 6*time.Second, 14*time.Second
+	playLoad(c, 1).check(t)
+}
+
+// Pattern: the busy keys stand close together from the first request on.
+func TestBusyKeysCloseTogetherFromTheStart(t *testing.T) {
+	c := manyServers
+	c.begins, c.warmup, c.length = 5*time.Second, 5*time.Second, 13*time.Second
+	c.spells = []hotSpell{{from: 0, to: time.Minute, share: 0.3, first: 31000, keys: 4096}}
+	playLoad(c, 1).check(t)
+}
+
+// Pattern: few fast servers, and a part of the requests goes to a few hundred
+// neighbouring keys for some seconds. Half of what comes then is still in time.
+func TestHotKeysOnFewServers(t *testing.T) {
+	r := playLoad(loadCase{
+		servers: 27, slots: 6, work: 175 * time.Millisecond, rate: 480, aim: 600 * time.Millisecond, deadline: 1500 * time.Millisecond,
+		beat: 870 * time.Millisecond, pieces: 4, warmup: 10 * time.Second, length: 14 * time.Second,
+		spells: []hotSpell{{from: 10 * time.Second, to: 15 * time.Second, share: 0.41, first: 31000, keys: 200}},
+	}, 1)
+	t.Log(r)
+	if part := float64(r.inAim) / r.ended(); part < 0.5 {
+		t.Errorf("%.3f of the requests ended within their objective, want half", part)
+	}
+}
--- a/keyrange/pull.go
+++ b/keyrange/pull.go
@@ -1,6 +1,7 @@
 package keyrange
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -21,24 +22,47 @@
 		return
 	}
 	svc.rows.joinFree(now)
+	if f.idle() {
+		c.pullApart(now, svc, s, f, me)
+	}
 	for i := 0; i < len(svc.rows) && me.rows < maxGrantRows; i++ {
-		w := &svc.rows[i]
-		if !w.grantable(now) {
-			continue
-		}
-		last, fits := svc.fit(w, f, me, now-w.freeAt)
-		if !fits {
-			continue
+		c.take(now, svc, s, f, me, i, math.Inf(1))
+	}
+}
+
+// pullApart gives a server keys of an unused service in several ranges that lie
+// apart: busy keys stand close together, and their load does not show yet.
+func (c *Coordinator) pullApart(now time.Duration, svc *service, s *server, f *fleet, me *member) {
+	pieces := max(c.options.Pieces, 1)
+	most := f.level() * me.capacity / float64(pieces)
+	for piece := range int64(pieces) {
+		i := svc.rows.splitAt(piece * c.options.Keys / int64(pieces))
+		for i < len(svc.rows) && !c.take(now, svc, s, f, me, i, most) {
+			i++
 		}
-		svc.rows.splitAt(last + 1)
-		w = &svc.rows[i]
-		c.grant(now, svc, w, s)
-		c.note(now, EventGranted, svc, w)
-		me.load += svc.load.sum(w.from, w.to)
-		me.rows++
 	}
 }
 
+// take gives a server the longest prefix of a free row that it may take, with at
+// most the given requests a second. It returns false if it may take nothing.
+func (c *Coordinator) take(now time.Duration, svc *service, s *server, f *fleet, me *member, i int, most float64) bool {
+	w := &svc.rows[i]
+	if !w.grantable(now) || me.rows > 0 && now < w.reserved {
+		return false
+	}
+	last, fits := svc.fit(w, f, me, now-w.freeAt, most)
+	if !fits {
+		return false
+	}
+	svc.rows.splitAt(last + 1)
+	w = &svc.rows[i]
+	c.grant(now, svc, w, s)
+	c.note(now, EventGranted, svc, w)
+	me.load += svc.load.sum(w.from, w.to)
+	me.rows++
+	return true
+}
+
 // seed lets the keys be divided for the first time.
 func (svc *service) seed(now time.Duration) {
 	svc.seeded = true
@@ -53,16 +77,16 @@
 // take. A hot key waits some time for one of the fastest servers; a key for which
 // no server has room goes to the one with the least load, or after some time to
 // any.
-func (svc *service) fit(w *row, f *fleet, me *member, waited time.Duration) (last int64, fits bool) {
-	if svc.load.of(w.from) > hotPart*me.capacity && waited < hotPatience && !f.isFastest(me) {
+func (svc *service) fit(w *row, f *fleet, me *member, waited time.Duration, most float64) (last int64, fits bool) {
+	if svc.load.surely(svc.load.of(w.from)) > hotPart*me.capacity && waited < hotPatience && !f.isFastest(me) {
 		return 0, false
 	}
 	allowance := (f.level() - me.utilization()) * me.capacity
-	forced := waited >= pullPatience || f.isLeast(me)
+	forced := waited >= f.patience() || !f.idle() && f.isLeast(me)
 	if forced {
 		allowance = max(allowance, min(forcedPart, f.average)*me.capacity)
 	}
-	if last = svc.cutPrefix(w, allowance); last >= w.from {
+	if last = svc.cutPrefix(w, min(allowance, most)); last >= w.from {
 		return last, true
 	}
 	return w.from, forced
--- a/keyrange/rows.go
+++ b/keyrange/rows.go
@@ -19,7 +19,11 @@
 	pendingAt time.Duration
 	unproven  bool          // granted in an earlier term; the holder did not report it yet
 	freeAt    time.Duration // when keys without a holder may be granted
-	handover  string        // reference from the last holder
+	// forNewcomer says that the holder gives the keys to a server without any, and
+	// reserved until when only such a server may take them.
+	forNewcomer bool
+	reserved    time.Duration
+	handover    string // reference from the last holder
 
 	rate  float64 // requests a second of the keys; see service.rate
 	rated uint64  // version of the load that rate was taken from; 0 for none
@@ -76,7 +80,7 @@
 }
 
 func alikeFree(now time.Duration, a, b *row) bool {
-	return a.grantable(now) && b.grantable(now) && a.handover == b.handover
+	return a.grantable(now) && b.grantable(now) && a.handover == b.handover && a.reserved == b.reserved
 }
 
 // grantable tells whether the keys may be granted.
@@ -86,5 +90,9 @@
 
 // free marks the row as held by nobody.
 func (w *row) free(now time.Duration, handover string) {
-	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover}
+	reserved := time.Duration(0)
+	if w.forNewcomer {
+		reserved = now + newcomerPatience
+	}
+	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover, reserved: reserved}
 }
--- a/keyrange/shed.go
+++ b/keyrange/shed.go
@@ -21,9 +21,9 @@
 	if me == nil || me.leaving > 0 || float64(f.moving) >= max(1, movesInFlight*float64(len(f.members))) {
 		return
 	}
-	excess := f.excess(me)
+	excess, forNewcomer := f.excess(now, me, svc.load)
 	if key, hot := svc.hotKey(s.info.ID, hotPart*me.capacity); hot && f.hasFaster(me) {
-		excess -= c.markRun(now, svc, key, key)
+		excess -= c.markRun(now, svc, key, key, false)
 		me.rows += 2
 		me.leaving++
 	}
@@ -31,7 +31,7 @@
 		if excess < leastMoved*f.average*me.capacity {
 			return
 		}
-		moved := c.markLeaving(now, svc, s.info.ID, excess, me.rows < maxHolderRows)
+		moved := c.markLeaving(now, svc, s.info.ID, excess, me.rows < maxHolderRows, forNewcomer)
 		if moved == 0 {
 			return
 		}
@@ -42,27 +42,25 @@
 }
 
 // excess returns the load that a member gives away: what is above the level if it
-// is busy, or else some for servers that have no keys yet.
-func (f *fleet) excess(me *member) float64 {
-	if me.utilization() >= max(busyUtilization, f.average*moveThreshold) {
-		return (me.utilization() - f.level()) * me.capacity
+// is busy, or else a part for a server that has no keys yet. One member gives to
+// one such server, so that keys stay in few ranges.
+func (f *fleet) excess(now time.Duration, me *member, l *load) (amount float64, forNewcomer bool) {
+	if me.sureUtilization(l) >= max(busyUtilization, f.average*moveThreshold) {
+		return (me.utilization() - f.level()) * me.capacity, false
 	}
-	if me.utilization() < f.average*giverPart {
-		return 0
+	if me.unproven > 0 || me.utilization() < f.average*giverPart {
+		return 0, false
 	}
-	newcomers := 0
-	for _, m := range f.members {
-		if m.rows == 0 && m.server.info.WarmupMillis == 0 {
-			newcomers++
-		}
+	if f.newcomers(now) <= f.moving+f.offered {
+		return 0, false
 	}
-	return newcomerPart * me.load * float64(newcomers) / float64(len(f.members))
+	return newcomerPart * me.load, true
 }
 
 // markLeaving marks about amount requests a second of the server's keys: the
 // whole row or, if rows may be split, the prefix or suffix that comes closest
 // without exceeding it. It returns the load of the keys marked.
-func (c *Coordinator) markLeaving(now time.Duration, svc *service, id string, amount float64, split bool) float64 {
+func (c *Coordinator) markLeaving(now time.Duration, svc *service, id string, amount float64, split, forNewcomer bool) float64 {
 	bestRate, bestFrom, bestTo := 0.0, int64(0), int64(-1)
 	consider := func(from, to int64, rate float64) {
 		if from <= to && rate <= amount && rate > bestRate {
@@ -86,13 +84,13 @@
 	if bestTo < 0 {
 		return 0
 	}
-	return c.markRun(now, svc, bestFrom, bestTo)
+	return c.markRun(now, svc, bestFrom, bestTo, forNewcomer)
 }
 
 // markRun marks a run of keys, and returns their load.
-func (c *Coordinator) markRun(now time.Duration, svc *service, from, to int64) float64 {
+func (c *Coordinator) markRun(now time.Duration, svc *service, from, to int64, forNewcomer bool) float64 {
 	svc.rows.each(from, to, func(w *row) {
-		w.leaving = true
+		w.leaving, w.forNewcomer = true, forNewcomer
 		c.note(now, EventLeaving, svc, w)
 	})
 	return svc.load.sum(from, to)
@@ -106,7 +104,7 @@
 			continue
 		}
 		for key := w.from; key <= w.to; key++ {
-			if svc.load.of(key) > bound {
+			if rate := svc.load.of(key); rate > bound && svc.load.surely(rate) > bound {
 				return key, true
 			}
 		}
--- a/keyrange/survey.go
+++ b/keyrange/survey.go
@@ -1,6 +1,9 @@
 package keyrange
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // member is a server's share of a service's load.
 type member struct {
@@ -8,17 +11,22 @@
 	capacity float64 // requests a second at full use of its slots
 	load     float64 // requests a second
 	rows     int
+	unproven int // of rows
 	leaving  int
 }
 
 func (m *member) utilization() float64 { return m.load / m.capacity }
 
+// sureUtilization returns the utilization that is more than chance.
+func (m *member) sureUtilization(l *load) float64 { return l.surely(m.load) / m.capacity }
+
 // fleet is the load of a service's servers at one moment.
 type fleet struct {
 	members map[string]*member
 	all     []member // what members points to
-	average float64 // utilization if the load were spread by capacity
-	moving  int     // servers that are giving keys away
+	average float64  // utilization if the load were spread by capacity
+	moving  int      // servers that are giving keys away
+	offered int      // runs of keys that wait for servers without any
 }
 
 // survey returns the load of the servers that may be given keys, until the next
@@ -41,11 +49,17 @@
 		w := &svc.rows[i]
 		rate := svc.rate(w)
 		total += rate
+		if w.holder == "" && w.reserved > 0 {
+			f.offered++
+		}
 		m := f.members[w.holder]
 		if m == nil {
 			continue
 		}
 		m.rows++
+		if w.unproven {
+			m.unproven++
+		}
 		if w.leaving {
 			m.leaving++
 		} else {
@@ -70,7 +84,7 @@
 	}
 	clear(f.members)
 	f.all = slices.Grow(f.all[:0], members)
-	f.average, f.moving = 0, 0
+	f.average, f.moving, f.offered = 0, 0, 0
 }
 
 // averageWorkTime returns the time of a request over all servers of a service.
@@ -95,6 +109,18 @@
 	return capacity
 }
 
+// newcomers returns the number of members that have no keys yet and will take some
+// with their next heartbeat.
+func (f *fleet) newcomers(now time.Duration) int {
+	count := 0
+	for _, m := range f.members {
+		if m.rows == 0 && m.server.info.WarmupMillis == 0 && now-m.server.seen < newcomerSilence {
+			count++
+		}
+	}
+	return count
+}
+
 // isLeast tells whether no server has a lower utilization.
 func (f *fleet) isLeast(me *member) bool {
 	for _, m := range f.members {
@@ -119,12 +145,24 @@
 // isFastest tells whether no other member is much faster.
 func (f *fleet) isFastest(me *member) bool { return !f.hasFaster(me) }
 
+// idle tells whether the service is unused.
+func (f *fleet) idle() bool { return f.average < idleUtilization }
+
+// patience returns how long keys wait for a server with room. Nobody waits for
+// those of an unused service, so that every server can come first.
+func (f *fleet) patience() time.Duration {
+	if f.idle() {
+		return newcomerPatience
+	}
+	return pullPatience
+}
+
 // level is the utilization up to which servers take keys. As long as there is
 // hardly any load it follows the average, so that keys are divided evenly before
 // their load shows.
 func (f *fleet) level() float64 {
-	if f.average < idleUtilization {
-		return f.average * movedTo
+	if f.idle() {
+		return f.average * idleLevel
 	}
 	return max(calmUtilization, f.average*movedTo)
 }
