--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/galenalug/galenalug/internal/admin"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/eventlog"
@@ -51,7 +52,9 @@
 			if err != nil {
 				return err
 			}
-			operators, err := admin.Start(fleet.PeerAddress(s.Ip, s.AdminPort), registry, host.Dump)
+			operators, err := admin.Start(admin.Options{
+				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+			})
 			if err != nil {
 				return err
 			}
@@ -60,7 +63,7 @@
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
 			go daemon.WatchFile(ctx, path, settingsInterval, p.reloadLogged)
-			return daemon.Run(ctx, p, time.Duration(s.StopMs)*time.Millisecond, os.Stderr)
+			return daemon.Run(ctx, p, clock.Seconds(s.StopSeconds), os.Stderr)
 		},
 	}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -135,3 +135,42 @@
 		t.Error("ten gateways can judge by themselves, eighty can't")
 	}
 }
+
+// Pattern: many gateways before many servers. Each pair meets once in many seconds,
+// so what one server takes is known only by what the others took.
+func TestServerThatWasNotTriedIsExpectedToTakeWhatOthersTake(t *testing.T) {
+	var service Typical
+	for range 20 {
+		service.Take(600 * ms)
+	}
+	var l Load
+	if l.Known() {
+		t.Error("known before anything was seen")
+	}
+	l.Expect(service.Time())
+	if got := l.WorkTime(); !l.Known() || got < 550*ms {
+		t.Errorf("work time %v, known %v; want that of the service, 600ms", got, l.Known())
+	}
+	l.TakeWorkTime(200 * ms)
+	if got := l.WorkTime(); got < 400*ms || got > 600*ms {
+		t.Errorf("work time %v after one answer in 200ms; want between that and the service's", got)
+	}
+}
+
+// Pattern: a key turns hot, and all gateways send to its owner at the same moment.
+func TestGatewaysTogetherDoNotOverrunAServer(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		most, gateways int64
+		slots, want    int
+	}{
+		{"few gateways", 120, 10, 6, 12},
+		{"many gateways", 580, 87, 6, 2},
+		{"more gateways than connections", 120, 440, 6, 2},
+		{"no other gateway is known yet", 120, 0, 6, 120},
+	} {
+		if got := Connections(c.most, c.gateways, c.slots); got != c.want {
+			t.Errorf("%s: %d connections, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -20,6 +20,7 @@
 	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/replog"
@@ -30,8 +31,9 @@
 	groupName = "fleet"
 	// keySpace is the number of keys of a service that is divided by key.
 	keySpace = 1 << 16
-	// publishInterval is the time between two looks for changes of the table.
-	publishInterval = 20 * time.Millisecond
+	// piecesApart is the number of ranges in which a server gets its keys at first: a
+	// table of hundreds of servers must still be sent to a gateway in a moment.
+	piecesApart = 4
 	// snapshotEntries is the number of log entries between two snapshots.
 	snapshotEntries = 512
 )
@@ -78,6 +80,8 @@
 	mu          sync.Mutex
 	leading     *leadership // nil while this host does not lead
 	subscribers map[*peer.Conn]struct{}
+
+	keyEvents trace.History[trace.KeyEvent] // of the times when this host led
 }
 
 // New makes a host and opens its listener for peers. Start starts it.
@@ -154,9 +158,9 @@
 		Name:            groupName,
 		HostName:        h.name,
 		Dir:             filepath.Join(h.settings.DataDir, groupName),
-		Election:        milliseconds(h.settings.ElectionMs),
-		Heartbeat:       milliseconds(h.settings.RaftHeartbeatMs),
-		QuorumTimeout:   quorumTimeouts * milliseconds(h.settings.ElectionMs),
+		Election:        clock.Milliseconds(h.settings.ElectionMs),
+		Heartbeat:       clock.Milliseconds(h.settings.RaftHeartbeatMs),
+		QuorumTimeout:   quorumTimeouts * clock.Milliseconds(h.settings.ElectionMs),
 		SnapshotEntries: snapshotEntries,
 		Seed:            rand.Uint64(),
 		Applier:         h.state,
@@ -184,7 +188,7 @@
 
 // electionDelay returns how much later than others this host stands for election.
 func (h *Host) electionDelay() time.Duration {
-	most := milliseconds(h.settings.ElectionMs)
+	most := clock.Milliseconds(h.settings.ElectionMs)
 	voters, _ := h.voters.Load().([]string)
 	return min(roundTripsWaited*h.peers.quorumRoundTrip(h.name, voters, most), most)
 }
@@ -220,19 +224,6 @@
 	return err
 }
 
-// Dump returns the host's state.
-func (h *Host) Dump() any {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	dump := map[string]any{
-		"host": h.name, "log": h.runner.Status(), "config": h.state.config(), "subscribers": len(h.subscribers),
-	}
-	if h.leading != nil {
-		dump["table"] = h.leading.coordinator.Whole()
-	}
-	return dump
-}
-
 // Send implements group.Transport.
 func (h *Host) Send(name string, to replog.Member, messages []replog.Message) {
 	if to.Name == "" {
@@ -264,14 +255,12 @@
 // lease returns the lease of key ranges.
 func (h *Host) lease() time.Duration {
 	if h.settings.LeaseMs > 0 {
-		return milliseconds(h.settings.LeaseMs)
+		return clock.Milliseconds(h.settings.LeaseMs)
 	}
-	lease := leaseHeartbeats*milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
-	return min(lease, milliseconds(h.settings.MaxLeaseMs))
+	lease := leaseHeartbeats*clock.Milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
+	return min(lease, clock.Milliseconds(h.settings.MaxLeaseMs))
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // leads tells whether this host leads as far as it knows. What must not be done by
 // a leader that was replaced asks for confirm as well.
 func (h *Host) leads() bool {
@@ -319,10 +308,11 @@
 	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
 		Term:      term,
 		Keys:      keySpace,
+		Pieces:    piecesApart,
 		Lease:     lease,
 		Inherited: inherited,
 		Recorded:  h.state.granted(),
-		Drain:     milliseconds(h.settings.DrainMs),
+		Drain:     clock.Milliseconds(h.settings.DrainMs),
 		Forget:    2 * lease,
 	})}
 	h.wakeUp()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -270,6 +270,28 @@
 	}
 }
 
+// Pattern: many gateways before many servers. A server that this gateway never
+// asked before is given the time that the service's requests take.
+func TestServerThatWasNotAskedYetGetsTheUsualTime(t *testing.T) {
+	usual := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(500 * time.Millisecond)
+		return ok("yes")(conn, r, body)
+	}
+	f := newFixture(t)
+	for _, name := range []string{"first", "second"} {
+		server := newStandIn(t, usual, ok("again"))
+		f.tell(server)
+		if name == "first" { // nothing is known of the service yet
+			_, _ = f.do("GET", "/look/1", nil)
+			continue
+		}
+		response, _ := f.do("GET", "/look/1", nil)
+		if response.StatusCode != http.StatusOK || server.count() != 1 {
+			t.Errorf("%s server: status %d after %d sends, want 200 after 1", name, response.StatusCode, server.count())
+		}
+	}
+}
+
 // A request that may have run in one of two sends is not refused as not run.
 func TestRefusalAfterTwoSendsIsTrue(t *testing.T) {
 	late := func(net.Conn, *http.Request, []byte) bool {
@@ -308,7 +330,7 @@
 		return ok("done")(conn, r, body)
 	})
 	f := newFixture(t)
-	f.host.settings.StopMs = 1600
+	f.host.settings.StopSeconds = 1.6
 	f.tell(server)
 	stopped := make(chan error, 1)
 	time.AfterFunc(100*time.Millisecond, func() { stopped <- f.host.Stop(context.Background()) })
@@ -363,11 +385,11 @@
 	config := encode(t, testConfig())
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Whole: true, Config: config, EntryHosts: 10})
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 1, Whole: true, Partial: true, EntryHosts: 1})
-	if got := v.connections("stock"); got != 2 {
+	if got := v.connections(keyrange.Server{Service: "stock", Slots: 6}); got != 2 {
 		t.Errorf("%d of 20 connections while the new leader counts, want 2", got)
 	}
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 2, EntryHosts: 5})
-	if got := v.connections("stock"); got != 4 {
+	if got := v.connections(keyrange.Server{Service: "stock", Slots: 6}); got != 4 {
 		t.Errorf("%d of 20 connections among 5 gateways, want 4", got)
 	}
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -18,10 +18,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/retry"
 	"github.com/galenalug/galenalug/routes"
@@ -97,7 +99,7 @@
 	h := &Host{
 		settings: o.Settings,
 		dialect:  o.Dialect,
-		view:     newView(milliseconds(o.Settings.DrainMs)),
+		view:     newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends: newBackends(),
 		metrics:  m,
 		events:   eventlog.New(o.Events, o.Settings.Name),
@@ -131,8 +133,6 @@
 	return h, nil
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // Start listens and serves in the background.
 func (h *Host) Start() error {
 	listener, err := net.Listen("tcp", h.settings.Listen)
@@ -165,7 +165,7 @@
 func (h *Host) Stop(ctx context.Context) error {
 	log.WithField("host", h.settings.Name).Info("gateway stops")
 	h.stopping.Store(true)
-	total := milliseconds(h.settings.StopMs)
+	total := clock.Seconds(h.settings.StopSeconds)
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	wait(ctx, min(unreadyTime, total/2))
@@ -226,7 +226,7 @@
 
 // spendRetry takes one repeat from the service's budget.
 func (h *Host) spendRetry(service string) bool {
-	slack := slackPart * float64(h.settings.RetrySlack) / float64(h.view.gateways())
+	slack := slackPart * h.settings.RetrySlack / float64(h.view.gateways())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	allowed := h.window(service).Spend(clockNow(), slack)
@@ -238,7 +238,7 @@
 func (h *Host) window(service string) *retry.Window {
 	w := h.windows[service]
 	if w == nil {
-		w = retry.NewWindow(retryPart*h.settings.RetryRatio, milliseconds(h.settings.RetryWindowMs))
+		w = retry.NewWindow(retryPart*h.settings.RetryRatio, clock.Seconds(h.settings.RetryWindowSeconds))
 		h.windows[service] = w
 	}
 	return w
@@ -276,8 +276,22 @@
 	return dispatch.OtherRegion
 }
 
+// stateDump is the gateway's state.
+type stateDump struct {
+	trace.Dump
+	View     Stamp    `json:"view"`
+	Controls []string `json:"controls"`
+}
+
 // Dump returns the gateway's state.
 func (h *Host) Dump() any {
-	_, stamp, _ := h.view.snapshot(clockNow())
-	return map[string]any{"host": h.settings.Name, "view": stamp, "controls": h.view.contacts()}
+	now := clockNow()
+	_, stamp, _ := h.view.snapshot(now)
+	return stateDump{
+		Dump: trace.Dump{
+			Host: h.settings.Name, Versions: h.view.versions.All(), Owners: h.view.ownersKnown(now),
+		},
+		View:     stamp,
+		Controls: h.view.contacts(),
+	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -9,7 +9,9 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -49,6 +51,8 @@
 	version  uint64
 	heard    time.Duration
 	changed  chan struct{} // closed at the next change
+
+	versions trace.History[uint64] // configurations as they came into force
 }
 
 func newView(drain time.Duration) *view {
@@ -74,6 +78,7 @@
 	v.takeGateways(u)
 	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
 		v.routes = routes.NewTable(*config)
+		v.versions.Add(time.Now(), config.Version)
 		log.WithField("version", config.Version).Info("route configuration in force")
 	}
 	v.takeServers(now, u)
@@ -219,15 +224,28 @@
 }
 
 // connections returns the number of connections that this gateway may open to a
-// server of a service.
-func (v *view) connections(service string) int {
+// server.
+func (v *view) connections(s keyrange.Server) int {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if v.routes == nil || v.routes.Service(service) == nil {
+	if v.routes == nil || v.routes.Service(s.Service) == nil {
 		return 1
 	}
-	most := v.routes.Service(service).MaxConnections
-	return int(max(2, most/v.entries))
+	return dispatch.Connections(v.routes.Service(s.Service).MaxConnections, v.entries, int(s.Slots))
+}
+
+// ownersKnown returns all owners, for the state dump.
+func (v *view) ownersKnown(now time.Duration) []trace.Owner {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var known []trace.Owner
+	for service, owners := range v.owners {
+		for _, o := range owners {
+			since := time.Now().Add(o.since - now)
+			known = append(known, trace.Owner{Service: service, From: o.From, To: o.To, Server: o.ServerID, Since: since})
+		}
+	}
+	return known
 }
 
 // has tells whether a server is in the view.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -140,8 +140,15 @@
 	// Control hosts' admin addresses, IP:port.
 	Controls []string `json:"controls" yaml:"controls" cbor:"controls"`
 
-	// File with the operators' credential.
-	OperatorSecretFile string `json:"operator_secret_file" yaml:"operator_secret_file" cbor:"operator_secret_file"`
+	// Entry hosts' admin addresses, IP:port, which traces ask too. Default: none.
+	Entries []string `json:"entries,omitempty,omitzero" yaml:"entries,omitempty" cbor:"entries,omitempty"`
+
+	// Whether the control hosts take operators' calls without a credential. Default:
+	// false.
+	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
+
+	// File with the operators' credential. Needed unless open_network is set.
+	OperatorSecretFile *string `json:"operator_secret_file,omitempty,omitzero" yaml:"operator_secret_file,omitempty" cbor:"operator_secret_file,omitempty"`
 
 	// Longest wait for an answer, milliseconds. Default: 5000.
 	TimeoutMs int `json:"timeout_ms,omitempty,omitzero" yaml:"timeout_ms,omitempty" cbor:"timeout_ms,omitempty"`
@@ -230,7 +237,7 @@
 
 	// Longest time for which a leaving server gets requests, milliseconds. Default:
 	// 2500.
-	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+	DrainMs float64 `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
 	// Shortest election timeout, milliseconds. Default: 400.
 	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
@@ -244,13 +251,13 @@
 
 	// Lease of key ranges, milliseconds; 0 takes two heartbeats of a backend server
 	// and 4 s, and at most max_lease_ms. Default: 0.
-	LeaseMs int `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
+	LeaseMs float64 `json:"lease_ms,omitempty,omitzero" yaml:"lease_ms,omitempty" cbor:"lease_ms,omitempty"`
 
 	// Structured logging.
 	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
 
 	// Longest lease that backend servers accept, milliseconds. Default: 10000.
-	MaxLeaseMs int `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
+	MaxLeaseMs float64 `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
 
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
@@ -259,6 +266,10 @@
 	// reaches the peer port. Default: false.
 	OpenNetwork bool `json:"open_network,omitempty,omitzero" yaml:"open_network,omitempty" cbor:"open_network,omitempty"`
 
+	// File with the operators' credential. Without one, operators' calls are taken
+	// only if open_network is set.
+	OperatorSecretFile *string `json:"operator_secret_file,omitempty,omitzero" yaml:"operator_secret_file,omitempty" cbor:"operator_secret_file,omitempty"`
+
 	// TCP port for peers, the same on every control host.
 	PeerPort int `json:"peer_port" yaml:"peer_port" cbor:"peer_port"`
 
@@ -274,7 +285,7 @@
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
 	// Time between two heartbeats of a backend server, milliseconds. Default: 1000.
-	ServerHeartbeatMs int `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
+	ServerHeartbeatMs float64 `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
 
 	// Control hosts that may be lost at the same time; the group keeps twice as many
 	// members and one. Default: 2.
@@ -294,7 +305,7 @@
 
 	// Longest time for which a leaving server gets requests, milliseconds. Default:
 	// 2500.
-	DrainMs int `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
+	DrainMs float64 `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
 
 	// IP address of this host, on which it listens for its peers.
 	Ip string `json:"ip" yaml:"ip" cbor:"ip"`
@@ -328,22 +339,37 @@
 
 	// Requests sent to a second server within the window beyond that part, over all
 	// gateways together. Default: 0.
-	RetrySlack int `json:"retry_slack,omitempty,omitzero" yaml:"retry_slack,omitempty" cbor:"retry_slack,omitempty"`
+	RetrySlack float64 `json:"retry_slack,omitempty,omitzero" yaml:"retry_slack,omitempty" cbor:"retry_slack,omitempty"`
 
-	// Window of the retry budget, milliseconds. Default: 10000.
-	RetryWindowMs int `json:"retry_window_ms,omitempty,omitzero" yaml:"retry_window_ms,omitempty" cbor:"retry_window_ms,omitempty"`
+	// Window of the retry budget, seconds. Default: 10.
+	RetryWindowSeconds float64 `json:"retry_window_seconds,omitempty,omitzero" yaml:"retry_window_seconds,omitempty" cbor:"retry_window_seconds,omitempty"`
 
 	// Addresses of control hosts, IP:port. Only the IP matters: peers listen on
 	// peer_port.
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
-	// Longest time that a stop may take, milliseconds. Default: 6000.
-	StopMs int `json:"stop_ms,omitempty,omitzero" yaml:"stop_ms,omitempty" cbor:"stop_ms,omitempty"`
+	// Longest time that a stop may take, seconds. Default: 6.
+	StopSeconds float64 `json:"stop_seconds,omitempty,omitzero" yaml:"stop_seconds,omitempty" cbor:"stop_seconds,omitempty"`
 }
 
 // Region by failure domain.
 type GatewaySettingsDomains map[string]string
 
+// What a client may send, and how long it may take.
+type LimitsEntry struct {
+	// Largest request body, bytes.
+	BodyBytes int `json:"body_bytes" yaml:"body_bytes" cbor:"body_bytes"`
+
+	// Largest request header, bytes.
+	HeaderBytes int `json:"header_bytes" yaml:"header_bytes" cbor:"header_bytes"`
+
+	// Longest time for a request header, milliseconds.
+	HeaderMs int `json:"header_ms" yaml:"header_ms" cbor:"header_ms"`
+
+	// Longest time that a connection may be idle, milliseconds.
+	IdleMs int `json:"idle_ms" yaml:"idle_ms" cbor:"idle_ms"`
+}
+
 type LogFormat string
 
 const LogFormatJson LogFormat = "json"
@@ -364,3 +390,88 @@
 	// Least severe level written. Default: info.
 	Level LogLevel `json:"level,omitempty,omitzero" yaml:"level,omitempty" cbor:"level,omitempty"`
 }
+
+// Where the requests of one host and path prefix go.
+type RouteEntry struct {
+	// Host of the requests.
+	Host string `json:"host" yaml:"host" cbor:"host"`
+
+	// Whether a request may run more than once; an upload is a request with a large
+	// body that may not.
+	Kind RouteKind `json:"kind" yaml:"kind" cbor:"kind"`
+
+	// Backend servers that one client attempt may be sent to. Default: 1.
+	MaxAttempts int `json:"max_attempts,omitempty,omitzero" yaml:"max_attempts,omitempty" cbor:"max_attempts,omitempty"`
+
+	// Unique name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// Prefix of the paths; begins and ends with a slash.
+	PathPrefix string `json:"path_prefix" yaml:"path_prefix" cbor:"path_prefix"`
+
+	// Rank under load; 0 is the highest. Default: 0.
+	Priority int `json:"priority,omitempty,omitzero" yaml:"priority,omitempty" cbor:"priority,omitempty"`
+
+	// Services that share the requests.
+	Shares []ShareEntry `json:"shares" yaml:"shares" cbor:"shares"`
+
+	// Latency objective, milliseconds; 0 for none. Default: 0.
+	TargetMs int `json:"target_ms,omitempty,omitzero" yaml:"target_ms,omitempty" cbor:"target_ms,omitempty"`
+
+	// Longest time until a final response, milliseconds.
+	TimeoutMs int `json:"timeout_ms" yaml:"timeout_ms" cbor:"timeout_ms"`
+}
+
+type RouteKind string
+
+const RouteKindIdempotent RouteKind = "idempotent"
+const RouteKindOnce RouteKind = "once"
+const RouteKindUpload RouteKind = "upload"
+
+// A whole route configuration, for galenactl routes.
+type RoutesFile struct {
+	// Version that this configuration replaces; 0 for the first one. Default: 0.
+	Base int `json:"base,omitempty,omitzero" yaml:"base,omitempty" cbor:"base,omitempty"`
+
+	// What a client may send, and how long it may take.
+	Limits LimitsEntry `json:"limits" yaml:"limits" cbor:"limits"`
+
+	// Routes. A request takes the one with its host and the longest prefix of its
+	// path.
+	Routes []RouteEntry `json:"routes" yaml:"routes" cbor:"routes"`
+
+	// Services that routes lead to.
+	Services []ServiceEntry `json:"services" yaml:"services" cbor:"services"`
+
+	// Number of this configuration; above the one in force.
+	Version int `json:"version" yaml:"version" cbor:"version"`
+}
+
+// A set of backend servers that run the same requests.
+type ServiceEntry struct {
+	// Path of the health check.
+	HealthPath string `json:"health_path" yaml:"health_path" cbor:"health_path"`
+
+	// Whether each request belongs to a key that one server holds. Default: false.
+	Keyed bool `json:"keyed,omitempty,omitzero" yaml:"keyed,omitempty" cbor:"keyed,omitempty"`
+
+	// Connections that one server accepts from all gateways together; 0 for no limit.
+	// Default: 0.
+	MaxConnections int `json:"max_connections,omitempty,omitzero" yaml:"max_connections,omitempty" cbor:"max_connections,omitempty"`
+
+	// Unique name.
+	Name string `json:"name" yaml:"name" cbor:"name"`
+
+	// How long a server is slow on keys that came without a handover, milliseconds.
+	// Default: 0.
+	WarmMs int `json:"warm_ms,omitempty,omitzero" yaml:"warm_ms,omitempty" cbor:"warm_ms,omitempty"`
+}
+
+// One service of a route and its part of the requests.
+type ShareEntry struct {
+	// Name of a service.
+	Service string `json:"service" yaml:"service" cbor:"service"`
+
+	// Part of the requests, relative to the other shares.
+	Weight int `json:"weight" yaml:"weight" cbor:"weight"`
+}
--- a/keyrange/rows.go
+++ b/keyrange/rows.go
@@ -19,7 +19,14 @@
 	pendingAt time.Duration
 	unproven  bool          // granted in an earlier term; the holder did not report it yet
 	freeAt    time.Duration // when keys without a holder may be granted
-	handover  string        // reference from the last holder
+	// forNewcomer says that the holder gives the keys to a server without any, and
+	// reserved until when only such a server may take them.
+	forNewcomer bool
+	reserved    time.Duration
+	handover    string // reference from the last holder
+
+	rate  float64 // requests a second of the keys; see service.rate
+	rated uint64  // version of the load that rate was taken from; 0 for none
 }
 
 // rows cover all keys of a service without gaps, in ascending order.
@@ -42,7 +49,8 @@
 	}
 	left := (*r)[i]
 	left.to = key - 1
-	(*r)[i].from = key
+	left.rated = 0
+	(*r)[i].from, (*r)[i].rated = key, 0
 	*r = slices.Insert(*r, i, left)
 	return i + 1
 }
@@ -62,7 +70,7 @@
 	out := (*r)[:0]
 	for _, next := range *r {
 		if last := len(out) - 1; last >= 0 && alikeFree(now, &out[last], &next) {
-			out[last].to = next.to
+			out[last].to, out[last].rated = next.to, 0
 			out[last].freeAt = min(out[last].freeAt, next.freeAt)
 			continue
 		}
@@ -72,7 +80,7 @@
 }
 
 func alikeFree(now time.Duration, a, b *row) bool {
-	return a.grantable(now) && b.grantable(now) && a.handover == b.handover
+	return a.grantable(now) && b.grantable(now) && a.handover == b.handover && a.reserved == b.reserved
 }
 
 // grantable tells whether the keys may be granted.
@@ -82,5 +90,9 @@
 
 // free marks the row as held by nobody.
 func (w *row) free(now time.Duration, handover string) {
-	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover}
+	reserved := time.Duration(0)
+	if w.forNewcomer {
+		reserved = now + newcomerPatience
+	}
+	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover, reserved: reserved}
 }
