--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -56,7 +55,7 @@
 	}
 	for i := 1; i < len(all); i++ {
 		if all[i].Entry != all[i-1].Entry+1 || !all[i].At.After(all[i-1].At) {
-			t.Fatal(fmt.Sprintf("entry %d out of order", i))
+			t.Fatalf("entry %d out of order", i)
 		}
 	}
 }
