Divide keys once servers have shown up, and evenly while nobody asks

Servers show up over some seconds; keys were divided among the first fifth of them, and each later one got half of one server's part, so that one server began with three times its part (its 2,977 keys of the busy ones had 60 requests a second). Before, keys that went to and fro had evened that out. And keys offered to a server without any stayed without an owner for 0.9 s under load. Change: keys are divided once no server came in half a second; while a service is unused, whoever has a fifth more than its part gives it away; under load offered keys wait 200 ms. A test of servers that start late failed first (2.20 and 2.52 times their part).

--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -49,9 +49,9 @@
 	// newcomerPart is the part of its load that a server gives to one without keys;
 	// the rest follows when servers are busy.
 	newcomerPart = 0.5
-	// newcomerPatience is how long keys that were given up for a server without any
-	// wait for one: until its next heartbeat.
-	newcomerPatience = 900 * time.Millisecond
+	// idlePatience is how long keys of an unused service wait: until every server's
+	// next heartbeat.
+	idlePatience = 900 * time.Millisecond
 	// newcomerSilence is the silence after which a server without keys counts no more.
 	newcomerSilence = 2 * time.Second
 	// giverPart is the utilization, relative to the average, from which a server
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -34,6 +34,7 @@
 	rows     rows
 	load     *load
 	firstAt  time.Duration // when its first server showed up
+	newestAt time.Duration // when its newest server showed up
 	seeded   bool          // whether its keys were divided once
 	heldRows map[string]int
 	fleet    fleet // of the newest survey
@@ -152,6 +153,7 @@
 	if svc.firstAt == 0 {
 		svc.firstAt = max(now, 1)
 	}
+	svc.newestAt = max(svc.newestAt, s.firstAt)
 	c.takeReport(now, svc, s, hb)
 	f := c.survey(svc)
 	c.shed(now, svc, s, f)
--- a/keyrange/load_test.go
+++ b/keyrange/load_test.go
@@ -44,6 +44,7 @@
 	begins   time.Duration // of the requests
 	warmup   time.Duration // not counted
 	pieces   int
+	starting time.Duration // in which the servers start; a heartbeat interval if 0
 	length   time.Duration
 }
 
@@ -84,6 +85,7 @@
 	asked, inAim, late, refused int
 	moved                       float64 // shares of all keys that changed hands
 	grants                      int
+	most                        float64 // keys at the end of the server with the most, relative to an equal part
 	ownerless                   float64 // part of the requests that found no owner at once
 }
 
@@ -104,7 +106,7 @@
 	speeds := []float64{0.7, 0.7, 1.6}
 	for i := range c.servers {
 		p.servers = append(p.servers, &loadServer{
-			id: fmt.Sprint("s", i), speed: speeds[i%len(speeds)], nextAt: p.now + time.Duration(p.random.Int64N(int64(c.beat))),
+			id: fmt.Sprint("s", i), speed: speeds[i%len(speeds)], nextAt: p.now + time.Duration(p.random.Int64N(int64(max(c.starting, c.beat)))),
 		})
 	}
 	end := p.now + c.length
@@ -120,9 +122,23 @@
 		}
 		p.beatAll()
 	}
+	p.result.most = p.mostKeys()
 	return p.result
 }
 
+// mostKeys returns the most keys that one server holds, relative to an equal part.
+func (p *loadPlay) mostKeys() float64 {
+	most := int64(0)
+	for _, s := range p.servers {
+		keys := int64(0)
+		for _, r := range s.held {
+			keys += r.To - r.From + 1
+		}
+		most = max(most, keys)
+	}
+	return float64(most) * float64(len(p.servers)) / loadKeys
+}
+
 func (p *loadPlay) counted(r loadRequest) bool { return r.at >= p.warmup }
 
 // arrive adds the requests of one step.
@@ -371,6 +387,20 @@
 	}
 }
 
+// Pattern: servers start over some seconds, the last ones when the keys are divided
+// already. Before the first request each has about its part.
+func TestServersThatStartLateGetTheirPart(t *testing.T) {
+	for _, starting := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		r := playLoad(loadCase{
+			servers: 30, slots: 6, work: 80 * time.Millisecond, beat: 870 * time.Millisecond, pieces: 4,
+			begins: time.Hour, starting: starting, length: 9 * time.Second,
+		}, 1)
+		if r.most > 1.5 {
+			t.Errorf("started in %v: one server holds %.2f times its part of the keys", starting, r.most)
+		}
+	}
+}
+
 // Pattern: hundreds of servers with a few requests a second each, which are many
 // at one and few at another by chance alone.
 func TestSteadyLoadOnManyServers(t *testing.T) {
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -14,6 +14,10 @@
 	// settleTime is how long a service waits for servers to show up before its
 	// keys are divided for the first time.
 	settleTime = 1200 * time.Millisecond
+	// settlePause is the time without a new server after which all are taken to have
+	// shown up, and mostSettleTime bounds the wait for it.
+	settlePause    = 500 * time.Millisecond
+	mostSettleTime = 3 * time.Second
 	// maxGrantRows bounds the ranges of one reply; heartbeat replies must stay
 	// below 4 KiB, and one row takes up to 55 bytes of JSON.
 	maxGrantRows = 56
--- a/keyrange/pull.go
+++ b/keyrange/pull.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if !svc.seeded {
-		if now < svc.firstAt+settleTime {
+		if !svc.settled(now) {
 			return
 		}
 		svc.seed(now)
@@ -47,7 +47,7 @@
 // most the given requests a second. It returns false if it may take nothing.
 func (c *Coordinator) take(now time.Duration, svc *service, s *server, f *fleet, me *member, i int, most float64) bool {
 	w := &svc.rows[i]
-	if !w.grantable(now) || me.rows > 0 && now < w.reserved {
+	if !w.grantable(now) || me.rows > 0 && w.offered > 0 && now < w.offered+f.patience() {
 		return false
 	}
 	last, fits := svc.fit(w, f, me, now-w.freeAt, most)
@@ -63,6 +63,15 @@
 	return true
 }
 
+// settled tells whether the servers of a new service have shown up: none came in
+// some time.
+func (svc *service) settled(now time.Duration) bool {
+	if now < svc.firstAt+settleTime {
+		return false
+	}
+	return now >= svc.newestAt+settlePause || now >= svc.firstAt+mostSettleTime
+}
+
 // seed lets the keys be divided for the first time.
 func (svc *service) seed(now time.Duration) {
 	svc.seeded = true
--- a/keyrange/rows.go
+++ b/keyrange/rows.go
@@ -20,9 +20,9 @@
 	unproven  bool          // granted in an earlier term; the holder did not report it yet
 	freeAt    time.Duration // when keys without a holder may be granted
 	// forNewcomer says that the holder gives the keys to a server without any, and
-	// reserved until when only such a server may take them.
+	// offered when it had given them up; 0 for other keys.
 	forNewcomer bool
-	reserved    time.Duration
+	offered     time.Duration
 	handover    string // reference from the last holder
 
 	rate  float64 // requests a second of the keys; see service.rate
@@ -80,7 +80,7 @@
 }
 
 func alikeFree(now time.Duration, a, b *row) bool {
-	return a.grantable(now) && b.grantable(now) && a.handover == b.handover && a.reserved == b.reserved
+	return a.grantable(now) && b.grantable(now) && a.handover == b.handover && a.offered == b.offered
 }
 
 // grantable tells whether the keys may be granted.
@@ -90,9 +90,9 @@
 
 // free marks the row as held by nobody.
 func (w *row) free(now time.Duration, handover string) {
-	reserved := time.Duration(0)
+	offered := time.Duration(0)
 	if w.forNewcomer {
-		reserved = now + newcomerPatience
+		offered = max(now, 1)
 	}
-	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover, reserved: reserved}
+	*w = row{from: w.from, to: w.to, token: w.token, freeAt: now, handover: handover, offered: offered}
 }
--- a/keyrange/shed.go
+++ b/keyrange/shed.go
@@ -45,7 +45,11 @@
 // is busy, or else a part for a server that has no keys yet. One member gives to
 // one such server, so that keys stay in few ranges.
 func (f *fleet) excess(now time.Duration, me *member, l *load) (amount float64, forNewcomer bool) {
-	if me.sureUtilization(l) >= max(busyUtilization, f.average*moveThreshold) {
+	busy := max(busyUtilization, f.average*moveThreshold)
+	if f.idle() {
+		busy = f.average * moveThreshold // nobody asks: the keys are divided evenly
+	}
+	if f.idle() && me.unproven == 0 && me.utilization() >= busy || me.sureUtilization(l) >= busy {
 		return (me.utilization() - f.level()) * me.capacity, false
 	}
 	if me.unproven > 0 || me.utilization() < f.average*giverPart {
--- a/keyrange/survey.go
+++ b/keyrange/survey.go
@@ -49,7 +49,7 @@
 		w := &svc.rows[i]
 		rate := svc.rate(w)
 		total += rate
-		if w.holder == "" && w.reserved > 0 {
+		if w.holder == "" && w.offered > 0 {
 			f.offered++
 		}
 		m := f.members[w.holder]
@@ -148,11 +148,12 @@
 // idle tells whether the service is unused.
 func (f *fleet) idle() bool { return f.average < idleUtilization }
 
-// patience returns how long keys wait for a server with room. Nobody waits for
-// those of an unused service, so that every server can come first.
+// patience returns how long keys wait for a server with room, or for a server
+// without any that they were given up for. Nobody asks for those of an unused
+// service, so that there every server can come first.
 func (f *fleet) patience() time.Duration {
 	if f.idle() {
-		return newcomerPatience
+		return idlePatience
 	}
 	return pullPatience
 }
