--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -54,7 +54,7 @@
 
 // standIn is a backend server that speaks HTTP/1.1 on raw connections.
 type standIn struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 
 	mu       sync.Mutex // guards the fields below
@@ -63,7 +63,7 @@
 	bodies   [][]byte
 }
 
-func newStandIn(t *testing.T, replies ...reply) *standIn {
+func newStandIn(t testing.TB, replies ...reply) *standIn {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -136,13 +136,13 @@
 // fixture is a gateway with one keyed service, "stock", and one without keys,
 // "photos".
 type fixture struct {
-	t    *testing.T
+	t    testing.TB
 	host *Host
 	url  string
 	logs bytes.Buffer
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	f := &fixture{t: t}
 	port := freePort(t)
 	s := &settings.GatewaySettings{
@@ -167,7 +167,7 @@
 	return f
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,7 +17,7 @@
 	"github.com/galenalug/galenalug/keyrange"
 )
 
-func encode(t *testing.T, value any) []byte {
+func encode(t testing.TB, value any) []byte {
 	t.Helper()
 	data, err := cbor.Marshal(value)
 	if err != nil {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -137,25 +137,24 @@
 	}
 }
 
-// overlay puts an owner's run of keys over a list.
+// overlay puts an owner's run of keys over a list, in place: a table has thousands
+// of runs, and a few of them change many times a second.
 func overlay(list []ownership, o ownership) []ownership {
-	out := make([]ownership, 0, len(list)+2)
-	for _, old := range list {
-		if old.From < o.From {
-			left := old
-			left.To = min(old.To, o.From-1)
-			out = append(out, left)
-		}
+	first := sort.Search(len(list), func(i int) bool { return list[i].To >= o.From })
+	end := first + sort.Search(len(list)-first, func(i int) bool { return list[first+i].From > o.To })
+	over := make([]ownership, 0, 3)
+	if first < end && list[first].From < o.From {
+		left := list[first]
+		left.To = o.From - 1
+		over = append(over, left)
 	}
-	out = append(out, o)
-	for _, old := range list {
-		if old.To > o.To {
-			right := old
-			right.From = max(old.From, o.To+1)
-			out = append(out, right)
-		}
+	over = append(over, o)
+	if first < end && list[end-1].To > o.To {
+		right := list[end-1]
+		right.From = o.To + 1
+		over = append(over, right)
 	}
-	return out
+	return slices.Replace(list, first, end, over...)
 }
 
 // snapshot returns the routes, how new the view is, and a channel that is
