Wait at a stop for requests that have arrived and were not read yet

The stop now looks for unread bytes on such connections and lets the server read them first. The test failed first: nothing waited. Ruled out: the grace time (3 s were left).

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -74,6 +74,7 @@
 	metrics  *metrics
 	events   *eventlog.Log
 	server   *http.Server
+	clients  *clients
 	ready    *http.Server
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -101,6 +102,7 @@
 		dialect:  o.Dialect,
 		view:     newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends: newBackends(),
+		clients:  newClients(),
 		metrics:  m,
 		events:   eventlog.New(o.Events, o.Settings.Name),
 		windows:  map[string]*retry.Window{},
@@ -125,6 +127,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         h.clients.note,
 		ErrorLog:          quiet,
 	}
 	h.ready = &http.Server{
@@ -169,6 +172,7 @@
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	wait(ctx, min(unreadyTime, total/2))
+	h.clients.awaitRead(ctx)
 	err := h.server.Shutdown(ctx)
 	h.cancel()
 	_ = h.ready.Close() // the balancer asks elsewhere by now
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -45,3 +45,23 @@
 	}
 	return state
 }
+
+// Unread tells whether bytes of a socket wait to be read. Unlike Peek it may be
+// called while another goroutine waits in Read.
+func Unread(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // an error means no bytes
+		unread = n > 0
+	})
+	return err == nil && unread
+}
