--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -1,9 +1,8 @@
 package config
 
 import (
-	"gopkg.in/yaml.v3"
-
 	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
 
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/routes"
--- a/keyrange/doc.go
+++ b/keyrange/doc.go
@@ -21,6 +21,13 @@
 //     after the leases of earlier terms are over.
 //   - A heartbeat that is older than one already seen changes nothing.
 //
+// # Balance
+//
+// Load moves keys: a server that has surely, beyond chance, more than its part of
+// the load gives ranges away at its heartbeat, and servers with room take them at
+// theirs. While nobody asks for a service its keys are divided evenly, in several
+// ranges a server that lie apart.
+//
 // Fencing tokens and leases follow C. Gray and D. Cheriton, "Leases", SOSP 1989,
 // and M. Burrows, "The Chubby lock service", OSDI 2006.
 package keyrange
