Serve twin pieces from one place, and drop what nobody reads

Found by reading the whole change again; behaviour stays as it is. - The record of grants and a gateway's table put runs of keys over a sorted list each in its own copy: keyrange.Overlay serves both. Their property tests stay. - idle.Peek and idle.Unread looked at a socket each by itself: one look, one peek. - Store.Apply encoded and digested each configuration twice; judge takes the digest. - Load reports carried their span and a work time for each key, which nobody read: a few bytes for each key and report of every gateway. - The number of ranges in a server's newest reply stood in a map by ID that no one emptied; it belongs to the server's record.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -249,8 +249,8 @@
 }
 
 // takeReport returns the load since the last call.
-func (h *Host) takeReport(span time.Duration) keyrange.LoadReport {
-	report := keyrange.LoadReport{SpanMillis: span.Milliseconds(), Servers: h.backends.observations()}
+func (h *Host) takeReport() keyrange.LoadReport {
+	report := keyrange.LoadReport{Servers: h.backends.observations()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, keys := range h.keys {
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -33,7 +33,7 @@
 	metrics *peer.Metrics
 	seeds   func() []string
 	view    *view
-	report  func(span time.Duration) keyrange.LoadReport
+	report  func() keyrange.LoadReport
 	onLost  func() // called when a subscription ended
 
 	lostAt atomic.Int64 // when the newest subscription ended, on clock.Now; 0 while one stands
@@ -186,7 +186,7 @@
 			return
 		case <-ticker.C:
 		}
-		report := l.report(reportInterval)
+		report := l.report()
 		if len(report.Services) == 0 && len(report.Servers) == 0 {
 			continue
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -137,26 +137,15 @@
 	}
 }
 
-// overlay puts an owner's run of keys over a list, in place: a table has thousands
-// of runs, and a few of them change many times a second.
+// overlay puts an owner's run of keys over a list, in place.
 func overlay(list []ownership, o ownership) []ownership {
 	first := sort.Search(len(list), func(i int) bool { return list[i].To >= o.From })
 	end := first + sort.Search(len(list)-first, func(i int) bool { return list[first+i].From > o.To })
-	over := make([]ownership, 0, 3)
-	if first < end && list[first].From < o.From {
-		left := list[first]
-		left.To = o.From - 1
-		over = append(over, left)
-	}
-	over = append(over, o)
-	if first < end && list[end-1].To > o.To {
-		right := list[end-1]
-		right.From = o.To + 1
-		over = append(over, right)
-	}
-	return slices.Replace(list, first, end, over...)
+	return keyrange.Overlay(list, first, end, o, (*ownership).keys)
 }
 
+func (o *ownership) keys() (from, to *int64) { return &o.From, &o.To }
+
 // snapshot returns the routes, how new the view is, and a channel that is
 // closed when it changes.
 func (v *view) snapshot(now time.Duration) (*routes.Table, Stamp, <-chan struct{}) {
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -20,6 +20,22 @@
 
 // Peek looks at a connection. One that is no socket counts as closed.
 func Peek(c net.Conn) State {
+	return look(c, func(raw syscall.RawConn, peek func(fd uintptr)) error {
+		return raw.Read(func(fd uintptr) bool {
+			peek(fd)
+			return true
+		})
+	})
+}
+
+// Unread tells whether bytes of a socket wait to be read. Unlike Peek it may be
+// called while another goroutine waits in Read.
+func Unread(c net.Conn) bool {
+	return look(c, syscall.RawConn.Control) == Late
+}
+
+// look returns what a peek shows that runs with access to the socket.
+func look(c net.Conn, run func(raw syscall.RawConn, peek func(fd uintptr)) error) State {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return Closed
@@ -28,40 +44,21 @@
 	if err != nil {
 		return Closed
 	}
-	state := Quiet
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case n > 0:
-			state = Late
-		case !errors.Is(peekErr, syscall.EAGAIN) && !errors.Is(peekErr, syscall.EINTR):
-			state = Closed
-		}
-		return true
-	})
-	if err != nil {
+	state := Closed
+	if err := run(raw, func(fd uintptr) { state = peekAt(int(fd)) }); err != nil {
 		return Closed
 	}
 	return state
 }
 
-// Unread tells whether bytes of a socket wait to be read. Unlike Peek it may be
-// called while another goroutine waits in Read.
-func Unread(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
+func peekAt(fd int) State {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case n > 0:
+		return Late
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return Quiet
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // an error means no bytes
-		unread = n > 0
-	})
-	return err == nil && unread
+	return Closed
 }
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -16,6 +16,7 @@
 	interval time.Duration            // longest time between two heartbeats; 0 if not known
 	refusals map[string]time.Duration // by entry host, when it last saw a connection refused
 	work     workTimes
+	granted  int // ranges in its newest reply
 }
 
 // departure is what is known of a server that said that it leaves. It outlives
@@ -36,8 +37,7 @@
 	firstAt  time.Duration // when its first server showed up
 	newestAt time.Duration // when its newest server showed up
 	seeded   bool          // whether its keys were divided once
-	heldRows map[string]int
-	fleet    fleet // of the newest survey
+	fleet    fleet         // of the newest survey
 }
 
 // Coordinator grants keys to servers.
@@ -87,7 +87,6 @@
 func (c *Coordinator) newService(name string) *service {
 	svc := &service{
 		name: name, rows: rows{{from: 0, to: c.options.Keys - 1}}, load: newLoad(c.options.Keys),
-		heldRows: map[string]int{},
 	}
 	for _, a := range c.options.Recorded {
 		if a.Service != name || !valid(a.From, a.To, c.options.Keys) {
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -75,9 +75,6 @@
 
 	// Requests.
 	Count int64 `json:"n" yaml:"n" cbor:"n"`
-
-	// Time that backend servers worked on them, microseconds.
-	WorkMicros int64 `json:"w" yaml:"w" cbor:"w"`
 }
 
 // Messages about backend servers and the key ranges that they own.
@@ -97,9 +94,6 @@
 	// Load by service.
 	Services []ServiceLoad `json:"s" yaml:"s" cbor:"s"`
 
-	// Time that the report covers, milliseconds.
-	SpanMillis int64 `json:"t" yaml:"t" cbor:"t"`
-
 	// Observations by server.
 	Servers []ServerLoad `json:"v" yaml:"v" cbor:"v"`
 }
--- a/keyrange/record.go
+++ b/keyrange/record.go
@@ -24,24 +24,17 @@
 func (r *Record) overlay(g Assignment) {
 	first := sort.Search(len(r.assignments), func(i int) bool { return !r.assignments[i].before(g) })
 	end := first
-	var over []Assignment
-	for ; end < len(r.assignments) && r.assignments[end].overlaps(g); end++ {
-		if old := r.assignments[end]; old.From < g.From {
-			old.To = g.From - 1
-			over = append(over, old)
-		}
-	}
-	over = append(over, g)
-	if end > first {
-		if old := r.assignments[end-1]; old.To > g.To {
-			old.From = g.To + 1
-			over = append(over, old)
-		}
+	for end < len(r.assignments) && r.assignments[end].overlaps(g) {
+		end++
 	}
-	r.assignments = slices.Replace(r.assignments, first, end, over...)
-	r.join(max(first-1, 0), min(first+len(over)+1, len(r.assignments)))
+	r.assignments = Overlay(r.assignments, first, end, g, (*Assignment).keys)
+	r.join(max(first-1, 0), min(first+mostTouched, len(r.assignments)))
 }
 
+// mostTouched bounds the entries from the place of a grant that may have become
+// joinable: its own, what is left on both sides of it, and a neighbour.
+const mostTouched = 4
+
 // join joins neighbours of one holder between two places. The higher token counts
 // for both: nobody else was granted these keys since.
 func (r *Record) join(first, end int) {
@@ -57,6 +50,8 @@
 	r.assignments = slices.Delete(r.assignments, first+len(joined), end)
 }
 
+func (a *Assignment) keys() (from, to *int64) { return &a.From, &a.To }
+
 // before tells whether all keys of a are before those of b.
 func (a Assignment) before(b Assignment) bool {
 	return a.Service < b.Service || a.Service == b.Service && a.To < b.From
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -95,14 +95,14 @@
 			w.handover = ""
 		}
 	}
-	svc.heldRows[s.info.ID] = len(grants)
+	s.granted = len(grants)
 	return grants
 }
 
 // compact joins neighbours of a server that holds many ranges, under one new
 // token.
 func (c *Coordinator) compact(svc *service, s *server) {
-	if svc.heldRows[s.info.ID] < compactRows {
+	if s.granted < compactRows {
 		return
 	}
 	out := svc.rows[:0]
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -188,7 +188,7 @@
 	d.ScanArgs(s.t, "from", &from)
 	d.ScanArgs(s.t, "to", &to)
 	d.ScanArgs(s.t, "rate", &rate)
-	report := LoadReport{SpanMillis: 1000, Services: []ServiceLoad{{Service: testService}}}
+	report := LoadReport{Services: []ServiceLoad{{Service: testService}}}
 	for key := from; key <= to; key++ {
 		report.Services[0].Keys = append(report.Services[0].Keys, KeyLoad{Key: key, Count: rate})
 	}
--- a/routes/store.go
+++ b/routes/store.go
@@ -31,6 +31,11 @@
 	if err != nil {
 		return s.reply(OutcomeInvalid, err.Error())
 	}
+	return s.judge(p, digest)
+}
+
+// judge tells what becomes of a change whose content has a digest.
+func (s *Store) judge(p Put, digest uint64) PutReply {
 	if s.accepted(p, digest) {
 		return s.reply(OutcomeAccepted, "")
 	}
@@ -48,9 +53,12 @@
 
 // Apply takes in a change and tells what became of it.
 func (s *Store) Apply(p Put) PutReply {
-	reply := s.Check(p)
 	digest, err := Digest(p.Config)
-	if reply.Outcome != OutcomeAccepted || err != nil || s.accepted(p, digest) {
+	if err != nil {
+		return s.reply(OutcomeInvalid, err.Error())
+	}
+	reply := s.judge(p, digest)
+	if reply.Outcome != OutcomeAccepted || s.accepted(p, digest) {
 		return reply
 	}
 	s.state.Current = p.Config
