Measure when a configuration reaches each gateway

A break of the promise 'in force within the bound' could not be assigned to a cause: logs showed versions and the age of the ownership table, but not when a gateway last knew that its configuration was the newest, nor which gateways were behind.

Gateways now report the version in force every 500 ms and at each change; the leader replies with the newest one. The leader logs when a version is in force on all connected gateways, and which are slowest after 1 s; a histogram and a gauge count the same. Each line about a request has config_age_ms, the time since the gateway last knew that its version was the newest. Nothing decides by these values yet.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -38,6 +38,7 @@
 	Status        int           // status sent to the client
 	Attempts      int           // number of times the request was sent to a backend server
 	ConfigVersion uint64        // version of the route configuration
+	ConfigAge     time.Duration // since that version was last known to be the newest one
 	Term          uint64        // term of the ownership table
 	TableVersion  uint64        // version of the ownership table in that term
 	TableAge      time.Duration // since the latest update of that table
@@ -152,6 +153,7 @@
 	b = appendNumber(b, "status", int64(e.Status))
 	b = appendNumber(b, "attempts", int64(e.Attempts))
 	b = appendNumber(b, "config", int64(e.ConfigVersion))
+	b = appendNumber(b, "config_age_ms", e.ConfigAge.Milliseconds())
 	b = appendNumber(b, "term", int64(e.Term))
 	b = appendNumber(b, "table", int64(e.TableVersion))
 	b = appendNumber(b, "table_age_ms", e.TableAge.Milliseconds())
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -43,6 +43,8 @@
 	case wire.KindGetConfig:
 		config, err := h.Config(ctx)
 		return encodeReply(config, err)
+	case wire.KindConfigReport:
+		return encodeReply(decodeAndHandle(body, func(r routes.ConfigReport) (any, error) { return h.handleConfigReport(from, r) }))
 	case wire.KindSubscribe:
 		err := h.confirmLeadership(ctx)
 		if err == nil {
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -78,7 +78,7 @@
 	// mu guards the fields below.
 	mu          sync.Mutex
 	leading     *leadership // nil on a follower
-	subscribers map[*peer.Conn]struct{}
+	subscribers map[*peer.Conn]*subscriber
 
 	keyEvents trace.History[trace.KeyEvent] // recorded while this host was the leader
 }
@@ -89,7 +89,7 @@
 		settings:        o.Settings,
 		name:            PeerAddress(o.Settings.Ip, o.Settings.PeerPort),
 		publishRequests: make(chan struct{}, 1),
-		subscribers:     map[*peer.Conn]struct{}{},
+		subscribers:     map[*peer.Conn]*subscriber{},
 	}
 	h.state = &fleetState{onChange: h.requestPublish}
 	var err error
@@ -283,7 +283,8 @@
 	term           uint64
 	coordinator    *keyrange.Coordinator
 	configVersion  uint64 // version of the configuration last sent to subscribers
-	leavesRestored bool   // the coordinator has the leaves recorded under earlier leaders
+	propagation    *propagation
+	leavesRestored bool // the coordinator has the leaves recorded under earlier leaders
 }
 
 // onLeader handles a change of this host's leadership. It is called by the goroutine of the
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -14,6 +14,9 @@
 	keyEvents        *prometheus.CounterVec
 	configChanges    *prometheus.CounterVec
 	leads            prometheus.Gauge
+
+	propagationSeconds prometheus.Histogram
+	gatewaysBehind     prometheus.Gauge
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -34,8 +37,18 @@
 		leads: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "galenalug_fleet_leads", Help: "1 while this host leads.",
 		}),
+		propagationSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "galenalug_fleet_config_propagation_seconds", Help: "Time from sending a configuration until all connected gateways use it.",
+			Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5, 5, 10},
+		}),
+		gatewaysBehind: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "galenalug_fleet_gateways_behind", Help: "Connected gateways that have not reported the newest configuration.",
+		}),
+	}
+	collectors := []prometheus.Collector{
+		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind,
 	}
-	for _, c := range []prometheus.Collector{m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads} {
+	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -91,9 +91,11 @@
 	update, changed := l.coordinator.Changes(now)
 	if config.Version != l.configVersion {
 		l.configVersion = config.Version
+		l.propagation = &propagation{version: config.Version, started: now}
 		update.Config = encodeConfig(config)
 		changed = true
 	}
+	h.checkPropagation(now, l)
 	if !changed || len(h.subscribers) == 0 {
 		return
 	}
@@ -179,7 +181,7 @@
 	if l == nil {
 		return errors.Wrap(ErrUnavailable, "this host is not the leader")
 	}
-	h.subscribers[conn] = struct{}{}
+	h.subscribers[conn] = &subscriber{}
 	update := l.coordinator.Snapshot()
 	if config := h.state.config(); l.configVersion == config.Version {
 		update.Config = encodeConfig(config)
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,16 +68,30 @@
 		if s == nil {
 			continue
 		}
-		log.WithField("control", s.address).Info("control host connected")
+		log.WithFields(log.Fields{
+			"control": s.address, "disconnected_ms": l.disconnectedFor(clockNow()).Milliseconds(), "config": l.view.configVersion(),
+		}).Info("control host connected")
 		l.disconnectedAt.Store(0)
-		l.reportLoad(ctx, s.client, s.ended)
+		l.serve(ctx, s)
 		l.disconnectedAt.Store(int64(clockNow()))
 		l.onDisconnect()
 		s.client.Close()
-		log.WithField("control", s.address).Warn("control host lost; continuing with the last known table")
+		log.WithFields(log.Fields{
+			"control": s.address, "config": l.view.configVersion(),
+		}).Warn("control host lost; continuing with the last known table")
 	}
 }
 
+// serve reports load and the configuration in force until the subscription ends.
+func (l *leaderLink) serve(ctx context.Context, s *subscription) {
+	ctx, cancel := context.WithCancel(ctx)
+	var reports sync.WaitGroup
+	reports.Go(func() { l.reportConfig(ctx, s.client) })
+	l.reportLoad(ctx, s.client, s.ended)
+	cancel()
+	reports.Wait()
+}
+
 // findLeader contacts the control hosts one after another, without waiting for slow ones, and
 // returns the first successful subscription, or nil if there is none.
 func (l *leaderLink) findLeader(ctx context.Context) *subscription {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -53,7 +53,13 @@
 		_, stamp, _ := v.snapshot(clockNow())
 		return float64(stamp.Config)
 	})
-	for _, c := range []prometheus.Collector{age, config} {
+	configAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_config_age_seconds", Help: "Time since the configuration in force was last known to be the newest one.",
+	}, func() float64 {
+		_, stamp, _ := v.snapshot(clockNow())
+		return stamp.ConfigAge.Seconds()
+	})
+	for _, c := range []prometheus.Collector{age, config, configAge} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -35,6 +35,8 @@
 	Term    uint64
 	Version uint64
 	Age     time.Duration
+	// ConfigAge is the time since the configuration was last known to be the newest one.
+	ConfigAge time.Duration
 }
 
 // view is the gateway's copy of the routes, the servers and the owners of keys.
@@ -52,13 +54,18 @@
 	updatedAt    time.Duration // time of the latest update
 	changed      chan struct{} // closed at the next update
 
+	// confirmedAt is the latest time at which the configuration in force is known to have been the
+	// newest one; 0 if there is none.
+	confirmedAt   time.Duration
+	configChanged chan struct{} // signals that a new configuration is in force
+
 	versions trace.History[uint64] // versions of the configuration and when they took effect
 }
 
 func newView(drainTime time.Duration) *view {
 	return &view{
 		drainTime: drainTime, servers: map[string]*serverEntry{}, owners: map[string][]ownerRange{},
-		gatewayCount: 1, changed: make(chan struct{}),
+		gatewayCount: 1, changed: make(chan struct{}), configChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -79,7 +86,8 @@
 	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
 		v.routes = routes.NewTable(*config)
 		v.versions.Add(time.Now(), config.Version)
-		log.WithField("version", config.Version).Info("route configuration in force")
+		log.WithFields(log.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("route configuration in force")
+		signal(v.configChanged)
 	}
 	v.applyServers(now, u)
 	for _, o := range u.Owners {
@@ -152,13 +160,30 @@
 func (v *view) snapshot(now time.Duration) (*routes.Table, Stamp, <-chan struct{}) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.updatedAt}
+	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.updatedAt, ConfigAge: now - v.confirmedAt}
 	if v.routes != nil {
 		stamp.Config = v.routes.Version()
 	}
 	return v.routes, stamp, v.changed
 }
 
+// configVersion returns the version of the configuration in force, or 0 if there is none.
+func (v *view) configVersion() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.routes == nil {
+		return 0
+	}
+	return v.routes.Version()
+}
+
+// confirmConfig records that the configuration in force was the newest one at a point in time.
+func (v *view) confirmConfig(at time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.confirmedAt = max(v.confirmedAt, at)
+}
+
 // owner returns the server that owns a key and when this gateway learned of it. It reports false if
 // the key has no owner, or the owner gets no more requests.
 func (v *view) owner(now time.Duration, service string, key int64) (owner keyrange.Server, learnedAt time.Duration, found bool) {
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -28,6 +28,7 @@
 	KindFleetTable      = 16 // keyrange.TableUpdate, one-way, control to entry
 	KindLoadReport      = 17 // keyrange.LoadReport, one-way, entry to control
 	KindGetConfig       = 18 // empty, answered by routes.Config
+	KindConfigReport    = 19 // routes.ConfigReport, entry to control; answered by routes.ConfigReportReply
 )
 
 // GroupGlobal is the name of the replicated-log group that serves all regions and includes every
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -29,6 +29,18 @@
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
 
+// ConfigReport states which configuration an entry host uses.
+type ConfigReport struct {
+	// Version in force at the entry host; 0 for none.
+	Version uint64 `json:"v" yaml:"v" cbor:"v"`
+}
+
+// ConfigReportReply is the leader's reply to a ConfigReport.
+type ConfigReportReply struct {
+	// Newest committed version.
+	Newest uint64 `json:"v" yaml:"v" cbor:"v"`
+}
+
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
 	// Largest request body, bytes.
