--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -261,6 +261,9 @@
 	return min(lease, clock.Milliseconds(h.settings.MaxLeaseMs))
 }
 
+// Leads reports whether this host considers itself the leader.
+func (h *Host) Leads() bool { return h.leads() }
+
 // leads reports whether this host considers itself the leader. A deposed leader may still return
 // true; operations that it must not perform also call confirmLeadership.
 func (h *Host) leads() bool {
--- /dev/null
+++ b/internal/gateway/configuration_test.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/internal/fleet"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/routes"
+)
+
+const (
+	// applyBound is the time after the acknowledgement of a configuration from which no gateway may
+	// handle a request as only an older one allows.
+	applyBound = 2500 * time.Millisecond
+	// waitTimeout limits each wait for a condition.
+	waitTimeout = 20 * time.Second
+)
+
+// system is a group of control hosts and a gateway that reaches them through a slow link.
+type system struct {
+	t        *testing.T
+	controls map[string]*fleet.Host // by IP
+	gateway  *fixture
+	link     *slowLink
+	config   routes.Config // the newest one that was put
+}
+
+func newSystem(t *testing.T, ips ...string) *system {
+	_, portText, err := net.SplitHostPort(freePort(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &system{t: t, controls: map[string]*fleet.Host{}, link: &slowLink{bytesPerSecond: grownLinkBytes}}
+	var seeds []string
+	for _, ip := range ips {
+		seeds = append(seeds, ip+":1")
+	}
+	for _, ip := range ips {
+		s.startControl(ip, port, seeds)
+	}
+	s.gateway = newFixtureWith(t, func(g *settings.GatewaySettings) { g.PeerPort, g.Seeds = port, seeds }, s.link.dial)
+	return s
+}
+
+func (s *system) startControl(ip string, port int, seeds []string) {
+	host, err := fleet.New(fleet.Options{
+		Settings: &settings.FleetSettings{
+			Name: ip, Domain: "d1", Ip: ip, PeerPort: port, Seeds: seeds, ControlListen: ip + ":2",
+			DataDir: s.t.TempDir(), Bootstrap: true, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500,
+			ElectionMs: 200, RaftHeartbeatMs: 40,
+		},
+		Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := host.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.controls[ip] = host
+	s.t.Cleanup(func() { s.kill(ip) })
+}
+
+// kill stops a control host without waiting for a leadership transfer.
+func (s *system) kill(ip string) {
+	host := s.controls[ip]
+	if host == nil {
+		return
+	}
+	delete(s.controls, ip)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = host.Stop(ctx)
+}
+
+// killLeader kills the leader and waits until another control host leads.
+func (s *system) killLeader() {
+	s.t.Helper()
+	for ip, host := range s.controls {
+		if host.Leads() {
+			s.kill(ip)
+		}
+	}
+	s.wait("a new leader", func() bool {
+		for _, host := range s.controls {
+			if host.Leads() {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (s *system) wait(what string, condition func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	s.t.Fatalf("timed out after %v waiting for %s", waitTimeout, what)
+}
+
+// put puts the next version, with more routes, and returns when it was acknowledged.
+func (s *system) put(paths ...string) time.Time {
+	s.t.Helper()
+	next := s.config
+	next.Version++
+	next.Services = testConfig().Services
+	next.Routes = append([]routes.Route(nil), s.config.Routes...)
+	for _, path := range paths {
+		next.Routes = append(next.Routes, routes.Route{
+			Name: "route-" + path, Host: "depot.example", PathPrefix: "/" + path + "/", Kind: routes.Idempotent,
+			TimeoutMillis: 1000, TargetMillis: 500, MaxAttempts: 2, Shares: []routes.Share{{Service: "stock", Weight: 1}},
+		})
+	}
+	change := routes.Put{Base: s.config.Version, Config: next}
+	s.wait(fmt.Sprintf("version %d to be acknowledged", next.Version), func() bool {
+		for _, host := range s.controls {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			reply, err := host.Put(ctx, change)
+			cancel()
+			if err == nil && reply.Outcome != routes.OutcomeAccepted {
+				s.t.Fatalf("put version %d: got %+v, want outcome accepted", next.Version, reply)
+			}
+			return err == nil
+		}
+		return false
+	})
+	s.config = next
+	return time.Now()
+}
+
+// putMany puts a configuration of n routes.
+func (s *system) putMany(n int) {
+	s.t.Helper()
+	paths := make([]string, n)
+	for i := range paths {
+		paths[i] = fmt.Sprintf("many-%d", i)
+	}
+	s.put(paths...)
+}
+
+// status returns the status that the gateway gives a request.
+func (s *system) status(path string) int {
+	s.t.Helper()
+	response, _ := s.gateway.do(http.MethodGet, path, nil)
+	return response.StatusCode
+}
+
+// awaitVersion waits until the gateway uses the newest configuration.
+func (s *system) awaitVersion() {
+	s.t.Helper()
+	s.wait(fmt.Sprintf("version %d at the gateway", s.config.Version), func() bool {
+		return s.gateway.host.view.configVersion() == s.config.Version
+	})
+}
+
+// Guards against a request that is answered 404 by an older configuration: the gateway's link stalls,
+// and a route is added meanwhile.
+func TestStalledLinkNeverServesOldConfiguration(t *testing.T) {
+	s := newSystem(t, "127.0.0.1")
+	s.put("first")
+	s.awaitVersion()
+	s.link.setBacklog(time.Hour)
+	defer s.link.setBacklog(0)
+	acknowledged := s.put("added")
+	for end := acknowledged.Add(2 * applyBound); time.Now().Before(end); {
+		sent := time.Now()
+		status := s.status("/added/1")
+		if status == http.StatusNotFound && sent.Sub(acknowledged) > applyBound {
+			t.Fatalf("request sent %v after the acknowledgement: status 404 by an older configuration", sent.Sub(acknowledged))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against changes that queue up behind each other: a series of changes of a configuration of
+// 1,640 routes reaches a gateway with a link of 4.3 Mbit/s.
+func TestSeriesOfChangesOfLargeConfigurationArrivesInTime(t *testing.T) {
+	const changes, interval = 25, 80 * time.Millisecond
+	s := newSystem(t, "127.0.0.1")
+	s.putMany(1640)
+	s.awaitVersion()
+	before := s.link.received()
+	for i := range changes {
+		s.put(fmt.Sprintf("added-%d", i))
+		time.Sleep(interval)
+	}
+	acknowledged := time.Now()
+	s.awaitVersion()
+	if took := time.Since(acknowledged); took > applyBound {
+		t.Errorf("the last of %d changes is in force %v after its acknowledgement, want at most %v", changes, took, applyBound)
+	}
+	t.Logf("%d bytes for %d changes", s.link.received()-before, changes)
+}
+
+// Guards against gateways that can't subscribe to a new leader while their link is full: each packet
+// waits 700 ms.
+func TestFullLinkReachesNewLeader(t *testing.T) {
+	const packetDelay = 700 * time.Millisecond
+	// After a change of leader, hosts that are not disturbed themselves count again after 4 s.
+	const settleTime = 4 * time.Second
+	s := newSystem(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	s.put("first")
+	s.awaitVersion()
+	s.link.setBacklog(packetDelay)
+	s.killLeader()
+	elected := time.Now()
+	s.put("added")
+	s.awaitVersion()
+	if took := time.Since(elected); took > settleTime+applyBound {
+		t.Errorf("the gateway uses the new leader's configuration %v after its election, want at most %v", took, settleTime+applyBound)
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -141,6 +141,11 @@
 }
 
 func newFixture(t testing.TB) *fixture {
+	return newFixtureWith(t, func(*settings.GatewaySettings) {}, nil)
+}
+
+// newFixtureWith starts a gateway with changed settings that connects to control hosts with dial.
+func newFixtureWith(t testing.TB, change func(*settings.GatewaySettings), dial dialFunc) *fixture {
 	f := &fixture{t: t}
 	port := freePort(t)
 	s := &settings.GatewaySettings{
@@ -148,10 +153,12 @@
 		PeerPort: 1, Seeds: []string{"127.0.0.1:1"}, Listen: port, ReadyListen: freePort(t),
 		RetryRatio: 0.2, RetrySlack: 10, RetryWindowSeconds: 10, DrainMs: 2500, StopSeconds: 6,
 	}
+	change(s)
 	host, err := New(Options{Settings: s, Dialect: testDialect{}, Registry: prometheus.NewRegistry(), Events: &f.logs})
 	if err != nil {
 		t.Fatal(err)
 	}
+	host.leaderLink.dial = dial
 	if err := host.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 	reportInterval = 250 * time.Millisecond
 )
 
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // leaderLink maintains one subscription with the leader of the control hosts.
 type leaderLink struct {
 	self         peer.Identity
@@ -36,6 +40,8 @@
 	view         *view
 	report       func() keyrange.LoadReport
 	onDisconnect func() // called when a subscription has ended
+	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
+	dial dialFunc
 
 	// disconnectedAt is the end of the latest subscription, on clock.Now. It is 0 while subscribed and
 	// before the first subscription.
@@ -161,6 +167,7 @@
 		Seed:         rand.Uint64(),
 		Limits:       fleet.PeerLimits(),
 		Metrics:      l.metrics,
+		Dial:         l.dial,
 	})
 	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
