Acknowledge a configuration once no gateway can use an older one in time

Cause: the leader acknowledged a change once it was committed, whoever had it, and a gateway used its configuration however long ago it last heard that this is the newest. Late messages and lost connections only determined how often that showed.

Gateways now use a configuration only under a lease. Each report of the version in force (every 500 ms and at each change) that names the newest version renews it, counted from when the report was sent. The leader acknowledges a version once every gateway has reported it or its lease ends within config_apply_ms (package rollout); a new leader assumes that its predecessors granted leases until its election. A gateway without a lease refuses requests (503, not run, connection closed) and fails the balancer check.

Gateways and control hosts of one build belong together: an older gateway reports nothing, and an older leader grants no leases.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -103,7 +103,8 @@
 	return err
 }
 
-// Put requests to replace the configuration.
+// Put requests to replace the configuration. It returns once the new one is in force on every gateway
+// in contact, and the others stop using older ones within the configured time: see package rollout.
 func (h *Host) Put(ctx context.Context, put routes.Put) (routes.PutReply, error) {
 	var reply routes.PutReply
 	if !h.leads() {
@@ -113,17 +114,19 @@
 	if err := h.runner.ReadBarrier(ctx); err != nil {
 		return reply, mapLogError(err)
 	}
-	if reply = h.state.checkPut(put); reply.Outcome != routes.OutcomeAccepted || reply.Current >= put.Config.Version {
-		h.logPut(put, reply)
-		return reply, nil
-	}
-	result, err := h.propose(ctx, command{Put: &put})
-	if err != nil {
-		return reply, err
+	reply = h.state.checkPut(put)
+	if reply.Outcome == routes.OutcomeAccepted && reply.Current < put.Config.Version {
+		result, err := h.propose(ctx, command{Put: &put})
+		if err != nil {
+			return reply, err
+		}
+		reply, _ = result.(routes.PutReply)
 	}
-	reply, _ = result.(routes.PutReply)
 	h.logPut(put, reply)
-	return reply, nil
+	if reply.Outcome != routes.OutcomeAccepted {
+		return reply, nil
+	}
+	return reply, h.acknowledge(ctx, put.Config.Version)
 }
 
 func (h *Host) logPut(put routes.Put, reply routes.PutReply) {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -44,7 +44,12 @@
 		config, err := h.Config(ctx)
 		return encodeReply(config, err)
 	case wire.KindConfigReport:
-		return encodeReply(decodeAndHandle(body, func(r routes.ConfigReport) (any, error) { return h.handleConfigReport(from, r) }))
+		return encodeReply(decodeAndHandle(body, func(report routes.ConfigReport) (any, error) {
+			if err := h.confirmLeadership(ctx); err != nil {
+				return nil, err
+			}
+			return h.handleConfigReport(from, report)
+		}))
 	case wire.KindSubscribe:
 		err := h.confirmLeadership(ctx)
 		if err == nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 	h, err := New(Options{
 		Settings: &settings.FleetSettings{
 			Name: ip, Domain: "d1", Ip: ip, PeerPort: c.port, Seeds: c.seeds, ControlListen: ip + ":2",
-			DataDir: c.dirs[ip], Bootstrap: bootstrap, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500,
+			DataDir: c.dirs[ip], Bootstrap: bootstrap, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500, ConfigApplyMs: 2500,
 			ElectionMs: 200, RaftHeartbeatMs: 40,
 		},
 		Registry: prometheus.NewRegistry(),
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -24,6 +24,7 @@
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/replog"
+	"github.com/galenalug/galenalug/rollout"
 )
 
 const (
@@ -287,7 +288,9 @@
 	coordinator    *keyrange.Coordinator
 	configVersion  uint64 // version of the configuration last sent to subscribers
 	propagation    *propagation
-	leavesRestored bool // the coordinator has the leaves recorded under earlier leaders
+	rollout        *rollout.Tracker
+	reported       chan struct{} // closed at the next configuration report of a gateway
+	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
 }
 
 // onLeader handles a change of this host's leadership. It is called by the goroutine of the
@@ -310,7 +313,11 @@
 	}
 	h.metrics.leads.Set(1)
 	lease := h.lease()
-	h.leading = &leadership{term: term, coordinator: keyrange.New(keyrange.Options{
+	configs := h.newRollout()
+	if h.state.config().Version > 0 {
+		configs.Inherit(clock.Now())
+	}
+	h.leading = &leadership{term: term, rollout: configs, reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
 		Term:               term,
 		Keys:               keySpace,
 		RangesPerServer:    initialRangesPerServer,
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -17,6 +17,7 @@
 
 	propagationSeconds prometheus.Histogram
 	gatewaysBehind     prometheus.Gauge
+	acknowledgeSeconds prometheus.Histogram
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -45,8 +46,12 @@
 			Name: "galenalug_fleet_gateways_behind", Help: "Connected gateways that have not reported the newest configuration.",
 		}),
 	}
+	m.acknowledgeSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "galenalug_fleet_config_acknowledge_seconds", Help: "Time from the commit of a configuration until it is acknowledged.",
+		Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5, 5},
+	})
 	collectors := []prometheus.Collector{
-		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind,
+		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -34,7 +34,8 @@
 	done    bool          // every connected gateway has reported the version
 }
 
-// handleConfigReport records which configuration version a gateway uses.
+// handleConfigReport records which configuration version a gateway uses, and grants it a lease on that
+// version if it is the newest one. This host must be confirmed as the leader.
 func (h *Host) handleConfigReport(conn *peer.Conn, report routes.ConfigReport) (routes.ConfigReportReply, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -43,8 +44,12 @@
 		return routes.ConfigReportReply{}, errors.Wrapf(ErrUnavailable, "gateway %s is not subscribed here", conn.Identity().Name)
 	}
 	s.configVersion = report.Version
-	h.checkPropagation(clock.Now(), h.leading)
-	return routes.ConfigReportReply{Newest: h.state.config().Version}, nil
+	now := clock.Now()
+	newest := h.state.config().Version
+	granted := h.leading.rollout.Report(now, conn.Identity().Name, report.Version, newest)
+	h.leading.signalReport()
+	h.checkPropagation(now, h.leading)
+	return routes.ConfigReportReply{Newest: newest, LeaseMillis: granted.Milliseconds()}, nil
 }
 
 // checkPropagation logs when the newest version is in force on every connected gateway, and which
--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/routes"
@@ -54,8 +55,8 @@
 	if err := cbor.Unmarshal(replyBody, &reply); err != nil {
 		return errors.Wrap(err, "decode reply to configuration report")
 	}
-	if reply.Newest == version {
-		l.view.confirmConfig(sentAt)
+	if reply.LeaseMillis > 0 {
+		l.view.renewConfigLease(sentAt, clock.Milliseconds(reply.LeaseMillis))
 	}
 	return nil
 }
--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -58,7 +58,7 @@
 	host, err := fleet.New(fleet.Options{
 		Settings: &settings.FleetSettings{
 			Name: ip, Domain: "d1", Ip: ip, PeerPort: port, Seeds: seeds, ControlListen: ip + ":2",
-			DataDir: s.t.TempDir(), Bootstrap: true, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500,
+			DataDir: s.t.TempDir(), Bootstrap: true, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500, ConfigApplyMs: 2500,
 			ElectionMs: 200, RaftHeartbeatMs: 40,
 		},
 		Registry: prometheus.NewRegistry(),
@@ -225,3 +225,21 @@
 		t.Errorf("the gateway uses the new leader's configuration %v after its election, want at most %v", took, settleTime+applyBound)
 	}
 }
+
+// Guards against requests that a gateway serves by a configuration whose age it does not know.
+func TestExpiredLeaseRefusesRequests(t *testing.T) {
+	server := newFakeBackend(t, okResponse("yes"))
+	f := newFixture(t)
+	f.publish(server)
+	f.host.view.configLease.Drop()
+	response, _ := f.do(http.MethodGet, "/look/1", nil)
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || !response.Close {
+		t.Errorf("status %d, header %v; want 503 with Retry-After on a connection that closes", response.StatusCode, response.Header)
+	}
+	if server.count() != 0 {
+		t.Errorf("the server received %d requests, want none", server.count())
+	}
+	if f.host.view.mayUseConfig(clockNow()) {
+		t.Error("the gateway says that it is ready")
+	}
+}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -214,6 +214,7 @@
 	}
 	update.Owners = []keyrange.Owner{{Service: "stock", From: 0, To: 999, ServerID: owner}}
 	f.host.view.apply(clockNow(), update)
+	f.host.view.renewConfigLease(clockNow(), time.Hour)
 }
 
 func (f *fixture) do(method, path string, body io.Reader) (*http.Response, string) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -32,12 +32,16 @@
 	// shortRetryAfter is the upper bound of Retry-After if the server reported that it did not run
 	// the request, since the cause is expected to pass at once.
 	shortRetryAfter = 30 * time.Millisecond
+	// staleRetryAfter is the upper bound of Retry-After if this gateway's configuration may be out of
+	// date. Other gateways mostly are up to date, and the client's next connection reaches one.
+	staleRetryAfter = 200 * time.Millisecond
 )
 
 // Reasons in the decision log and the metrics, in addition to those of package dispatch and of
 // exchangeError.
 const (
 	reasonNoConfig    = "no-configuration"
+	reasonStaleConfig = "stale-configuration"
 	reasonNoRoute     = "no-route"
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
@@ -79,9 +83,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	c.setDeadline(defaultTimeout)
-	table := c.waitForRoutes()
+	table, reason := c.waitForRoutes()
 	if table == nil {
-		c.refuse(reasonNoConfig)
+		w.Header().Set("Connection", "close") // another gateway may serve the client
+		c.refuse(reason)
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -272,11 +277,14 @@
 }
 
 // retryAfter returns the Retry-After of a refused request: retryAfterFraction of its remaining
-// time, but at most shortRetryAfter if a server reported that it did not run the request.
+// time, unless the request is likely to be served sooner.
 func (c *call) retryAfter(reason string) time.Duration {
 	latest := time.Duration(retryAfterFraction * float64(max(time.Until(c.deadline), 0)))
-	if reason == reasonNotExecuted {
+	switch reason {
+	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
+	case reasonStaleConfig:
+		return min(staleRetryAfter, latest)
 	}
 	return latest
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -184,8 +184,9 @@
 
 // serveReady responds to the balancer check.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
-	disconnected := h.leaderLink.disconnectedFor(clockNow()) > maxDisconnectedTime
-	if h.stopping.Load() || disconnected || !h.view.ready() {
+	now := clockNow()
+	disconnected := h.leaderLink.disconnectedFor(now) > maxDisconnectedTime
+	if h.stopping.Load() || disconnected || !h.view.ready() || !h.view.mayUseConfig(now) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -8,16 +8,23 @@
 	"github.com/galenalug/galenalug/routes"
 )
 
-// waitForRoutes returns the route table. A gateway that has just started may have to wait for it;
-// if it does not arrive in time, waitForRoutes returns nil.
-func (c *call) waitForRoutes() *routes.Table {
+// waitForRoutes returns the route table, or nil and the reason why there is none to use. A gateway
+// that has just started may have to wait for it. Once the lease on the configuration has expired,
+// another gateway will serve the request sooner, so the request does not wait.
+func (c *call) waitForRoutes() (*routes.Table, string) {
 	until := c.waitDeadline()
 	for {
 		table, stamp, changed := c.host.view.snapshot(clockNow())
 		c.stamp = stamp
+		if table != nil && stamp.ConfigUsable {
+			return table, ""
+		}
+		if table != nil && stamp.ConfigKnown {
+			return nil, reasonStaleConfig
+		}
 		left := time.Until(until)
-		if table != nil || left <= 0 || !c.waitForChange(left, changed) {
-			return table
+		if left <= 0 || !c.waitForChange(left, changed) {
+			return nil, reasonNoConfig
 		}
 	}
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -13,6 +13,7 @@
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/lease"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -29,6 +30,9 @@
 	learnedAt time.Duration // when the gateway received it
 }
 
+// configSession is the session of the lease on the configuration; there is only one.
+const configSession = 1
+
 // Stamp identifies a version of the view and states its age.
 type Stamp struct {
 	Config  uint64
@@ -37,6 +41,10 @@
 	Age     time.Duration
 	// ConfigAge is the time since the configuration was last known to be the newest one.
 	ConfigAge time.Duration
+	// ConfigKnown tells whether the configuration was ever known to be the newest one.
+	ConfigKnown bool
+	// ConfigUsable tells whether the lease on the configuration is valid; see package rollout.
+	ConfigUsable bool
 }
 
 // view is the gateway's copy of the routes, the servers and the owners of keys.
@@ -57,6 +65,7 @@
 	// confirmedAt is the latest time at which the configuration in force is known to have been the
 	// newest one; 0 if there is none.
 	confirmedAt   time.Duration
+	configLease   lease.Holder
 	configChanged chan struct{} // signals that a new configuration is in force
 
 	versions trace.History[uint64] // versions of the configuration and when they took effect
@@ -93,8 +102,7 @@
 	for _, o := range u.Owners {
 		v.owners[o.Service] = overlay(v.owners[o.Service], ownerRange{o, now})
 	}
-	close(v.changed)
-	v.changed = make(chan struct{})
+	v.signalChange()
 }
 
 // applyGatewayCount updates the number of gateways, by which connections and retry budgets are
@@ -160,7 +168,7 @@
 func (v *view) snapshot(now time.Duration) (*routes.Table, Stamp, <-chan struct{}) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.updatedAt, ConfigAge: now - v.confirmedAt}
+	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.updatedAt, ConfigAge: now - v.confirmedAt, ConfigKnown: v.confirmedAt > 0, ConfigUsable: v.configLease.Valid(now)}
 	if v.routes != nil {
 		stamp.Config = v.routes.Version()
 	}
@@ -177,11 +185,28 @@
 	return v.routes.Version()
 }
 
-// confirmConfig records that the configuration in force was the newest one at a point in time.
-func (v *view) confirmConfig(at time.Duration) {
+// renewConfigLease extends the lease on the configuration in force, which was the newest one at
+// sentAt. A lease granted on an older configuration than the one in force is valid for this one too.
+func (v *view) renewConfigLease(sentAt, length time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.confirmedAt = max(v.confirmedAt, at)
+	v.confirmedAt = max(v.confirmedAt, sentAt)
+	v.configLease.Renewed(configSession, sentAt, length)
+	v.signalChange()
+}
+
+// signalChange wakes the requests that wait for a change. The caller holds mu.
+func (v *view) signalChange() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// mayUseConfig reports whether the configuration in force may be used: a leader confirmed within the
+// lease that it is the newest one.
+func (v *view) mayUseConfig(now time.Duration) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.configLease.Valid(now)
 }
 
 // owner returns the server that owns a key and when this gateway learned of it. It reports false if
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -231,6 +231,10 @@
 	// TCP port for metrics and the state dump.
 	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
 
+	// Time after the acknowledgement of a configuration from which no gateway uses an
+	// older one, milliseconds. Default: 2500.
+	ConfigApplyMs float64 `json:"config_apply_ms,omitempty,omitzero" yaml:"config_apply_ms,omitempty" cbor:"config_apply_ms,omitempty"`
+
 	// Listen address for backend servers and operators, IP:port.
 	ControlListen string `json:"control_listen" yaml:"control_listen" cbor:"control_listen"`
 
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -37,6 +37,10 @@
 
 // ConfigReportReply is the leader's reply to a ConfigReport.
 type ConfigReportReply struct {
+	// How long the entry host may use the reported version, counted from when it sent
+	// the report, milliseconds; 0 if the version is not the newest one.
+	LeaseMillis int64 `json:"l" yaml:"l" cbor:"l"`
+
 	// Newest committed version.
 	Newest uint64 `json:"v" yaml:"v" cbor:"v"`
 }
