Send gateways changes of the configuration instead of all of it

Callers saw all answers late and versions arrive up to 13 s late while a configuration of 1,640 routes changed.

Cause: each change was sent to each gateway as the whole configuration, 144 kB in a table update, and each new subscription began with it. With 77 gateways a change of one route was 11 MB, half of it over the 60 Mbit/s between the regions.

The store keeps the last changes; a gateway names its version when it subscribes and is sent the changes since then, or the whole configuration if these aren't known, compressed (21 kB of 1,640 routes). A gateway whose send queue is long is sent the newest version once it has caught up, not each one. Updates of the configuration are messages of their own: a table update of a former leader, which is dropped, carried it along before, and a subscription right after an election left it out.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -104,7 +104,7 @@
 func sendLoadReports(ctx context.Context, client *peer.Client, started time.Time) {
 	for {
 		callContext, cancel := context.WithTimeout(ctx, time.Second)
-		_, err := client.Call(callContext, wire.KindSubscribe, nil)
+		_, err := client.Call(callContext, wire.KindSubscribe, firstSubscription)
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			break
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -51,11 +51,12 @@
 			return h.handleConfigReport(from, report)
 		}))
 	case wire.KindSubscribe:
-		err := h.confirmLeadership(ctx)
-		if err == nil {
-			err = h.subscribe(from)
-		}
-		return encodeReply(nil, err)
+		return encodeReply(decodeAndHandle(body, func(report routes.ConfigReport) (any, error) {
+			if err := h.confirmLeadership(ctx); err != nil {
+				return nil, err
+			}
+			return nil, h.subscribe(from, report)
+		}))
 	}
 	return nil, &peer.Error{Code: wire.CodeInvalid, Detail: "unknown call"}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,6 +22,9 @@
 // waitTimeout limits each wait in these tests.
 const waitTimeout = 20 * time.Second
 
+// firstSubscription is the body of the subscription of a gateway without a configuration: an empty map.
+var firstSubscription = []byte{0xa0}
+
 // cluster is a group of control hosts, each on its own loopback address.
 type cluster struct {
 	t     testing.TB
@@ -264,7 +267,7 @@
 	c.wait("subscription", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := client.Call(ctx, wire.KindSubscribe, nil)
+		_, err := client.Call(ctx, wire.KindSubscribe, firstSubscription)
 		return err == nil
 	})
 	var follower *Host
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -286,8 +286,8 @@
 type leadership struct {
 	term           uint64
 	coordinator    *keyrange.Coordinator
-	configVersion  uint64 // version of the configuration last sent to subscribers
 	propagation    *propagation
+	encodedUpdates encodedUpdates
 	rollout        *rollout.Tracker
 	reported       chan struct{} // closed at the next configuration report of a gateway
 	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -24,6 +24,7 @@
 // subscriber is a connected gateway.
 type subscriber struct {
 	configVersion uint64 // version in force at the gateway, as it last reported
+	sentVersion   uint64 // version that was last sent on this connection
 }
 
 // propagation is the way of one configuration version to all connected gateways.
--- a/internal/fleet/propagation_test.go
+++ b/internal/fleet/propagation_test.go
@@ -44,7 +44,7 @@
 	c.wait("subscription of "+name, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := client.Call(ctx, wire.KindSubscribe, nil)
+		_, err := client.Call(ctx, wire.KindSubscribe, firstSubscription)
 		return err == nil
 	})
 	return client
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// publish sends changes of the table and the configuration to all gateways. It returns the number
+// publish sends changes of the configuration and the table to all gateways. It returns the number
 // of connected gateways.
 func (h *Host) publish() int {
 	h.mu.Lock()
@@ -83,19 +83,11 @@
 // publishTable must be called with Host.mu held.
 func (h *Host) publishTable(l *leadership) {
 	now := clock.Now()
-	config := h.state.config()
-	l.coordinator.SetKeyedServices(keyedServices(config))
+	h.publishConfig(now, l)
 	h.reportLeaves(now, l)
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	update, changed := l.coordinator.Changes(now)
-	if config.Version != l.configVersion {
-		l.configVersion = config.Version
-		l.propagation = &propagation{version: config.Version, started: now}
-		update.Config = encodeConfig(config)
-		changed = true
-	}
-	h.checkPropagation(now, l)
 	if !changed || len(h.subscribers) == 0 {
 		return
 	}
@@ -155,37 +147,25 @@
 	return names
 }
 
-func encodeConfig(config routes.Config) []byte {
-	if config.Version == 0 {
-		return nil
-	}
-	data, err := cbor.Marshal(config)
-	if err != nil {
-		log.WithError(err).Error("encoding the configuration failed")
-		return nil
-	}
-	return data
-}
-
 // addHostInfo sets the fields that every update carries.
 func (h *Host) addHostInfo(update *keyrange.TableUpdate) {
 	update.ControlHosts = h.memberAddresses()
 	update.EntryHosts = int64(len(h.subscribers))
 }
 
-// subscribe sends the full table to a gateway and registers it for updates.
-func (h *Host) subscribe(conn *peer.Conn) error {
+// subscribe registers a gateway for updates, and sends it the full table and what it lacks of the
+// configuration.
+func (h *Host) subscribe(conn *peer.Conn, report routes.ConfigReport) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.leading
 	if l == nil {
 		return errors.Wrap(ErrUnavailable, "this host is not the leader")
 	}
-	h.subscribers[conn] = &subscriber{}
+	s := &subscriber{configVersion: report.Version, sentVersion: report.Version}
+	h.subscribers[conn] = s
+	h.sendConfig(l, conn, s)
 	update := l.coordinator.Snapshot()
-	if config := h.state.config(); l.configVersion == config.Version {
-		update.Config = encodeConfig(config)
-	} // otherwise the next update carries the configuration
 	h.addHostInfo(&update)
 	body, err := cbor.Marshal(update)
 	if err != nil {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -117,6 +117,14 @@
 	return s.routes.Current()
 }
 
+// updateSince returns the version of the configuration in force and the update to it for a gateway that
+// has a version.
+func (s *fleetState) updateSince(version uint64) (uint64, routes.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes.Current().Version, s.routes.UpdateSince(version)
+}
+
 // document returns the operator's source text of the configuration in force.
 func (s *fleetState) document() []byte {
 	s.mu.Lock()
--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -207,6 +207,29 @@
 	t.Logf("%d bytes for %d changes", s.link.received()-before, changes)
 }
 
+// Guards against changes that are sent as whole configurations: a gateway must not receive more than
+// 23 KB per second for control.
+func TestChangeOfLargeConfigurationSendsLittle(t *testing.T) {
+	const changes, interval = 25, 80 * time.Millisecond
+	const budget = 23_000 // bytes per second
+	s := newSystem(t, "127.0.0.1")
+	s.putMany(1640)
+	s.awaitVersion()
+	before, started := s.link.received(), time.Now()
+	for i := range changes {
+		s.put(fmt.Sprintf("added-%d", i))
+		time.Sleep(interval)
+	}
+	s.awaitVersion()
+	received, took := s.link.received()-before, time.Since(started)
+	if float64(received) > budget*took.Seconds() {
+		t.Errorf("%d bytes received in %v for %d changes, want at most %d bytes per second", received, took, changes, budget)
+	}
+	if got := len(s.gateway.host.view.routes.Config().Routes); got != 1640+changes {
+		t.Errorf("the gateway has %d routes, want %d", got, 1640+changes)
+	}
+}
+
 // Guards against gateways that can't subscribe to a new leader while their link is full: each packet
 // waits 700 ms.
 func TestFullLinkReachesNewLeader(t *testing.T) {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -202,7 +202,7 @@
 // publish applies a table in which the server owns all keys; if server is nil, the keys have no
 // owner.
 func (f *fixture) publish(server *fakeBackend) {
-	update := keyrange.TableUpdate{Term: 1, Full: true, Config: encode(f.t, testConfig()), EntryHosts: 1}
+	update := keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1}
 	owner := ""
 	if server != nil {
 		owner = "s1"
@@ -213,6 +213,10 @@
 		}
 	}
 	update.Owners = []keyrange.Owner{{Service: "stock", From: 0, To: 999, ServerID: owner}}
+	config := testConfig()
+	if err := f.host.view.applyConfig(routes.Update{Full: &config}); err != nil {
+		f.t.Fatal(err)
+	}
 	f.host.view.apply(clockNow(), update)
 	f.host.view.renewConfigLease(clockNow(), time.Hour)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
 )
 
 func encode(t testing.TB, value any) []byte {
@@ -398,8 +399,11 @@
 // connections by the leader's count before it is complete.
 func TestGatewayCountDuringLeaderChange(t *testing.T) {
 	v := newView(2500 * time.Millisecond)
-	config := encode(t, testConfig())
-	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Full: true, Config: config, EntryHosts: 10})
+	config := testConfig()
+	if err := v.applyConfig(routes.Update{Full: &config}); err != nil {
+		t.Fatal(err)
+	}
+	v.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, Full: true, EntryHosts: 10})
 	v.apply(clockNow(), keyrange.TableUpdate{Term: 2, Version: 1, Full: true, Partial: true, EntryHosts: 1})
 	if got := v.connectionLimit(keyrange.Server{Service: "stock", Slots: 6}); got != 2 {
 		t.Errorf("%d of 20 connections while the table is partial, want 2", got)
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -16,6 +16,7 @@
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
 )
 
 const (
@@ -43,6 +44,8 @@
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
 	dial dialFunc
 
+	needsFullConfig atomic.Bool // the last configuration update did not apply
+
 	// disconnectedAt is the end of the latest subscription, on clock.Now. It is 0 while subscribed and
 	// before the first subscription.
 	disconnectedAt atomic.Int64
@@ -162,7 +165,7 @@
 		Self:         l.self,
 		ExpectedName: address,
 		Secret:       l.secret,
-		Handler:      &updateHandler{view: l.view, ended: s.ended},
+		Handler:      &updateHandler{view: l.view, needsFullConfig: &l.needsFullConfig, ended: s.ended},
 		OnConnect:    func() { signal(connected) },
 		Seed:         rand.Uint64(),
 		Limits:       fleet.PeerLimits(),
@@ -177,7 +180,7 @@
 		s.err = ctx.Err()
 		return s
 	}
-	_, s.err = s.client.Call(ctx, wire.KindSubscribe, nil)
+	_, s.err = s.client.Call(ctx, wire.KindSubscribe, l.subscribeBody())
 	var refused *peer.Error
 	if errors.As(s.err, &refused) && refused.Code == wire.CodeNotLeader {
 		s.leader = refused.Detail
@@ -185,6 +188,19 @@
 	return s
 }
 
+// subscribeBody returns the body of a subscription, which names the configuration that this gateway has.
+func (l *leaderLink) subscribeBody() []byte {
+	report := routes.ConfigReport{}
+	if !l.needsFullConfig.Load() {
+		report.Version = l.view.configVersion()
+	}
+	body, err := cbor.Marshal(report)
+	if err != nil {
+		log.WithError(err).Error("cannot encode subscription")
+	}
+	return body
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -228,8 +244,9 @@
 
 // updateHandler handles the leader's notifications.
 type updateHandler struct {
-	view  *view
-	ended chan struct{}
+	view            *view
+	needsFullConfig *atomic.Bool // of leaderLink
+	ended           chan struct{}
 }
 
 // Call implements peer.Handler. Control hosts make no calls to gateways.
@@ -237,11 +254,17 @@
 	return nil, &peer.Error{Code: wire.CodeInvalid, Detail: "no calls are taken"}
 }
 
-// Notify implements peer.Handler. It applies a table update.
+// Notify implements peer.Handler. It applies an update.
 func (u *updateHandler) Notify(from *peer.Conn, kind int, body []byte) {
-	if kind != wire.KindFleetTable {
-		return
+	switch kind {
+	case wire.KindConfigUpdate:
+		u.applyConfig(from, body)
+	case wire.KindFleetTable:
+		u.applyTable(from, body)
 	}
+}
+
+func (u *updateHandler) applyTable(from *peer.Conn, body []byte) {
 	var update keyrange.TableUpdate
 	if err := cbor.Unmarshal(body, &update); err != nil {
 		log.WithError(err).Error("cannot decode table update; resubscribing")
@@ -251,5 +274,19 @@
 	u.view.apply(clockNow(), update)
 }
 
+// applyConfig applies a configuration update. If it does not apply, the next subscription asks for the
+// complete configuration.
+func (u *updateHandler) applyConfig(from *peer.Conn, body []byte) {
+	update, err := routes.DecodeUpdate(body)
+	if err == nil {
+		err = u.view.applyConfig(update)
+	}
+	u.needsFullConfig.Store(err != nil)
+	if err != nil {
+		log.WithError(err).Error("cannot apply configuration update; resubscribing")
+		from.Close()
+	}
+}
+
 // Closed implements peer.Handler.
 func (u *updateHandler) Closed(*peer.Conn) { signal(u.ended) }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/clock"
@@ -80,7 +79,6 @@
 
 // apply applies an update from the leader.
 func (v *view) apply(now time.Duration, u keyrange.TableUpdate) {
-	config := decodeConfig(u.Config)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if u.Term < v.term {
@@ -92,12 +90,6 @@
 	v.term, v.version, v.updatedAt = u.Term, u.Version, now
 	v.controlHosts = u.ControlHosts
 	v.applyGatewayCount(u)
-	if config != nil && (v.routes == nil || config.Version > v.routes.Version()) {
-		v.routes = routes.NewTable(*config)
-		v.versions.Add(time.Now(), config.Version)
-		log.WithFields(log.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("route configuration in force")
-		signal(v.configChanged)
-	}
 	v.applyServers(now, u)
 	for _, o := range u.Owners {
 		v.owners[o.Service] = overlay(v.owners[o.Service], ownerRange{o, now})
@@ -116,16 +108,25 @@
 	v.gatewayCount = max(u.EntryHosts, 1)
 }
 
-func decodeConfig(data []byte) *routes.Config {
-	if len(data) == 0 {
-		return nil
+// applyConfig puts an updated configuration into force. An older configuration than the one in force
+// is ignored; an error means that the update does not apply.
+func (v *view) applyConfig(u routes.Update) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var current routes.Config
+	if v.routes != nil {
+		current = v.routes.Config()
 	}
-	var config routes.Config
-	if err := cbor.Unmarshal(data, &config); err != nil {
-		log.WithError(err).Error("cannot decode route configuration; the previous one stays in force")
-		return nil
+	config, err := u.Apply(current)
+	if err != nil || config.Version <= current.Version {
+		return err
 	}
-	return &config
+	v.routes = routes.NewTable(config)
+	v.versions.Add(time.Now(), config.Version)
+	log.WithFields(log.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("route configuration in force")
+	signal(v.configChanged)
+	v.signalChange()
+	return nil
 }
 
 // applyServers adds, replaces and removes servers. A new leader knows all servers only when its
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -98,6 +98,9 @@
 // Counts returns the connection's traffic by direction and kind.
 func (c *Conn) Counts() []Count { return c.counts.list() }
 
+// QueuedBytes returns the number of bytes in the send queue.
+func (c *Conn) QueuedBytes() int64 { return c.queuedBytes.Load() }
+
 // Notify queues a one-way message without blocking. If the queue is full, the peer does not keep up:
 // Notify closes the connection, because later messages would follow a gap, and returns ErrQueueFull.
 func (c *Conn) Notify(kind int, body []byte) error {
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -24,10 +24,11 @@
 	KindServerLeave     = 12 // keyrange.Leave, answered by an empty body
 	KindPutConfig       = 13 // routes.Put, answered by routes.PutReply
 	KindGetDocument     = 14 // empty, answered by the operator's text of the configuration
-	KindSubscribe       = 15 // empty, entry to control; answered by an empty body
+	KindSubscribe       = 15 // routes.ConfigReport, entry to control; answered by an empty body
 	KindFleetTable      = 16 // keyrange.TableUpdate, one-way, control to entry
 	KindLoadReport      = 17 // keyrange.LoadReport, one-way, entry to control
 	KindGetConfig       = 18 // empty, answered by routes.Config
+	KindConfigUpdate    = 20 // encoded routes.Update, one-way, control to entry
 	KindConfigReport    = 19 // routes.ConfigReport, entry to control; answered by routes.ConfigReportReply
 )
 
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -200,9 +200,6 @@
 
 // TableUpdate updates an entry host's table of servers and owners.
 type TableUpdate struct {
-	// A routes.Config, CBOR; empty if unchanged.
-	Config []byte `json:"c" yaml:"c" cbor:"c"`
-
 	// Term of the sending leader.
 	Term uint64 `json:"e" yaml:"e" cbor:"e"`
 
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -14,6 +14,27 @@
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
 
+// Change is the difference between two consecutive configurations.
+type Change struct {
+	// Version to which the change applies.
+	Base uint64 `json:"b" yaml:"b" cbor:"b"`
+
+	// Limits of clients.
+	Limits Limits `json:"l" yaml:"l" cbor:"l"`
+
+	// New and changed routes.
+	Routes []Route `json:"r" yaml:"r" cbor:"r"`
+
+	// All services.
+	Services []Service `json:"s" yaml:"s" cbor:"s"`
+
+	// Version that results.
+	Version uint64 `json:"v" yaml:"v" cbor:"v"`
+
+	// Names of the removed routes.
+	RemovedRoutes []string `json:"x" yaml:"x" cbor:"x"`
+}
+
 // Config is a complete configuration.
 type Config struct {
 	// Limits of clients.
@@ -159,3 +180,14 @@
 	// Accepted configurations, oldest first.
 	History []Accepted `json:"h" yaml:"h" cbor:"h"`
 }
+
+// Update brings a replica to the newest configuration: a complete configuration,
+// changes, or neither if it is up to date.
+type Update struct {
+	// Changes in the order in which they apply.
+	Changes []Change `json:"c" yaml:"c" cbor:"c"`
+
+	// Complete configuration, if the changes since the replica's version are not
+	// known.
+	Full *Config `json:"f,omitempty,omitzero" yaml:"f,omitempty" cbor:"f,omitempty"`
+}
--- a/routes/store.go
+++ b/routes/store.go
@@ -16,7 +16,8 @@
 // Store is the state machine of the configuration. Each replica must apply the same changes in the
 // same order.
 type Store struct {
-	state Snapshot
+	state   Snapshot
+	changes changeLog // up to the current configuration; not part of the durable state
 }
 
 // Current returns the configuration in force. Its version is 0 before the first Put is accepted.
@@ -62,6 +63,9 @@
 	if reply.Outcome != OutcomeAccepted || s.accepted(p, digest) {
 		return reply
 	}
+	if s.state.Current.Version > 0 {
+		s.changes.add(Diff(s.state.Current, p.Config))
+	}
 	s.state.Current = p.Config
 	s.state.Document = p.Document
 	s.state.History = append(s.state.History, Accepted{Version: p.Config.Version, Base: p.Base, Digest: digest})
@@ -110,6 +114,6 @@
 	if err := cbor.Unmarshal(data, &state); err != nil {
 		return errors.Wrap(ErrEncoding, err.Error())
 	}
-	s.state = state
+	s.state, s.changes = state, nil
 	return nil
 }
--- a/routes/table.go
+++ b/routes/table.go
@@ -27,6 +27,9 @@
 	return t
 }
 
+// Config returns the configuration. It must not be modified.
+func (t *Table) Config() Config { return t.config }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.config.Version }
 
