Keep slow connections to the leader, and search for one without waiting

Callers of gateways with a full link saw requests refused, and before the leases existed answers by an old configuration: 70 of 77 gateways lost the leader 78 times under one calm leader and needed 14.4 s in the median to reconnect, 7 did not.

Causes, from the gateways' errors (887 dials, 534 upgrades and 270 handshakes that timed out, 76 ends within a message): - A connection was closed after 1.5 s without a complete chunk of 64 KB, or with a ping that waited 1 s behind a message, though bytes arrived. - Each new connection had 1.5 s, and each subscription 2.5 s, for four round trips; after 'not the leader' all were made again. - A search waited for its slowest host before it asked the others again.

Each 8 KB extend the time-outs, which are 4 s between gateways and control hosts. A search keeps the connections to all control hosts and repeats only the subscription, one round trip. After 1 s without a message the gateway searches while it keeps the connection, so a lost leader is noticed sooner than before, and a slow one is not given up.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -52,8 +52,17 @@
 	BackoffMax:       200 * time.Millisecond,
 }
 
-// PeerLimits returns the limits of connections between gateways and control hosts.
-func PeerLimits() peer.Limits { return peerLimits }
+// slowLinkTimeout is the idle and handshake time-out between gateways and control hosts. Packets may
+// wait for seconds on a gateway's full link, and a new connection costs several round trips there.
+// Gateways look for another leader long before it.
+const slowLinkTimeout = 4 * time.Second
+
+// GatewayLimits returns the limits of connections between gateways and control hosts.
+func GatewayLimits() peer.Limits {
+	limits := peerLimits
+	limits.IdleTimeout, limits.HandshakeTimeout = slowLinkTimeout, slowLinkTimeout
+	return limits
+}
 
 // Options configures a Host.
 type Options struct {
@@ -104,7 +113,7 @@
 		Self:    h.identity(),
 		Secret:  o.Secret,
 		Handler: &handler{host: h},
-		Limits:  peerLimits,
+		Limits:  GatewayLimits(),
 		Metrics: peerMetrics,
 	})
 	return h, errors.Wrap(err, "peer listener")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,21 +12,10 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
 
-func encode(t testing.TB, value any) []byte {
-	t.Helper()
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
-}
-
 func TestRequestIsForwardedUnmodified(t *testing.T) {
 	server := newFakeBackend(t, okResponse("three left"))
 	f := newFixture(t)
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,24 +9,15 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 
-	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
 
-const (
-	// subscribeTimeout bounds connecting to a control host and subscribing there. On a saturated
-	// link between regions each of the round trips is delayed.
-	subscribeTimeout = 2500 * time.Millisecond
-	// contactInterval is the delay before the next control host is contacted in parallel.
-	contactInterval = 100 * time.Millisecond
-	// reportInterval is the interval between load reports.
-	reportInterval = 250 * time.Millisecond
-)
+// reportInterval is the interval between load reports.
+const reportInterval = 250 * time.Millisecond
 
 // dialFunc opens a connection, as net.Dialer.DialContext does.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -61,19 +51,21 @@
 	return now - since
 }
 
-// subscription is an established or failed subscription with a control host.
+// subscription is an established subscription with a control host.
 type subscription struct {
 	address string
 	client  *peer.Client
 	ended   chan struct{}
-	leader  string // address of the leader, if the host returned one
-	err     error
 }
 
 // run keeps a subscription with the current leader until the context ends.
 func (l *leaderLink) run(ctx context.Context) {
+	var next *subscription
 	for ctx.Err() == nil {
-		s := l.findLeader(ctx)
+		s := next
+		if s == nil {
+			s = l.search(ctx)
+		}
 		if s == nil {
 			continue
 		}
@@ -81,111 +73,33 @@
 			"control": s.address, "disconnected_ms": l.disconnectedFor(clockNow()).Milliseconds(), "config": l.view.configVersion(),
 		}).Info("control host connected")
 		l.disconnectedAt.Store(0)
-		l.serve(ctx, s)
-		l.disconnectedAt.Store(int64(clockNow()))
+		next = l.serve(ctx, s)
+		if next == nil {
+			l.disconnectedAt.Store(int64(clockNow()))
+		}
 		l.onDisconnect()
 		s.client.Close()
 		log.WithFields(log.Fields{
-			"control": s.address, "config": l.view.configVersion(),
+			"control": s.address, "config": l.view.configVersion(), "replaced": next != nil,
 		}).Warn("control host lost; continuing with the last known table")
 	}
 }
 
-// serve reports load and the configuration in force until the subscription ends.
-func (l *leaderLink) serve(ctx context.Context, s *subscription) {
-	ctx, cancel := context.WithCancel(ctx)
-	var reports sync.WaitGroup
-	reports.Go(func() { l.reportConfig(ctx, s.client) })
-	l.reportLoad(ctx, s.client, s.ended)
-	cancel()
-	reports.Wait()
-}
-
-// findLeader contacts the control hosts one after another, without waiting for slow ones, and
-// returns the first successful subscription, or nil if there is none.
-func (l *leaderLink) findLeader(ctx context.Context) *subscription {
+// serve reports load and the configuration in force until the subscription ends. It returns the next
+// subscription if it has found one meanwhile.
+func (l *leaderLink) serve(ctx context.Context, s *subscription) (next *subscription) {
 	ctx, cancel := context.WithCancel(ctx)
-	pending := l.candidates()
-	results := make(chan *subscription)
-	tried := map[string]bool{}
-	inFlight := 0
-	defer func() {
-		cancel()
-		for range inFlight {
-			(<-results).client.Close()
-		}
-	}()
-	try := func(address string) {
-		if address == "" || tried[address] {
-			return
-		}
-		tried[address] = true
-		inFlight++
-		go func() { results <- l.subscribe(ctx, address) }()
-	}
-	ticker := time.NewTicker(contactInterval)
-	defer ticker.Stop()
-	for len(pending) > 0 || inFlight > 0 {
-		select {
-		case <-ctx.Done():
-			return nil
-		case s := <-results:
-			inFlight--
-			if s.err == nil {
-				return s
-			}
-			s.client.Close()
-			try(s.leader)
-		case <-ticker.C:
-			if len(pending) > 0 {
-				try(pending[0])
-				pending = pending[1:]
-			}
+	var loops sync.WaitGroup
+	loops.Go(func() { l.reportConfig(ctx, s.client) })
+	loops.Go(func() {
+		if next = l.watch(ctx, s); next != nil {
+			signal(s.ended)
 		}
-	}
-	return nil
-}
-
-// candidates returns the control hosts to contact: those of the latest table and then the seeds,
-// each in random order.
-func (l *leaderLink) candidates() []string {
-	addresses := l.view.controlAddresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	seeds := l.seeds()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	return append(addresses, seeds...)
-}
-
-// subscribe connects to a control host and subscribes to table updates.
-func (l *leaderLink) subscribe(ctx context.Context, address string) *subscription {
-	connected := make(chan struct{}, 1)
-	s := &subscription{address: address, ended: make(chan struct{}, 1)}
-	s.client = peer.NewClient(peer.ClientOptions{
-		Address:      address,
-		Self:         l.self,
-		ExpectedName: address,
-		Secret:       l.secret,
-		Handler:      &updateHandler{view: l.view, needsFullConfig: &l.needsFullConfig, ended: s.ended},
-		OnConnect:    func() { signal(connected) },
-		Seed:         rand.Uint64(),
-		Limits:       fleet.PeerLimits(),
-		Metrics:      l.metrics,
-		Dial:         l.dial,
 	})
-	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
-	defer cancel()
-	select {
-	case <-connected:
-	case <-ctx.Done():
-		s.err = ctx.Err()
-		return s
-	}
-	_, s.err = s.client.Call(ctx, wire.KindSubscribe, l.subscribeBody())
-	var refused *peer.Error
-	if errors.As(s.err, &refused) && refused.Code == wire.CodeNotLeader {
-		s.leader = refused.Detail
-	}
-	return s
+	l.reportLoad(ctx, s.client, s.ended)
+	cancel()
+	loops.Wait()
+	return next
 }
 
 // subscribeBody returns the body of a subscription, which names the configuration that this gateway has.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -74,6 +74,15 @@
 	return err
 }
 
+// Silence returns the time since anything was received on the current connection, or 0 without one.
+func (c *Client) Silence() time.Duration {
+	conn := c.current()
+	if conn == nil {
+		return 0
+	}
+	return conn.silence()
+}
+
 // Counts returns the traffic of the current connection by direction and kind.
 func (c *Client) Counts() []Count {
 	conn := c.current()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	chunkBytes     = 64 << 10        // size of a read or write; each extends the deadline
-	controlTimeout = 1 * time.Second // for writing a ping or pong
+	chunkBytes     = 8 << 10         // size of a read or write; each extends the deadline
+	controlTimeout = 1 * time.Second // for writing a pong
 )
 
 // socket is the common interface of the WebSocket libraries of client and server.
@@ -67,6 +67,8 @@
 
 	queue       chan *outgoing
 	queuedBytes atomic.Int64
+	created     time.Time
+	receivedAt  atomic.Int64 // when the last bytes were received, nanoseconds after created
 	ctx         context.Context
 	cancel      context.CancelFunc
 	closeOnce   sync.Once
@@ -79,6 +81,7 @@
 func newConn(s socket, identity Identity, limits Limits, metrics *Metrics, masks bool) *Conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Conn{
+		created:  time.Now(),
 		socket:   s,
 		identity: identity,
 		limits:   limits,
@@ -92,6 +95,14 @@
 	}
 }
 
+// recordReceipt records that bytes were received.
+func (c *Conn) recordReceipt() { c.receivedAt.Store(int64(time.Since(c.created))) }
+
+// silence returns the time since the last bytes were received.
+func (c *Conn) silence() time.Duration {
+	return time.Since(c.created) - time.Duration(c.receivedAt.Load())
+}
+
 // Identity returns the authenticated name and role of the peer.
 func (c *Conn) Identity() Identity { return c.identity }
 
@@ -231,7 +242,10 @@
 func (c *Conn) readLoop() error {
 	c.socket.SetReadLimit(c.limits.MessageBytes)
 	c.socket.SetPingHandler(c.handlePing)
-	c.socket.SetPongHandler(func(string) error { return c.extendReadDeadline() })
+	c.socket.SetPongHandler(func(string) error {
+		c.recordReceipt()
+		return c.extendReadDeadline()
+	})
 	for {
 		message, err := c.readMessage()
 		if err != nil {
@@ -276,6 +290,7 @@
 			return nil, err
 		}
 		_, err := io.CopyN(&message, reader, chunkBytes)
+		c.recordReceipt()
 		if errors.Is(err, io.EOF) {
 			return message.Bytes(), nil
 		}
@@ -297,6 +312,7 @@
 }
 
 func (c *Conn) handlePing(data string) error {
+	c.recordReceipt()
 	if err := c.extendReadDeadline(); err != nil {
 		return err
 	}
@@ -316,7 +332,8 @@
 		case <-c.ctx.Done():
 			return
 		case <-ping.C:
-			deadline := time.Now().Add(controlTimeout)
+			// On a slow link a ping may wait for the bytes before it.
+			deadline := time.Now().Add(c.limits.IdleTimeout)
 			if err := c.socket.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
 				return
 			}
