Bound what is read from a backend server that sends without end

Callers would have lost an entry host: a status line, a header line, header lines or bytes that are no response, without end, were buffered until the request's deadline.

Cause: neither the head of a response nor the body of a late one that is skipped had a bound in internal/gateway. internal/forward bounds a head by its buffer of 16 KB, but skipped interim responses and trailer lines until the deadline.

readlimit bounds the head (64 KiB) and skipped bodies (1 MiB); the body of a refusal is read up to 16 KiB. Beyond that the connection is closed, the server is avoided for a while, the log says response-too-long, and the client gets 502, or the next attempt if the request is idempotent. forward skips at most 8 interim responses and 64 trailer lines. A connection whose refusal was not read to its end is not used again.

Bodies without end of a response that is passed on are streamed, and end at the request's deadline as before.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -82,9 +82,14 @@
 	return n, io.EOF
 }
 
+// maxTrailerLines is the maximum number of lines of a trailer section.
+const maxTrailerLines = 64
+
+var errTrailerTooLong = errors.New("trailer section is too long")
+
 // skipTrailer reads the trailer section that follows the last chunk, up to its empty line.
 func (b *responseBody) skipTrailer() error {
-	for {
+	for range maxTrailerLines {
 		line, err := b.exchange.conn.reader.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
@@ -96,6 +101,7 @@
 			return nil
 		}
 	}
+	return errors.Wrapf(errTrailerTooLong, "more than %d lines", maxTrailerLines)
 }
 
 // Close ends the exchange. See responseBody.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -25,10 +25,13 @@
 	maxRefusalBytes = 16 << 10
 	// earlyRefusalTimeout bounds the wait for a refusal after a write failed.
 	earlyRefusalTimeout = 50 * time.Millisecond
+	// maxInterimResponses is the number of interim (1xx) responses that are skipped before a response.
+	maxInterimResponses = 8
 )
 
 var (
 	errUnframed            = errors.New("response has neither a length nor chunked encoding, so truncation cannot be detected")
+	errTooManyInterim      = errors.New("too many interim responses")
 	errRequestBodyTooShort = errors.New("request body ended before its declared length")
 )
 
@@ -214,7 +217,7 @@
 func (e *exchange) readHeader() (*protocol.ResponseHeader, error) {
 	header := &protocol.ResponseHeader{}
 	header.SetNoDefaultContentType(true)
-	for {
+	for range maxInterimResponses + 1 {
 		if err := resp.ReadHeader(header, e.conn); err != nil {
 			return nil, err
 		}
@@ -223,6 +226,7 @@
 		}
 		e.extendDeadline()
 	}
+	return nil, errors.Wrapf(errTooManyInterim, "more than %d", maxInterimResponses)
 }
 
 // readResponse reads the body up to MaxBuffered bytes, or returns it as a stream if it is longer.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/galenalug/galenalug/internal/idle"
+	"github.com/galenalug/galenalug/internal/readlimit"
 )
 
 const (
@@ -32,7 +33,14 @@
 	// maxLateResponses is the number of late responses to earlier requests that are skipped before
 	// the response to a request. Interim (1xx) responses count as well.
 	maxLateResponses = 2
-	readBufferBytes  = 4 << 10
+	// maxResponseHead is the maximum size of a response's head, bytes.
+	maxResponseHead = 64 << 10
+	// maxSkippedBody is the maximum size of the body of a late response, bytes.
+	maxSkippedBody = 1 << 20
+	// maxRefusalBody is the maximum size of the body of a response that states that the request did
+	// not run, bytes. The connection of a longer one is closed.
+	maxRefusalBody  = 16 << 10
+	readBufferBytes = 4 << 10
 )
 
 // exchangeError is the error of an exchange that yielded no response.
@@ -53,6 +61,7 @@
 const (
 	reasonConnect  = "connect"
 	reasonBroken   = "broken"
+	reasonTooLong  = "response-too-long"
 	reasonTimeout  = "timeout"
 	reasonCanceled = "client-left"
 	reasonUnsealed = "unsealed-response"
@@ -85,9 +94,10 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	written  atomic.Int64  // bytes written of the current request
-	maxIdle  time.Duration // how long the connection may be idle
-	lastUsed time.Time     // end of the last exchange
+	limit    *readlimit.Reader // below reader
+	written  atomic.Int64      // bytes written of the current request
+	maxIdle  time.Duration     // how long the connection may be idle
+	lastUsed time.Time         // end of the last exchange
 }
 
 // Write counts the bytes that were handed to the network.
@@ -110,7 +120,10 @@
 		_ = raw.Close() // nothing was sent
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime}, nil
+	limit := readlimit.NewReader(raw)
+	return &conn{
+		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime,
+	}, nil
 }
 
 func setUnackedTimeout(c net.Conn) error {
@@ -175,6 +188,8 @@
 	switch {
 	case ctx.Err() != nil:
 		e.reason = reasonCanceled
+	case errors.Is(err, readlimit.ErrTooLong):
+		e.reason = reasonTooLong
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e.reason = reasonTimeout
 	}
@@ -230,6 +245,7 @@
 // earlier requests.
 func read(c *conn, req *backendRequest, dialect Dialect) (*backendResponse, error) {
 	for range maxLateResponses + 1 {
+		c.limit.Limit(maxResponseHead)
 		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: req.method})
 		if err != nil {
 			return nil, err
@@ -239,11 +255,13 @@
 		}
 		info := dialect.ParseResponse(httpResp.StatusCode, httpResp.Header)
 		if info.ID != "" && info.ID != req.id {
+			c.limit.Limit(maxSkippedBody)
 			if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
 				return nil, err
 			}
 			continue
 		}
+		c.limit.Unlimit()
 		return readBody(c, httpResp, info)
 	}
 	return nil, errors.New("too many interim responses or responses to earlier requests")
@@ -252,12 +270,16 @@
 func readBody(c *conn, httpResp *http.Response, info ResponseInfo) (*backendResponse, error) {
 	c.maxIdle = keepAliveTime(httpResp.Header)
 	resp := &backendResponse{status: httpResp.StatusCode, header: httpResp.Header, info: info}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedResponse))
+	maxBody := int64(maxBufferedResponse)
+	if info.NotExecuted {
+		maxBody = maxRefusalBody
+	}
+	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBody))
 	if err != nil {
 		return nil, err
 	}
 	resp.body = body
-	if len(body) == maxBufferedResponse {
+	if int64(len(body)) == maxBody {
 		resp.rest = httpResp.Body
 	}
 	if !httpResp.Close {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -209,7 +209,7 @@
 			c.attempts-- // no request was sent
 		}
 	case resp.info.NotExecuted:
-		resp.finish(true)
+		resp.finish(resp.rest == nil)
 	default:
 		resp.finish(false)
 		mayHaveRun, reason = true, reasonUnsealed
