Keep client connections open until late in a stop

Cause: 2.3 s into a stop all idle connections were closed, also those on which a request was on its way. On a full link a request is under way for longer than the check for unread bytes can see, and the client, whose last response came before the stop, had not been told to leave.

A stop now closes the listener after 2.3 s and keeps open connections until their clients have left them, or until 1.8 s before its end. Each response that is written after the stop began asks the client to leave, not only those of requests that began after it.

TestRequestOnItsWayIsAnsweredDuringStop got no response before.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -10,21 +10,39 @@
 	"github.com/galenalug/galenalug/internal/idle"
 )
 
-// unreadPollInterval is the interval between checks for unread requests while the gateway stops.
-const unreadPollInterval = 10 * time.Millisecond
+const (
+	// unreadPollInterval is the interval between checks for unread requests while the gateway stops.
+	unreadPollInterval = 10 * time.Millisecond
+	// clientPollInterval is the interval between checks for open connections while the gateway stops.
+	clientPollInterval = 50 * time.Millisecond
+)
 
-// clientConns tracks the client connections that net/http considers idle.
+// clientConns tracks the open client connections, and which of them net/http considers idle.
 type clientConns struct {
-	mu   sync.Mutex // guards idle; no other lock is acquired while it is held
-	idle map[net.Conn]struct{}
+	mu    sync.Mutex // guards the fields below; no other lock is acquired while it is held
+	idle  map[net.Conn]struct{}
+	count int // open connections
 }
 
 func newClientConns() *clientConns { return &clientConns{idle: map[net.Conn]struct{}{}} }
 
+// open returns the number of open connections.
+func (c *clientConns) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
 // setState is the ConnState hook of the HTTP server.
 func (c *clientConns) setState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		c.count++
+	case http.StateClosed, http.StateHijacked:
+		c.count--
+	}
 	if state == http.StateIdle {
 		c.idle[conn] = struct{}{}
 		return
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -47,3 +50,46 @@
 		t.Error("awaitRead waits for a request that the server is reading")
 	}
 }
+
+// Guards against a stop that closes a kept connection while a request is on its way: the request was
+// sent 2 s after the stop began and arrives 400 ms later, over a full link.
+func TestRequestOnItsWayIsAnsweredDuringStop(t *testing.T) {
+	const sentAfter, linkDelay = 2 * time.Second, 400 * time.Millisecond
+	f := newFixture(t)
+	f.host.settings.StopSeconds = 6
+	f.publish(newFakeBackend(t, okResponse("yes")))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request := func() *http.Response {
+		t.Helper()
+		if _, err := io.WriteString(conn, "GET /look/1 HTTP/1.1\r\nHost: depot.example\r\nTest-Id: a1\r\nTest-Key: 7\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("the connection ended without a response: %v", err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Fatal(err)
+		}
+		return response
+	}
+	request()
+	stopped := make(chan error, 1)
+	started := time.Now()
+	go func() { stopped <- f.host.Stop(context.Background()) }()
+	time.Sleep(sentAfter + linkDelay)
+	if response := request(); response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("status %d, connection closes: %v; want 200 on a connection that closes", response.StatusCode, response.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(started); took > 3*time.Second {
+		t.Errorf("the stop took %v though the client had left after 2.4 s", took)
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -79,9 +79,6 @@
 // serve handles one client request.
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header)}
-	if h.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c.setDeadline(defaultTimeout)
 	table, reason := c.waitForRoutes()
 	if table == nil {
@@ -242,6 +239,7 @@
 	for name, values := range endToEnd(resp.header) {
 		header[name] = values
 	}
+	c.closeIfStopping()
 	if header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil // keeps net/http from detecting one
 	}
@@ -301,10 +299,19 @@
 // respondWithStatus ends a request with a response of the gateway itself.
 func (c *call) respondWithStatus(status int, reason string) {
 	c.log("refused", reason, status, true)
+	c.closeIfStopping()
 	c.writer.Header().Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
 }
 
+// closeIfStopping tells the client to send its next request on another connection, if the gateway is
+// stopping.
+func (c *call) closeIfStopping() {
+	if c.host.stopping.Load() {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 func (c *call) log(outcome, reason string, status int, important bool) {
 	c.host.metrics.count(outcome, reason, time.Since(c.started))
 	c.host.events.Add(eventlog.Event{
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -46,6 +46,9 @@
 	unreadyTime = 2300 * time.Millisecond
 	// stopReserve is the part of the stop timeout that is left for cleanup.
 	stopReserve = 900 * time.Millisecond
+	// idleReserve is the part of the stop timeout, before stopReserve, in which idle connections are
+	// closed. Until then they stay open: a request may be on its way on any of them.
+	idleReserve = 900 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that is used. The margin is needed
 	// because requests reach the servers slightly later than they are counted here.
 	retryBudgetFraction = 0.85
@@ -75,6 +78,7 @@
 	metrics     *metrics
 	events      *eventlog.Log
 	server      *http.Server
+	listener    net.Listener // of server
 	clientConns *clientConns
 	readyServer *http.Server
 	stopping    atomic.Bool
@@ -150,7 +154,7 @@
 	}
 	log.WithField("host", h.settings.Name).Info("gateway starting")
 	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel = cancel
+	h.cancel, h.listener = cancel, listener
 	h.done.Go(func() { h.leaderLink.run(ctx) })
 	h.done.Go(func() { h.sweep(ctx) })
 	h.done.Go(func() { serveUntilClosed(h.server, listener) })
@@ -159,13 +163,14 @@
 }
 
 func serveUntilClosed(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		log.WithError(err).Error("listener failed")
 	}
 }
 
-// Stop fails the balancer check, keeps serving until the balancer sends new connections elsewhere,
-// and completes the requests in flight.
+// Stop fails the balancer check, keeps serving until the balancer sends new connections elsewhere and
+// the clients have left the open ones, and completes the requests in flight. Each response asks the
+// client to leave its connection.
 func (h *Host) Stop(ctx context.Context) error {
 	log.WithField("host", h.settings.Name).Info("gateway stopping")
 	h.stopping.Store(true)
@@ -173,6 +178,8 @@
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	sleep(ctx, min(unreadyTime, total/2))
+	_ = h.listener.Close() // Shutdown closes it again
+	h.awaitClients(ctx, idleReserve)
 	h.clientConns.awaitRead(ctx)
 	err := h.server.Shutdown(ctx)
 	h.cancel()
@@ -182,6 +189,15 @@
 	return errors.Wrap(err, "complete requests in flight")
 }
 
+// awaitClients returns when no client connection is open, or at the given time before the deadline of
+// the context.
+func (h *Host) awaitClients(ctx context.Context, before time.Duration) {
+	deadline, _ := ctx.Deadline()
+	for time.Until(deadline) > before && ctx.Err() == nil && h.clientConns.open() > 0 {
+		sleep(ctx, clientPollInterval)
+	}
+}
+
 // serveReady responds to the balancer check.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
 	now := clockNow()
