--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -34,9 +34,9 @@
 	// shortRetryAfter is the upper bound of Retry-After if the server reported that it did not run
 	// the request, since the cause is expected to pass at once.
 	shortRetryAfter = 30 * time.Millisecond
-	// staleRetryAfter is the upper bound of Retry-After if this gateway's configuration may be out of
-	// date. Other gateways mostly are up to date, and the client's next connection reaches one.
-	staleRetryAfter = 200 * time.Millisecond
+	// otherGatewayRetryAfter is the upper bound of Retry-After if only this gateway can't serve the
+	// request, and the client's next connection reaches another one.
+	otherGatewayRetryAfter = 200 * time.Millisecond
 )
 
 // Reasons in the decision log and the metrics, in addition to those of package dispatch and of
@@ -44,6 +44,7 @@
 const (
 	reasonNoConfig    = "no-configuration"
 	reasonStaleConfig = "stale-configuration"
+	reasonStopping    = "stopping"
 	reasonNoRoute     = "no-route"
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
@@ -82,6 +83,10 @@
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header)}
 	c.setDeadline(defaultTimeout)
+	if h.draining.Load() { // the request might not end before the process does
+		c.refuse(reasonStopping)
+		return
+	}
 	table, reason := c.waitForRoutes()
 	if table == nil {
 		w.Header().Set("Connection", "close") // another gateway may serve the client
@@ -286,8 +291,8 @@
 	switch reason {
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
-	case reasonStaleConfig:
-		return min(staleRetryAfter, latest)
+	case reasonStaleConfig, reasonStopping:
+		return min(otherGatewayRetryAfter, latest)
 	}
 	return latest
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -81,7 +81,8 @@
 	listener    net.Listener // of server
 	clientConns *clientConns
 	readyServer *http.Server
-	stopping    atomic.Bool
+	stopping    atomic.Bool // the balancer check fails, and clients are asked to leave
+	draining    atomic.Bool // new requests are refused
 	cancel      context.CancelFunc
 	done        sync.WaitGroup
 
@@ -168,9 +169,9 @@
 	}
 }
 
-// Stop fails the balancer check, keeps serving until the balancer sends new connections elsewhere and
-// the clients have left the open ones, and completes the requests in flight. Each response asks the
-// client to leave its connection.
+// Stop fails the balancer check and serves until the balancer sends new connections elsewhere. Then it
+// completes the requests in flight, and refuses new ones on open connections until the clients have
+// left them. Each response asks the client to leave its connection.
 func (h *Host) Stop(ctx context.Context) error {
 	log.WithField("host", h.settings.Name).Info("gateway stopping")
 	h.stopping.Store(true)
@@ -178,6 +179,7 @@
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	sleep(ctx, min(unreadyTime, total/2))
+	h.draining.Store(true)
 	_ = h.listener.Close() // Shutdown closes it again
 	h.awaitClients(ctx, idleReserve)
 	h.clientConns.awaitRead(ctx)
