Drop servers that a full table of the same leader does not list

Callers could be sent to servers that were lost while a gateway had no connection: after it subscribed again to the same leader, servers that had been removed meanwhile stayed in its table for the rest of the term, and were chosen for services without keys until they refused.

Cause: a full table replaced the owners, but removed only servers of other terms.

TestFullTableReplacesServersOfSameTerm kept the lost server before.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -130,7 +130,8 @@
 }
 
 // applyServers adds, replaces and removes servers. A new leader knows all servers only when its
-// table is no longer partial; until then the servers that the former leader sent are kept.
+// table is no longer partial; until then the servers that the former leader sent are kept. A full
+// table that is not partial lists all servers.
 func (v *view) applyServers(now time.Duration, u keyrange.TableUpdate) {
 	for _, s := range u.Servers {
 		entry := &serverEntry{Server: s, term: u.Term}
@@ -148,8 +149,12 @@
 	if u.Partial {
 		return
 	}
+	listed := make(map[string]bool, len(u.Servers))
+	for _, s := range u.Servers {
+		listed[s.ID] = true
+	}
 	for id, s := range v.servers {
-		if s.term != u.Term {
+		if s.term != u.Term || u.Full && !listed[id] {
 			delete(v.servers, id)
 		}
 	}
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -3,12 +3,25 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/galenalug/galenalug/keyrange"
 )
 
+// Guards against servers that stay in the table of a gateway that was disconnected while they were
+// removed: the full table of the same leader lists all servers.
+func TestFullTableReplacesServersOfSameTerm(t *testing.T) {
+	v := newView(time.Second)
+	server := func(id string) keyrange.Server { return keyrange.Server{ID: id, Service: "photos", Slots: 6} }
+	v.apply(time.Second, keyrange.TableUpdate{Term: 1, Version: 1, Full: true, Servers: []keyrange.Server{server("a"), server("b")}})
+	v.apply(2*time.Second, keyrange.TableUpdate{Term: 1, Version: 5, Full: true, Servers: []keyrange.Server{server("b")}})
+	if v.has("a") || !v.has("b") {
+		t.Errorf("server a known: %v, server b known: %v; want only b", v.has("a"), v.has("b"))
+	}
+}
+
 // The owner of a key is the one that was added last, regardless of how the ranges overlap.
 func TestOverlayKeepsLatestOwner(t *testing.T) {
 	const keys = 20
