Send slow gateways the newest table instead of each update

A gateway whose link is slower than the updates of the table (10 a second with 77 gateways) was sent all of them, queued behind each other until the queue overflowed and its connection was closed; it then began again with the full table.

The leader now leaves out updates for a gateway with more than 128 KiB in its send queue, and sends it the full table once the queue is empty.

--- a/internal/fleet/distribute.go
+++ b/internal/fleet/distribute.go
@@ -11,7 +11,8 @@
 )
 
 // maxQueuedBytes is the number of bytes in a gateway's send queue from which it is sent no further
-// configuration. It gets the newest one when its link has caught up.
+// configuration and no further updates of the table. It gets the newest ones when its link has caught
+// up.
 const maxQueuedBytes = 128 << 10
 
 // encodedUpdates holds the updates to one version, so that each is encoded only once for all
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -25,6 +25,7 @@
 type subscriber struct {
 	configVersion uint64 // version in force at the gateway, as it last reported
 	sentVersion   uint64 // version that was last sent on this connection
+	missedTable   bool   // the gateway was not sent the latest updates of the table
 }
 
 // propagation is the way of one configuration version to all connected gateways.
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -88,21 +88,60 @@
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	update, changed := l.coordinator.Changes(now)
-	if !changed || len(h.subscribers) == 0 {
-		return
+	if changed {
+		h.sendTable(update)
 	}
+	h.sendMissedTables(l)
+}
+
+// sendTable sends an update of the table to the gateways that have all earlier ones. A gateway whose
+// send queue is long misses it: its link is slower than the updates. It must be called with Host.mu
+// held.
+func (h *Host) sendTable(update keyrange.TableUpdate) {
 	h.addHostInfo(&update)
 	body, err := cbor.Marshal(update)
 	if err != nil {
 		log.WithError(err).Error("encoding the table failed")
 		return
 	}
-	for conn := range h.subscribers {
-		// If the send queue is full the connection is closed, and the gateway subscribes again.
-		_ = conn.Notify(wire.KindFleetTable, body)
+	for conn, s := range h.subscribers {
+		s.missedTable = s.missedTable || conn.QueuedBytes() > maxQueuedBytes
+		if !s.missedTable {
+			_ = conn.Notify(wire.KindFleetTable, body) // on an error the gateway subscribes again
+		}
 	}
 }
 
+// sendMissedTables sends the full table to the gateways that missed an update and whose send queue is
+// empty again. It must be called with Host.mu held.
+func (h *Host) sendMissedTables(l *leadership) {
+	var body []byte
+	for conn, s := range h.subscribers {
+		if !s.missedTable || conn.QueuedBytes() > 0 {
+			continue
+		}
+		if body == nil {
+			if body = h.encodeFullTable(l); body == nil {
+				return
+			}
+		}
+		s.missedTable = false
+		_ = conn.Notify(wire.KindFleetTable, body) // on an error the gateway subscribes again
+	}
+}
+
+// encodeFullTable returns the encoded full table, or nil if that fails. It must be called with Host.mu
+// held.
+func (h *Host) encodeFullTable(l *leadership) []byte {
+	update := l.coordinator.Snapshot()
+	h.addHostInfo(&update)
+	body, err := cbor.Marshal(update)
+	if err != nil {
+		log.WithError(err).Error("encoding the table failed")
+	}
+	return body
+}
+
 // recordKeyEvents adds the key events since the last call to the log output, the history and the
 // metrics.
 func (h *Host) recordKeyEvents(l *leadership) {
@@ -165,11 +204,9 @@
 	s := &subscriber{configVersion: report.Version, sentVersion: report.Version}
 	h.subscribers[conn] = s
 	h.sendConfig(l, conn, s)
-	update := l.coordinator.Snapshot()
-	h.addHostInfo(&update)
-	body, err := cbor.Marshal(update)
-	if err != nil {
-		return errors.Wrap(err, "encode table")
+	body := h.encodeFullTable(l)
+	if body == nil {
+		return errors.New("encode table")
 	}
 	log.WithField("gateway", conn.Identity().Name).Info("gateway connected")
 	return conn.Notify(wire.KindFleetTable, body)
