--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -17,9 +17,8 @@
 const (
 	// configReportInterval is the interval between reports of an unchanged configuration.
 	configReportInterval = 500 * time.Millisecond
-	// configReportTimeout bounds one report. It is shorter than the lease, but longer than packets wait
-	// on a full link.
-	configReportTimeout = 4 * time.Second
+	// configReportTimeout bounds one report. A later report replaces one that was not answered.
+	configReportTimeout = 2 * time.Second
 )
 
 // reportConfig reports the configuration in force to the leader, periodically and at each change,
@@ -52,7 +51,6 @@
 	if err != nil {
 		return err
 	}
-	l.delay.observe(clockNow() - sentAt)
 	var reply routes.ConfigReportReply
 	if err := cbor.Unmarshal(replyBody, &reply); err != nil {
 		return errors.Wrap(err, "decode reply to configuration report")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -29,8 +29,6 @@
 	// grantPropagationDelay is how much later than this gateway an owner may learn of its grant:
 	// the reply to its heartbeat may take a longer network path.
 	grantPropagationDelay = 60 * time.Millisecond
-	// maxLinkFraction is the largest fraction of a request's time that is left for waiting at the link.
-	maxLinkFraction = 0.5
 	// shortRetryAfter is the upper bound of Retry-After if the server reported that it did not run
 	// the request, since the cause is expected to pass at once.
 	shortRetryAfter = 30 * time.Millisecond
@@ -113,15 +111,12 @@
 	c.run(service)
 }
 
-// setDeadline sets the deadline to the earlier of the client's and the given timeout, less the time
-// for which the request and its response wait at this host's link: both count from when the client
-// sent the request to when it gets the response.
+// setDeadline sets the deadline to the earlier of the client's and the given timeout.
 func (c *call) setDeadline(timeout time.Duration) {
 	if c.info.Timeout > 0 {
 		timeout = min(timeout, c.info.Timeout)
 	}
-	waiting := min(c.host.leaderLink.delay.estimate(), time.Duration(maxLinkFraction*float64(timeout)))
-	c.deadline = c.started.Add(timeout - waiting)
+	c.deadline = c.started.Add(timeout)
 }
 
 // readBody reads the request body. If it can't be read, it responds to the client and returns
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -34,8 +34,6 @@
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
 	dial dialFunc
 
-	delay linkDelay
-
 	needsFullConfig atomic.Bool // the last configuration update did not apply
 
 	// disconnectedAt is the end of the latest subscription, on clock.Now. It is 0 while subscribed and
@@ -75,7 +73,6 @@
 			"control": s.address, "disconnected_ms": l.disconnectedFor(clockNow()).Milliseconds(), "config": l.view.configVersion(),
 		}).Info("control host connected")
 		l.disconnectedAt.Store(0)
-		l.delay.reset()
 		next = l.serve(ctx, s)
 		if next == nil {
 			l.disconnectedAt.Store(int64(clockNow()))
