Wait longer for the reply to a configuration report

On a full link replies took more than the 2 s of the time-out; such a reply was dropped, and the lease that it granted was lost. With 4 s a lease of 5 s is renewed even then.

--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -17,8 +17,9 @@
 const (
 	// configReportInterval is the interval between reports of an unchanged configuration.
 	configReportInterval = 500 * time.Millisecond
-	// configReportTimeout bounds one report. A later report replaces one that was not answered.
-	configReportTimeout = 2 * time.Second
+	// configReportTimeout bounds one report. It is shorter than the lease, but longer than packets
+	// mostly wait on a full link: a report that was given up renews no lease.
+	configReportTimeout = 4 * time.Second
 )
 
 // reportConfig reports the configuration in force to the leader, periodically and at each change,
