Count a server's drain time from when the table was last up to date

The reply to a configuration report follows all earlier updates of the table on the connection, so it confirms the table, too, unless the leader left updates out. A leave that arrives is counted from the latest confirmation before it, less the time that a request needs to a server.

TestDrainTimeCountsFromLastKnownTable: a server whose leave arrives 1.5 s or 3 s late was used for 1.3 s after it without the new check.

--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -51,7 +51,7 @@
 	granted := h.leading.rollout.Report(now, conn.Identity().Name, report.Version, newest)
 	h.leading.signalReport()
 	h.checkPropagation(now, h.leading)
-	return routes.ConfigReportReply{Newest: newest, LeaseMillis: granted.Milliseconds()}, nil
+	return routes.ConfigReportReply{Newest: newest, LeaseMillis: granted.Milliseconds(), TableSent: !s.missedTable}, nil
 }
 
 // checkPropagation logs when the newest version is in force on every connected gateway, and which
--- a/internal/fleet/slowgateway_test.go
+++ b/internal/fleet/slowgateway_test.go
@@ -30,8 +30,10 @@
 // tableRecorder is a peer handler that records table updates.
 type tableRecorder struct{ updates chan keyrange.TableUpdate }
 
-func (r *tableRecorder) Call(context.Context, *peer.Conn, int, []byte) ([]byte, error) { return nil, nil }
-func (r *tableRecorder) Closed(*peer.Conn)                                             {}
+func (r *tableRecorder) Call(context.Context, *peer.Conn, int, []byte) ([]byte, error) {
+	return nil, nil
+}
+func (r *tableRecorder) Closed(*peer.Conn) {}
 func (r *tableRecorder) Notify(_ *peer.Conn, kind int, body []byte) {
 	var update keyrange.TableUpdate
 	if kind == wire.KindFleetTable && cbor.Unmarshal(body, &update) == nil {
--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -56,6 +56,9 @@
 	if err := cbor.Unmarshal(replyBody, &reply); err != nil {
 		return errors.Wrap(err, "decode reply to configuration report")
 	}
+	if reply.TableSent {
+		l.view.confirmTable(sentAt)
+	}
 	if reply.LeaseMillis > 0 {
 		l.view.renewConfigLease(sentAt, clock.Milliseconds(reply.LeaseMillis))
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -21,6 +21,9 @@
 	keyrange.Server
 	term          uint64        // term of the leader that last sent it
 	drainingSince time.Duration // when it was first reported as draining; 0 if it was not
+	// announcedAfter is a time before the announcement of the draining: the table was up to date then,
+	// and did not have it. It is 0 if the table was never known to be up to date.
+	announcedAfter time.Duration
 }
 
 // ownerRange is a range of keys with one owner.
@@ -63,9 +66,12 @@
 
 	// confirmedAt is the latest time at which the configuration in force is known to have been the
 	// newest one; 0 if there is none.
-	confirmedAt   time.Duration
-	configLease   lease.Holder
-	configChanged chan struct{} // signals that a new configuration is in force
+	confirmedAt time.Duration
+	configLease lease.Holder
+	// tableConfirmedAt is the latest time at which the servers and owners are known to have been up to
+	// date; 0 if there is none.
+	tableConfirmedAt time.Duration
+	configChanged    chan struct{} // signals that a new configuration is in force
 
 	versions trace.History[uint64] // versions of the configuration and when they took effect
 }
@@ -136,10 +142,10 @@
 	for _, s := range u.Servers {
 		entry := &serverEntry{Server: s, term: u.Term}
 		if old := v.servers[s.ID]; old != nil && old.StartMillis == s.StartMillis {
-			entry.drainingSince = old.drainingSince
+			entry.drainingSince, entry.announcedAfter = old.drainingSince, old.announcedAfter
 		}
 		if s.Draining && entry.drainingSince == 0 {
-			entry.drainingSince = now
+			entry.drainingSince, entry.announcedAfter = now, v.tableConfirmedAt
 		}
 		v.servers[s.ID] = entry
 	}
@@ -201,6 +207,14 @@
 	v.signalChange()
 }
 
+// confirmTable records that the servers and owners were up to date at a point in time: the leader's
+// reply to a report that was sent then follows all earlier updates on the connection.
+func (v *view) confirmTable(sentAt time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tableConfirmedAt = max(v.tableConfirmedAt, sentAt)
+}
+
 // signalChange wakes the requests that wait for a change. The caller holds mu.
 func (v *view) signalChange() {
 	close(v.changed)
@@ -234,12 +248,23 @@
 
 // drained reports whether a draining server gets no more requests.
 func (v *view) drained(now time.Duration, s *serverEntry) bool {
-	return s.drainingSince != 0 && now-s.drainingSince >= v.drainTime-drainMargin
+	if s.drainingSince == 0 {
+		return false
+	}
+	if now-s.drainingSince >= v.drainTime-drainMargin {
+		return true
+	}
+	return s.announcedAfter != 0 && now-s.announcedAfter >= v.drainTime-sendMargin
 }
 
-// drainMargin is how long before the end of its drain time a server stops getting requests. Up to
-// half of this margin may pass before the update that reports the draining reaches a gateway.
-const drainMargin = 1200 * time.Millisecond
+const (
+	// drainMargin is how long before the end of its drain time a server stops getting requests. Up to
+	// half of this margin may pass before the update that reports the draining reaches a gateway.
+	drainMargin = 1200 * time.Millisecond
+	// sendMargin is the time that a request needs to reach a server. The rest of drainMargin is not
+	// needed where the time of the announcement is known.
+	sendMargin = 400 * time.Millisecond
+)
 
 // serversOf returns the servers of a service that may get new requests. Draining servers are
 // included only if there are no others.
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -22,6 +22,30 @@
 	}
 }
 
+// Guards against requests to a server that left while the report of its leaving waited in a full link:
+// its drain time is counted from when the table was last up to date.
+func TestDrainTimeCountsFromLastKnownTable(t *testing.T) {
+	const drainTime = 2500 * time.Millisecond
+	for _, c := range []struct {
+		delay, usedFor time.Duration // of the report; after its arrival
+	}{
+		{300 * time.Millisecond, drainTime - drainMargin}, {1500 * time.Millisecond, 600 * time.Millisecond}, {3 * time.Second, 0},
+	} {
+		v := newView(drainTime)
+		v.confirmTable(10 * time.Second)
+		learned := 10*time.Second + c.delay
+		v.apply(learned, keyrange.TableUpdate{Term: 1, Version: 1, Full: true, Servers: []keyrange.Server{
+			{ID: "leaving", Service: "photos", Draining: true},
+		}})
+		if c.usedFor > 0 && len(v.serversOf(learned+c.usedFor-time.Millisecond, "photos")) != 1 {
+			t.Errorf("report delayed by %v: server unused before %v have passed", c.delay, c.usedFor)
+		}
+		if len(v.serversOf(learned+c.usedFor, "photos")) != 0 {
+			t.Errorf("report delayed by %v: server in use after %v", c.delay, c.usedFor)
+		}
+	}
+}
+
 // The owner of a key is the one that was added last, regardless of how the ranges overlap.
 func TestOverlayKeepsLatestOwner(t *testing.T) {
 	const keys = 20
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -62,6 +62,9 @@
 	// the report, milliseconds; 0 if the version is not the newest one.
 	LeaseMillis int64 `json:"l" yaml:"l" cbor:"l"`
 
+	// Whether all updates of the table were sent before this reply.
+	TableSent bool `json:"t" yaml:"t" cbor:"t"`
+
 	// Newest committed version.
 	Newest uint64 `json:"v" yaml:"v" cbor:"v"`
 }
