Shorten the wait of acknowledgements for gateways

Causes: a gateway reported a new version only after the reply to its previous report; the lease of a stopped gateway ran on at the leader.

Reports no longer wait for each other, and a gateway that has stopped serving tells the leader, which forgets its lease.

TestStoppedGatewayDelaysNoAcknowledgement waited for the rest of the lease before. Also brings the pages on the design up to date.

--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -11,5 +11,8 @@
 // only in the leader's memory: a new leader rebuilds it from the recorded grants and the servers'
 // heartbeats.
 //
+// A configuration is acknowledged once no gateway can use an older one for longer than a bound: see
+// package rollout. Gateways are sent what they lack of it.
+//
 // Lock order: Host.mu, peers.mu, fleetState.mu. No lock is held during a call to another host.
 package fleet
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -45,11 +45,16 @@
 	if s == nil || h.leading == nil {
 		return routes.ConfigReportReply{}, errors.Wrapf(ErrUnavailable, "gateway %s is not subscribed here", conn.Identity().Name)
 	}
+	defer h.leading.signalReport()
+	name := conn.Identity().Name
+	newest := h.state.config().Version
+	if report.Stopped {
+		h.leading.rollout.Remove(name)
+		return routes.ConfigReportReply{Newest: newest}, nil
+	}
 	s.configVersion = report.Version
 	now := clock.Now()
-	newest := h.state.config().Version
-	granted := h.leading.rollout.Report(now, conn.Identity().Name, report.Version, newest)
-	h.leading.signalReport()
+	granted := h.leading.rollout.Report(now, name, report.Version, newest)
 	h.checkPropagation(now, h.leading)
 	return routes.ConfigReportReply{Newest: newest, LeaseMillis: granted.Milliseconds(), TableSent: !s.missedTable}, nil
 }
--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -20,17 +21,20 @@
 	// configReportTimeout bounds one report. It is shorter than the lease, but longer than packets
 	// mostly wait on a full link: a report that was given up renews no lease.
 	configReportTimeout = 4 * time.Second
+	// stopReportTimeout bounds the report that the gateway has stopped.
+	stopReportTimeout = 300 * time.Millisecond
 )
 
 // reportConfig reports the configuration in force to the leader, periodically and at each change,
-// until the context ends.
+// until the context ends. A report doesn't wait for the replies to earlier ones: the acknowledgement
+// of a new configuration waits for it.
 func (l *leaderLink) reportConfig(ctx context.Context, client *peer.Client) {
 	ticker := time.NewTicker(configReportInterval)
 	defer ticker.Stop()
+	var reports sync.WaitGroup
+	defer reports.Wait()
 	for ctx.Err() == nil {
-		if err := l.reportConfigOnce(ctx, client); err != nil {
-			log.WithError(err).Debug("cannot report the configuration in force")
-		}
+		reports.Go(func() { l.reportVersion(ctx, client) })
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -39,22 +43,15 @@
 	}
 }
 
-func (l *leaderLink) reportConfigOnce(ctx context.Context, client *peer.Client) error {
+// reportVersion reports the configuration in force once, and records the lease that the leader grants.
+func (l *leaderLink) reportVersion(ctx context.Context, client *peer.Client) {
 	ctx, cancel := context.WithTimeout(ctx, configReportTimeout)
 	defer cancel()
-	version := l.view.configVersion()
-	body, err := cbor.Marshal(routes.ConfigReport{Version: version})
-	if err != nil {
-		return errors.Wrap(err, "encode configuration report")
-	}
 	sentAt := clockNow()
-	replyBody, err := client.Call(ctx, wire.KindConfigReport, body)
+	reply, err := sendConfigReport(ctx, client, routes.ConfigReport{Version: l.view.configVersion()})
 	if err != nil {
-		return err
-	}
-	var reply routes.ConfigReportReply
-	if err := cbor.Unmarshal(replyBody, &reply); err != nil {
-		return errors.Wrap(err, "decode reply to configuration report")
+		log.WithError(err).Debug("cannot report the configuration in force")
+		return
 	}
 	if reply.TableSent {
 		l.view.confirmTable(sentAt)
@@ -62,5 +59,27 @@
 	if reply.LeaseMillis > 0 {
 		l.view.renewConfigLease(sentAt, clock.Milliseconds(reply.LeaseMillis))
 	}
-	return nil
+}
+
+// reportStopped tells the leader that this gateway serves no more requests, so that acknowledgements
+// don't wait for the end of its lease.
+func (l *leaderLink) reportStopped(client *peer.Client) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopReportTimeout)
+	defer cancel()
+	if _, err := sendConfigReport(ctx, client, routes.ConfigReport{Stopped: true}); err != nil {
+		log.WithError(err).Debug("cannot report the stop; the next configuration may wait for the lease")
+	}
+}
+
+func sendConfigReport(ctx context.Context, client *peer.Client, report routes.ConfigReport) (routes.ConfigReportReply, error) {
+	var reply routes.ConfigReportReply
+	body, err := cbor.Marshal(report)
+	if err != nil {
+		return reply, errors.Wrap(err, "encode configuration report")
+	}
+	replyBody, err := client.Call(ctx, wire.KindConfigReport, body)
+	if err != nil {
+		return reply, err
+	}
+	return reply, errors.Wrap(cbor.Unmarshal(replyBody, &reply), "decode reply to configuration report")
 }
--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -249,6 +249,22 @@
 	}
 }
 
+// Guards against changes that wait for the lease of a gateway that was stopped in an orderly way.
+func TestStoppedGatewayDelaysNoAcknowledgement(t *testing.T) {
+	s := newSystem(t, "127.0.0.1")
+	s.put("first")
+	s.awaitVersion()
+	s.wait("a lease", func() bool { return s.gateway.host.view.mayUseConfig(clockNow()) })
+	s.gateway.host.settings.StopSeconds = 1.2
+	if err := s.gateway.host.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	if took := s.put("added").Sub(started); took > time.Second {
+		t.Errorf("acknowledged after %v, want at once", took)
+	}
+}
+
 // Guards against requests that a gateway serves by a configuration whose age it does not know.
 func TestExpiredLeaseRefusesRequests(t *testing.T) {
 	server := newFakeBackend(t, okResponse("yes"))
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -4,7 +4,7 @@
 //
 // The gateway subscribes to the leader of the control hosts, which sends the full table of
 // servers, owners and routes and then its changes. Without a leader the gateway continues with the
-// last known table.
+// last known table until its lease on the configuration expires: see package rollout.
 //
 // Clients are served by net/http rather than hertz because a request's context must be canceled
 // when the client disconnects while the response is pending, a truncated body must be detectable,
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -87,8 +87,8 @@
 
 // serve reports load and the configuration in force until the subscription ends. It returns the next
 // subscription if it has found one meanwhile.
-func (l *leaderLink) serve(ctx context.Context, s *subscription) (next *subscription) {
-	ctx, cancel := context.WithCancel(ctx)
+func (l *leaderLink) serve(parent context.Context, s *subscription) (next *subscription) {
+	ctx, cancel := context.WithCancel(parent)
 	var loops sync.WaitGroup
 	loops.Go(func() { l.reportConfig(ctx, s.client) })
 	loops.Go(func() {
@@ -99,6 +99,9 @@
 	l.reportLoad(ctx, s.client, s.ended)
 	cancel()
 	loops.Wait()
+	if parent.Err() != nil { // the gateway has stopped serving
+		l.reportStopped(s.client)
+	}
 	return next
 }
 
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -53,6 +53,9 @@
 	return granted
 }
 
+// Remove records that a replica has given up its lease and uses no version any more.
+func (t *Tracker) Remove(name string) { delete(t.replicas, name) }
+
 // AcknowledgeAt returns the earliest time at which a committed version may be acknowledged, by what
 // is known at now. Once the version is committed, reports can only make this time earlier, because no
 // lease is granted on an older version any more.
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -42,6 +42,15 @@
 	}
 }
 
+func TestRemovedReplicaDelaysNothing(t *testing.T) {
+	tracker := newTestTracker()
+	tracker.Report(0, "a", 1, 1)
+	tracker.Remove("a")
+	if at := tracker.AcknowledgeAt(0, 2); at > 0 {
+		t.Errorf("acknowledge at %v, want at once", at)
+	}
+}
+
 // Guards against a new leader that acknowledges a change while a gateway holds a lease on the old
 // version that only the former leader knows of.
 func TestInheritedLeasesDelayAcknowledgement(t *testing.T) {
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -52,6 +52,9 @@
 
 // ConfigReport states which configuration an entry host uses.
 type ConfigReport struct {
+	// Whether the entry host is stopping and uses no configuration any more.
+	Stopped bool `json:"s" yaml:"s" cbor:"s"`
+
 	// Version in force at the entry host; 0 for none.
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
