Split files that have grown, start both platform programs the same way

Moves without changes of logic: the gateway's view of the configuration and its refusals, and the control host's leadership, have files of their own. The 12 lines with which both platform programs set up a small host stood twice; they are daemon.SetUpSmallHost.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"runtime/debug"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
@@ -12,9 +11,7 @@
 	"github.com/galenalug/galenalug/internal/admin"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
-	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
-	"github.com/galenalug/galenalug/internal/logging"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/platform"
 )
@@ -25,16 +22,15 @@
 		Name:  "platform",
 		Usage: "run as a control host of gateways; settings from $" + platform.SettingsVariable,
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			debug.SetGCPercent(daemon.SmallHostGCPercent)
 			s, err := config.LoadFleet(os.Getenv(platform.SettingsVariable))
 			if err != nil {
 				return err
 			}
-			logWriter := eventlog.NewWriter(os.Stdout)
-			defer logWriter.Close()
-			if err := logging.Setup(s.Log, logWriter); err != nil {
+			logWriter, err := daemon.SetUpSmallHost(s.Log)
+			if err != nil {
 				return err
 			}
+			defer logWriter.Close()
 			secret, err := config.ReadOptionalSecret(s.PeerSecretFile)
 			if err != nil {
 				return err
--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -14,10 +13,8 @@
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
-	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/gateway"
-	"github.com/galenalug/galenalug/internal/logging"
 	"github.com/galenalug/galenalug/platform"
 )
 
@@ -30,17 +27,16 @@
 		Name:  "platform",
 		Usage: "run as a gateway that routes by host and path; settings from $" + platform.SettingsVariable,
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			debug.SetGCPercent(daemon.SmallHostGCPercent)
 			path := os.Getenv(platform.SettingsVariable)
 			s, err := config.LoadGateway(path)
 			if err != nil {
 				return err
 			}
-			logWriter := eventlog.NewWriter(os.Stdout)
-			defer logWriter.Close()
-			if err := logging.Setup(s.Log, logWriter); err != nil {
+			logWriter, err := daemon.SetUpSmallHost(s.Log)
+			if err != nil {
 				return err
 			}
+			defer logWriter.Close()
 			secret, err := config.ReadOptionalSecret(s.PeerSecretFile)
 			if err != nil {
 				return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,10 +27,6 @@
 	ExitUsage  = 2 // invalid command line or settings
 )
 
-// SmallHostGCPercent is the garbage collection target (GOGC) for small hosts, on which memory
-// is scarcer than processor time: a collection starts when the heap has grown by this percentage.
-const SmallHostGCPercent = 30
-
 // Process is a running daemon.
 type Process interface {
 	// Start starts the process and returns without waiting for its end.
--- /dev/null
+++ b/internal/fleet/leadership.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/rollout"
+)
+
+// leadership is the state of a leader that is not replicated.
+type leadership struct {
+	term           uint64
+	coordinator    *keyrange.Coordinator
+	propagation    *propagation
+	encodedUpdates encodedUpdates
+	rollout        *rollout.Tracker
+	reported       chan struct{} // closed at the next configuration report of a gateway
+	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
+}
+
+// onLeader handles a change of this host's leadership. It is called by the goroutine of the
+// replicated log.
+func (h *Host) onLeader(leads bool, term uint64) {
+	log.WithFields(log.Fields{"host": h.name, "leads": leads, "term": term}).Info("leadership changed")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !leads {
+		h.metrics.leads.Set(0)
+		h.leading = nil
+		for conn := range h.subscribers {
+			conn.Close()
+		}
+		return
+	}
+	inheritedLeasesEnd := time.Duration(0)
+	if previous := h.state.recordedLease(); previous > 0 {
+		inheritedLeasesEnd = clock.Now() + keyrange.LeaseBound(previous)
+	}
+	h.metrics.leads.Set(1)
+	lease := h.lease()
+	configs := h.newRollout()
+	if h.state.config().Version > 0 {
+		configs.Inherit(clock.Now())
+	}
+	h.leading = &leadership{term: term, rollout: configs, reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
+		Term:               term,
+		Keys:               keySpace,
+		RangesPerServer:    initialRangesPerServer,
+		Lease:              lease,
+		InheritedLeasesEnd: inheritedLeasesEnd,
+		RecordedGrants:     h.state.grants(),
+		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
+		HeartbeatTimeout:   2 * lease,
+	})}
+	h.requestPublish()
+}
+
+// Leads reports whether this host considers itself the leader.
+func (h *Host) Leads() bool { return h.leads() }
+
+// leads reports whether this host considers itself the leader. A deposed leader may still return
+// true; operations that it must not perform also call confirmLeadership.
+func (h *Host) leads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leading != nil
+}
+
+// confirmLeadership returns nil once it is proven that this host was still the leader after the
+// call began.
+func (h *Host) confirmLeadership(ctx context.Context) error {
+	if h.runner.Leads() {
+		return nil
+	}
+	return mapLogError(h.runner.ReadBarrier(ctx))
+}
+
+// The default lease is leaseHeartbeats heartbeat intervals plus leaseSlack. A server may miss one
+// heartbeat, and leaseSlack covers an outage of all control hosts with the following election.
+const (
+	leaseHeartbeats = 2
+	leaseSlack      = 4 * time.Second
+)
+
+// lease returns the duration of leases on key ranges.
+func (h *Host) lease() time.Duration {
+	if h.settings.LeaseMs > 0 {
+		return clock.Milliseconds(h.settings.LeaseMs)
+	}
+	lease := leaseHeartbeats*clock.Milliseconds(h.settings.ServerHeartbeatMs) + leaseSlack
+	return min(lease, clock.Milliseconds(h.settings.MaxLeaseMs))
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -268,55 +268,6 @@
 	}
 }
 
-// refuse tells the client that the request did not run, and when to retry it. If an attempt may
-// have run, it fails the request instead.
-func (c *call) refuse(reason string) {
-	if c.mayHaveRun {
-		c.fail(reason)
-		return
-	}
-	c.writer.Header().Set("Retry-After", strconv.FormatFloat(c.retryAfter(reason).Seconds(), 'f', 3, 64))
-	c.respondWithStatus(http.StatusServiceUnavailable, reason)
-}
-
-// retryAfter returns the Retry-After of a refused request: retryAfterFraction of its remaining
-// time, unless the request is likely to be served sooner.
-func (c *call) retryAfter(reason string) time.Duration {
-	latest := time.Duration(retryAfterFraction * float64(max(time.Until(c.deadline), 0)))
-	switch reason {
-	case reasonNotExecuted:
-		return min(shortRetryAfter, latest)
-	case reasonStaleConfig, reasonStopping:
-		return min(otherGatewayRetryAfter, latest)
-	}
-	return latest
-}
-
-// fail ends a request whose outcome is unknown.
-func (c *call) fail(reason string) {
-	status := http.StatusBadGateway
-	if reason == reasonTimeout || time.Until(c.deadline) <= 0 {
-		status = http.StatusGatewayTimeout
-	}
-	c.respondWithStatus(status, reason)
-}
-
-// respondWithStatus ends a request with a response of the gateway itself.
-func (c *call) respondWithStatus(status int, reason string) {
-	c.log("refused", reason, status, true)
-	c.closeIfStopping()
-	c.writer.Header().Set("Content-Length", "0")
-	c.writer.WriteHeader(status)
-}
-
-// closeIfStopping tells the client to send its next request on another connection, if the gateway is
-// stopping.
-func (c *call) closeIfStopping() {
-	if c.host.stopping.Load() {
-		c.writer.Header().Set("Connection", "close")
-	}
-}
-
 func (c *call) log(outcome, reason string, status int, important bool) {
 	c.host.metrics.count(outcome, reason, time.Since(c.started))
 	c.host.events.Add(eventlog.Event{
