Keep a subscription whose control host had dropped an earlier connection

A gateway gave up a new subscription at once, and searched again, if a connection to the same control host had ended during the search.

TestSubscriptionOutlivesEarlierConnection failed before.

--- a/internal/gateway/leadersearch.go
+++ b/internal/gateway/leadersearch.go
@@ -98,6 +98,10 @@
 		Dial:         l.dial,
 	})
 	for ctx.Err() == nil {
+		select { // the end of an earlier connection to this host
+		case <-s.ended:
+		default:
+		}
 		_, err := s.client.Call(ctx, wire.KindSubscribe, l.subscribeBody())
 		if err == nil {
 			select {
