End waiting acknowledgements with the leadership

A control host that lost its leadership, or was stopped, kept operators' calls waiting for up to 2.55 s more, and with them its stop.

Cause: only reports and the timer woke a waiting acknowledgement.

--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -18,7 +18,7 @@
 	propagation    *propagation
 	encodedUpdates encodedUpdates
 	rollout        *rollout.Tracker
-	reported       chan struct{} // closed at the next configuration report of a gateway
+	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
 	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
 }
 
@@ -30,6 +30,9 @@
 	defer h.mu.Unlock()
 	if !leads {
 		h.metrics.leads.Set(0)
+		if h.leading != nil {
+			close(h.leading.reported) // ends the waiting acknowledgements
+		}
 		h.leading = nil
 		for conn := range h.subscribers {
 			conn.Close()
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -52,3 +52,24 @@
 		t.Errorf("acknowledged %v after the loss of the leader, want at least %v", waited, maxAcknowledgeDelay)
 	}
 }
+
+// Guards against calls of operators that delay the stop of a leader: a waiting acknowledgement ends
+// with the leadership.
+func TestWaitingAcknowledgementEndsWithLeadership(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	leader := c.leader()
+	c.putUntilAccepted(put(0, 1))
+	reportConfig(t, c.subscribeStub(leader, "silent"), 1)
+	result := make(chan error, 1)
+	go func() {
+		_, err := leader.Put(context.Background(), put(1, 2))
+		result <- err
+	}()
+	c.wait("the change to be committed", func() bool { return leader.state.config().Version == 2 })
+	started := time.Now()
+	leader.onLeader(false, 0)
+	if err := <-result; !errors.Is(err, ErrUnknownOutcome) || time.Since(started) > time.Second {
+		t.Errorf("error %v after %v, want %v at once", err, time.Since(started), ErrUnknownOutcome)
+	}
+}
