--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -25,7 +25,7 @@
 
 // Heartbeat processes the heartbeat of a backend server. A follower forwards it to the leader.
 func (h *Host) Heartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
-	if !h.leads() {
+	if !h.Leads() {
 		var reply keyrange.HeartbeatReply
 		err := h.forwardToLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
 		return reply, err
@@ -94,7 +94,7 @@
 // Leave records that a backend server leaves. The record is committed to the log before the call is
 // acknowledged, so that a new leader has it.
 func (h *Host) Leave(ctx context.Context, leave keyrange.Leave) error {
-	if !h.leads() {
+	if !h.Leads() {
 		return h.forwardToLeader(ctx, wire.KindServerLeave, leave, nil)
 	}
 	log.WithField("server", leave.ID).Info("backend server is leaving")
@@ -107,7 +107,7 @@
 // in contact, and the others stop using older ones within the configured time: see package rollout.
 func (h *Host) Put(ctx context.Context, put routes.Put) (routes.PutReply, error) {
 	var reply routes.PutReply
-	if !h.leads() {
+	if !h.Leads() {
 		err := h.forwardToLeader(ctx, wire.KindPutConfig, put, &reply)
 		return reply, err
 	}
@@ -141,7 +141,7 @@
 // linearizable. The text is empty if the configuration was put without one; see Config.
 func (h *Host) Document(ctx context.Context) ([]byte, error) {
 	var document []byte
-	if !h.leads() {
+	if !h.Leads() {
 		err := h.forwardToLeader(ctx, wire.KindGetDocument, struct{}{}, &document)
 		return document, err
 	}
@@ -154,7 +154,7 @@
 // Config returns the configuration in force. The read is linearizable.
 func (h *Host) Config(ctx context.Context) (routes.Config, error) {
 	var config routes.Config
-	if !h.leads() {
+	if !h.Leads() {
 		err := h.forwardToLeader(ctx, wire.KindGetConfig, struct{}{}, &config)
 		return config, err
 	}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -27,7 +27,7 @@
 	if kind == wire.KindJoin {
 		return encodeReply(decodeAndHandle(body, func(join wire.Join) (any, error) { return nil, h.admitMember(ctx, join) }))
 	}
-	if !h.leads() {
+	if !h.Leads() {
 		return nil, &peer.Error{Code: wire.CodeNotLeader, Detail: h.runner.Leader()}
 	}
 	switch kind {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -32,7 +32,7 @@
 		status := h.runner.Status().Node
 		h.voters.Store(voterAddresses(status))
 		switch {
-		case h.leads():
+		case h.Leads():
 			h.removeUnresponsive(ctx, status)
 		case !isVoter(status):
 			h.requestJoin(ctx, status)
@@ -114,7 +114,7 @@
 // admitMember makes a member a voter and removes earlier members of the same host, which had other
 // disks. A follower forwards the request to the leader.
 func (h *Host) admitMember(ctx context.Context, join wire.Join) error {
-	if !h.leads() {
+	if !h.Leads() {
 		return h.forwardToLeader(ctx, wire.KindJoin, join, nil)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -62,12 +62,9 @@
 	h.requestPublish()
 }
 
-// Leads reports whether this host considers itself the leader.
-func (h *Host) Leads() bool { return h.leads() }
-
-// leads reports whether this host considers itself the leader. A deposed leader may still return
+// Leads reports whether this host considers itself the leader. A deposed leader may still return
 // true; operations that it must not perform also call confirmLeadership.
-func (h *Host) leads() bool {
+func (h *Host) Leads() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.leading != nil
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -59,7 +59,7 @@
 // knows how long leases granted by its predecessors may last.
 func (h *Host) recordLease(ctx context.Context) {
 	lease := h.lease()
-	if !h.leads() || h.state.recordedLease() >= lease {
+	if !h.Leads() || h.state.recordedLease() >= lease {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -273,7 +273,8 @@
 	c.host.events.Add(eventlog.Event{
 		Name: "request", Request: c.info.ID, Service: c.service, Server: c.server, Key: c.info.Key,
 		Outcome: outcome, Reason: reason, Status: status, Attempts: c.attempts,
-		ConfigVersion: c.stamp.Config, Term: c.stamp.Term, TableVersion: c.stamp.Version, TableAge: c.stamp.Age, ConfigAge: c.stamp.ConfigAge,
+		ConfigVersion: c.stamp.Config, ConfigAge: c.stamp.ConfigAge,
+		Term: c.stamp.Term, TableVersion: c.stamp.Version, TableAge: c.stamp.Age,
 		ServerLoad: c.chosenLoad, TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: important,
 	})
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -191,11 +191,11 @@
 	return errors.Wrap(err, "complete requests in flight")
 }
 
-// awaitClients returns when no client connection is open, or at the given time before the deadline of
-// the context.
-func (h *Host) awaitClients(ctx context.Context, before time.Duration) {
+// awaitClients returns when no client connection is open, or when no more than reserve is left until
+// the deadline of the context.
+func (h *Host) awaitClients(ctx context.Context, reserve time.Duration) {
 	deadline, _ := ctx.Deadline()
-	for time.Until(deadline) > before && ctx.Err() == nil && h.clientConns.open() > 0 {
+	for time.Until(deadline) > reserve && ctx.Err() == nil && h.clientConns.open() > 0 {
 		sleep(ctx, clientPollInterval)
 	}
 }
