--- a/internal/group/cluster_test.go
+++ b/internal/group/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +90,7 @@
 	states          map[string]*counter
 	dir             string
 	snapshotEntries int
+	sum             atomic.Uint64 // after the last successful propose
 
 	election, heartbeat time.Duration
 }
@@ -168,17 +170,44 @@
 	return leader
 }
 
-// propose proposes n, retrying on ErrNotLeader, until it is applied. Any other error fails the
-// test.
+// propose proposes n until it is applied, and returns the sum. It tries again on ErrNotLeader, and on
+// ErrUnknownOutcome if the next leader shows that the proposal was not applied. Any other error, and any
+// sum that does not follow from the previous one, fails the test.
 func (c *cluster) propose(n uint64) uint64 {
 	c.t.Helper()
 	for {
 		result, _, err := c.leader().Propose(c.t.Context(), number(n))
-		if err == nil {
-			return result.(uint64)
-		}
-		if !errors.Is(err, ErrNotLeader) {
+		switch {
+		case err == nil:
+			c.sum.Store(result.(uint64))
+			return c.sum.Load()
+		case errors.Is(err, ErrUnknownOutcome):
+			if sum, applied := c.outcome(n); applied {
+				c.sum.Store(sum)
+				return sum
+			}
+		case !errors.Is(err, ErrNotLeader):
 			c.t.Fatal(err)
 		}
 	}
 }
+
+// outcome returns the sum at the leader after a proposal of n whose outcome is unknown, and whether the
+// proposal was applied. What the leader has not applied after a read barrier will never be.
+func (c *cluster) outcome(n uint64) (sum uint64, applied bool) {
+	c.t.Helper()
+	var leader *Runner
+	c.wait(func() bool {
+		leader = c.leader()
+		return leader.ReadBarrier(c.t.Context()) == nil
+	})
+	for name, r := range c.runners {
+		if r == leader {
+			sum = c.states[name].total()
+		}
+	}
+	if previous := c.sum.Load(); sum != previous && sum != previous+n {
+		c.t.Fatalf("sum %d after a proposal of %d on top of %d", sum, n, previous)
+	}
+	return sum, sum != c.sum.Load()
+}
