Log and count the voters of the replicated log and the losses that they bear

The leader now logs each change of them; a storage error and the time to join are logged and counted. No logic is changed.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -79,6 +79,8 @@
 	peers           *peers
 	runner          *group.Runner
 	voters          atomic.Value  // []string, addresses of the voters; set by membershipLoop
+	startedAt       time.Duration // clock.Now when the host was started
+	voting          atomic.Bool   // whether this host was a voter in the last call to observeVoters
 	publishRequests chan struct{} // signals publishLoop that the table may have changed
 	cancel          context.CancelFunc
 	loops           sync.WaitGroup
@@ -140,6 +142,7 @@
 
 // Start starts the replicated log, the peer listener and the background loops.
 func (h *Host) Start() error {
+	h.startedAt = clock.Now()
 	runner, err := h.startRunner()
 	if err != nil {
 		return err
@@ -173,6 +176,7 @@
 		Applier:         h.state,
 		Transport:       h,
 		OnLeader:        h.onLeader,
+		OnVoters:        h.observeVoters,
 		ElectionDelay:   h.electionDelay,
 	}
 	initialMembers := h.bootstrapMembers()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -18,6 +18,12 @@
 	propagationSeconds prometheus.Histogram
 	gatewaysBehind     prometheus.Gauge
 	acknowledgeSeconds prometheus.Histogram
+
+	voters       prometheus.Gauge
+	liveVoters   prometheus.Gauge
+	quorumMargin prometheus.Gauge
+	logFailed    prometheus.Gauge
+	joinSeconds  prometheus.Histogram
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -50,8 +56,25 @@
 		Name: "galenalug_fleet_config_acknowledge_seconds", Help: "Time from the commit of a configuration until it is acknowledged.",
 		Buckets: []float64{0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5, 5},
 	})
+	m.voters = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_voters", Help: "Voters of the replicated log, according to this host.",
+	})
+	m.liveVoters = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_live_voters", Help: "Voters that the leader has heard within an election timeout; 0 on a follower.",
+	})
+	m.quorumMargin = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_quorum_margin", Help: "Live voters that may be lost before the replicated log has no quorum; 0 on a follower.",
+	})
+	m.logFailed = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_log_failed", Help: "1 while this host takes no part in the replicated log because of a storage error.",
+	})
+	m.joinSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "galenalug_fleet_join_seconds", Help: "Time from the start of a control host until it is a voter of the replicated log.",
+		Buckets: []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 10, 20},
+	})
 	collectors := []prometheus.Collector{
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
+		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.joinSeconds,
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
--- /dev/null
+++ b/internal/fleet/quorum.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"github.com/apex/log"
+
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/group"
+	"github.com/galenalug/galenalug/replog"
+)
+
+// observeVoters logs and counts the voters of the replicated log and the losses that they bear. It is
+// called by the goroutine of the log.
+func (h *Host) observeVoters(status group.Status) {
+	quorum := status.Node.Quorum()
+	h.metrics.voters.Set(float64(quorum.Voters))
+	h.observeFailure(status)
+	h.observeJoin(status.Node)
+	if status.Node.Role != replog.Leader {
+		h.metrics.liveVoters.Set(0)
+		h.metrics.quorumMargin.Set(0)
+		return
+	}
+	h.metrics.liveVoters.Set(float64(quorum.Live))
+	h.metrics.quorumMargin.Set(float64(quorum.Margin))
+	log.WithFields(log.Fields{
+		"voters": quorum.Voters, "live": quorum.Live, "margin": quorum.Margin,
+		"tolerated_losses": h.settings.ToleratedLosses, "term": status.Node.Term,
+	}).Info("voters of the replicated log changed")
+}
+
+func (h *Host) observeFailure(status group.Status) {
+	if status.Failed == nil {
+		h.metrics.logFailed.Set(0)
+		return
+	}
+	h.metrics.logFailed.Set(1)
+	log.WithError(status.Failed).WithField("host", h.name).Error("replicated log failed; this host takes no part in it")
+}
+
+// observeJoin records how long this host took to become a voter.
+func (h *Host) observeJoin(status replog.Status) {
+	voting := isVoter(status)
+	if voting == h.voting.Swap(voting) || !voting {
+		return
+	}
+	elapsed := clock.Now() - h.startedAt
+	h.metrics.joinSeconds.Observe(elapsed.Seconds())
+	log.WithFields(log.Fields{"host": h.name, "since_start_ms": elapsed.Milliseconds()}).Info("host is a voter of the replicated log")
+}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenalug/galenalug/replog"
@@ -258,8 +259,35 @@
 		leader = r.member(id).Name
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.view = view{leader: leader, status: status}
+	r.mu.Unlock()
+	r.notifyVoters(status)
+}
+
+// notifyVoters calls OnVoters if the voters, the live ones or the failure differ from the last call.
+func (r *Runner) notifyVoters(status Status) {
+	voters := votersOf(status)
+	if r.notified && slices.Equal(voters, r.voters) && (status.Failed != nil) == r.failureNotified {
+		return
+	}
+	r.notified, r.voters, r.failureNotified = true, voters, status.Failed != nil
+	r.options.OnVoters(status)
+}
+
+// voter is what OnVoters reports of one voter.
+type voter struct {
+	id   uint64
+	live bool
+}
+
+func votersOf(status Status) []voter {
+	var voters []voter
+	for _, m := range status.Node.Members {
+		if !m.Learner {
+			voters = append(voters, voter{id: m.ID, live: m.Live})
+		}
+	}
+	return voters
 }
 
 // fail stops the member from leading, voting and acknowledging, and fails all pending requests.
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -92,6 +92,10 @@
 	Transport Transport
 	// OnLeader is called when this member gains and loses leadership. It may be nil.
 	OnLeader func(leads bool, term uint64)
+	// OnVoters is called with the member's status when its voters or, on the leader, those of them
+	// that are live have changed, and when the member has failed. It may be nil. It is called from
+	// the loop and must not block.
+	OnVoters func(Status)
 	// Storage configures the store. The zero value selects the defaults.
 	Storage storage.Options
 }
@@ -112,6 +116,9 @@
 	if o.OnLeader == nil {
 		o.OnLeader = func(bool, uint64) {}
 	}
+	if o.OnVoters == nil {
+		o.OnVoters = func(Status) {}
+	}
 	return o
 }
 
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -78,6 +78,9 @@
 	snapshotting     bool
 	snapshotWriters  sync.WaitGroup // goroutines writing snapshots
 	failed           error
+	notified         bool    // whether OnVoters was called
+	voters           []voter // as of the last call to OnVoters
+	failureNotified  bool    // whether that call reported a failure
 }
 
 // Start opens or creates the member's store and starts the loop.
--- a/replog/status.go
+++ b/replog/status.go
@@ -30,6 +30,29 @@
 	Members       []MemberStatus
 }
 
+// Quorum is how many losses a group bears, from the leader's point of view.
+type Quorum struct {
+	Voters int
+	Live   int // voters that acknowledged a message within the last election timeout
+	Margin int // live voters that may be lost before no quorum is left; negative without a quorum
+}
+
+// Quorum returns how many losses the group bears. On a member that does not lead, Live is 0.
+func (s Status) Quorum() Quorum {
+	var q Quorum
+	for _, m := range s.Members {
+		if m.Learner {
+			continue
+		}
+		q.Voters++
+		if m.Live {
+			q.Live++
+		}
+	}
+	q.Margin = q.Live - (q.Voters/2 + 1)
+	return q
+}
+
 // Status returns the member's state.
 func (n *Node) Status(now time.Duration) Status {
 	status := Status{
