Open the replicated log again after a storage error

Cause: a failed write, such as on a disk that is full for 4 s, stopped the member of the group until its process was restarted. Nothing restarted it. The host went on, forwarded calls and counted as back, but the quorum had lost it; two such hosts and two lost disks leave two of five.

Change: the loop opens the store again, every 250 ms until that works. It first discards what a failed write left behind, since after a failed sync readable data need not be durable.

Ruled out: exiting so that the platform restarts the process; an exit counts as a fault there, and callers would lose a host's connections for it.

TestGroupBearsTwoLossesAfterFullDisks and TestLeaderResumesAfterFullDisk failed before ("still has failed 2s after its disk works again") and pass.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -80,6 +80,7 @@
 	runner          *group.Runner
 	voters          atomic.Value  // []string, addresses of the voters; set by membershipLoop
 	startedAt       time.Duration // clock.Now when the host was started
+	logFailed       atomic.Bool   // whether the replicated log had failed in the last call to observeVoters
 	voting          atomic.Bool   // whether this host was a voter in the last call to observeVoters
 	publishRequests chan struct{} // signals publishLoop that the table may have changed
 	cancel          context.CancelFunc
--- a/internal/fleet/quorum.go
+++ b/internal/fleet/quorum.go
@@ -29,8 +29,13 @@
 }
 
 func (h *Host) observeFailure(status group.Status) {
-	if status.Failed == nil {
+	failed := status.Failed != nil
+	if failed == h.logFailed.Swap(failed) {
+		return
+	}
+	if !failed {
 		h.metrics.logFailed.Set(0)
+		log.WithField("host", h.name).Info("replicated log opened again")
 		return
 	}
 	h.metrics.logFailed.Set(1)
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -19,6 +19,9 @@
 		case <-r.wake:
 		case <-timer.C:
 		}
+		if r.failed != nil {
+			r.reopen()
+		}
 		work := r.takeInbox()
 		if work.stop {
 			r.shutDown(work)
@@ -30,11 +33,16 @@
 			r.handle(work)
 		}
 		r.publish()
-		timer.Reset(max(r.node.NextDeadline()-r.now(), time.Millisecond))
-		if r.failed != nil {
-			timer.Stop()
-		}
+		timer.Reset(max(r.nextDeadline()-r.now(), time.Millisecond))
+	}
+}
+
+// nextDeadline returns the time at which the loop has work even if nothing arrives.
+func (r *Runner) nextDeadline() time.Duration {
+	if r.failed != nil {
+		return r.reopenAt
 	}
+	return r.node.NextDeadline()
 }
 
 func (r *Runner) takeInbox() inbox {
@@ -170,18 +178,20 @@
 func (r *Runner) apply(ready replog.Ready) error {
 	if s := ready.Snapshot; s != nil {
 		r.applied, r.snapshotIndex = s.Meta.Index, s.Meta.Index
-		if len(s.Data) > 0 {
+		if len(s.Data) > 0 && s.Meta.Index > r.applierIndex {
 			if err := r.options.Applier.Restore(s.Meta.Index, s.Data); err != nil {
 				return errors.Wrap(err, "group: restore")
 			}
 		}
+		r.applierIndex = max(r.applierIndex, s.Meta.Index)
 	}
 	for _, e := range ready.Committed {
 		var result any
-		if e.Kind == replog.EntryData {
+		if e.Kind == replog.EntryData && e.Index > r.applierIndex {
 			result = r.options.Applier.Apply(e.Index, e.Data)
 		}
 		r.applied = e.Index
+		r.applierIndex = max(r.applierIndex, e.Index)
 		r.completeProposal(e, result)
 	}
 	return nil
@@ -290,9 +300,11 @@
 	return voters
 }
 
-// fail stops the member from leading, voting and acknowledging, and fails all pending requests.
+// fail stops the member from leading, voting and acknowledging until its store can be opened again,
+// and fails all pending requests.
 func (r *Runner) fail(err error) {
 	r.failed = err
+	r.reopenAt = r.now() + reopenInterval
 	r.notifyLeadership()
 	for index, req := range r.pendingProposals {
 		delete(r.pendingProposals, index)
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/galenalug/galenalug/replog"
 	"github.com/galenalug/galenalug/storage"
@@ -47,13 +48,14 @@
 	return initial, store.InstallSnapshot(initial.HardState, initial.Snapshot, nil)
 }
 
-// openNode creates the node and restores the Applier from the stored snapshot.
-func openNode(o Options, store *storage.Store, recovered storage.Recovered) (*replog.Node, error) {
+// openNode creates the node and restores the Applier from the stored snapshot, unless the Applier
+// already has the entries up to it. applierIndex is the index of the last entry that it has.
+func openNode(o Options, store *storage.Store, recovered storage.Recovered, now time.Duration, applierIndex uint64) (*replog.Node, error) {
 	restored, err := bootstrap(o, store, recovered)
 	if err != nil {
 		return nil, err
 	}
-	if len(restored.SnapshotData) > 0 {
+	if len(restored.SnapshotData) > 0 && restored.Snapshot.Index > applierIndex {
 		if err := o.Applier.Restore(restored.Snapshot.Index, restored.SnapshotData); err != nil {
 			return nil, errors.Wrapf(err, "group %s: restore", o.Name)
 		}
@@ -64,6 +66,6 @@
 		MaxInflight: maxInflight,
 		Rand:        rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
 	}
-	node, err := replog.New(config, restored, 0)
+	node, err := replog.New(config, restored, now)
 	return node, errors.Wrapf(err, "group %s", o.Name)
 }
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -74,13 +74,15 @@
 	serving          bool              // argument of the last call to OnLeader
 	servingTerm      uint64
 	snapshotIndex    uint64 // index of the latest snapshot
-	applied          uint64
+	applied          uint64 // index of the last entry that the node has released
+	applierIndex     uint64 // index of the last entry that the Applier has; higher than applied after reopen
 	snapshotting     bool
 	snapshotWriters  sync.WaitGroup // goroutines writing snapshots
 	failed           error
-	notified         bool    // whether OnVoters was called
-	voters           []voter // as of the last call to OnVoters
-	failureNotified  bool    // whether that call reported a failure
+	reopenAt         time.Duration // when to open the store again; only while failed is set
+	notified         bool          // whether OnVoters was called
+	voters           []voter       // as of the last call to OnVoters
+	failureNotified  bool          // whether that call reported a failure
 }
 
 // Start opens or creates the member's store and starts the loop.
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := openNode(o, store, recovered)
+	node, err := openNode(o, store, recovered, 0, 0)
 	if err != nil {
 		_ = store.Close()
 		return nil, err
@@ -100,8 +102,7 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 		pendingProposals: map[uint64]*request{}, pendingReads: map[uint64]*request{}, hostNames: map[uint64]string{},
 	}
-	status := node.Status(0)
-	r.snapshotIndex, r.applied = status.SnapshotIndex, status.Applied
+	r.useNode(node)
 	r.publish()
 	go r.loop()
 	return r, nil
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -15,6 +15,9 @@
 // startSnapshot starts writing a snapshot on another goroutine once SnapshotEntries entries have
 // been applied since the last one.
 func (r *Runner) startSnapshot() {
+	if r.applied < r.applierIndex {
+		return // the Applier's state is newer than any index that the node could give the snapshot
+	}
 	if r.snapshotting || r.applied < r.snapshotIndex+uint64(r.options.SnapshotEntries) {
 		return
 	}
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -236,8 +236,5 @@
 	if r.tornBytes == 0 {
 		return nil
 	}
-	if err := file.Truncate(r.size); err != nil {
-		return wrapFSError(err, "truncate torn record")
-	}
-	return wrapFSError(file.Sync(), "sync")
+	return truncateAndSync(file, r.size)
 }
