Swap replaced members of the log in one step

Change: Swap, a change that puts a learner in the place of a voter by joint consensus (Ongaro's thesis, section 4.3); its second part is appended by whoever leads. The leader finishes replacements by itself (VoterPolicy): a new disk replaces its host's old one as soon as it has caught up, a host at another address replaces a voter that has been silent for 1.5 s. Joining hosts ask every 0.2 s instead of 0.5 s.

Ruled out: one entry that promotes and removes without a joint phase; quorums before and after need not overlap when the old disk may still vote.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -178,6 +178,8 @@
 		Transport:       h,
 		OnLeader:        h.onLeader,
 		OnVoters:        h.observeVoters,
+		OnChange:        h.logMemberChange,
+		Voters:          h.voterPolicy(),
 		ElectionDelay:   h.electionDelay,
 	}
 	initialMembers := h.bootstrapMembers()
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -16,25 +16,33 @@
 
 const (
 	// joinInterval is the interval of the membership loop, without jitter.
-	joinInterval = 500 * time.Millisecond
-	// joinTimeout limits one join request. The leader continues to admit the member after it.
+	joinInterval = 200 * time.Millisecond
+	// joinTimeout limits one join request.
 	joinTimeout = time.Second
-	// admitTimeout limits the admission or the removal of one member.
+	// admitTimeout limits how long the leader tries to add one member.
 	admitTimeout = 5 * time.Second
-	// removalTimeout is the time without an acknowledgement after which a surplus voter is removed.
-	removalTimeout = 4 * time.Second
+	// replaceAfter is how long a voter must have been silent before a host at another address takes
+	// its place: an election with its retries, and a network connection that is made again.
+	replaceAfter = 1500 * time.Millisecond
+	// removeAfter is the time without an acknowledgement after which a surplus voter is removed.
+	removeAfter = 4 * time.Second
 )
 
-// membershipLoop requests to join the group until this member is a voter. On the leader it removes
-// members that no longer respond.
+// voterPolicy returns how the leader keeps the voters of the replicated log.
+func (h *Host) voterPolicy() *replog.VoterPolicy {
+	return &replog.VoterPolicy{
+		Voters:       2*h.settings.ToleratedLosses + 1,
+		ReplaceAfter: replaceAfter,
+		RemoveAfter:  removeAfter,
+	}
+}
+
+// membershipLoop requests to join the group until this member is a voter.
 func (h *Host) membershipLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		status := h.runner.Status().Node
 		h.voters.Store(voterAddresses(status))
-		switch {
-		case h.Leads():
-			h.removeUnresponsive(ctx, status)
-		case !isVoter(status):
+		if !isVoter(status) {
 			h.requestJoin(ctx, status)
 		}
 		jitter := time.Duration(rand.Int64N(int64(joinInterval) / 4))
@@ -111,44 +119,15 @@
 	return names
 }
 
-// admitMember makes a member a voter and removes earlier members of the same host, which had other
-// disks. A follower forwards the request to the leader.
+// admitMember adds a member as a learner; the leader makes it a voter once it has caught up. A follower
+// forwards the request to the leader.
 func (h *Host) admitMember(ctx context.Context, join wire.Join) error {
 	if !h.Leads() {
 		return h.forwardToLeader(ctx, wire.KindJoin, join, nil)
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
 	defer cancel()
-	if err := h.runner.Replace(ctx, join.Name, join.ID); err != nil {
-		return mapLogError(err)
-	}
-	log.WithFields(log.Fields{"member": join.Name, "id": join.ID}).Info("member admitted")
-	return nil
-}
-
-// removeUnresponsive removes one voter that has not responded for removalTimeout or has never
-// responded, if the group has more voters than needed to tolerate the configured losses.
-func (h *Host) removeUnresponsive(ctx context.Context, status replog.Status) {
-	voters, unresponsive := 0, ""
-	for _, m := range status.Members {
-		if m.Learner {
-			continue
-		}
-		voters++
-		if !m.Live && m.ID != status.ID && (m.AckedAge > removalTimeout || m.AckedAge == 0) {
-			unresponsive = m.Name
-		}
-	}
-	if unresponsive == "" || voters <= 2*h.settings.ToleratedLosses+1 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
-	defer cancel()
-	if err := h.runner.Remove(ctx, unresponsive); err != nil {
-		log.WithError(err).WithField("member", unresponsive).Warn("removing the unresponsive member failed")
-		return
-	}
-	log.WithField("member", unresponsive).Info("unresponsive member removed")
+	return mapLogError(h.runner.AddLearner(ctx, join.Name, join.ID))
 }
 
 // forwardToLeader sends a call to the leader and decodes its reply. reply may be nil.
--- a/internal/fleet/quorum.go
+++ b/internal/fleet/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
@@ -28,8 +29,21 @@
 	}).Info("voters of the replicated log changed")
 }
 
+// memberChangeNames are the names of the changes that a leader makes by itself, for the log.
+var memberChangeNames = map[replog.MemberChangeKind]string{
+	replog.Promote: "learner promoted",
+	replog.Remove:  "silent member removed",
+	replog.Swap:    "learner swapped in for a voter",
+}
+
+func (h *Host) logMemberChange(change replog.MemberChange) {
+	log.WithFields(log.Fields{
+		"change": memberChangeNames[change.Kind], "member": change.Member.Name, "id": change.Member.ID, "replaced": change.Replaced,
+	}).Info("member change proposed")
+}
+
 func (h *Host) observeFailure(status group.Status) {
-	failed := status.Failed != nil
+	failed := status.Failed != nil && !errors.Is(status.Failed, group.ErrStopped)
 	if failed == h.logFailed.Swap(failed) {
 		return
 	}
--- /dev/null
+++ b/internal/fleet/replacement_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/replog"
+)
+
+// catchUp is the time after the start of a control host from which on the group must bear as many
+// further losses as it tolerates: the platform's shortest catchUpS.
+const catchUp = 4 * time.Second
+
+// Guards against a state, while a host is replaced, in which the group has more or fewer voters than
+// it needs and so bears fewer losses; and against replacements that outlast catchUp (issue 20).
+func TestReplacementKeepsNumberOfVoters(t *testing.T) {
+	for name, address := range map[string]string{"same address": "127.0.0.3", "other address": "127.0.0.4"} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+			leader := c.leaderOtherThan("127.0.0.3")
+			c.kill(c.hosts["127.0.0.3"])
+			time.Sleep(time.Second)
+			c.dirs["127.0.0.3"] = ""
+			started := time.Now()
+			c.start(address, false)
+			var quorum replog.Quorum
+			for replaced := false; !replaced; time.Sleep(time.Millisecond) {
+				status := leader.runner.Status().Node
+				quorum = status.Quorum()
+				if quorum.Voters != 3 {
+					t.Fatalf("%d voters %s after the start of the new host: %+v", quorum.Voters, time.Since(started), status.Members)
+				}
+				replaced = quorum.Margin == 1
+				if time.Since(started) > catchUp {
+					t.Fatalf("%+v %s after the start of the new host", quorum, time.Since(started))
+				}
+			}
+			t.Logf("replaced after %s", time.Since(started))
+		})
+	}
+}
+
+// leaderOtherThan returns the leader once all hosts are voters, after a leadership transfer if the host
+// with the given IP leads.
+func (c *cluster) leaderOtherThan(ip string) *Host {
+	c.t.Helper()
+	c.wait("a leader other than "+ip, func() bool {
+		leader := c.leader()
+		if leader == nil || leader.runner.Status().Node.Quorum().Live < len(c.hosts) {
+			return false
+		}
+		if leader == c.hosts[ip] {
+			_ = leader.runner.TransferLeadership(c.t.Context(), []string{c.hosts["127.0.0.1"].name, c.hosts["127.0.0.2"].name})
+			return false
+		}
+		return true
+	})
+	return c.leader()
+}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -80,6 +80,7 @@
 	}
 	r.tasks = append(r.tasks, work.tasks...)
 	r.runTasks(now)
+	r.adjustVoters(now)
 	r.processReady()
 	r.runTasks(now) // processReady may have completed a task
 	r.processReady()
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -83,6 +83,11 @@
 	// ElectionDelay returns how much later than other members this one stands for election. nil
 	// means no delay. It is called from the loop and must not block.
 	ElectionDelay func() time.Duration
+	// Voters makes the leader keep the voters by this policy. nil means that voters change only by calls.
+	Voters *replog.VoterPolicy
+	// OnChange is called with each member change that the leader has proposed under Voters. It may be
+	// nil. It is called from the loop and must not block.
+	OnChange func(replog.MemberChange)
 	// SnapshotEntries is the number of applied entries after which a snapshot is taken. 0 selects
 	// the default.
 	SnapshotEntries int
@@ -116,6 +121,9 @@
 	if o.OnLeader == nil {
 		o.OnLeader = func(bool, uint64) {}
 	}
+	if o.OnChange == nil {
+		o.OnChange = func(replog.MemberChange) {}
+	}
 	if o.OnVoters == nil {
 		o.OnVoters = func(Status) {}
 	}
--- a/internal/group/task.go
+++ b/internal/group/task.go
@@ -39,8 +39,8 @@
 }
 
 // Replace makes the disk newID the only disk of the host name in the group. It adds the disk as a
-// learner, waits until it has caught up, removes the host's other disks, and promotes the learner.
-// It may be retried with the same arguments after any error.
+// learner, waits until it has caught up, and swaps it for the host's other disk, or promotes it if
+// there is none. It may be retried with the same arguments after any error.
 func (r *Runner) Replace(ctx context.Context, name string, newID uint64) error {
 	return r.runTask(ctx, func(now time.Duration) (bool, error) {
 		if r.node.Role() != replog.Leader {
@@ -57,6 +57,21 @@
 	})
 }
 
+// AddLearner adds a disk to the group as a learner, unless it already is a member. Under
+// Options.Voters the leader makes it a voter when it has caught up.
+func (r *Runner) AddLearner(ctx context.Context, name string, id uint64) error {
+	added := replog.Member{ID: id, Name: name}
+	return r.runTask(ctx, func(now time.Duration) (bool, error) {
+		if r.node.Role() != replog.Leader {
+			return false, ErrNotLeader
+		}
+		if slices.ContainsFunc(r.node.Members(), func(m replog.Member) bool { return m.ID == id }) {
+			return !r.node.ChangeInFlight(), nil
+		}
+		return false, r.change(now, replog.MemberChange{Kind: replog.AddLearner, Member: added})
+	})
+}
+
 // Remove removes all disks of the host name from the group.
 func (r *Runner) Remove(ctx context.Context, name string) error {
 	return r.runTask(ctx, func(now time.Duration) (bool, error) {
@@ -72,6 +87,20 @@
 	})
 }
 
+// adjustVoters makes the next member change under Options.Voters, if there is one.
+func (r *Runner) adjustVoters(now time.Duration) {
+	if r.options.Voters == nil {
+		return
+	}
+	change, ok := r.node.NextChange(now, *r.options.Voters)
+	if !ok {
+		return
+	}
+	if _, _, err := r.node.ProposeMember(now, change); err == nil {
+		r.options.OnChange(change)
+	}
+}
+
 // nextChange returns the next member change of Replace, or false if none is left.
 func nextChange(members []replog.Member, name string, newID uint64) (replog.MemberChange, bool) {
 	added := replog.Member{ID: newID, Name: name}
@@ -81,13 +110,15 @@
 		switch {
 		case m.ID == newID:
 			known, learner = true, m.Learner
-		case m.Name == name:
+		case m.Name == name && (old == nil || old.Learner):
 			old = &m
 		}
 	}
 	switch {
 	case !known:
 		return replog.MemberChange{Kind: replog.AddLearner, Member: added}, true
+	case old != nil && learner && !old.Learner:
+		return replog.MemberChange{Kind: replog.Swap, Member: added, Replaced: old.ID}, true
 	case old != nil:
 		return replog.MemberChange{Kind: replog.Remove, Member: *old}, true
 	case learner:
--- a/replog/config.go
+++ b/replog/config.go
@@ -41,6 +41,8 @@
 	AddLearner MemberChangeKind = 1
 	Promote    MemberChangeKind = 2
 	Remove     MemberChangeKind = 3
+	Swap       MemberChangeKind = 4 // a learner takes the place of a voter
+	LeaveJoint MemberChangeKind = 5 // second part of a swap, appended by the leader
 )
 
 // Limits and defaults of a Config.
--- a/replog/election.go
+++ b/replog/election.go
@@ -94,13 +94,7 @@
 }
 
 func (n *Node) countVotes() {
-	granted := 0
-	for id, vote := range n.votes {
-		if vote && isVoter(n.members, id) {
-			granted++
-		}
-	}
-	if granted <= countVoters(n.members)/2 {
+	if !hasQuorum(n.members, func(id uint64) bool { return n.votes[id] }) {
 		return
 	}
 	if n.role == PreCandidate {
--- a/replog/member.go
+++ b/replog/member.go
@@ -20,10 +20,44 @@
 	return i >= 0 && !members[i].Learner
 }
 
+// VotesInOld reports whether the member votes in the configuration before the swap in progress, if
+// there is one.
+func (m Member) VotesInOld() bool { return !m.Learner && !m.Incoming }
+
+// VotesInNew reports whether the member votes in the configuration after the swap in progress, if
+// there is one.
+func (m Member) VotesInNew() bool { return !m.Learner && !m.Outgoing }
+
+// joint reports whether a swap is in progress. Decisions then need a quorum of the old and one of
+// the new configuration.
+func joint(members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Incoming || m.Outgoing })
+}
+
+// hasQuorum reports whether the members for which holds returns true form a quorum, of both
+// configurations during a swap.
+func hasQuorum(members []Member, holds func(id uint64) bool) bool {
+	return hasMajority(members, Member.VotesInOld, holds) && hasMajority(members, Member.VotesInNew, holds)
+}
+
+func hasMajority(members []Member, votes func(Member) bool, holds func(id uint64) bool) bool {
+	voters, holding := 0, 0
+	for _, m := range members {
+		if !votes(m) {
+			continue
+		}
+		voters++
+		if holds(m.ID) {
+			holding++
+		}
+	}
+	return holding > voters/2
+}
+
 func countVoters(members []Member) int {
 	count := 0
 	for _, m := range members {
-		if !m.Learner {
+		if m.VotesInNew() {
 			count++
 		}
 	}
@@ -64,10 +98,42 @@
 			return nil, errors.Wrap(ErrInvalidChange, "would remove the last voter")
 		}
 		return next, nil
+	case Swap:
+		return applySwap(next, i, findMember(next, change.Replaced))
+	case LeaveJoint:
+		if !joint(next) {
+			return nil, errors.Wrap(ErrInvalidChange, "no swap is in progress")
+		}
+		return leaveJoint(next), nil
 	}
 	return nil, errors.Wrapf(ErrInvalidChange, "unknown kind %d", change.Kind)
 }
 
+// applySwap starts to replace the voter at position replaced by the learner at position i.
+func applySwap(members []Member, i, replaced int) ([]Member, error) {
+	if i < 0 || !members[i].Learner {
+		return nil, errors.Wrap(ErrInvalidChange, "the member to swap in is not a learner")
+	}
+	if replaced < 0 || members[replaced].Learner {
+		return nil, errors.Wrap(ErrInvalidChange, "the member to swap out is not a voter")
+	}
+	if joint(members) {
+		return nil, errors.Wrap(ErrInvalidChange, "another swap is in progress")
+	}
+	members[i].Learner, members[i].Incoming = false, true
+	members[replaced].Outgoing = true
+	return members, nil
+}
+
+// leaveJoint returns the members of the new configuration only.
+func leaveJoint(members []Member) []Member {
+	members = slices.DeleteFunc(members, func(m Member) bool { return m.Outgoing })
+	for i := range members {
+		members[i].Incoming = false
+	}
+	return members
+}
+
 func decodeChange(data []byte) (MemberChange, error) {
 	var change MemberChange
 	err := cbor.Unmarshal(data, &change)
@@ -111,8 +177,14 @@
 // ProposeMember appends a change of one member (thesis, section 4.2). Only one
 // change may be in flight, and the leader must have committed an entry of its own
 // term, which fixes the bug that was found in single-server changes after the thesis
-// was published. A learner can be promoted only when it has every committed entry.
-// After a promotion or removal, the voters must include a live quorum.
+// was published. A learner can be promoted or swapped in only when it has every
+// committed entry. After any change except AddLearner, the voters must include a live
+// quorum.
+//
+// A Swap replaces a voter without a state in between that has fewer or more voters. It
+// uses joint consensus (thesis, section 4.3): until the leader has appended LeaveJoint,
+// which it does by itself once the Swap is committed, decisions need a quorum of the
+// voters before the swap and one of those after it.
 func (n *Node) ProposeMember(now time.Duration, change MemberChange) (index, term uint64, err error) {
 	n.advanceTime(now)
 	if n.role != Leader || n.transferTo != 0 {
@@ -121,9 +193,13 @@
 	if !n.committedInTerm() {
 		return 0, 0, ErrNotReady
 	}
-	if n.membersIndex > n.log.commit {
+	if n.ChangeInFlight() {
 		return 0, 0, ErrChangeInFlight
 	}
+	return n.appendChange(change)
+}
+
+func (n *Node) appendChange(change MemberChange) (index, term uint64, err error) {
 	next, err := applyChange(n.members, change)
 	if err != nil {
 		return 0, 0, err
@@ -141,24 +217,40 @@
 
 func (n *Node) checkChange(change MemberChange, next []Member) error {
 	id := change.Member.ID
-	if change.Kind == Remove && id == n.cfg.ID {
+	if change.Kind == Remove && id == n.cfg.ID || change.Kind == Swap && change.Replaced == n.cfg.ID {
 		return errors.Wrap(ErrInvalidChange, "the leader does not remove itself; transfer leadership first")
 	}
-	if change.Kind == Promote && !n.caughtUp(id) {
+	if (change.Kind == Promote || change.Kind == Swap) && !n.caughtUp(id) {
 		return ErrNotCaughtUp
 	}
-	live := 0
-	for _, m := range next {
-		if !m.Learner && n.live(m.ID) {
-			live++
-		}
-	}
-	if change.Kind != AddLearner && live < countVoters(next)/2+1 {
+	if change.Kind != AddLearner && !hasQuorum(next, n.live) {
 		return ErrQuorumAtRisk
 	}
 	return nil
 }
 
+// finishSwap appends LeaveJoint once a swap is committed in the leader's term.
+func (n *Node) finishSwap() {
+	if n.role != Leader || n.transferTo != 0 || !joint(n.members) || n.membersIndex > n.log.commit || !n.committedInTerm() {
+		return
+	}
+	// The old quorum may be gone already, so the check for a live one must not delay this.
+	data, err := cbor.Marshal(MemberChange{Kind: LeaveJoint})
+	if err != nil {
+		return // cannot happen: the change has only numbers
+	}
+	n.appendEntry(EntryMember, data)
+	_ = n.reloadMembers() // cannot fail: the members are joint
+}
+
+// stepDownIfRemoved ends the leadership of a member that was swapped out, once the new configuration
+// is committed. A member that is being swapped out may win an election until it is.
+func (n *Node) stepDownIfRemoved() {
+	if n.role == Leader && !n.ChangeInFlight() && findMember(n.members, n.cfg.ID) < 0 {
+		n.becomeFollower(n.term, 0)
+	}
+}
+
 // live reports whether the member acknowledged a message that was sent within the
 // last election timeout.
 func (n *Node) live(id uint64) bool {
@@ -185,5 +277,5 @@
 // Members returns the members according to this member's log.
 func (n *Node) Members() []Member { return cloneMembers(n.members) }
 
-// ChangeInFlight reports whether the log has an uncommitted member change.
-func (n *Node) ChangeInFlight() bool { return n.membersIndex > n.log.commit }
+// ChangeInFlight reports whether the log has an uncommitted or unfinished member change.
+func (n *Node) ChangeInFlight() bool { return n.membersIndex > n.log.commit || joint(n.members) }
--- a/replog/messages_gen.go
+++ b/replog/messages_gen.go
@@ -34,11 +34,17 @@
 	// ID of the disk; never reused after the disk is lost.
 	ID uint64 `json:"i" yaml:"i" cbor:"i"`
 
+	// During a swap: whether the member votes in the new configuration only.
+	Incoming bool `json:"j" yaml:"j" cbor:"j"`
+
 	// Whether the member receives the log without counting towards any quorum.
 	Learner bool `json:"l" yaml:"l" cbor:"l"`
 
 	// Name of the disk's host.
 	Name string `json:"n" yaml:"n" cbor:"n"`
+
+	// During a swap: whether the member votes in the old configuration only.
+	Outgoing bool `json:"o" yaml:"o" cbor:"o"`
 }
 
 // MemberChange is a change of one member.
@@ -46,8 +52,11 @@
 	// Type of the change.
 	Kind MemberChangeKind `json:"k" yaml:"k" cbor:"k"`
 
-	// Member that is added, promoted or removed.
+	// Member that is added, promoted, swapped in or removed.
 	Member Member `json:"m" yaml:"m" cbor:"m"`
+
+	// ID of the voter that is swapped out; 0 for other changes.
+	Replaced uint64 `json:"r" yaml:"r" cbor:"r"`
 }
 
 // Message is a message from one member to another.
--- a/replog/random_test.go
+++ b/replog/random_test.go
@@ -15,6 +15,7 @@
 	context uint64
 	nextID  uint64
 	lost    *host // the one host whose new disk is not yet a voter
+	swap    bool  // whether a new disk is swapped in; otherwise the old one is removed first
 }
 
 // TestRandomSchedules checks the invariants (see sim.check, apply and processReady)
@@ -26,6 +27,7 @@
 		rate := rapid.SampledFrom([]float64{1 - DefaultMaxDrift, 1, 1 + DefaultMaxDrift})
 		s := &schedule{t: t, nextID: 10}
 		s.sim = newSim(t.Fatalf, members, rate.Draw(t, "rate a"), rate.Draw(t, "rate b"), rate.Draw(t, "rate c"))
+		s.swap = rapid.Bool().Draw(t, "swap")
 		s.run(300 * time.Millisecond)
 		t.Repeat(map[string]func(*rapid.T){
 			"run": s.drawRun, "deliver": s.drawDeliver, "repeat": s.drawDuplicate, "drop": s.drawDrop,
@@ -177,6 +179,9 @@
 	for _, m := range members {
 		if m.Name == new.Name && m.ID != new.ID && change.Kind == Promote && leader.node.CaughtUp(s.clock(leader), new.ID) {
 			change = MemberChange{Kind: Remove, Member: m}
+			if s.swap {
+				change = MemberChange{Kind: Swap, Member: new, Replaced: m.ID}
+			}
 		}
 	}
 	_, _, _ = leader.node.ProposeMember(s.clock(leader), change)
--- a/replog/replication.go
+++ b/replog/replication.go
@@ -16,7 +16,8 @@
 
 	inflight []uint64 // last index of each append not yet acknowledged
 
-	acked          bool // whether the member sent an acknowledgement in this term
+	since          time.Duration // when the leader was elected or the member was added, whichever is later
+	acked          bool          // whether the member sent an acknowledgement in this term
 	ackedSent      time.Duration
 	ackedRound     uint64
 	matchRound     uint64 // last round sent before match was acknowledged
@@ -33,7 +34,7 @@
 	for _, m := range n.members {
 		pr := before[m.ID]
 		if pr == nil {
-			pr = &progress{id: m.ID, next: n.log.last() + 1}
+			pr = &progress{id: m.ID, next: n.log.last() + 1, since: n.now}
 		}
 		if m.ID == n.cfg.ID {
 			pr.match = n.log.stable
@@ -42,11 +43,20 @@
 	}
 }
 
-// quorumOf returns the highest value that is reached by a quorum of the voters.
+// quorumOf returns the highest value that is reached by a quorum of the voters, of both
+// configurations during a swap.
 func quorumOf[T uint64 | time.Duration](n *Node, value func(id uint64) T) T {
+	reached := majorityOf(n.members, Member.VotesInNew, value)
+	if joint(n.members) {
+		reached = min(reached, majorityOf(n.members, Member.VotesInOld, value))
+	}
+	return reached
+}
+
+func majorityOf[T uint64 | time.Duration](members []Member, votes func(Member) bool, value func(id uint64) T) T {
 	var values []T
-	for _, m := range n.members {
-		if !m.Learner {
+	for _, m := range members {
+		if votes(m) {
 			values = append(values, value(m.ID))
 		}
 	}
@@ -88,6 +98,7 @@
 	}
 	if term, ok := n.log.term(match); ok && term == n.term {
 		n.log.commit = match
+		n.stepDownIfRemoved()
 	}
 }
 
@@ -96,6 +107,7 @@
 	if n.role != Leader {
 		return
 	}
+	n.finishSwap()
 	heartbeat := n.heartbeatDue
 	if heartbeat {
 		n.heartbeatDeadline = n.now + n.cfg.HeartbeatInterval
--- a/replog/status.go
+++ b/replog/status.go
@@ -37,11 +37,20 @@
 	Margin int // live voters that may be lost before no quorum is left; negative without a quorum
 }
 
-// Quorum returns how many losses the group bears. On a member that does not lead, Live is 0.
+// Quorum returns how many losses the group bears. On a member that does not lead, Live is 0. During a
+// swap it is that of the configuration, old or new, that bears fewer losses.
 func (s Status) Quorum() Quorum {
+	before, after := s.quorum(Member.VotesInOld), s.quorum(Member.VotesInNew)
+	if before.Margin < after.Margin {
+		return before
+	}
+	return after
+}
+
+func (s Status) quorum(votes func(Member) bool) Quorum {
 	var q Quorum
 	for _, m := range s.Members {
-		if m.Learner {
+		if !votes(m.Member) {
 			continue
 		}
 		q.Voters++
