Let a host that was removed while it lives join again

A leader removed surplus voters that it had not heard in its term, in its first moments also live ones; the removed host's log still listed it as a voter, so it never asked to join again, and the group bore one loss less from then on.

For a member the request has no effect.

TestRemovedHostJoinsAgain fails before ("the host is no voter 4s after its removal") and passes.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -37,12 +37,13 @@
 	}
 }
 
-// membershipLoop requests to join the group until this member is a voter.
+// membershipLoop requests to join the group until this member is a voter. It also does so while it
+// hears no leader: it may have been removed without being told.
 func (h *Host) membershipLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		status := h.runner.Status().Node
 		h.voters.Store(voterAddresses(status))
-		if !isVoter(status) {
+		if !isVoter(status) || status.Leader == 0 {
 			h.requestJoin(ctx, status)
 		}
 		jitter := time.Duration(rand.Int64N(int64(joinInterval) / 4))
@@ -86,7 +87,9 @@
 		if err == nil {
 			return
 		}
-		log.WithFields(log.Fields{"host": h.name, "contact": address, "error": err.Error()}).Info("join request failed; retrying")
+		if !isVoter(status) {
+			log.WithFields(log.Fields{"host": h.name, "contact": address, "error": err.Error()}).Info("join request failed; retrying")
+		}
 	}
 }
 
--- a/internal/fleet/replacement_test.go
+++ b/internal/fleet/replacement_test.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// Guards against a host that was removed while it could not be heard, and that never joins again
+// since its own log still lists it as a voter (issue 20).
+func TestRemovedHostJoinsAgain(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	leader := c.leaderOtherThan("127.0.0.3")
+	removed := c.hosts["127.0.0.3"]
+	if err := leader.runner.Remove(t.Context(), removed.name); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	for leader.runner.Status().Node.Quorum().Margin < 1 {
+		if time.Since(started) > catchUp {
+			t.Fatalf("the host is no voter %s after its removal: %+v", catchUp, leader.runner.Status().Node.Members)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // leaderOtherThan returns the leader once all hosts are voters, after a leadership transfer if the host
 // with the given IP leads.
 func (c *cluster) leaderOtherThan(ip string) *Host {
--- a/replog/voters_test.go
+++ b/replog/voters_test.go
@@ -149,3 +149,40 @@
 		}
 	}
 }
+
+// Guards against a leader that removes a voter that lives, since it has not heard it yet after its
+// election, while a dead one stays (issue 20).
+func TestNewLeaderRemovesNoLiveVoter(t *testing.T) {
+	r := newReplacement(t, false)
+	leader := r.find("leader")
+	change := MemberChange{Kind: AddLearner, Member: Member{ID: r.added.id, Name: r.added.name}}
+	for findMember(leader.node.Members(), r.added.id) < 0 || leader.node.ChangeInFlight() || !leader.node.CaughtUp(r.clock(leader), r.added.id) {
+		_, _, _ = leader.node.ProposeMember(r.clock(leader), change)
+		r.run(stepTime)
+	}
+	if _, _, err := leader.node.ProposeMember(r.clock(leader), MemberChange{Kind: Promote, Member: Member{ID: r.added.id, Name: r.added.name}}); err != nil {
+		t.Fatal(err)
+	}
+	r.run(50 * time.Millisecond)
+	// Six voters, one of them dead. The next leader does not reach the new one for a while.
+	leader.paused = true
+	for _, h := range r.hosts {
+		r.setBlocked(h.name, r.added.name, true)
+	}
+	r.run(3 * testElection)
+	leader.paused = false
+	for i := 0; i < int(4*testElection/stepTime); i++ {
+		if i == int(testElection/stepTime) {
+			clear(r.blocked)
+		}
+		r.step()
+	}
+	r.run(testPolicy.RemoveAfter)
+	for range 50 {
+		r.step()
+	}
+	members := r.find("leader").node.Members()
+	if findMember(members, r.added.id) < 0 || findMember(members, 5) >= 0 {
+		t.Fatalf("members %+v: want the new host, and not the dead one", members)
+	}
+}
