Read and log what backend servers say of themselves

A server's responses may name a limit over all gateways, say that it is leaving, and, with 503, how long it wants no requests. The platform's headers are read into dispatch.Notice, kept for each incarnation, logged when they change and counted. Nothing obeys them yet.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/keyrange"
@@ -52,12 +53,14 @@
 type backend struct {
 	id, address     string
 	meanServiceTime *meanServiceTime // of the service
+	noticeCounter   prometheus.Counter
 
 	mu        sync.Mutex // guards the fields below
 	idle      []*conn    // the most recently used last
 	load      dispatch.Load
 	queue     dispatch.WaitQueue // requests that wait for capacity
 	share     dispatch.Share
+	notices   dispatch.Notices
 	observed  keyrange.ServerLoad // not yet reported to the leader
 	failedAt  time.Duration       // time of the last failure; 0 for none
 	refusedAt time.Duration       // time of the last refused connection; 0 for none
@@ -89,10 +92,11 @@
 	mu               sync.Mutex // guards the fields below
 	byID             map[string]*backend
 	meanServiceTimes map[string]*meanServiceTime // by service
+	noticeCounter    prometheus.Counter
 }
 
-func newBackends() *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}}
+func newBackends(noticeCounter prometheus.Counter) *backends {
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server's
@@ -105,7 +109,9 @@
 		if server != nil {
 			server.close()
 		}
-		server = &backend{id: s.ID, address: s.Address, meanServiceTime: b.meanServiceTime(s.Service)}
+		server = &backend{
+			id: s.ID, address: s.Address, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter,
+		}
 		b.byID[s.ID] = server
 	}
 	return server
@@ -240,6 +246,7 @@
 	if resp.info.Load != nil {
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
 	}
+	b.recordNotice(resp.info.Notice)
 	b.recordResponse(resp, time.Since(started), queued)
 	return resp, nil
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -25,6 +25,7 @@
 	ServerID    string // incarnation that answered; empty if not given
 	Sealed      bool   // the response carries the server's seal
 	Load        *dispatch.Report
+	Notice      dispatch.Notice
 }
 
 // Dialect reads and writes the platform-specific headers of requests and responses.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -107,7 +107,7 @@
 		settings:      o.Settings,
 		dialect:       o.Dialect,
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
-		backends:      newBackends(),
+		backends:      newBackends(m.notices),
 		clientConns:   newClientConns(),
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	latency     prometheus.Histogram
 	retries     *prometheus.CounterVec
 	disconnects prometheus.Counter
+	notices     prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -31,7 +32,10 @@
 	m.disconnects = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_control_lost_total", Help: "Times that the connection to the control hosts was lost.",
 	})
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects} {
+	m.notices = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_server_notices_total", Help: "Changes of what backend servers say of themselves: limit, leaving, retry after.",
+	})
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices} {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
