Move keys away from servers that name low limits

Change: the leader takes the lower of a server's measured capacity and its limit when it balances keys.

TestKeysLeaveServersThatNameLowLimits: 44.5% of the requests refused without the change, none with it.

--- a/internal/fleet/tokens.go
+++ b/internal/fleet/tokens.go
@@ -21,6 +21,7 @@
 			return ratelimit.TokenReply{}, errors.Wrapf(ErrUnavailable, "invalid demand for server %q: limit %v, wanted %d", demand.ServerID, demand.PerSecond, demand.Wanted)
 		}
 		grant := h.leading.issuer.Issue(now, demand)
+		h.leading.coordinator.SetRateLimit(now, demand.ServerID, h.leading.issuer.Limit(demand.ServerID))
 		reply.Servers = append(reply.Servers, grant)
 		h.metrics.tokens.WithLabelValues("granted").Add(float64(grant.Tokens))
 		h.metrics.tokens.WithLabelValues("denied").Add(float64(demand.Wanted - grant.Tokens))
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -16,7 +16,9 @@
 	maxInterval  time.Duration            // longest time between two heartbeats; 0 if unknown
 	refusals     map[string]time.Duration // time of the last refused connection, by entry host
 	serviceTimes serviceTimes
-	granted      int // number of ranges in the last reply
+	rateLimit    float64       // requests a second that it takes from all entry hosts; 0 for no limit
+	rateLimitAt  time.Duration // when rateLimit was last confirmed
+	granted      int           // number of ranges in the last reply
 }
 
 // departure records that an incarnation is leaving. It outlives the server's entry, so that a
@@ -276,6 +278,7 @@
 	for _, svc := range c.services {
 		c.expire(now, svc)
 	}
+	c.expireRateLimits(now)
 	for _, s := range c.servers {
 		if now-s.lastSeen > c.options.HeartbeatTimeout {
 			c.removeServer(s)
--- a/keyrange/fleet.go
+++ b/keyrange/fleet.go
@@ -101,14 +101,17 @@
 	return all.averageSeconds(defaultServiceTimeSeconds)
 }
 
-// capacity returns the requests per second that fill the server's slots. serviceAverage is the
-// average service time on all servers of its service, in seconds.
+// capacity returns the requests per second that fill the server's slots, or its rate limit if that is
+// lower. serviceAverage is the average service time on all servers of its service, in seconds.
 func (s *server) capacity(serviceAverage float64) float64 {
 	serviceTimeSeconds := s.serviceTimes.averageSeconds(serviceAverage)
 	capacity := float64(max(s.info.Slots, 1)) / serviceTimeSeconds
 	if s.info.WarmupMillis > 0 {
 		capacity *= warmupFactor
 	}
+	if s.rateLimit > 0 {
+		capacity = min(capacity, s.rateLimit)
+	}
 	return capacity
 }
 
--- a/keyrange/load_test.go
+++ b/keyrange/load_test.go
@@ -47,6 +47,8 @@
 	newTermAt         time.Duration // when a new leader takes over, with no load report for 1 s; 0 for never
 	startPeriod       time.Duration // in which the servers start; one heartbeat interval if 0
 	length            time.Duration
+	limitedAt         time.Duration // when every second server starts to take only rateLimit; 0 for never
+	rateLimit         float64       // requests per second
 }
 
 // loadRequest is a request that waits for its owner, is queued or runs.
@@ -67,6 +69,8 @@
 	nextAt    time.Duration
 	running   []loadRequest
 	queue     []loadRequest
+	limited   bool
+	tokens    float64 // requests that a limited server takes now
 }
 
 type loadSimulation struct {
@@ -116,6 +120,7 @@
 		p.now += loadStep
 		p.generateRequests()
 		p.serve()
+		p.limit()
 		p.dispatch()
 		if p.newTermAt > 0 && p.now >= p.newTermAt && p.leader.options.Term == 1 {
 			p.elect(2)
@@ -210,6 +215,30 @@
 	return nil
 }
 
+// limit starts the limits and refills the tokens of the limited servers.
+func (p *loadSimulation) limit() {
+	if p.limitedAt == 0 || p.now < p.limitedAt {
+		return
+	}
+	for i, s := range p.servers {
+		if i%2 == 0 {
+			s.limited = true
+			s.tokens = min(s.tokens+p.rateLimit*loadStep.Seconds(), max(1, p.rateLimit/2))
+		}
+	}
+}
+
+func (s *loadServer) takeToken() bool {
+	if !s.limited {
+		return true
+	}
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
 // dispatch sends waiting requests to the owners of their keys.
 func (p *loadSimulation) dispatch() {
 	owners := map[int64]*loadServer{}
@@ -226,7 +255,7 @@
 			}
 			owners[r.key] = s
 		}
-		if s != nil && s.holds(r.key) && len(s.running)+len(s.queue) < p.slots+loadQueueLimit {
+		if s != nil && s.holds(r.key) && len(s.running)+len(s.queue) < p.slots+loadQueueLimit && s.takeToken() {
 			s.queue = append(s.queue, r)
 			return true
 		}
@@ -291,6 +320,11 @@
 		report.Servers = append(report.Servers, *observed)
 	}
 	p.leader.Report(p.now, "gateway", report)
+	for _, s := range p.servers {
+		if s.limited {
+			p.leader.SetRateLimit(p.now, s.id, p.rateLimit)
+		}
+	}
 	p.counts, p.observed = map[int64]int64{}, map[string]*ServerLoad{}
 }
 
@@ -464,3 +498,13 @@
 		t.Errorf("%.3f of the requests ended within their objective, want at least 0.5", part)
 	}
 }
+
+// Half of the servers name a limit far below the load of their keys, and the others have room. Guards
+// against keys that stay where most of their requests can only be refused.
+func TestKeysLeaveServersThatNameLowLimits(t *testing.T) {
+	simulateLoad(loadCase{
+		servers: 27, slots: 6, serviceTime: 175 * time.Millisecond, rate: 250, objective: 600 * time.Millisecond, deadline: 1500 * time.Millisecond,
+		heartbeatInterval: 870 * time.Millisecond, rangesPerServer: 4, requestsStart: 3 * time.Second,
+		limitedAt: 8 * time.Second, rateLimit: 4, warmup: 14 * time.Second, length: 24 * time.Second,
+	}, 1).check(t)
+}
--- a/ratelimit/issuer.go
+++ b/ratelimit/issuer.go
@@ -61,6 +61,15 @@
 	return grant
 }
 
+// Limit returns the limit that a server named, requests a second, or 0 if none is known or wanted any
+// more.
+func (i *Issuer) Limit(serverID string) float64 {
+	if b := i.buckets[serverID]; b != nil {
+		return b.perSecond
+	}
+	return 0
+}
+
 func (b *bucket) tokensIn(span time.Duration) float64 { return b.perSecond * span.Seconds() }
 
 func (b *bucket) refill(now time.Duration) {
