Stop sending to servers that say in their responses that they leave

A server that is about to stop says so in all its responses, some before or without a heartbeat that says so.

Change: a gateway counts the drain time from the first such response, whether or not it has a leader: the server gets no request from 0.4 s before its end on, and earlier only where no other server can run it. The gateway reports it; the leader moves the server's keys and tells the other gateways, as for a draining server. What is known of a server belongs to one incarnation: the same ID at the same address, started again, is another one.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -53,6 +53,7 @@
 // of its load.
 type backend struct {
 	id, address     string
+	startMillis     int64            // start time of the incarnation, Unix milliseconds; 0 if unknown
 	meanServiceTime *meanServiceTime // of the service
 	noticeCounter   prometheus.Counter
 
@@ -101,18 +102,18 @@
 	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter}
 }
 
-// get returns the backend of a server. It creates the backend if there is none, or if the server's
-// address changed.
+// get returns the backend of a server. It creates the backend if there is none, or if the server has
+// another address or has started again under the same ID.
 func (b *backends) get(s keyrange.Server) *backend {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	server := b.byID[s.ID]
-	if server == nil || server.address != s.Address {
+	if server == nil || server.address != s.Address || server.startMillis != s.StartMillis {
 		if server != nil {
 			server.close()
 		}
 		server = &backend{
-			id: s.ID, address: s.Address, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter,
+			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter,
 		}
 		b.byID[s.ID] = server
 	}
@@ -150,7 +151,7 @@
 	var observed []keyrange.ServerLoad
 	for id, server := range b.byID {
 		if s := server.takeObserved(); s != (keyrange.ServerLoad{}) {
-			s.ServerID = id
+			s.ServerID, s.StartMillis = id, server.startMillis
 			observed = append(observed, s)
 		}
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -286,9 +286,16 @@
 	return report
 }
 
-// available returns the servers that are not known to be unavailable.
+// available returns the servers that may get requests, those that are about to stop only if there are
+// no others.
 func (h *Host) available(now time.Duration, servers []keyrange.Server) []keyrange.Server {
-	return slices.DeleteFunc(servers, func(s keyrange.Server) bool { return h.backends.get(s).unavailable(now) })
+	servers = slices.DeleteFunc(servers, func(s keyrange.Server) bool { return h.unavailable(now, s) })
+	return h.staying(now, servers)
+}
+
+// unavailable reports whether a server gets no requests now.
+func (h *Host) unavailable(now time.Duration, s keyrange.Server) bool {
+	return h.backends.get(s).unavailable(now) || h.hasLeft(now, s)
 }
 
 // distance returns the distance to a failure domain.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"slices"
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/keyrange"
 )
 
 // recordNotice records what the server said of itself with a response. The caller holds b.mu.
 func (b *backend) recordNotice(notice dispatch.Notice) {
 	now := clockNow()
+	b.observed.Leaving = b.observed.Leaving || notice.Leaving
 	if !b.notices.Observe(now, notice) {
 		return
 	}
@@ -19,3 +24,26 @@
 		"leaving": b.notices.LeavingFor(now) > 0 || notice.Leaving, "paused_ms": b.notices.PausedFor(now).Milliseconds(),
 	}).Info("notice of a backend server")
 }
+
+// leavingFor returns the time since the server first said that it is about to stop, or 0.
+func (b *backend) leavingFor(now time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notices.LeavingFor(now)
+}
+
+// hasLeft reports whether a server that said that it is about to stop gets no more requests. This
+// gateway knows it from the server itself, so it does not depend on the leader.
+func (h *Host) hasLeft(now time.Duration, s keyrange.Server) bool {
+	leaving := h.backends.get(s).leavingFor(now)
+	return leaving > 0 && leaving >= h.view.drainTime-sendMargin
+}
+
+// staying returns the servers that have not said that they are about to stop, or all if there are none.
+func (h *Host) staying(now time.Duration, servers []keyrange.Server) []keyrange.Server {
+	leaves := func(s keyrange.Server) bool { return h.backends.get(s).leavingFor(now) > 0 }
+	if !slices.ContainsFunc(servers, func(s keyrange.Server) bool { return !leaves(s) }) {
+		return servers
+	}
+	return slices.DeleteFunc(servers, leaves)
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -182,7 +182,7 @@
 		return c.host.available(now, c.host.view.serversOf(now, service.Name)), reasonNoServer
 	}
 	owner, learnedAt, found := c.host.view.owner(now, service.Name, c.info.Key)
-	if !found || c.host.backends.get(owner).unavailable(now) || c.knownNotOwner(now, owner.ID, learnedAt) {
+	if !found || c.host.unavailable(now, owner) || c.knownNotOwner(now, owner.ID, learnedAt) {
 		return nil, reasonNoOwner
 	}
 	if !c.allowedAtOwner(owner) {
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -13,6 +13,7 @@
 	firstAt      time.Duration            // time of its first heartbeat in this term
 	leaving      bool                     // whether it sent a Leave message
 	leaveAt      time.Duration            // time of that message
+	saysLeaving  bool                     // whether its responses to requests say that it is about to stop
 	maxInterval  time.Duration            // longest time between two heartbeats; 0 if unknown
 	refusals     map[string]time.Duration // time of the last refused connection, by entry host
 	serviceTimes serviceTimes
@@ -199,6 +200,7 @@
 		known.firstAt = max(now, 1)
 	}
 	known.info, known.sequence, known.lastSeen = info, hb.Sequence, now
+	known.info.Draining = known.info.Draining || known.saysLeaving
 	c.applyDeparture(known)
 	return known
 }
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -142,6 +142,9 @@
 		if observed.Count > 0 {
 			s.serviceTimes.add(now, float64(observed.ServiceTimeMicros)/1e6, observed.Count)
 		}
+		if observed.Leaving && observed.StartMillis == s.info.StartMillis {
+			s.saysLeaving, s.info.Draining = true, true
+		}
 		c.applyEvidence(now, s, observed, reporter)
 	}
 }
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -38,6 +38,7 @@
 //	                                        unless the reply is lost or they could not be recorded
 //	leave id=S                              sends a Leave message
 //	left-before id=S                        restores a Leave message that an earlier leader received
+//	says-leaving id=S [born=N]              reports a response of S which says that it is about to stop
 //	load from=K to=K rate=N                 reports N requests for each key
 //	table                                   prints servers and owners
 func TestSessions(t *testing.T) {
@@ -73,6 +74,8 @@
 			s.coord.RestoreLeave(s.now, Leave{ID: id, StartMillis: s.startMillis[id]})
 		}
 		return ""
+	case "says-leaving":
+		return s.saysLeaving(d)
 	case "load":
 		return s.load(d)
 	case "table":
@@ -222,3 +225,14 @@
 	}
 	return strings.Join(lines, "\n") + "\n"
 }
+
+func (s *session) saysLeaving(d *datadriven.TestData) string {
+	var id string
+	d.ScanArgs(s.t, "id", &id)
+	born := s.startMillis[id]
+	if d.HasArg("born") {
+		d.ScanArgs(s.t, "born", &born)
+	}
+	s.coord.Report(s.now, "gateway", LoadReport{Servers: []ServerLoad{{ServerID: id, StartMillis: born, Leaving: true}}})
+	return ""
+}
