Obey the Retry-After of backend servers

Where any server will do, another one runs the request; a keyed request waits for its owner if the pause ends within the third of its time for which it may wait, and is refused at once otherwise, with the end of the pause as Retry-After.

TestServerThatAsksForPauseGetsNoRequests fails without the check (requests served 1 ms after the notice) and passes; TestShortPauseDelaysRequests and TestChoosePassesOverPausedAndLimitedServers cover waiting and the other servers.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -45,12 +45,15 @@
 	TooLate      Reason = "too-late"      // the request would miss its deadline
 	NoConnection Reason = "no-connection" // all permitted connections are in use
 	RateLimited  Reason = "rate-limited"  // no token is there for the server's rate limit
+	Paused       Reason = "paused"        // the server wants no requests for a while
 )
 
 // Admit returns Admitted if the server can take the request, or else the reason why not. A request
 // is too late if even half of the average service time would not fit before its deadline.
 func Admit(now time.Duration, c *Candidate, r Request) Reason {
 	switch {
+	case c.PausedFor > 0:
+		return Paused
 	case c.Load.ExpectedWait(now, c.Slots)+c.Load.ServiceTime()/2 > r.UntilDeadline:
 		return TooLate
 	case c.Load.InFlight()+c.Ahead >= c.ConnectionLimit:
@@ -81,17 +84,19 @@
 	ConnectionLimit int // connections that this gateway may open to the server
 	Ahead           int // requests of this gateway that wait and are served before this one
 	Distance        Distance
-	Suspect         bool // requests to the server failed recently
-	Limited         bool // the server takes only requests with a token (package ratelimit)
-	Tokens          int  // tokens that this gateway has for the server
+	Suspect         bool          // requests to the server failed recently
+	PausedFor       time.Duration // how much longer the server wants no requests
+	Limited         bool          // the server takes only requests with a token (package ratelimit)
+	Tokens          int           // tokens that this gateway has for the server
 }
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
-// none. The reason is RateLimited if at least one candidate lacks only a token. Among candidates that meet the latency target it prefers the nearest. A large body is sent
+// none. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
+// are paused. Among candidates that meet the latency target it prefers the nearest. A large body is sent
 // to another region only if the own region has no server: the link between regions is slow, and is
 // saturated at the times when the servers are.
 func Choose(now time.Duration, candidates []Candidate, r Request) (int, Reason) {
-	best, reason := -1, QueueFull
+	best, reason := -1, Paused
 	var bestRank rank
 	localOnly := r.Bulk && slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Distance != OtherRegion })
 	for i, c := range candidates {
@@ -100,7 +105,7 @@
 		}
 		admitted := Admit(now, &c, r)
 		if admitted != Admitted {
-			if reason != RateLimited {
+			if admitted != Paused && reason != RateLimited {
 				reason = admitted
 			}
 			continue
@@ -109,10 +114,13 @@
 			best, bestRank = i, next
 		}
 	}
-	if best < 0 {
-		return best, reason
+	switch {
+	case best >= 0:
+		return best, Admitted
+	case len(candidates) == 0:
+		return best, QueueFull
 	}
-	return best, Admitted
+	return best, reason
 }
 
 // rank orders candidates; the lowest runs the request.
@@ -161,3 +169,14 @@
 	}
 	return best
 }
+
+// ShortestPause returns the index of the candidate whose pause ends first, or -1 if there are none.
+func ShortestPause(candidates []Candidate) int {
+	best := -1
+	for i, c := range candidates {
+		if best < 0 || c.PausedFor < candidates[best].PausedFor {
+			best = i
+		}
+	}
+	return best
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -198,3 +198,28 @@
 		t.Error("free slot from an outdated report")
 	}
 }
+
+// Guards against a paused or limited server that is chosen while another one can run the request, and
+// against a reason that hides what the request can wait for.
+func TestChoosePassesOverPausedAndLimitedServers(t *testing.T) {
+	free := Candidate{ID: "free", Load: loaded(0, 0, 100*ms), Slots: 6, ConnectionLimit: 20, Distance: OtherRegion}
+	paused := Candidate{ID: "paused", Load: loaded(0, 0, 10*ms), Slots: 6, ConnectionLimit: 20, PausedFor: time.Second}
+	limited := Candidate{ID: "limited", Load: loaded(0, 0, 10*ms), Slots: 6, ConnectionLimit: 20, Limited: true, Tokens: 1, Ahead: 1}
+	full := Candidate{ID: "full", Load: loaded(30, 0, 10*ms), Slots: 6, ConnectionLimit: 40}
+	r := Request{Priority: 1, UntilDeadline: time.Second, UntilTarget: 500 * ms}
+	for _, c := range []struct {
+		candidates []Candidate
+		want       int
+		reason     Reason
+	}{
+		{[]Candidate{paused, limited, free}, 2, Admitted},
+		{[]Candidate{paused, paused}, -1, Paused},
+		{[]Candidate{full, paused}, -1, QueueFull},
+		{[]Candidate{limited, full, paused}, -1, RateLimited},
+		{nil, -1, QueueFull},
+	} {
+		if got, reason := Choose(0, c.candidates, r); got != c.want || reason != c.reason {
+			t.Errorf("%v: Choose = %d, %q, want %d, %q", c.candidates, got, reason, c.want, c.reason)
+		}
+	}
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -342,8 +342,8 @@
 	limit, _ := b.notices.RateLimit()
 	return dispatch.Candidate{
 		ID: s.ID, Load: &load, Slots: int(s.Slots), ConnectionLimit: connectionLimit, Distance: distance,
-		Suspect: b.failedAt != 0 && now-b.failedAt < suspectPeriod,
-		Limited: limit > 0, Tokens: b.tokens.Available(now),
+		Suspect:   b.failedAt != 0 && now-b.failedAt < suspectPeriod,
+		PausedFor: b.notices.PausedFor(now), Limited: limit > 0, Tokens: b.tokens.Available(now),
 	}
 }
 
@@ -354,13 +354,16 @@
 	return b.queue.Enqueue(priority)
 }
 
-// expectedWait returns how long a request would wait for the server with the given number of others
-// ahead of it: for a token if forToken is set, and else for capacity.
-func (b *backend) expectedWait(now time.Duration, slots, ahead int, forToken bool) time.Duration {
+// expectedWait returns how long a request that is not sent for the given reason would wait for the
+// server, with the given number of others ahead of it.
+func (b *backend) expectedWait(now time.Duration, slots, ahead int, reason dispatch.Reason) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if forToken {
+	switch reason {
+	case dispatch.RateLimited:
 		return b.tokens.Wait(now, ahead)
+	case dispatch.Paused:
+		return b.notices.PausedFor(now)
 	}
 	return dispatch.EstimatedQueueWait(now, &b.load, slots, ahead)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -73,8 +73,9 @@
 	mayHaveRun bool   // whether an attempt without a usable response may have run
 	deniedBy   string // ID of the server that responded that it does not own the key
 	deniedAt   time.Duration
-	allowedBy  string  // ID of the owner for which allowedAtOwner has admitted the request
-	chosenLoad float64 // estimated requests at the chosen server
+	allowedBy  string        // ID of the owner for which allowedAtOwner has admitted the request
+	chosenLoad float64       // estimated requests at the chosen server
+	pausedFor  time.Duration // how much longer all servers that may run the request want none
 }
 
 // serve handles one client request.
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -59,3 +59,48 @@
 		Owners: []keyrange.Owner{{Service: "stock", From: 0, To: 999, ServerID: "s1"}},
 	})
 }
+
+// Guards against a server that gets requests although it has answered 503 with Retry-After, and
+// against requests that wait for it although the pause outlasts their time (the letter's rule for
+// Retry-After): at most two may arrive between half a second after it and its end.
+func TestServerThatAsksForPauseGetsNoRequests(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	refusal := rawResponse("HTTP/1.1 503 Service Unavailable\r\nTest-Id: ID\r\nTest-Not-Run: 1\r\nTest-Pause: 1500\r\nContent-Length: 0\r\n\r\n")
+	for _, path := range []string{"/order/1", "/look/1", "/photo/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			server := newFakeBackend(t, refusal, okResponse("ok"))
+			f := newFixture(t)
+			f.publish(server)
+			started := time.Now()
+			response, _ := f.do("POST", path, nil)
+			if took := time.Since(started); response.StatusCode != 503 || response.Header.Get("Retry-After") == "" || took > 200*time.Millisecond {
+				t.Fatalf("status %d after %s, Retry-After %q; want 503 at once with Retry-After", response.StatusCode, took, response.Header.Get("Retry-After"))
+			}
+			noticed, before := time.Now(), server.count()
+			for time.Since(noticed) < pause-50*time.Millisecond {
+				if response, _ := f.do("POST", path, nil); response.StatusCode == 200 && time.Since(noticed) < pause-50*time.Millisecond {
+					t.Fatalf("request served %s after the server asked for a pause of %s", time.Since(noticed), pause)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if got := server.count() - before; got > 1 { // one may be sent as the pause ends
+				t.Errorf("%d requests reached the server during its pause", got)
+			}
+			if response, _ := f.do("POST", path, nil); response.StatusCode != 200 {
+				t.Errorf("status %d after the pause, want 200", response.StatusCode)
+			}
+		})
+	}
+}
+
+// Guards against a pause that ends within a request's time and refuses the request all the same.
+func TestShortPauseDelaysRequests(t *testing.T) {
+	refusal := rawResponse("HTTP/1.1 503 Service Unavailable\r\nTest-Id: ID\r\nTest-Not-Run: 1\r\nTest-Pause: 150\r\nContent-Length: 0\r\n\r\n")
+	server := newFakeBackend(t, refusal, okResponse("ok"))
+	f := newFixture(t)
+	f.publish(server)
+	if response, _ := f.do("POST", "/order/1", nil); response.StatusCode != 200 {
+		t.Errorf("status %d, want 200 after a pause of 150 ms", response.StatusCode)
+	}
+}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/galenalug/galenalug/dispatch"
 )
 
 // refuse tells the client that the request did not run, and when to retry it. If an attempt may
@@ -26,6 +28,8 @@
 		return min(shortRetryAfter, latest)
 	case reasonStaleConfig, reasonStopping:
 		return min(otherGatewayRetryAfter, latest)
+	case string(dispatch.Paused):
+		return min(c.pausedFor, latest)
 	}
 	return latest
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,11 +53,10 @@
 		if target != nil || left <= 0 || !isTransient(reason) {
 			return target, reason
 		}
-		forToken := reason == string(dispatch.RateLimited)
-		if full != nil && !entry.enqueue(now, left, full, forToken) {
+		if full != nil && !entry.enqueue(now, left, full, dispatch.Reason(reason)) {
 			return nil, reason
 		}
-		if forToken {
+		if reason == string(dispatch.RateLimited) {
 			c.host.wantTokens()
 		}
 		if !c.waitForChange(min(left, capacityPollInterval), changed) {
@@ -72,7 +71,7 @@
 // isTransient reports whether the cause of a refusal may pass within a short time.
 func isTransient(reason string) bool {
 	switch reason {
-	case reasonNoOwner, reasonNoServer, string(dispatch.QueueFull), string(dispatch.NoConnection), string(dispatch.RateLimited):
+	case reasonNoOwner, reasonNoServer, string(dispatch.QueueFull), string(dispatch.NoConnection), string(dispatch.RateLimited), string(dispatch.Paused):
 		return true
 	}
 	return false
@@ -106,14 +105,14 @@
 }
 
 // enqueue adds the request to the queue for a server, and removes it from any other queue. It
-// returns false if the expected wait exceeds limit. For a request that waits for a token, this is
-// checked again each time, since the leader's answer tells how long that takes.
-func (e *queueEntry) enqueue(now, limit time.Duration, to *target, forToken bool) bool {
+// returns false if the expected wait exceeds limit. While the request waits for a token or for the end
+// of a pause, this is checked again each time: what is known of these waits changes.
+func (e *queueEntry) enqueue(now, limit time.Duration, to *target, reason dispatch.Reason) bool {
 	queued := e.target != nil && e.target.backend == to.backend
-	if queued && !forToken {
+	if queued && reason != dispatch.RateLimited && reason != dispatch.Paused {
 		return true
 	}
-	if to.expectedWait(now, to.slots, e.ahead(to.backend), forToken) > limit {
+	if to.expectedWait(now, to.slots, e.ahead(to.backend), reason) > limit {
 		return false
 	}
 	if !queued {
@@ -139,7 +138,7 @@
 }
 
 // choose returns the server that can take the request now. Otherwise it returns the reason, and the
-// server to queue for if the request can go to no other or waits for a token.
+// server to queue for if the request can go to no other, or waits for a token or the end of a pause.
 func (c *call) choose(now time.Duration, service *routes.Service, entry *queueEntry) (chosen, full *target, reason string) {
 	request := dispatch.Request{
 		Priority:      c.route.Priority,
@@ -160,15 +159,8 @@
 	}
 	best, rejection := dispatch.Choose(now, candidates, request)
 	if best < 0 {
-		queueFor := -1
-		switch {
-		case service.Keyed:
-			queueFor = 0
-		case rejection == dispatch.RateLimited:
-			queueFor = dispatch.FewestAhead(candidates)
-		}
-		if queueFor >= 0 {
-			full = &target{backend: c.host.backends.get(servers[queueFor]), slots: int(servers[queueFor].Slots)}
+		if i := c.queueFor(service, candidates, rejection); i >= 0 {
+			full = &target{backend: c.host.backends.get(servers[i]), slots: int(servers[i].Slots)}
 		}
 		return nil, full, string(rejection)
 	}
@@ -176,6 +168,22 @@
 	return &target{backend: c.host.backends.get(servers[best]), slots: int(servers[best].Slots)}, nil, ""
 }
 
+// queueFor returns the index of the server to wait for, or -1 if the request does not wait for a
+// certain one.
+func (c *call) queueFor(service *routes.Service, candidates []dispatch.Candidate, rejection dispatch.Reason) int {
+	best := -1
+	switch {
+	case rejection == dispatch.Paused:
+		best = dispatch.ShortestPause(candidates)
+		c.pausedFor = candidates[best].PausedFor
+	case service.Keyed:
+		best = 0 // the owner is the only candidate
+	case rejection == dispatch.RateLimited:
+		best = dispatch.FewestAhead(candidates)
+	}
+	return best
+}
+
 // servers returns the servers that may run the request, or the reason why there are none.
 func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
 	if !service.Keyed {
