Take no repeated refusal for the answer to the next attempt

A faulty server writes an earlier refusal once more on a kept connection. Attempts of one client request carry the same ID, and the next attempt could use the connection: the refusal passed for its answer while it ran. Clients were told 'not run' (REFUSED), or the request was sent to a second server (TWICE). A refusal without an ID passed for the answer to any request.

Change: an attempt never uses a connection on which its request was refused before; a response that doesn't name the request that it answers ends the attempt, as one that may have run. In the product's own protocol responses name no request, so a connection is closed after a refusal.

The stand-ins of other tests now name the request in their responses, as the protocol requires; what they check is unchanged.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,9 +20,6 @@
 	lengthUnframed = -2
 	// lengthChunked is hertz's content length of a chunked body.
 	lengthChunked = -1
-	// maxRefusalBytes is the largest body of a refusal that is read so that its connection can be
-	// reused.
-	maxRefusalBytes = 16 << 10
 	// earlyRefusalTimeout bounds the wait for a refusal after a write failed.
 	earlyRefusalTimeout = 50 * time.Millisecond
 	// maxInterimResponses is the number of interim (1xx) responses that are skipped before a response.
@@ -46,8 +43,8 @@
 	stopCancelWatch func() bool
 }
 
-// run sends the request and reads the response. If that fails, it closes the connection or returns it
-// to the pool.
+// run sends the request and reads the response. If that fails, it closes the connection, unless nothing
+// was written to it.
 func (e *exchange) run(ctx context.Context) (*Response, error) {
 	// Check again, because opening the connection may have taken long.
 	if failure := checkSendable(ctx, e.request); failure != nil {
@@ -60,10 +57,7 @@
 	if err != nil {
 		e.stopCancelWatch()
 		failure := e.classify(ctx, err)
-		var refused *refusal
-		if !errors.As(err, &refused) || !refused.connectionKept {
-			e.pool.discard(e.conn)
-		}
+		e.pool.discard(e.conn)
 		return nil, failure
 	}
 	return response, nil
@@ -240,7 +234,7 @@
 		return nil, err
 	}
 	if refused := header.Peek(wire.HeaderRefused); len(refused) > 0 {
-		return nil, e.readRefusal(string(refused), body, length)
+		return nil, &refusal{reason: string(refused)}
 	}
 	response := &Response{Header: header, Length: length}
 	if length > e.request.MaxBuffered {
@@ -259,24 +253,10 @@
 	return response, body.Close()
 }
 
-// readRefusal returns the refusal as an error. It reads a short body to its end, so that the connection
-// can be reused.
-func (e *exchange) readRefusal(reason string, body *responseBody, length int) error {
-	if length >= 0 && length <= maxRefusalBytes {
-		_, _ = io.Copy(io.Discard, body)
-	}
-	if body.complete {
-		_ = body.Close()
-		return &refusal{reason: reason, connectionKept: true}
-	}
-	return &refusal{reason: reason}
-}
-
-// refusal is a response by which the server states that it did not run the request.
-type refusal struct {
-	reason         string
-	connectionKept bool
-}
+// refusal is a response by which the server states that it did not run the request. Its connection is
+// closed: responses name no request, so a refusal that a faulty server writes once more would pass for
+// the answer to the next one.
+type refusal struct{ reason string }
 
 // Error implements error.
 func (r *refusal) Error() string { return "server refused the request: " + r.reason }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -192,9 +193,9 @@
 
 // connect returns an open idle connection, or dials a new one. A request that may run only once
 // gets an idle connection only if that was used within maxIdleForOnce.
-func (b *backend) connect(ctx context.Context, once bool) (*conn, error) {
+func (b *backend) connect(ctx context.Context, once bool, id string) (*conn, error) {
 	for {
-		c := b.takeIdle(once)
+		c := b.takeIdle(once, id)
 		if c == nil {
 			return dial(ctx, b.address)
 		}
@@ -205,16 +206,21 @@
 	}
 }
 
-func (b *backend) takeIdle(once bool) *conn {
+// takeIdle takes the most recently used idle connection that may carry the request, or returns nil.
+func (b *backend) takeIdle(once bool, id string) *conn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	last := len(b.idle) - 1
-	if last < 0 || once && time.Since(b.idle[last].lastUsed) > maxIdleForOnce {
-		return nil
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
+		if once && time.Since(c.lastUsed) > maxIdleForOnce {
+			return nil
+		}
+		if c.mayCarry(id) {
+			b.idle = slices.Delete(b.idle, i, i+1)
+			return c
+		}
 	}
-	c := b.idle[last]
-	b.idle = b.idle[:last]
-	return c
+	return nil
 }
 
 // release returns a connection to the idle list, or closes it.
@@ -257,7 +263,7 @@
 func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, once bool, dialect Dialect) (*backendResponse, error) {
 	dialContext, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
-	c, err := b.connect(dialContext, once)
+	c, err := b.connect(dialContext, once, req.id)
 	if err != nil {
 		return nil, &exchangeError{reason: reasonConnect, connRefused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 	}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -81,9 +81,9 @@
 // Guards against a connection that is used again although the body of a refusal was not read to its end:
 // what follows would be taken for the next response.
 func TestConnectionOfEndlessRefusalIsClosed(t *testing.T) {
-	refusal := "HTTP/1.1 503 Service Unavailable\r\nTest-Not-Run: 1\r\nContent-Length: 999999\r\n\r\n" +
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nTest-Id: a1\r\nTest-Not-Run: 1\r\nContent-Length: 999999\r\n\r\n" +
 		strings.Repeat("z", maxRefusalBody)
-	forged := "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 6\r\n\r\nforged"
+	forged := "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: 6\r\n\r\nforged"
 	first := func(conn net.Conn, _ *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(conn, refusal)
 		time.Sleep(50 * time.Millisecond)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,8 @@
 	// not run, bytes. The connection of a longer one is closed.
 	maxRefusalBody  = 16 << 10
 	readBufferBytes = 4 << 10
+	// maxRefusedIDs is the number of refused requests after which a connection is not used again.
+	maxRefusedIDs = 16
 )
 
 // exchangeError is the error of an exchange that yielded no response.
@@ -98,6 +101,7 @@
 	written  atomic.Int64      // bytes written of the current request
 	maxIdle  time.Duration     // how long the connection may be idle
 	lastUsed time.Time         // end of the last exchange
+	refused  []string          // IDs of the requests that were refused on the connection
 }
 
 // Write counts the bytes that were handed to the network.
@@ -145,9 +149,14 @@
 	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 }
 
+// mayCarry reports whether a request with the given ID may be sent on the connection. A faulty server
+// may write a refusal once more; on the connection of an earlier attempt it would pass for the answer
+// to this one.
+func (c *conn) mayCarry(id string) bool { return id == "" || !slices.Contains(c.refused, id) }
+
 // reusable reports whether an idle connection is open and holds no unexpected bytes.
 func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 || time.Since(c.lastUsed) > c.maxIdle {
+	if len(c.refused) >= maxRefusedIDs || c.reader.Buffered() > 0 || time.Since(c.lastUsed) > c.maxIdle {
 		return false
 	}
 	return idle.Peek(c.Conn) == idle.Quiet
@@ -177,6 +186,9 @@
 		// reused only after the rest was sent.
 		bodySent := <-sent == nil
 		notCanceled := stop()
+		if resp.info.NotExecuted {
+			c.refused = append(c.refused, req.id)
+		}
 		release(c, complete && keepAlive && bodySent && notCanceled && c.reader.Buffered() == 0)
 	}
 	return resp, nil
@@ -241,6 +253,10 @@
 	return err
 }
 
+// errNoID is the error of a response that does not name the request that it answers. It may answer an
+// earlier request on the connection.
+var errNoID = errors.New("response without the ID of the request")
+
 // read reads the response to the request. It skips interim (1xx) responses and late responses to
 // earlier requests.
 func read(c *conn, req *backendRequest, dialect Dialect) (*backendResponse, error) {
@@ -254,7 +270,10 @@
 			continue
 		}
 		info := dialect.ParseResponse(httpResp.StatusCode, httpResp.Header)
-		if info.ID != "" && info.ID != req.id {
+		if info.ID == "" && req.id != "" {
+			return nil, errNoID
+		}
+		if info.ID != req.id {
 			c.limit.Limit(maxSkippedBody)
 			if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
 				return nil, err
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -138,7 +138,7 @@
 }
 
 var (
-	notExecuted     = rawResponse("HTTP/1.1 503 Service Unavailable\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	notExecuted     = rawResponse("HTTP/1.1 503 Service Unavailable\r\nTest-Id: a1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	closeConnection = func(net.Conn, *http.Request, []byte) bool { return false }
 )
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -68,13 +68,13 @@
 	}{
 		{"once, broken", "/order/1", closeConnection, 502, 1},
 		{"once, not run", "/order/1", notExecuted, 200, 2},
-		{"once, success without a seal", "/order/1", rawResponse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), 502, 1},
+		{"once, success without a seal", "/order/1", rawResponse("HTTP/1.1 200 OK\r\nTest-Id: a1\r\nContent-Length: 2\r\n\r\nno"), 502, 1},
 		{"once, not a response", "/order/1", rawResponse("gibberish\r\n\r\n"), 502, 1},
-		{"once, unsealed 503", "/order/1", rawResponse("HTTP/1.1 503 Nope\r\nContent-Length: 0\r\n\r\n"), 502, 1},
-		{"once, sealed failure", "/order/1", rawResponse("HTTP/1.1 500 Bad\r\nTest-Seal: s\r\nContent-Length: 0\r\n\r\n"), 500, 1},
+		{"once, unsealed 503", "/order/1", rawResponse("HTTP/1.1 503 Nope\r\nTest-Id: a1\r\nContent-Length: 0\r\n\r\n"), 502, 1},
+		{"once, sealed failure", "/order/1", rawResponse("HTTP/1.1 500 Bad\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: 0\r\n\r\n"), 500, 1},
 		{"idempotent, broken", "/look/1", closeConnection, 200, 2},
 		{"idempotent, cut short", "/look/1", func(conn net.Conn, _ *http.Request, _ []byte) bool {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 10\r\n\r\nhalf")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: 10\r\n\r\nhalf")
 			return false
 		}, 200, 2},
 		{"upload, broken", "/photo/1", closeConnection, 502, 1},
@@ -126,7 +126,7 @@
 // A server has ended and a server of another service uses its address. Requests that still go to
 // the address count against the other service's budget.
 func TestNoRequestsToReusedAddress(t *testing.T) {
-	other := rawResponse("HTTP/1.1 421 Misdirected\r\nTest-Not-Run: 1\r\nTest-Server: other\r\nContent-Length: 0\r\n\r\n")
+	other := rawResponse("HTTP/1.1 421 Misdirected\r\nTest-Id: a1\r\nTest-Not-Run: 1\r\nTest-Server: other\r\nContent-Length: 0\r\n\r\n")
 	server := newFakeBackend(t, other)
 	f := newFixture(t)
 	f.publish(server)
@@ -155,7 +155,7 @@
 }
 
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
-	stray := "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 3\r\n\r\nyes" + "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nwrong"
+	stray := "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: 3\r\n\r\nyes" + "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: 5\r\n\r\nwrong"
 	server := newFakeBackend(t, rawResponse(stray), okResponse("right"))
 	f := newFixture(t)
 	f.publish(server)
@@ -175,7 +175,7 @@
 	}{{"closed", -1, 200}, {"reset", 0, 502}} {
 		t.Run(c.name, func(t *testing.T) {
 			server := newFakeBackend(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\n\r\nall of it")
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\n\r\nall of it")
 				time.Sleep(30 * time.Millisecond)
 				_ = conn.(*net.TCPConn).SetLinger(c.linger)
 				return false
@@ -193,7 +193,7 @@
 // The client must be able to detect that a long response was truncated.
 func TestTruncatedResponseIsDetectable(t *testing.T) {
 	server := newFakeBackend(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n", 4*maxBufferedResponse)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTest-Id: a1\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n", 4*maxBufferedResponse)
 		_, _ = conn.Write(make([]byte, 2*maxBufferedResponse))
 		return false
 	})
@@ -204,6 +204,7 @@
 		t.Fatal(err)
 	}
 	r.Host = "depot.example"
+	r.Header.Set("Test-Id", "a1")
 	r.Header.Set("Test-Key", "7")
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
