Answer the requests that are in flight at the end of a stop

It happened here: a stopping gateway takes requests until 2.3 s into its grace, and others whose body comes later, passed them on with all of their time, and exited at its end; what a server was still at work at was cut without an answer, also requests that may not be repeated (LOST).

Change: a request's time ends with the stop, so a server is told what is left, and what can't be answered by then is refused as not run, with a short Retry-After. 50 ms before the end, in the last sixth of the grace, requests that are still at a server are answered 502 or 504: their outcome is unknown.

TestRequestTakenLateInStopGetsAnswer (no answer: EOF) and TestRequestWithLateBodyIsRefusedAtEndOfStop (passed on, 200 in this case) failed before and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,9 +47,9 @@
 // response is returned. If the service is partitioned by key, both attempts go to the key's owner.
 func (c *call) send(to *target, service *routes.Service) (*backendResponse, error) {
 	if !c.route.Kind.Repeatable() || c.stream != nil || c.attempts > 0 {
-		return c.attempt(c.attemptContext(), to)
+		return c.attempt(c.ctx, to)
 	}
-	ctx, cancel := context.WithCancel(c.request.Context())
+	ctx, cancel := context.WithCancel(c.ctx)
 	results := make(chan attemptResult, 2)
 	go c.attemptInto(ctx, to, c.prepare(to), results)
 	timer := time.NewTimer(c.hedgeDelay(to))
@@ -113,8 +113,8 @@
 	return second
 }
 
-// attemptContext returns the context of a single attempt. A request that may run only once is not
-// canceled when the client disconnects.
+// attemptContext returns the context of the attempts, as far as the client determines it. A request
+// that may run only once is not canceled when the client disconnects.
 func (c *call) attemptContext() context.Context {
 	if c.route.Kind.Repeatable() {
 		return c.request.Context()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -67,7 +68,8 @@
 	service    string
 	stamp      Stamp
 	body       []byte
-	stream     io.Reader // replaces body if the body exceeds maxBufferedBody
+	stream     io.Reader       // replaces body if the body exceeds maxBufferedBody
+	ctx        context.Context // of the attempts; ends when the gateway gives up its requests
 	attempts   int
 	server     string // ID of the server of the last attempt
 	mayHaveRun bool   // whether an attempt without a usable response may have run
@@ -80,7 +82,7 @@
 
 // serve handles one client request.
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
-	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header)}
+	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header), ctx: r.Context()}
 	c.setDeadline(defaultTimeout)
 	if h.draining.Load() { // the request might not end before the process does
 		c.refuse(reasonStopping)
@@ -120,6 +122,18 @@
 	c.deadline = c.started.Add(timeout)
 }
 
+// limitToStop ends the request's time, if the gateway is stopping, at the end of the stop: what can't
+// be answered by then is not sent to a server any more.
+func (c *call) limitToStop() {
+	end := time.Duration(c.host.stopEnd.Load())
+	if end == 0 {
+		return
+	}
+	if until := time.Now().Add(end - clockNow()); until.Before(c.deadline) {
+		c.deadline = until
+	}
+}
+
 // readBody reads the request body. If it can't be read, it responds to the client and returns
 // false.
 func (c *call) readBody(limits routes.Limits) bool {
@@ -144,8 +158,13 @@
 
 // run sends the request until it gets a final response or must not be sent again.
 func (c *call) run(service *routes.Service) {
+	ctx, cancel := context.WithCancel(c.attemptContext())
+	defer cancel()
+	defer context.AfterFunc(c.host.givingUp, cancel)()
+	c.ctx = ctx
 	lastReason := reasonNotExecuted
 	for {
+		c.limitToStop()
 		if c.request.Context().Err() != nil {
 			c.log("client left", reasonCanceled, 0, true)
 			return
@@ -222,7 +241,13 @@
 		reason = reasonNotOwner
 	}
 	c.mayHaveRun = c.mayHaveRun || mayHaveRun
+	if reason == reasonCanceled && c.request.Context().Err() == nil {
+		reason = reasonStopping
+	}
 	switch {
+	case reason == reasonStopping:
+		c.refuse(reason)
+		return false, reason
 	case reason == reasonCanceled:
 		c.log("client left", reason, 0, true)
 		return false, reason
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -49,6 +49,9 @@
 	// idleReserve is the part of the stop timeout, before stopReserve, in which idle connections are
 	// closed. Until then they stay open: a request may be on its way on any of them.
 	idleReserve = 900 * time.Millisecond
+	// answerReserve is the part of the stop timeout, before stopReserve, in which the requests that are
+	// still in flight are answered that their outcome is unknown.
+	answerReserve = 50 * time.Millisecond
 	// retryBudgetFraction is the fraction of the retry budget that is used. The margin is needed
 	// because requests reach the servers slightly later than they are counted here.
 	retryBudgetFraction = 0.85
@@ -81,7 +84,10 @@
 	listener    net.Listener // of server
 	clientConns *clientConns
 	readyServer *http.Server
-	stopping    atomic.Bool // the balancer check fails, and clients are asked to leave
+	stopping    atomic.Bool     // the balancer check fails, and clients are asked to leave
+	stopEnd     atomic.Int64    // when requests in flight are given up, on clock.Now; 0 unless stopping
+	givingUp    context.Context // ends at stopEnd
+	giveUp      context.CancelFunc
 	draining    atomic.Bool // new requests are refused
 	cancel      context.CancelFunc
 	done        sync.WaitGroup
@@ -115,6 +121,7 @@
 		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
+	h.givingUp, h.giveUp = context.WithCancel(context.Background())
 	if err := m.registerViewGauges(o.Registry, h.view); err != nil {
 		return nil, err
 	}
@@ -173,11 +180,14 @@
 
 // Stop fails the balancer check and serves until the balancer sends new connections elsewhere. Then it
 // completes the requests in flight, and refuses new ones on open connections until the clients have
-// left them. Each response asks the client to leave its connection.
+// left them. Each response asks the client to leave its connection. A request that is still in flight at
+// the end is answered that its outcome is unknown.
 func (h *Host) Stop(ctx context.Context) error {
 	log.WithField("host", h.settings.Name).Info("gateway stopping")
-	h.stopping.Store(true)
 	total := clock.Seconds(h.settings.StopSeconds)
+	h.stopEnd.Store(int64(clockNow() + total - stopReserve - answerReserve))
+	h.stopping.Store(true)
+	defer time.AfterFunc(total-stopReserve-answerReserve, h.giveUp).Stop()
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
 	sleep(ctx, min(unreadyTime, total/2))
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,6 +23,9 @@
 // time, unless the request is likely to be served sooner.
 func (c *call) retryAfter(reason string) time.Duration {
 	latest := time.Duration(retryAfterFraction * float64(max(time.Until(c.deadline), 0)))
+	if c.host.stopping.Load() {
+		return min(otherGatewayRetryAfter, latest)
+	}
 	switch reason {
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -60,7 +60,7 @@
 			c.host.wantTokens()
 		}
 		if !c.waitForChange(min(left, capacityPollInterval), changed) {
-			return nil, reasonCanceled
+			return nil, c.endReason()
 		}
 	}
 }
@@ -77,8 +77,16 @@
 	return false
 }
 
+// endReason returns why the request is given up although it could wait.
+func (c *call) endReason() string {
+	if c.request.Context().Err() == nil {
+		return reasonStopping
+	}
+	return reasonCanceled
+}
+
 // waitForChange waits for a change of the view, at most for maxWait. It returns false if the client
-// disconnected.
+// disconnected or the gateway gives up its requests.
 func (c *call) waitForChange(maxWait time.Duration, changed <-chan struct{}) bool {
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
@@ -87,6 +95,8 @@
 	case <-timer.C:
 	case <-c.request.Context().Done():
 		return false
+	case <-c.host.givingUp.Done():
+		return false
 	}
 	return true
 }
