Take no late heartbeat as proof that a server lacks its keys

The leader's log has all six ranges of s-7 released without having been revoked, and five and a half of them granted back by the same heartbeat, 0.8 s after an election. Only one path does that: keys granted in an earlier term that are missing from a heartbeat that arrives 0.25 s or more after the server's first one in the term were taken as not held.

Cause: a new leader knows no sequence numbers. A heartbeat that was sent before the server received its keys, and was held up at a paused control host, lists none; two of them free keys that the server holds.

Change: a grant is recorded with the number of the heartbeat that it answers; only a later heartbeat, or a later incarnation, proves that the server does not hold the keys. Left: a grant whose first reply was lost and that the server got with a later one, with heartbeats between the two held up.

--- a/keyrange/assign.go
+++ b/keyrange/assign.go
@@ -105,10 +105,10 @@
 func (c *Coordinator) grant(now time.Duration, svc *service, seg *segment, s *server) {
 	*seg = segment{
 		from: seg.from, to: seg.to, holder: s.info.ID, startMillis: s.info.StartMillis,
-		token: c.nextToken(), handover: seg.handover, pendingSince: max(now, 1),
+		token: c.nextToken(), sequence: s.sequence, handover: seg.handover, pendingSince: max(now, 1),
 	}
 	c.granted = append(c.granted, Assignment{
-		Service: svc.name, From: seg.from, To: seg.to, ServerID: seg.holder, StartMillis: seg.startMillis, Token: seg.token,
+		Service: svc.name, From: seg.from, To: seg.to, ServerID: seg.holder, StartMillis: seg.startMillis, Token: seg.token, Sequence: seg.sequence,
 	})
 }
 
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -97,7 +97,7 @@
 		}
 		svc.seeded = true
 		svc.segments.forEach(a.From, a.To, func(seg *segment) {
-			seg.holder, seg.startMillis, seg.token = a.ServerID, a.StartMillis, a.Token
+			seg.holder, seg.startMillis, seg.token, seg.sequence = a.ServerID, a.StartMillis, a.Token, a.Sequence
 			seg.leaseEnd, seg.unconfirmed = c.options.InheritedLeasesEnd, true
 		})
 	}
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -16,6 +16,9 @@
 	// Fencing token.
 	Token uint64 `json:"k" yaml:"k" cbor:"k"`
 
+	// Sequence number of the server's heartbeat that was answered with the grant.
+	Sequence int64 `json:"q" yaml:"q" cbor:"q"`
+
 	// Service.
 	Service string `json:"s" yaml:"s" cbor:"s"`
 
--- a/keyrange/record.go
+++ b/keyrange/record.go
@@ -43,6 +43,7 @@
 		if last := len(merged) - 1; last >= 0 && merged[last].continuedBy(next) {
 			merged[last].To = next.To
 			merged[last].Token = max(merged[last].Token, next.Token)
+			merged[last].Sequence = max(merged[last].Sequence, next.Sequence)
 			continue
 		}
 		merged = append(merged, next)
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -65,17 +65,24 @@
 }
 
 // freeUnconfirmed frees keys that were granted to the server in an earlier term but are
-// missing from its reports.
+// missing from its reports. A heartbeat that the server sent before it could know of the grant is no
+// proof: such heartbeats may arrive late, after the server has received the keys.
 func (c *Coordinator) freeUnconfirmed(now time.Duration, svc *service, s *server) {
 	for i := range svc.segments {
 		seg := &svc.segments[i]
-		if seg.holder == s.info.ID && seg.unconfirmed && !seg.reported {
+		if seg.holder == s.info.ID && seg.unconfirmed && !seg.reported && s.knowsOf(seg) {
 			c.recordEvent(now, EventReleased, svc, seg)
 			seg.free(now, "")
 		}
 	}
 }
 
+// knowsOf reports whether the server's newest heartbeat was sent after the one that was answered with
+// the grant, or by a later incarnation.
+func (s *server) knowsOf(seg *segment) bool {
+	return s.info.StartMillis > seg.startMillis || s.sequence > seg.sequence
+}
+
 // renew returns the grants of all keys that the server is to hold, and extends their leases to
 // leaseEnd. Grants of earlier heartbeats that are still being recorded are left out.
 func (svc *service) renew(now time.Duration, s *server, leaseEnd time.Duration) []Grant {
--- a/keyrange/segment.go
+++ b/keyrange/segment.go
@@ -12,6 +12,7 @@
 	holder      string        // ID of the server that may hold the keys; empty for none
 	startMillis int64         // start time of the holder's incarnation
 	token       uint64        // of the newest grant
+	sequence    int64         // number of the holder's heartbeat that was answered with the grant
 	leaseEnd    time.Duration // latest time at which the holder's lease expires
 	revoking    bool          // the holder is told to release the keys
 	reported    bool          // the holder's newest heartbeat reports the keys as held
