--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,38 +14,9 @@
 	"github.com/galenalug/galenalug/ratelimit"
 )
 
-const (
-	// defaultIdleTime is how long an idle connection is kept if the server names no keep-alive
-	// timeout.
-	defaultIdleTime = 8 * time.Second
-	// idleFraction is the fraction of the server's keep-alive timeout for which an idle connection
-	// is used. The margin avoids sending on a connection that the server is about to close.
-	idleFraction = 0.75
-	// maxIdleForOnce is the longest idle time of a connection that is used for a request that may
-	// run only once. If the server closes the connection while the request is sent, such a request
-	// can't be sent again.
-	maxIdleForOnce = 4 * time.Second
-	// suspectPeriod is how long after a failure a server is used only if there is no other.
-	suspectPeriod = 1500 * time.Millisecond
-)
-
 // refusedPeriod is how long a server gets no requests after its host refused a connection.
 const refusedPeriod = 150 * time.Millisecond
 
-// keepAliveTime returns how long an idle connection to the server may be used.
-func keepAliveTime(header http.Header) time.Duration {
-	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(float64(seconds) * idleFraction * float64(time.Second))
-		}
-	}
-	return defaultIdleTime
-}
-
 // backend holds the connections to one incarnation of a backend server and the gateway's estimates
 // of its load.
 type backend struct {
@@ -72,25 +39,6 @@
 	closed    bool                // connections are closed when their exchange ends
 }
 
-// meanServiceTime is the mean service time of a service's requests at all of its servers. It is the
-// estimate for a server that has not answered a request yet.
-type meanServiceTime struct {
-	mu   sync.Mutex // guards mean; no other lock is acquired while it is held
-	mean dispatch.MeanServiceTime
-}
-
-func (t *meanServiceTime) observe(took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.mean.Observe(took)
-}
-
-func (t *meanServiceTime) value() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.mean.Value()
-}
-
 // backends holds the backend servers and the mean service times of their services.
 type backends struct {
 	mu               sync.Mutex // guards the fields below
@@ -177,64 +125,6 @@
 	b.idle = nil
 }
 
-func (b *backend) closeIdle() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	kept := b.idle[:0]
-	for _, c := range b.idle {
-		if time.Since(c.lastUsed) > c.maxIdle {
-			_ = c.Close() // no request is in flight on it
-			continue
-		}
-		kept = append(kept, c)
-	}
-	b.idle = kept
-}
-
-// connect returns an open idle connection, or dials a new one. A request that may run only once
-// gets an idle connection only if that was used within maxIdleForOnce.
-func (b *backend) connect(ctx context.Context, once bool, id string) (*conn, error) {
-	for {
-		c := b.takeIdle(once, id)
-		if c == nil {
-			return dial(ctx, b.address)
-		}
-		if c.reusable() {
-			return c, nil
-		}
-		_ = c.Close() // no request is in flight on it
-	}
-}
-
-// takeIdle takes the most recently used idle connection that may carry the request, or returns nil.
-func (b *backend) takeIdle(once bool, id string) *conn {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for i := len(b.idle) - 1; i >= 0; i-- {
-		c := b.idle[i]
-		if once && time.Since(c.lastUsed) > maxIdleForOnce {
-			return nil
-		}
-		if c.mayCarry(id) {
-			b.idle = slices.Delete(b.idle, i, i+1)
-			return c
-		}
-	}
-	return nil
-}
-
-// release returns a connection to the idle list, or closes it.
-func (b *backend) release(c *conn, keep bool) {
-	c.lastUsed = time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !keep || b.closed {
-		_ = c.Close() // the exchange has ended
-		return
-	}
-	b.idle = append(b.idle, c)
-}
-
 // send sends a request once and updates the load estimates.
 func (b *backend) send(ctx context.Context, req *backendRequest, once bool, dialect Dialect) (*backendResponse, error) {
 	b.mu.Lock()
@@ -270,59 +160,6 @@
 	return exchange(ctx, c, req, dialect, b.release)
 }
 
-// recordFailure updates the estimates after a failed attempt. The caller holds b.mu. If the request
-// certainly did not queue at the server, the time until it timed out or was canceled is a lower
-// bound of its service time.
-func (b *backend) recordFailure(err error, took time.Duration, hadFreeSlot bool) {
-	var e *exchangeError
-	if !errors.As(err, &e) {
-		return
-	}
-	unanswered := e.reason == reasonTimeout || e.reason == reasonCanceled
-	if unanswered && hadFreeSlot && took > b.load.ServiceTime() {
-		b.recordServiceTime(took)
-	}
-	if e.reason == reasonCanceled {
-		return
-	}
-	b.failedAt = clockNow()
-	if e.connRefused {
-		b.refusedAt = b.failedAt
-		b.observed.Refused++
-	}
-}
-
-// recordResponse updates the estimates after a response. The caller holds b.mu. The response time
-// of a request that probably queued at the server is no measure of its service time.
-func (b *backend) recordResponse(resp *backendResponse, took time.Duration, queued bool) {
-	switch {
-	case resp.info.NotOwner && resp.info.ServerID != "" && resp.info.ServerID != b.id:
-		b.observed.Misdirected++
-		b.replaced = true
-	case resp.info.NotExecuted, queued, resp.info.Load != nil && resp.info.Load.Waiting > 0:
-	default:
-		b.recordServiceTime(took)
-	}
-}
-
-// recordServiceTime updates the estimates with a measured service time. The caller holds b.mu.
-func (b *backend) recordServiceTime(took time.Duration) {
-	b.load.SetExpectedServiceTime(b.meanServiceTime.value())
-	b.load.ObserveServiceTime(took)
-	b.meanServiceTime.observe(took)
-	b.observed.Count++
-	b.observed.ServiceTimeMicros += took.Microseconds()
-}
-
-// expectedTime returns the expected response time of a request that is sent now, and whether any
-// service time is known.
-func (b *backend) expectedTime(now time.Duration, slots int) (time.Duration, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load.SetExpectedServiceTime(b.meanServiceTime.value())
-	return b.load.ExpectedWait(now, slots) + b.load.ServiceTime(), b.load.HasServiceTime()
-}
-
 // allow reports whether a request is within the fraction of requests, in thousandths, that may be
 // sent to an overloaded server.
 func (b *backend) allow(permille, priority int64) bool {
@@ -339,20 +176,6 @@
 	return b.replaced || b.refusedAt != 0 && now-b.refusedAt < refusedPeriod
 }
 
-// candidate returns the backend as a candidate for dispatch.Choose.
-func (b *backend) candidate(now time.Duration, s keyrange.Server, connectionLimit int, distance dispatch.Distance) dispatch.Candidate {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load.SetExpectedServiceTime(b.meanServiceTime.value())
-	load := b.load
-	limit, _ := b.notices.RateLimit()
-	return dispatch.Candidate{
-		ID: s.ID, Load: &load, Slots: int(s.Slots), ConnectionLimit: connectionLimit, Distance: distance,
-		Suspect:   b.failedAt != 0 && now-b.failedAt < suspectPeriod,
-		PausedFor: b.notices.PausedFor(now), Limited: limit > 0, Tokens: b.tokens.Available(now),
-	}
-}
-
 // enqueue adds a request to the queue for the server.
 func (b *backend) enqueue(priority int64) dispatch.Ticket {
 	b.mu.Lock()
@@ -360,20 +183,6 @@
 	return b.queue.Enqueue(priority)
 }
 
-// expectedWait returns how long a request that is not sent for the given reason would wait for the
-// server, with the given number of others ahead of it.
-func (b *backend) expectedWait(now time.Duration, slots, ahead int, reason dispatch.Reason) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch reason {
-	case dispatch.RateLimited:
-		return b.tokens.Wait(now, ahead)
-	case dispatch.Paused:
-		return b.notices.PausedFor(now)
-	}
-	return dispatch.EstimatedQueueWait(now, &b.load, slots, ahead)
-}
-
 func (b *backend) dequeue(t dispatch.Ticket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -390,23 +199,3 @@
 	}
 	return b.queue.AheadOfNew(priority)
 }
-
-// hopByHop lists the headers that apply to a single connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// endToEnd returns a copy of the header without the hop-by-hop fields.
-func endToEnd(header http.Header) http.Header {
-	out := header.Clone()
-	for _, named := range header.Values("Connection") {
-		for _, name := range strings.Split(named, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,23 +40,6 @@
 	// maxDisconnectedTime is how long a gateway without a connection to a control host still passes
 	// the balancer check. It is longer than an election and shorter than a lease.
 	maxDisconnectedTime = 2500 * time.Millisecond
-	// unreadyTime is how long a stopping gateway still accepts connections. The balancer checks
-	// every second and removes a host after two failed checks.
-	unreadyTime = 2300 * time.Millisecond
-	// stopReserve is the part of the stop timeout that is left for cleanup.
-	stopReserve = 900 * time.Millisecond
-	// idleReserve is the part of the stop timeout, before stopReserve, in which idle connections are
-	// closed. Until then they stay open: a request may be on its way on any of them.
-	idleReserve = 900 * time.Millisecond
-	// answerReserve is the part of the stop timeout, before stopReserve, in which the requests that are
-	// still in flight are answered that their outcome is unknown.
-	answerReserve = 50 * time.Millisecond
-	// retryBudgetFraction is the fraction of the retry budget that is used. The margin is needed
-	// because requests reach the servers slightly later than they are counted here.
-	retryBudgetFraction = 0.85
-	// slackFraction is the fraction that a gateway uses of its share of the retry slack. Its count
-	// of the gateways may be too low for a while.
-	slackFraction = 0.5
 	// sweepInterval is the interval between sweeps of the backend connections.
 	sweepInterval = time.Second
 )
@@ -178,40 +160,6 @@
 	}
 }
 
-// Stop fails the balancer check and serves until the balancer sends new connections elsewhere. Then it
-// completes the requests in flight, and refuses new ones on open connections until the clients have
-// left them. Each response asks the client to leave its connection. A request that is still in flight at
-// the end is answered that its outcome is unknown.
-func (h *Host) Stop(ctx context.Context) error {
-	log.WithField("host", h.settings.Name).Info("gateway stopping")
-	total := clock.Seconds(h.settings.StopSeconds)
-	h.stopEnd.Store(int64(clockNow() + total - stopReserve - answerReserve))
-	h.stopping.Store(true)
-	defer time.AfterFunc(total-stopReserve-answerReserve, h.giveUp).Stop()
-	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
-	defer cancel()
-	sleep(ctx, min(unreadyTime, total/2))
-	h.draining.Store(true)
-	_ = h.listener.Close() // Shutdown closes it again
-	h.awaitClients(ctx, idleReserve)
-	h.clientConns.awaitRead(ctx)
-	err := h.server.Shutdown(ctx)
-	h.cancel()
-	_ = h.readyServer.Close() // the balancer has removed the host by now
-	h.done.Wait()
-	h.events.Close()
-	return errors.Wrap(err, "complete requests in flight")
-}
-
-// awaitClients returns when no client connection is open, or when no more than reserve is left until
-// the deadline of the context.
-func (h *Host) awaitClients(ctx context.Context, reserve time.Duration) {
-	deadline, _ := ctx.Deadline()
-	for time.Until(deadline) > reserve && ctx.Err() == nil && h.clientConns.open() > 0 {
-		sleep(ctx, clientPollInterval)
-	}
-}
-
 // serveReady responds to the balancer check.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
 	now := clockNow()
@@ -247,55 +195,6 @@
 	return h.picker.Pick(version, route)
 }
 
-func (h *Host) countRequest(service string, key int64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.retryLimiter(service).RecordRequest(clockNow())
-	if key == NoKey {
-		return
-	}
-	if h.keyCounts[service] == nil {
-		h.keyCounts[service] = map[int64]int64{}
-	}
-	h.keyCounts[service][key]++
-}
-
-// allowRetry takes one retry from the service's retry budget, or returns false if it is used up.
-func (h *Host) allowRetry(service string) bool {
-	slack := slackFraction * h.settings.RetrySlack / float64(h.view.gateways())
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	allowed := h.retryLimiter(service).AllowRetry(clockNow(), slack)
-	h.metrics.retries.WithLabelValues(strconv.FormatBool(allowed)).Inc()
-	return allowed
-}
-
-// retryLimiter returns the retry limiter of a service. The caller holds h.mu.
-func (h *Host) retryLimiter(service string) *retry.WindowLimiter {
-	w := h.retryLimiters[service]
-	if w == nil {
-		w = retry.NewWindowLimiter(retryBudgetFraction*h.settings.RetryRatio, clock.Seconds(h.settings.RetryWindowSeconds))
-		h.retryLimiters[service] = w
-	}
-	return w
-}
-
-// takeLoadReport returns the load since the last call.
-func (h *Host) takeLoadReport() keyrange.LoadReport {
-	report := keyrange.LoadReport{Servers: h.backends.takeObservations()}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, keyCounts := range h.keyCounts {
-		load := keyrange.ServiceLoad{Service: service}
-		for key, count := range keyCounts {
-			load.Keys = append(load.Keys, keyrange.KeyLoad{Key: key, Count: count})
-		}
-		report.Services = append(report.Services, load)
-	}
-	h.keyCounts = map[string]map[int64]int64{}
-	return report
-}
-
 // available returns the servers that may get requests, those that are about to stop only if there are
 // no others.
 func (h *Host) available(now time.Duration, servers []keyrange.Server) []keyrange.Server {
--- /dev/null
+++ b/internal/gateway/pool.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// maxIdleForOnce is the longest idle time of a connection that is used for a request that may
+// run only once. If the server closes the connection while the request is sent, such a request
+// can't be sent again.
+const maxIdleForOnce = 4 * time.Second
+
+func (b *backend) closeIdle() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept := b.idle[:0]
+	for _, c := range b.idle {
+		if time.Since(c.lastUsed) > c.maxIdle {
+			_ = c.Close() // no request is in flight on it
+			continue
+		}
+		kept = append(kept, c)
+	}
+	b.idle = kept
+}
+
+// connect returns an open idle connection, or dials a new one. A request that may run only once
+// gets an idle connection only if that was used within maxIdleForOnce.
+func (b *backend) connect(ctx context.Context, once bool, id string) (*conn, error) {
+	for {
+		c := b.takeIdle(once, id)
+		if c == nil {
+			return dial(ctx, b.address)
+		}
+		if c.reusable() {
+			return c, nil
+		}
+		_ = c.Close() // no request is in flight on it
+	}
+}
+
+// takeIdle takes the most recently used idle connection that may carry the request, or returns nil.
+func (b *backend) takeIdle(once bool, id string) *conn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
+		if once && time.Since(c.lastUsed) > maxIdleForOnce {
+			return nil
+		}
+		if c.mayCarry(id) {
+			b.idle = slices.Delete(b.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// release returns a connection to the idle list, or closes it.
+func (b *backend) release(c *conn, keep bool) {
+	c.lastUsed = time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !keep || b.closed {
+		_ = c.Close() // the exchange has ended
+		return
+	}
+	b.idle = append(b.idle, c)
+}
