Ask all control hosts at once to join the group

Change: a joining host asks all hosts that it knows at the same time. The time to join is also measured from a removal.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -79,7 +79,7 @@
 	peers           *peers
 	runner          *group.Runner
 	voters          atomic.Value  // []string, addresses of the voters; set by membershipLoop
-	startedAt       time.Duration // clock.Now when the host was started
+	joiningSince    atomic.Int64  // clock.Now when the host was started or lost its vote
 	logFailed       atomic.Bool   // whether the replicated log had failed in the last call to observeVoters
 	voting          atomic.Bool   // whether this host was a voter in the last call to observeVoters
 	publishRequests chan struct{} // signals publishLoop that the table may have changed
@@ -143,7 +143,7 @@
 
 // Start starts the replicated log, the peer listener and the background loops.
 func (h *Host) Start() error {
-	h.startedAt = clock.Now()
+	h.joiningSince.Store(int64(clock.Now()))
 	runner, err := h.startRunner()
 	if err != nil {
 		return err
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -74,32 +74,40 @@
 	return false
 }
 
+// requestJoin asks all known control hosts at the same time, since some may not answer, and returns at
+// the first success or when joinTimeout is over.
 func (h *Host) requestJoin(ctx context.Context, status replog.Status) {
 	body, err := cbor.Marshal(wire.Join{Group: groupName, Name: h.name, ID: status.ID})
 	if err != nil {
 		log.WithError(err).Error("encoding the join request failed")
 		return
 	}
-	for _, address := range h.otherControlHosts() {
-		callContext, cancel := context.WithTimeout(ctx, joinTimeout)
-		_, err := h.peers.client(address).Call(callContext, wire.KindJoin, body)
-		cancel()
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	addresses := h.otherControlHosts()
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			_, err := h.peers.client(address).Call(ctx, wire.KindJoin, body)
+			results <- errors.Wrap(err, address)
+		}()
+	}
+	for range addresses {
+		err := <-results
 		if err == nil {
 			return
 		}
-		if !isVoter(status) {
-			log.WithFields(log.Fields{"host": h.name, "contact": address, "error": err.Error()}).Info("join request failed; retrying")
+		if !isVoter(status) && ctx.Err() == nil {
+			log.WithFields(log.Fields{"host": h.name, "error": err.Error()}).Info("join request failed; retrying")
 		}
 	}
 }
 
-// otherControlHosts returns the addresses of the other known control hosts: the leader first, the
-// rest in random order.
+// otherControlHosts returns the addresses of the other known control hosts.
 func (h *Host) otherControlHosts() []string {
 	addresses := append(h.seeds(), h.memberAddresses()...)
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if leader := h.runner.Leader(); leader != "" {
-		addresses = append([]string{leader}, addresses...)
+		addresses = append(addresses, leader)
 	}
 	seen := map[string]bool{h.name: true}
 	var others []string
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -70,7 +70,7 @@
 		Name: "galenalug_fleet_log_failed", Help: "1 while this host takes no part in the replicated log because of a storage error.",
 	})
 	m.joinSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "galenalug_fleet_join_seconds", Help: "Time from the start of a control host until it is a voter of the replicated log.",
+		Name: "galenalug_fleet_join_seconds", Help: "Time from the start or the removal of a control host until it is a voter of the replicated log.",
 		Buckets: []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 10, 20},
 	})
 	m.tokens = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/fleet/quorum.go
+++ b/internal/fleet/quorum.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
@@ -56,13 +58,18 @@
 	log.WithError(status.Failed).WithField("host", h.name).Error("replicated log failed; this host takes no part in it")
 }
 
-// observeJoin records how long this host took to become a voter.
+// observeJoin records how long this host took to become a voter, since its start or since it was
+// removed.
 func (h *Host) observeJoin(status replog.Status) {
 	voting := isVoter(status)
-	if voting == h.voting.Swap(voting) || !voting {
+	if voting == h.voting.Swap(voting) {
+		return
+	}
+	if !voting {
+		h.joiningSince.Store(int64(clock.Now()))
 		return
 	}
-	elapsed := clock.Now() - h.startedAt
+	elapsed := clock.Now() - time.Duration(h.joiningSince.Load())
 	h.metrics.joinSeconds.Observe(elapsed.Seconds())
-	log.WithFields(log.Fields{"host": h.name, "since_start_ms": elapsed.Milliseconds()}).Info("host is a voter of the replicated log")
+	log.WithFields(log.Fields{"host": h.name, "joining_ms": elapsed.Milliseconds()}).Info("host is a voter of the replicated log")
 }
--- a/internal/fleet/replacement_test.go
+++ b/internal/fleet/replacement_test.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/replog"
 )
 
@@ -58,6 +61,51 @@
 	}
 }
 
+// silentHost accepts the connections of peers and answers no call, like a host whose disk hangs.
+type silentHost struct{}
+
+func (silentHost) Call(ctx context.Context, _ *peer.Conn, _ int, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+func (silentHost) Notify(*peer.Conn, int, []byte) {}
+func (silentHost) Closed(*peer.Conn)              {}
+
+// Guards against a host that joins late since it asks hosts which don't answer one after the other,
+// while others would (issue 20).
+func TestJoiningHostWaitsForNoSilentHost(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.leaderOtherThan("127.0.0.3")
+	for i := range 24 {
+		ip := fmt.Sprintf("127.0.0.%d", 20+i)
+		address := PeerAddress(ip, c.port)
+		server, err := peer.NewServer(peer.ServerOptions{
+			Listen: address, Self: peer.Identity{Name: address, Role: peer.RoleControl},
+			Handler: silentHost{}, Limits: GatewayLimits(), Metrics: peer.NewMetrics(nil),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := server.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = server.Stop(ctx)
+		})
+		c.seeds = append(c.seeds, ip+":1")
+	}
+	started := time.Now()
+	added := c.start("127.0.0.4", false)
+	for !isVoter(added.runner.Status().Node) {
+		if time.Since(started) > catchUp/2 { // the rest is for an election and the transfer of the log
+			t.Fatalf("no voter %s after the start", time.Since(started))
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // leaderOtherThan returns the leader once all hosts are voters, after a leadership transfer if the host
 // with the given IP leads.
 func (c *cluster) leaderOtherThan(ip string) *Host {
