Close the connections of a control host without waiting for a dial

A stop at that moment never ended; the process was killed at the end of its grace.

Change: the mutex is held for the copy of the table only.

TestCloseEndsWhileConnectionsAreMade failed before (not closed after 20 s) and passes.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -85,10 +86,12 @@
 	return c
 }
 
+// close closes all connections. It must not hold mu while it waits for them: a dial in progress needs it.
 func (p *peers) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.clients {
+	clients := slices.Collect(maps.Values(p.clients))
+	p.mu.Unlock()
+	for _, c := range clients {
 		c.Close()
 	}
 }
