Test: servers go on sending heartbeats while a slow gateway catches up

Each of its servers sent one heartbeat, so the leader rightly forgot the first ones, after 2 s, before the gateway's link had caught up.

Change: the servers go on sending heartbeats until the end; what is checked is unchanged.

--- a/internal/fleet/slowgateway_test.go
+++ b/internal/fleet/slowgateway_test.go
@@ -41,6 +41,40 @@
 	}
 }
 
+// heartbeat sends one heartbeat of the server with the given number.
+func heartbeat(t *testing.T, leader *Host, server int, sequence int64) {
+	id := string(rune('a'+server%26)) + string(rune('a'+server/26))
+	_, err := leader.Heartbeat(context.Background(), keyrange.Heartbeat{
+		Server: keyrange.Server{ID: id, StartMillis: 1, Service: "photos", Address: id + ":80", Slots: 6}, Sequence: sequence,
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// keepAlive goes on sending heartbeats of the servers, since the leader forgets silent ones, until the
+// returned function is called.
+func keepAlive(t *testing.T, leader *Host, servers int) (stop func()) {
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for sequence := int64(2); ; sequence++ {
+			for i := range servers {
+				heartbeat(t, leader, i, sequence)
+			}
+			select {
+			case <-ended:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
 // Guards against updates that queue up for a gateway with a slow link until its connection is closed:
 // it misses updates, and gets the newest table when its link has caught up.
 func TestSlowGatewayGetsNewestTable(t *testing.T) {
@@ -71,15 +105,10 @@
 	}
 	leader.mu.Unlock()
 	for i := range servers {
-		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
-		_, err := leader.Heartbeat(context.Background(), keyrange.Heartbeat{
-			Server: keyrange.Server{ID: id, StartMillis: 1, Service: "photos", Address: id + ":80", Slots: 6}, Sequence: 1,
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		heartbeat(t, leader, i, 1)
 		time.Sleep(minPublishInterval / 5)
 	}
+	defer keepAlive(t, leader, servers)()
 	c.wait("the updates to be published", func() bool { return len(leader.publishRequests) == 0 })
 	closed.Store(false)
 	known, updates := map[string]bool{}, 0
