Start a host again that lost power while it created its store

The directory held a first segment without an identity; any entry counted as a store, so the host chose no ID, and creating the store failed with "identity is 0". The group stayed one voter short for good, and two further lost disks left no quorum. All machines may lose power at the moment at which disks are lost, also those that have just come back.

Change: a directory holds a store if it has an identity, which is written last.

TestHostJoinsAfterCrashDuringItsFirstStart failed before ("identity is 0: storage: invalid argument", two of three cases) and passes.

--- a/internal/fleet/replacement_test.go
+++ b/internal/fleet/replacement_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/replog"
+	"github.com/galenalug/galenalug/storage"
 )
 
 // catchUp is the time after the start of a control host from which on the group must bear as many
@@ -92,6 +95,52 @@
 	}
 }
 
+// Guards against a host that never starts again after it lost power while it created its store on an
+// empty disk, so that the group stays one voter short (issue 20).
+func TestHostJoinsAfterCrashDuringItsFirstStart(t *testing.T) {
+	leftovers := map[string]func(dir string){
+		"first segment": func(dir string) { createStore(t, dir, "identity") },
+		"identity not renamed": func(dir string) {
+			createStore(t, dir, "identity")
+			if err := os.WriteFile(filepath.Join(dir, "identity.tmp"), []byte{1}, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"directory": func(dir string) {
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				t.Fatal(err)
+			}
+		},
+	}
+	for name, leave := range leftovers {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+			c.leaderOtherThan("127.0.0.3")
+			c.dirs["127.0.0.4"] = t.TempDir()
+			leave(filepath.Join(c.dirs["127.0.0.4"], groupName))
+			added := c.start("127.0.0.4", false)
+			for started := time.Now(); !isVoter(added.runner.Status().Node); time.Sleep(time.Millisecond) {
+				if time.Since(started) > catchUp {
+					t.Fatalf("no voter %s after the start", catchUp)
+				}
+			}
+		})
+	}
+}
+
+// createStore creates a store and removes one of its files.
+func createStore(t *testing.T, dir, removed string) {
+	t.Helper()
+	store, err := storage.Create(dir, 1, storage.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = store.Close()
+	if err := os.Remove(filepath.Join(dir, removed)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // silentHost accepts the connections of peers and answers no call, like a host whose disk hangs.
 type silentHost struct{}
 
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"slices"
 	"time"
 
@@ -11,11 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// HoldsStore reports whether dir contains a member's store. Any directory entry counts.
-func HoldsStore(dir string) bool {
-	entries, err := os.ReadDir(dir)
-	return err == nil && len(entries) > 0
-}
+// HoldsStore reports whether dir contains a member's store, complete or damaged.
+func HoldsStore(dir string) bool { return storage.Exists(dir, storage.Options{}) }
 
 // openStore opens the store, or creates one if the disk has none.
 func openStore(o Options) (*storage.Store, storage.Recovered, error) {
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/galenalug/galenalug/replog"
+	"github.com/pkg/errors"
 )
 
 // Recovered is the state that Open read.
@@ -42,6 +43,13 @@
 	tornBytes int64 // bytes to truncate from the last segment
 }
 
+// Exists reports whether dir contains a store, complete or damaged. What a crash during Create leaves
+// behind is none: it has no identity, and Create accepts it.
+func Exists(dir string, options Options) bool {
+	_, err := readIdentity(options.withDefaults().FS, dir)
+	return !errors.Is(err, ErrNotExist)
+}
+
 // Open opens the store in dir and recovers its state. A torn last record is truncated;
 // any other inconsistency is a CorruptError.
 func Open(dir string, options Options) (*Store, Recovered, error) {
