--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/testport"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
@@ -36,12 +36,10 @@
 
 // newCluster starts a cluster whose hosts are all seeds that bootstrap the group.
 func newCluster(t testing.TB, ips ...string) *cluster {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := testport.Free(ips...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	port := listener.Addr().(*net.TCPAddr).Port
-	_ = listener.Close()
 	c := &cluster{t: t, port: port, hosts: map[string]*Host{}, dirs: map[string]string{}}
 	for _, ip := range ips {
 		c.seeds = append(c.seeds, ip+":1")
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/testport"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -184,12 +185,11 @@
 }
 
 func freePort(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := testport.Free("127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
 func testConfig() routes.Config {
