--- a/internal/group/failure.go
+++ b/internal/group/failure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/replog"
+	"github.com/pkg/errors"
 )
 
 // reopenInterval is the time between a storage error and the attempts to open the store again.
@@ -48,3 +49,34 @@
 	r.snapshotIndex, r.applied = status.SnapshotIndex, status.Applied
 	r.applierIndex = max(r.applierIndex, r.applied)
 }
+
+// fail stops the member from leading, voting and acknowledging until its store can be opened again,
+// and fails all pending requests.
+func (r *Runner) fail(err error) {
+	r.failed = err
+	r.reopenAt = r.now() + reopenInterval
+	r.notifyLeadership()
+	for index, req := range r.pendingProposals {
+		delete(r.pendingProposals, index)
+		req.reply <- outcome{err: ErrUnknownOutcome}
+	}
+	r.failRequests(inbox{tasks: r.tasks}, errors.Wrap(ErrUnavailable, err.Error()))
+	r.tasks = nil
+}
+
+// failRequests replies with err to the requests in work and to all pending reads.
+func (r *Runner) failRequests(work inbox, err error) {
+	for _, req := range work.proposals {
+		req.reply <- outcome{err: err}
+	}
+	for _, req := range work.reads {
+		req.reply <- outcome{err: err}
+	}
+	for _, t := range work.tasks {
+		t.reply <- outcome{err: err}
+	}
+	for readContext, req := range r.pendingReads {
+		delete(r.pendingReads, readContext)
+		req.reply <- outcome{err: err}
+	}
+}
