One function for calls of a gateway to the leader

Reports of the configuration and requests for tokens encoded, called and decoded with the same lines. Errors name the type in place of the words.

--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
@@ -48,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, configReportTimeout)
 	defer cancel()
 	sentAt := clockNow()
-	reply, err := sendConfigReport(ctx, client, routes.ConfigReport{Version: l.view.configVersion()})
+	reply, err := callLeader[routes.ConfigReportReply](ctx, client, wire.KindConfigReport, routes.ConfigReport{Version: l.view.configVersion()})
 	if err != nil {
 		log.WithError(err).Debug("cannot report the configuration in force")
 		return
@@ -66,20 +64,7 @@
 func (l *leaderLink) reportStopped(client *peer.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopReportTimeout)
 	defer cancel()
-	if _, err := sendConfigReport(ctx, client, routes.ConfigReport{Stopped: true}); err != nil {
+	if _, err := callLeader[routes.ConfigReportReply](ctx, client, wire.KindConfigReport, routes.ConfigReport{Stopped: true}); err != nil {
 		log.WithError(err).Debug("cannot report the stop; the next configuration may wait for the lease")
 	}
 }
-
-func sendConfigReport(ctx context.Context, client *peer.Client, report routes.ConfigReport) (routes.ConfigReportReply, error) {
-	var reply routes.ConfigReportReply
-	body, err := cbor.Marshal(report)
-	if err != nil {
-		return reply, errors.Wrap(err, "encode configuration report")
-	}
-	replyBody, err := client.Call(ctx, wire.KindConfigReport, body)
-	if err != nil {
-		return reply, err
-	}
-	return reply, errors.Wrap(cbor.Unmarshal(replyBody, &reply), "decode reply to configuration report")
-}
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -135,6 +136,20 @@
 	}
 }
 
+// callLeader sends a call to the leader and decodes its reply.
+func callLeader[Reply any](ctx context.Context, client *peer.Client, kind int, request any) (Reply, error) {
+	var reply Reply
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return reply, errors.Wrapf(err, "encode %T", request)
+	}
+	replyBody, err := client.Call(ctx, kind, body)
+	if err != nil {
+		return reply, err
+	}
+	return reply, errors.Wrapf(cbor.Unmarshal(replyBody, &reply), "decode %T", reply)
+}
+
 // reportLoad sends load reports until the connection or the context ends.
 func (l *leaderLink) reportLoad(ctx context.Context, client *peer.Client, ended <-chan struct{}) {
 	ticker := time.NewTicker(reportInterval)
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -123,14 +121,5 @@
 func requestTokens(ctx context.Context, client *peer.Client, request ratelimit.TokenRequest) (ratelimit.TokenReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenAskTimeout)
 	defer cancel()
-	var reply ratelimit.TokenReply
-	body, err := cbor.Marshal(request)
-	if err != nil {
-		return reply, errors.Wrap(err, "encode request for tokens")
-	}
-	replyBody, err := client.Call(ctx, wire.KindTokenRequest, body)
-	if err != nil {
-		return reply, err
-	}
-	return reply, errors.Wrap(cbor.Unmarshal(replyBody, &reply), "decode reply to request for tokens")
+	return callLeader[ratelimit.TokenReply](ctx, client, wire.KindTokenRequest, request)
 }
