Report no failed stop when the listener was closed before

If no client is connected, the server is shut down at once, and may not have noticed yet that its listener is closed. It then closes it again, and the stop ended with "complete requests in flight: use of closed network connection" although nothing was in flight; the process logged a failed stop and exited with an error.

Change: that the listener is closed already is no error of the stop. The server reports it only after all connections have ended, so nothing else is hidden.

TestShutDownAcceptsClosedListener failed before ("shutdown: close tcp ...: use of closed network connection") and passes.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -38,10 +40,10 @@
 	defer cancel()
 	sleep(ctx, min(unreadyTime, total/2))
 	h.draining.Store(true)
-	_ = h.listener.Close() // Shutdown closes it again
+	_ = h.listener.Close() // shutDown closes it again
 	h.awaitClients(ctx, idleReserve)
 	h.clientConns.awaitRead(ctx)
-	err := h.server.Shutdown(ctx)
+	err := shutDown(ctx, h.server)
 	h.cancel()
 	_ = h.readyServer.Close() // the balancer has removed the host by now
 	h.done.Wait()
@@ -49,6 +51,16 @@
 	return errors.Wrap(err, "complete requests in flight")
 }
 
+// shutDown completes the requests in flight of a server whose listener is closed already. That it can't
+// be closed again is no error: Shutdown reports it last, when no connection is left.
+func shutDown(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
 // awaitClients returns when no client connection is open, or when no more than reserve is left until
 // the deadline of the context.
 func (h *Host) awaitClients(ctx context.Context, reserve time.Duration) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -83,3 +83,41 @@
 		t.Errorf("status %d after %d attempts, want 503 after none", response.StatusCode, server.count())
 	}
 }
+
+// unnoticedListener is a listener whose Accept has not returned yet although it is closed: it returns
+// when the server closes the listener too.
+type unnoticedListener struct {
+	net.Listener
+	ended chan struct{}
+}
+
+func (l *unnoticedListener) Accept() (net.Conn, error) {
+	<-l.ended
+	return nil, net.ErrClosed
+}
+
+func (l *unnoticedListener) Close() error {
+	close(l.ended)
+	return l.Listener.Close()
+}
+
+// Guards against a stop that reports an error although all requests were completed: the server had not
+// noticed yet that its listener was closed, and closed it again.
+func TestShutDownAcceptsClosedListener(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ReadHeaderTimeout: time.Second}
+	done := make(chan struct{})
+	go func() {
+		serveUntilClosed(server, &unnoticedListener{inner, make(chan struct{})})
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond) // until the server accepts connections
+	_ = inner.Close()
+	if err := shutDown(t.Context(), server); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	<-done
+}
