--- a/storage/recover.go
+++ b/storage/recover.go
@@ -82,6 +82,7 @@
 		return nil, Recovered{}, err
 	}
 	found.raiseHardState()
+	s.resetPending = r.superseded(found.SnapshotMeta)
 	return s, found, s.openLastSegment(r, found.HardState)
 }
 
@@ -197,24 +198,27 @@
 	return true
 }
 
-// entriesAfter returns the entries after the snapshot. If the log's entry at the
-// snapshot's index has another term, a crash happened after a leader's snapshot was
-// written and before the log was reset, and the whole log is discarded.
+// entriesAfter returns the entries after the snapshot.
 func (r *recovery) entriesAfter(meta replog.SnapshotMeta) ([]replog.Entry, error) {
-	if len(r.entries) == 0 || r.entries[len(r.entries)-1].Index <= meta.Index {
+	if len(r.entries) == 0 || r.superseded(meta) {
 		return nil, nil
 	}
 	first := r.entries[0].Index
 	if first > meta.Index+1 {
 		return nil, &CorruptError{File: r.path(r.segments[0].number), Detail: "entries after the snapshot are missing"}
 	}
-	if first == meta.Index+1 {
-		return r.entries, nil
-	}
-	if r.entries[meta.Index-first].Term != meta.Term {
-		return nil, nil
+	return r.entries[meta.Index+1-first:], nil
+}
+
+// superseded reports whether the log has entries, but neither the snapshot's last one nor only later
+// ones: the process ended after it had written a leader's snapshot and before the record that resets the
+// log. The snapshot then replaces the whole log.
+func (r *recovery) superseded(meta replog.SnapshotMeta) bool {
+	if len(r.entries) == 0 || r.entries[0].Index > meta.Index {
+		return false
 	}
-	return r.entries[meta.Index-first+1:], nil
+	offset := meta.Index - r.entries[0].Index
+	return offset >= uint64(len(r.entries)) || r.entries[offset].Term != meta.Term
 }
 
 // raiseHardState raises term and commit index to those of the snapshot, in case a
--- a/storage/store.go
+++ b/storage/store.go
@@ -51,6 +51,7 @@
 	size          int64 // of the last segment, bytes
 	hard          replog.HardState
 	commitPending bool // whether hard.Commit is newer than the last record
+	resetPending  bool // whether the next record must discard the entries before it
 
 	failed error
 }
@@ -180,6 +181,7 @@
 			return err
 		}
 	}
+	b.Reset = b.Reset || s.resetPending
 	record, err := encodeRecord(b)
 	if err != nil {
 		return err
@@ -193,6 +195,7 @@
 	if err := s.file.Sync(); err != nil {
 		return wrapFSError(err, "sync")
 	}
+	s.resetPending = false
 	s.size += int64(len(record))
 	if count := len(b.Entries); count > 0 {
 		active := &s.segments[len(s.segments)-1]
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -252,6 +252,29 @@
 	}
 }
 
+// Guards against a store that loses later entries or can't be opened any more, after the process ended
+// between writing a leader's snapshot and resetting the log (issue 20).
+func TestEntriesAfterInterruptedInstallSurvive(t *testing.T) {
+	for name, index := range map[string]uint64{"log ends before the snapshot": 9, "same end": 5, "log ends after it": 3} {
+		fs := faultfs.New()
+		s := create(t, fs)
+		must(t, s.Append(hard(1, 1, 2), entries(1, 1, 5)))
+		must(t, s.SaveSnapshot(replog.SnapshotMeta{Index: index, Term: 3}, []byte("state"))) // and no reset
+		fs.Crash(0)
+		s, _ = open(t, fs)
+		must(t, s.Append(hard(3, 0, index), entries(3, index+1, index+2)))
+		fs.Crash(0)
+		_, r, err := storage.Open(dir, storage.Options{FS: fs})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if len(r.Entries) != 2 {
+			t.Errorf("%s: entries %+v, want those after %d", name, r.Entries, index)
+		}
+	}
+}
+
 func TestSegmentsAndCompaction(t *testing.T) {
 	fs := faultfs.New()
 	s, err := storage.Create(dir, diskID, storage.Options{FS: fs, SegmentBytes: 200})
