Remember the notices of servers that the table does not list

A gateway forgot what a server had said of itself 1 s after the server was gone from its table, such as after lost heartbeats or under a new leader that has not heard it yet. Listed again, the same incarnation got requests, also long after its drain time, until one of its responses said once more that it leaves. A pause and a limit were forgotten alike.

Change: a server that is not listed is kept for 10 minutes after a notice that it leaves or is limited, and until the end of a pause. Its connections are closed when they have been idle, as before.

--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// noticeMemory is how long a limit or a leave counts for a server that is not listed any more, in case
+// it is listed again.
+const noticeMemory = 10 * time.Minute
+
 // Notice is what a backend server says of itself with a response.
 type Notice struct {
 	// RateLimit is the number of requests a second that the server takes from all gateways together;
@@ -56,3 +60,11 @@
 
 // PausedFor returns how much longer the server wants no requests, or 0.
 func (n *Notices) PausedFor(now time.Duration) time.Duration { return max(0, n.pausedUntil-now) }
+
+// Outdated reports whether nothing is known that still matters should a server that is not listed any
+// more be listed again.
+func (n *Notices) Outdated(now time.Duration) bool {
+	leaves := n.leavingSince > 0 && now-n.leavingSince < noticeMemory
+	limited := n.rateLimit > 0 && now-n.limitNamedAt < noticeMemory
+	return !leaves && !limited && n.PausedFor(now) == 0
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -79,12 +79,13 @@
 	return mean
 }
 
-// sweep closes expired idle connections, and removes the servers for which keep returns false.
-func (b *backends) sweep(keep func(id string) bool) {
+// sweep closes expired idle connections, and removes the servers that are not listed, unless their
+// notices still count.
+func (b *backends) sweep(now time.Duration, listed func(id string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, server := range b.byID {
-		if !keep(id) {
+		if !listed(id) && server.noticesOutdated(now) {
 			server.close()
 			delete(b.byID, id)
 			continue
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -32,6 +32,13 @@
 	return b.notices.LeavingFor(now)
 }
 
+// noticesOutdated reports whether nothing that the server has said of itself counts any more.
+func (b *backend) noticesOutdated(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notices.Outdated(now)
+}
+
 // hasLeft reports whether a server that said that it is about to stop gets no more requests. This
 // gateway knows it from the server itself, so it does not depend on the leader.
 func (h *Host) hasLeft(now time.Duration, s keyrange.Server) bool {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// Guards against a notice that is forgotten while the leader does not list the server, such as after
+// lost heartbeats or a change of leader: the same incarnation is listed again, and got requests.
+func TestNoticesOutliveRemovalFromTable(t *testing.T) {
+	f := newFixture(t)
+	server := newFakeBackend(t, rawResponse("HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nTest-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"))
+	f.publish(server)
+	f.do("POST", "/look/1", nil)
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 3, Full: true, EntryHosts: 1})
+	time.Sleep(drainTime + sweepInterval)
+	f.publish(server)
+	before := server.count()
+	if response, _ := f.do("POST", "/look/1", nil); response.StatusCode != 503 || server.count() > before {
+		t.Errorf("status %d, %d requests reached the server after its drain time", response.StatusCode, server.count()-before)
+	}
+}
+
 // publishAgain replaces the servers of publish by incarnations that started later.
 func (f *fixture) publishAgain(server *fakeBackend, startMillis int64) {
 	address := server.listener.Addr().String()
