Tell each leader which servers say that they leave

A gateway reported once that a server's responses say so. After a change of leader the new one did not know it, if the server's heartbeats did not say it too; past the drain time the gateway sends that server nothing, so no further response told it either. The leader went on granting keys to a server that the gateways refuse to use, and requests for these keys were refused until it stopped.

Change: each report of a gateway repeats it.

TestLeavingIsReportedToEachLeader failed before (nothing in the second report) and passes.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -94,13 +94,14 @@
 	}
 }
 
-// takeObservations returns what was observed of each server since the last call.
-func (b *backends) takeObservations() []keyrange.ServerLoad {
+// takeObservations returns what was observed of each server since the last call. That a server is
+// leaving is repeated: a new leader has not been told.
+func (b *backends) takeObservations(now time.Duration) []keyrange.ServerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var observed []keyrange.ServerLoad
 	for id, server := range b.byID {
-		if s := server.takeObserved(); s != (keyrange.ServerLoad{}) {
+		if s := server.takeObserved(now); s != (keyrange.ServerLoad{}) {
 			s.ServerID, s.StartMillis = id, server.startMillis
 			observed = append(observed, s)
 		}
@@ -108,10 +109,11 @@
 	return observed
 }
 
-func (b *backend) takeObserved() keyrange.ServerLoad {
+func (b *backend) takeObserved(now time.Duration) keyrange.ServerLoad {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	observed := b.observed
+	observed.Leaving = b.notices.LeavingFor(now) > 0
 	b.observed = keyrange.ServerLoad{}
 	return observed
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -138,7 +138,7 @@
 	if server.count() != 1 {
 		t.Errorf("%d requests reached the other server, want 1", server.count())
 	}
-	if seen := f.host.backends.takeObservations(); len(seen) != 1 || seen[0].Misdirected != 1 {
+	if seen := f.host.backends.takeObservations(clockNow()); len(seen) != 1 || seen[0].Misdirected != 1 {
 		t.Errorf("observations %+v, want 1 misdirected request", seen)
 	}
 }
@@ -291,7 +291,7 @@
 	f := newFixture(t)
 	f.publish(newFakeBackend(t, silent))
 	f.do("POST", "/order/1", nil)
-	for _, seen := range f.host.backends.takeObservations() {
+	for _, seen := range f.host.backends.takeObservations(clockNow()) {
 		if seen.Count != 0 || seen.ServiceTimeMicros != 0 {
 			t.Errorf("observations %+v of a server with unknown queue length, want no service time", seen)
 		}
--- a/internal/gateway/hostload.go
+++ b/internal/gateway/hostload.go
@@ -52,7 +52,7 @@
 
 // takeLoadReport returns the load since the last call.
 func (h *Host) takeLoadReport() keyrange.LoadReport {
-	report := keyrange.LoadReport{Servers: h.backends.takeObservations()}
+	report := keyrange.LoadReport{Servers: h.backends.takeObservations(clockNow())}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, keyCounts := range h.keyCounts {
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -13,7 +13,6 @@
 // recordNotice records what the server said of itself with a response. The caller holds b.mu.
 func (b *backend) recordNotice(notice dispatch.Notice) {
 	now := clockNow()
-	b.observed.Leaving = b.observed.Leaving || notice.Leaving
 	if !b.notices.Observe(now, notice) {
 		return
 	}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// Guards against a new leader that grants keys to a server which is leaving: what the gateways had
+// reported to its predecessor is lost with that.
+func TestLeavingIsReportedToEachLeader(t *testing.T) {
+	server := newFakeBackend(t, rawResponse("HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nTest-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"))
+	f := newFixture(t)
+	f.publish(server)
+	f.do("POST", "/look/1", nil)
+	for report := range 2 {
+		observed := f.host.backends.takeObservations(clockNow())
+		if len(observed) != 1 || !observed[0].Leaving {
+			t.Errorf("report %d after the notice: %+v, want that the server is leaving", report+1, observed)
+		}
+	}
+}
+
 // publishAgain replaces the servers of publish by incarnations that started later.
 func (f *fixture) publishAgain(server *fakeBackend, startMillis int64) {
 	address := server.listener.Addr().String()
