Test: power losses that keep or lose each directory change by itself

After a loss of power, each file that was created, renamed or removed without a sync of its directory may be kept or lost independently. The simulated crash lost all of them.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -3,6 +3,7 @@
 package faultfs
 
 import (
+	"maps"
 	"os"
 	"path"
 	"slices"
@@ -53,21 +54,40 @@
 
 // Crash discards everything that was not synced, except for up to tail bytes of each file after the
 // synced content, like a torn write. Files that are open must not be used afterwards.
-func (f *FS) Crash(tail int) {
+func (f *FS) Crash(tail int) { f.CrashKeeping(tail, func() bool { return false }) }
+
+// CrashKeeping is Crash, but keep decides for each file that was created, renamed or removed without a
+// sync of its directory whether that survives.
+func (f *FS) CrashKeeping(tail int, keep func() bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.files = map[string]*inode{}
-	for name, node := range f.synced {
-		data := slices.Clone(node.synced)
-		if torn := min(len(node.data), len(data)+tail); torn > len(data) {
-			data = append(data, node.data[len(data):torn]...)
+	changed := map[string]bool{}
+	for name, node := range f.files {
+		changed[name] = f.synced[name] != node
+	}
+	for name := range f.synced {
+		changed[name] = changed[name] || f.files[name] == nil
+	}
+	survivors := map[string]*inode{}
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		node := f.synced[name]
+		if changed[name] && keep() {
+			node = f.files[name]
+		}
+		if node != nil {
+			survivors[name] = node.afterCrash(tail)
 		}
-		f.files[name] = &inode{data: data, synced: slices.Clone(data)}
 	}
-	f.synced = map[string]*inode{}
-	for name, node := range f.files {
-		f.synced[name] = node
+	f.files, f.synced = survivors, maps.Clone(survivors)
+}
+
+// afterCrash returns what is left of a file.
+func (n *inode) afterCrash(tail int) *inode {
+	data := slices.Clone(n.synced)
+	if torn := min(len(n.data), len(data)+tail); torn > len(data) {
+		data = append(data, n.data[len(data):torn]...)
 	}
+	return &inode{data: data, synced: slices.Clone(data)}
 }
 
 // Corrupt flips the bits of mask in the byte at offset of a file. It also syncs the content of the
--- a/storage/random_test.go
+++ b/storage/random_test.go
@@ -109,7 +109,7 @@
 		s.store = store
 		return recovered
 	}
-	s.fs.Crash(s.rng.IntN(200))
+	s.fs.CrashKeeping(s.rng.IntN(200), func() bool { return s.rng.IntN(2) == 0 })
 	s.fs.SetFaults(faultfs.Faults{FreeBytes: -1})
 	store, recovered, err := storage.Open(dir, s.options)
 	must(s.t, err)
