Let a host on an empty disk join through hosts that know it

What callers could see: after a loss of disks and power some machines never serve again (RECOVER), and the group bears fewer losses than it should for good.

Cause: a control host whose disk was lost knows its seeds only. If none of them is a member that can be reached (replaced, lost as well, or cut off), it never joins, and it can name no leader to the entry hosts that have the same seeds. The members do send to it, since its address is that of a member, but it did not take note of who they are.

Change: a control host asks those that have sent it messages of the log as well.

TestLostHostWithoutLiveSeedsJoins failed before ("no voter 4s after the start; known control hosts: [127.0.0.9:...]") and passes in 1.0 s.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -98,6 +98,7 @@
 func (a *handler) Notify(from *peer.Conn, kind int, body []byte) {
 	switch kind {
 	case wire.KindRaft:
+		a.host.peers.recordHeard(from.Identity())
 		a.host.deliverRaft(body)
 	case wire.KindLoadReport:
 		a.host.handleLoadReport(from.Identity().Name, body)
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -106,6 +106,7 @@
 // otherControlHosts returns the addresses of the other known control hosts.
 func (h *Host) otherControlHosts() []string {
 	addresses := append(h.seeds(), h.memberAddresses()...)
+	addresses = append(addresses, h.peers.heardAddresses()...)
 	if leader := h.runner.Leader(); leader != "" {
 		addresses = append(addresses, leader)
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -21,10 +21,17 @@
 	mu         sync.Mutex               // guards the fields below
 	clients    map[string]*peer.Client  // by address
 	roundTrips map[string]time.Duration // by address; connect time of the newest connection
+	heard      map[string]bool          // addresses of the control hosts that have sent messages of the log
 }
 
+// maxHeard is the number of addresses that peers.heard holds at most.
+const maxHeard = 64
+
 func newPeers(self peer.Identity, secret []byte, metrics *peer.Metrics) *peers {
-	return &peers{self: self, secret: secret, metrics: metrics, clients: map[string]*peer.Client{}, roundTrips: map[string]time.Duration{}}
+	return &peers{
+		self: self, secret: secret, metrics: metrics,
+		clients: map[string]*peer.Client{}, roundTrips: map[string]time.Duration{}, heard: map[string]bool{},
+	}
 }
 
 // dial opens a connection and records the connect time, which is one round trip.
@@ -86,6 +93,23 @@
 	return c
 }
 
+// recordHeard records that a control host has sent messages of the log. It may know this host although
+// this host, on an empty disk, knows no other.
+func (p *peers) recordHeard(from peer.Identity) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if from.Role == peer.RoleControl && len(p.heard) < maxHeard {
+		p.heard[from.Name] = true
+	}
+}
+
+// heardAddresses returns the addresses of the control hosts that have sent messages of the log.
+func (p *peers) heardAddresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.heard))
+}
+
 // close closes all connections. It must not hold mu while it waits for them: a dial in progress needs it.
 func (p *peers) close() {
 	p.mu.Lock()
--- a/internal/fleet/replacement_test.go
+++ b/internal/fleet/replacement_test.go
@@ -141,6 +141,28 @@
 	}
 }
 
+// Guards against a host whose disk was lost and that never joins again, and so tells no gateway where the
+// leader is, since none of its seeds is a member any more: the others send to it, and it did not listen
+// to who they are (issue 20).
+func TestLostHostWithoutLiveSeedsJoins(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.leaderOtherThan("127.0.0.3")
+	c.seeds = []string{"127.0.0.3:1", "127.0.0.9:1"} // the second one is gone
+	for _, ip := range []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"} {
+		c.kill(c.hosts[ip])
+	}
+	c.dirs["127.0.0.3"] = ""
+	started := time.Now()
+	for _, ip := range []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"} {
+		c.start(ip, false)
+	}
+	for lost := c.hosts["127.0.0.3"]; !isVoter(lost.runner.Status().Node); time.Sleep(time.Millisecond) {
+		if time.Since(started) > catchUp {
+			t.Fatalf("no voter %s after the start; known control hosts: %v", catchUp, lost.otherControlHosts())
+		}
+	}
+}
+
 // silentHost accepts the connections of peers and answers no call, like a host whose disk hangs.
 type silentHost struct{}
 
