Test: random losses of disks and power against the real log group

Five members of the log run on simulated disks with proposals under way. At random moments one or two disks are lost, a disk is full for a moment, or all lose power, with or without two lost disks; whenever the group has had time to become whole, the next fault follows. At the end two disks are lost and all others lose power. The group must serve again and bear two losses within 4 s each time, and keep what it had confirmed.

--- a/internal/group/cluster_test.go
+++ b/internal/group/cluster_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// hostTransport is the Transport of one host. What it sends is lost while the host is not in the network.
+type hostTransport struct {
+	net  *network
+	host string
+}
+
+func (t hostTransport) Send(group string, to replog.Member, messages []replog.Message) {
+	t.net.mu.Lock()
+	connected := t.net.runners[t.host] != nil
+	t.net.mu.Unlock()
+	if connected {
+		t.net.Send(group, to, messages)
+	}
+}
+
 func (n *network) set(name string, runner *Runner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -90,6 +105,7 @@
 	states          map[string]*counter
 	dir             string
 	snapshotEntries int
+	voters          *replog.VoterPolicy
 	sum             atomic.Uint64 // after the last successful propose
 
 	election, heartbeat time.Duration
@@ -120,7 +136,8 @@
 	r, err := Start(Options{
 		Name: "test", ID: id, HostName: name, Dir: filepath.Join(c.dir, name, string(rune('a'+id))),
 		Bootstrap: bootstrap, Election: c.election, Heartbeat: c.heartbeat,
-		SnapshotEntries: c.snapshotEntries, Seed: 1, Applier: state, Transport: c.net, Storage: options,
+		SnapshotEntries: c.snapshotEntries, Seed: 1, Applier: state,
+		Transport: hostTransport{c.net, name}, Storage: options, Voters: c.voters,
 	})
 	if err != nil {
 		c.t.Fatal(err)
