--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -9,9 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gorilla/websocket"
-	"github.com/pkg/errors"
-
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -36,24 +32,6 @@
 	Close() error
 }
 
-// States of an outgoing message.
-const (
-	statePending  int32 = iota // queued
-	stateWriting               // its first byte may have been written
-	stateCanceled              // its call ended before the first byte was written
-)
-
-type outgoing struct {
-	kind    int
-	message []byte
-	state   atomic.Int32
-}
-
-// cancel prevents a queued message from being written. It returns false if writing may have begun.
-func (o *outgoing) cancel() bool {
-	return o.state.CompareAndSwap(statePending, stateCanceled)
-}
-
 // Conn is one authenticated connection.
 type Conn struct {
 	socket   socket
@@ -112,16 +90,6 @@
 // QueuedBytes returns the number of bytes in the send queue.
 func (c *Conn) QueuedBytes() int64 { return c.queuedBytes.Load() }
 
-// Notify queues a one-way message without blocking. If the queue is full, the peer does not keep up:
-// Notify closes the connection, because later messages would follow a gap, and returns ErrQueueFull.
-func (c *Conn) Notify(kind int, body []byte) error {
-	_, err := c.enqueue(wire.Frame{Kind: kind, Body: body})
-	if errors.Is(err, ErrQueueFull) {
-		c.Close()
-	}
-	return err
-}
-
 // Close closes the connection.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
@@ -133,36 +101,6 @@
 	})
 }
 
-func (c *Conn) enqueue(frame wire.Frame) (*outgoing, error) {
-	message, err := EncodeFrame(frame)
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(message)) > c.limits.MessageBytes {
-		return nil, errors.Wrapf(ErrInvalidFrame, "message of %d bytes exceeds the limit of %d", len(message), c.limits.MessageBytes)
-	}
-	if c.ctx.Err() != nil {
-		return nil, ErrNotConnected
-	}
-	size := int64(len(message))
-	if c.queuedBytes.Add(size) > c.limits.QueueBytes {
-		return nil, c.rejectOverflow(size)
-	}
-	out := &outgoing{kind: frame.Kind, message: message}
-	select {
-	case c.queue <- out:
-		return out, nil
-	default:
-		return nil, c.rejectOverflow(size)
-	}
-}
-
-func (c *Conn) rejectOverflow(size int64) error {
-	c.queuedBytes.Add(-size)
-	c.metrics.overflows.Inc()
-	return ErrQueueFull
-}
-
 // call sends a call and waits for its reply.
 func (c *Conn) call(ctx context.Context, kind int, body []byte) ([]byte, error) {
 	id, reply := c.registerCall()
@@ -223,157 +161,3 @@
 	}
 	reply <- frame
 }
-
-// serve runs the connection until it ends, and returns the cause.
-func (c *Conn) serve() error {
-	var writer sync.WaitGroup
-	writer.Add(1)
-	go func() {
-		defer writer.Done()
-		defer c.Close()
-		c.writeLoop()
-	}()
-	err := c.readLoop()
-	c.Close()
-	writer.Wait()
-	return err
-}
-
-func (c *Conn) readLoop() error {
-	c.socket.SetReadLimit(c.limits.MessageBytes)
-	c.socket.SetPingHandler(c.handlePing)
-	c.socket.SetPongHandler(func(string) error {
-		c.recordReceipt()
-		return c.extendReadDeadline()
-	})
-	for {
-		message, err := c.readMessage()
-		if err != nil {
-			return err
-		}
-		frame, err := DecodeFrame(message)
-		if err != nil {
-			return err
-		}
-		c.counts.add(DirectionReceived, frame.Kind, sizeOnWire(len(message), !c.masks))
-		c.dispatch(frame)
-	}
-}
-
-func (c *Conn) dispatch(frame wire.Frame) {
-	switch {
-	case frame.Reply:
-		c.deliverReply(frame)
-	case frame.CallID != 0:
-		c.onCall(c, frame)
-	default:
-		c.onNotify(c, frame)
-	}
-}
-
-// readMessage reads one message. Each chunk extends the read deadline, so that a large message on a
-// slow link does not time out.
-func (c *Conn) readMessage() ([]byte, error) {
-	if err := c.extendReadDeadline(); err != nil {
-		return nil, err
-	}
-	messageType, reader, err := c.socket.NextReader()
-	if err != nil {
-		return nil, errors.Wrap(err, "read message")
-	}
-	if messageType != binaryMessage {
-		return nil, errors.Wrap(ErrInvalidFrame, "not a binary message")
-	}
-	var message bytes.Buffer
-	for {
-		if err := c.extendReadDeadline(); err != nil {
-			return nil, err
-		}
-		_, err := io.CopyN(&message, reader, chunkBytes)
-		c.recordReceipt()
-		if errors.Is(err, io.EOF) {
-			return message.Bytes(), nil
-		}
-		if err != nil {
-			return nil, errors.Wrap(err, "read message body")
-		}
-	}
-}
-
-func (c *Conn) extendReadDeadline() error {
-	if c.ctx.Err() != nil {
-		return ErrNotConnected
-	}
-	err := c.socket.SetReadDeadline(time.Now().Add(c.limits.IdleTimeout))
-	if c.ctx.Err() != nil { // this call may have replaced the past deadline set by a concurrent Close
-		return ErrNotConnected
-	}
-	return errors.Wrap(err, "set read deadline")
-}
-
-func (c *Conn) handlePing(data string) error {
-	c.recordReceipt()
-	if err := c.extendReadDeadline(); err != nil {
-		return err
-	}
-	err := c.socket.WriteControl(websocket.PongMessage, []byte(data), time.Now().Add(controlTimeout))
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return nil // the writer is busy; its data shows the peer that this side is alive
-	}
-	return err
-}
-
-func (c *Conn) writeLoop() {
-	ping := time.NewTicker(c.limits.PingInterval)
-	defer ping.Stop()
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-ping.C:
-			// On a slow link a ping may wait for the bytes before it.
-			deadline := time.Now().Add(c.limits.IdleTimeout)
-			if err := c.socket.WriteControl(websocket.PingMessage, nil, deadline); err != nil {
-				return
-			}
-		case out := <-c.queue:
-			if err := c.write(out); err != nil {
-				return
-			}
-		}
-	}
-}
-
-func (c *Conn) write(out *outgoing) error {
-	c.queuedBytes.Add(-int64(len(out.message)))
-	if !out.state.CompareAndSwap(statePending, stateWriting) {
-		return nil
-	}
-	writer, err := c.socket.NextWriter(binaryMessage)
-	if err != nil {
-		return errors.Wrap(err, "begin message")
-	}
-	for rest := out.message; len(rest) > 0; {
-		chunk := rest[:min(len(rest), chunkBytes)]
-		if err := c.extendWriteDeadline(); err != nil {
-			return err
-		}
-		if _, err := writer.Write(chunk); err != nil {
-			return errors.Wrap(err, "write message")
-		}
-		rest = rest[len(chunk):]
-	}
-	if err := writer.Close(); err != nil {
-		return errors.Wrap(err, "end message")
-	}
-	c.counts.add(DirectionSent, out.kind, sizeOnWire(len(out.message), c.masks))
-	return nil
-}
-
-func (c *Conn) extendWriteDeadline() error {
-	if c.ctx.Err() != nil {
-		return ErrNotConnected
-	}
-	return errors.Wrap(c.socket.SetWriteDeadline(time.Now().Add(c.limits.IdleTimeout)), "set write deadline")
-}
--- a/storage/reopen.go
+++ b/storage/reopen.go
@@ -1,14 +1,12 @@
 package storage
 
-import (
-	"github.com/pkg/errors"
-)
+import "github.com/pkg/errors"
 
-// Reopen opens the store again after an error, once the disk works again. It first discards what a failed write left behind, even where that can be read: after a failed sync the
-// file system may report data as written that is lost at the next loss of power (Rebello et al.,
-// "Can Applications Recover from fsync Failures?", USENIX ATC 2020). Nothing that an Append has
-// confirmed is discarded. The old Store must not be used afterwards, except to call Reopen again
-// after an error.
+// Reopen opens the store again after an error, once the disk works again. It first discards what a
+// failed write left behind, even where that can be read: after a failed sync the file system may report
+// data as written that is lost at the next loss of power (Rebello et al., "Can Applications Recover from
+// fsync Failures?", USENIX ATC 2020). Nothing that an Append has confirmed is discarded. The old Store
+// must not be used afterwards, except to call Reopen again after an error.
 func (s *Store) Reopen() (*Store, Recovered, error) {
 	_ = s.fail(errors.Wrap(ErrUnusable, "reopened"))
 	if s.file != nil {
