Reject requests for tokens with invalid demands before issuing any

The leader issued tokens demand by demand and reported an invalid one as "unavailable; nothing was done", although the servers before it had tokens taken; an infinite limit passed the check.

Change: all demands are checked first, and the error is that of an invalid call.

TestInvalidDemandForTokensIsRejected failed before (code unavailable; an infinite limit accepted; no token left for the valid demand) and passes.

--- a/internal/fleet/tokens.go
+++ b/internal/fleet/tokens.go
@@ -1,14 +1,36 @@
 package fleet
 
 import (
+	"fmt"
+	"math"
+
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/ratelimit"
 )
 
-// issueTokens answers a gateway's demand for tokens for limited servers.
+// checkDemand returns an error if a demand has an invalid value.
+func checkDemand(d ratelimit.Demand) error {
+	if d.PerSecond > 0 && !math.IsInf(d.PerSecond, 0) && d.Wanted >= 0 && d.AgeMillis >= 0 {
+		return nil
+	}
+	return &peer.Error{
+		Code:   wire.CodeInvalid,
+		Detail: fmt.Sprintf("demand for server %q: limit %v, named %d ms ago, wanted %d", d.ServerID, d.PerSecond, d.AgeMillis, d.Wanted),
+	}
+}
+
+// issueTokens answers a gateway's demand for tokens for limited servers. A request with an invalid demand
+// gets none.
 func (h *Host) issueTokens(request ratelimit.TokenRequest) (ratelimit.TokenReply, error) {
+	for _, demand := range request.Servers {
+		if err := checkDemand(demand); err != nil {
+			return ratelimit.TokenReply{}, err
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var reply ratelimit.TokenReply
@@ -17,9 +39,6 @@
 	}
 	now := clock.Now()
 	for _, demand := range request.Servers {
-		if !(demand.PerSecond > 0) || demand.Wanted < 0 || demand.AgeMillis < 0 {
-			return ratelimit.TokenReply{}, errors.Wrapf(ErrUnavailable, "invalid demand for server %q: limit %v, wanted %d", demand.ServerID, demand.PerSecond, demand.Wanted)
-		}
 		grant := h.leading.issuer.Issue(now, demand)
 		h.leading.coordinator.SetRateLimit(now, demand.ServerID, h.leading.issuer.Limit(demand.ServerID))
 		reply.Servers = append(reply.Servers, grant)
