Test: cut off hosts without power only, and copy disks whole

My test of losses had let no host send that was out of the network, and so broke TestPartitionedLeaderReturnsUnknownOutcome ("sum 2, want 3"), whose partition is one-way on purpose; I had run the new test alone. Copies of simulated disks also left out files that were removed or replaced without a sync of their directory, which a loss of power may bring back.

Change: only a host whose power was cut sends nothing; the other test is unchanged and passes. A copied disk has its former files as well.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -105,11 +105,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := New()
-	for name, node := range f.files {
-		c.files[name] = &inode{data: slices.Clone(node.data), synced: slices.Clone(node.synced)}
-		if f.synced[name] == node {
-			c.synced[name] = c.files[name]
+	copies := map[*inode]*inode{}
+	copyOf := func(node *inode) *inode {
+		if copies[node] == nil {
+			copies[node] = &inode{data: slices.Clone(node.data), synced: slices.Clone(node.synced)}
 		}
+		return copies[node]
+	}
+	for name, node := range f.files {
+		c.files[name] = copyOf(node)
+	}
+	for name, node := range f.synced {
+		c.synced[name] = copyOf(node)
 	}
 	return c
 }
--- a/internal/group/cluster_test.go
+++ b/internal/group/cluster_test.go
@@ -58,8 +58,9 @@
 
 // network delivers messages between runners in one process, by host name.
 type network struct {
-	mu      sync.Mutex // guards runners; not held during calls to a runner
+	mu      sync.Mutex // guards runners and off; not held during calls to a runner
 	runners map[string]*Runner
+	off     map[string]bool // hosts without power
 	observe func(messages []replog.Message)
 }
 
@@ -75,7 +76,7 @@
 	}
 }
 
-// hostTransport is the Transport of one host. What it sends is lost while the host is not in the network.
+// hostTransport is the Transport of one host. What it sends is lost while the host has no power.
 type hostTransport struct {
 	net  *network
 	host string
@@ -83,13 +84,27 @@
 
 func (t hostTransport) Send(group string, to replog.Member, messages []replog.Message) {
 	t.net.mu.Lock()
-	connected := t.net.runners[t.host] != nil
+	off := t.net.off[t.host]
 	t.net.mu.Unlock()
-	if connected {
+	if !off {
 		t.net.Send(group, to, messages)
 	}
 }
 
+// powerOff cuts a host off in both directions.
+func (n *network) powerOff(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.runners[name], n.off[name] = nil, true
+}
+
+// powerOn lets a host send again.
+func (n *network) powerOn(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.off[name] = false
+}
+
 func (n *network) set(name string, runner *Runner) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -113,7 +128,7 @@
 
 func newCluster(t testing.TB, names ...string) *cluster {
 	c := &cluster{
-		t: t, net: &network{runners: map[string]*Runner{}}, dir: t.TempDir(),
+		t: t, net: &network{runners: map[string]*Runner{}, off: map[string]bool{}}, dir: t.TempDir(),
 		runners: map[string]*Runner{}, states: map[string]*counter{}, snapshotEntries: 50,
 		// Long enough to avoid spurious elections on a busy machine.
 		election: time.Second, heartbeat: 50 * time.Millisecond,
--- a/internal/group/power_test.go
+++ b/internal/group/power_test.go
@@ -21,6 +21,9 @@
 	powerSeeds = flag.Int("power.seeds", 2, "number of seeds of TestRandomLossesOfDisksAndPower")
 )
 
+// firstLaterDisk is the ID of the first disk that replaces a lost one.
+const firstLaterDisk = 10
+
 // recoverTimeout is the time after which the group must serve, or bear two further losses, again.
 const recoverTimeout = 4 * time.Second
 
@@ -39,7 +42,7 @@
 func newPowerCluster(t *testing.T, seed uint64) *powerCluster {
 	c := &powerCluster{
 		cluster: newCluster(t, "a", "b", "c", "d", "e"), rng: rand.New(rand.NewPCG(seed, 1)),
-		disks: map[string]*faultfs.FS{}, ids: map[string]uint64{}, nextID: 10,
+		disks: map[string]*faultfs.FS{}, ids: map[string]uint64{}, nextID: firstLaterDisk,
 	}
 	c.election, c.heartbeat, c.snapshotEntries = 200*time.Millisecond, 20*time.Millisecond, 20
 	c.voters = &replog.VoterPolicy{Voters: 5, ReplaceAfter: time.Second, RemoveAfter: 2 * time.Second}
@@ -53,16 +56,17 @@
 // boot starts a host on its disk.
 func (c *powerCluster) boot(name string) {
 	bootstrap := c.members
-	if c.ids[name] >= 10 { // a later disk
+	if c.ids[name] >= firstLaterDisk {
 		bootstrap = nil
 	}
+	c.net.powerOn(name)
 	c.start(name, c.ids[name], bootstrap, storage.Options{FS: c.disks[name], SegmentBytes: 2000})
 }
 
 // powerOff cuts the power of hosts at the same moment. What their disks had not synced may be lost.
 func (c *powerCluster) powerOff(names []string) {
 	for _, name := range names {
-		c.net.set(name, nil)
+		c.net.powerOff(name)
 	}
 	for _, name := range names {
 		c.disks[name] = c.disks[name].Clone()
@@ -112,7 +116,7 @@
 			continue
 		}
 		for name, id := range c.ids {
-			if id >= 10 && c.runners[name] != nil {
+			if id >= firstLaterDisk && c.runners[name] != nil {
 				_ = r.AddLearner(ctx, name, id) // asked again in the next step
 			}
 		}
