Tests: choose no port twice in a process

Change: testport returns no port again. TestFreeReturnsNoPortTwice failed before (ports 28765 and 17822, among others, chosen twice) and passes.

--- a/internal/testport/testport.go
+++ b/internal/testport/testport.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -20,11 +21,20 @@
 // ErrNone is returned if no free port was found.
 var ErrNone = errors.New("testport: no free port")
 
-// Free returns a port that is free on all the IP addresses.
+var (
+	mu     sync.Mutex // guards chosen
+	chosen = map[int]bool{}
+)
+
+// Free returns a port that is free on all the IP addresses, and that it has not returned before: tests
+// that run at the same time may not listen on theirs yet.
 func Free(ips ...string) (int, error) {
+	mu.Lock()
+	defer mu.Unlock()
 	for range attempts {
 		port := first + rand.IntN(count)
-		if isFree(port, ips) {
+		if !chosen[port] && isFree(port, ips) {
+			chosen[port] = true
 			return port, nil
 		}
 	}
