Wait for no workers in a busy loop when a control host stops

Cause: the server of peers released its worker pool with a timeout. The pool's ReleaseTimeout polls without a pause for its goroutines to end (perf: the samples are in ants' ReleaseContext, called by peer.Server.Stop). Preemption ends that after 10 ms, so it went unnoticed in tests.

Change: Stop already waits for connections and calls; the pool is then released without waiting.

TestStopKeepsNoProcessorBusy failed before ("a stop used 19.7803ms of processor time, want at most 2ms") and passes.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app"
@@ -124,7 +123,7 @@
 		if started {
 			<-s.stopped
 		}
-		_ = s.pool.ReleaseTimeout(time.Second)
+		s.pool.Release() // no call is running, so its workers end by themselves
 	}()
 	select {
 	case <-ended:
