--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -61,8 +61,8 @@
 // PausedFor returns how much longer the server wants no requests, or 0.
 func (n *Notices) PausedFor(now time.Duration) time.Duration { return max(0, n.pausedUntil-now) }
 
-// Outdated reports whether nothing is known that still matters should a server that is not listed any
-// more be listed again.
+// Outdated reports whether the notices of a server that is not listed any more may be forgotten, since
+// none of them would count if it were listed again.
 func (n *Notices) Outdated(now time.Duration) bool {
 	leaves := n.leavingSince > 0 && now-n.leavingSince < noticeMemory
 	limited := n.rateLimit > 0 && now-n.limitNamedAt < noticeMemory
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -210,9 +210,9 @@
 	return r.entries[meta.Index+1-first:], nil
 }
 
-// superseded reports whether the log has entries, but neither the snapshot's last one nor only later
-// ones: the process ended after it had written a leader's snapshot and before the record that resets the
-// log. The snapshot then replaces the whole log.
+// superseded reports whether the snapshot replaces the whole log: it covers entries of the log, but its
+// last entry is not one of them. The process has then ended after it had written a leader's snapshot
+// and before the record that resets the log.
 func (r *recovery) superseded(meta replog.SnapshotMeta) bool {
 	if len(r.entries) == 0 || r.entries[0].Index > meta.Index {
 		return false
