Log how far a request has come when its client leaves

Each client that leaves before its response now gives a line "client left" with the phase, the times of the latest attempt and the bytes that the kernel holds, and counts in galenalug_gateway_clients_left_total.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -45,6 +45,12 @@
 	ServerLoad    float64       // estimated number of requests at the server
 	TimeLeft      time.Duration // until the request's deadline
 	Elapsed       time.Duration // since the request's header was read
+	Phase         string        // how far the request has come on its way to a backend server
+	SinceStart    time.Duration // since the latest attempt began
+	Connect       time.Duration // time that the latest attempt waited for a connection
+	Write         time.Duration // time until the last byte of the request was handed to the connection
+	Unsent        int           // bytes that the kernel holds for the connection and has not sent
+	Unacked       int           // bytes that the kernel has sent on the connection and that are not acknowledged
 	Important     bool          // a failure or refusal, which is never sampled
 }
 
@@ -158,6 +164,12 @@
 	b = appendNumber(b, "table", int64(e.TableVersion))
 	b = appendNumber(b, "table_age_ms", e.TableAge.Milliseconds())
 	b = appendNumber(b, "load", int64(e.ServerLoad))
+	b = appendText(b, "phase", e.Phase)
+	b = appendNumber(b, "attempt_ms", e.SinceStart.Milliseconds())
+	b = appendNumber(b, "connect_ms", e.Connect.Milliseconds())
+	b = appendNumber(b, "write_ms", e.Write.Milliseconds())
+	b = appendNumber(b, "unsent", int64(e.Unsent))
+	b = appendNumber(b, "unacked", int64(e.Unacked))
 	b = appendNumber(b, "left_ms", e.TimeLeft.Milliseconds())
 	b = appendNumber(b, "took_ms", e.Elapsed.Milliseconds())
 	return append(b, '\n')
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,6 +134,7 @@
 		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
 		slots: to.slots,
 	}
+	c.progress.Store(&req.progress)
 	if c.stream != nil {
 		req.body, req.stream, req.streamLength = nil, c.stream, c.request.ContentLength
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -154,6 +154,7 @@
 }
 
 func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, once bool, dialect Dialect) (*backendResponse, error) {
+	mark(&req.progress.startedAt)
 	dialContext, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	c, err := b.connect(dialContext, once, req.id)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,6 +80,7 @@
 	streamLength         int64     // -1 if not known
 	deadline             time.Time
 	slots                int // requests that the server runs concurrently
+	progress             progress
 }
 
 // backendResponse is a backend server's response. If rest is nil, body is the complete body;
@@ -166,13 +167,21 @@
 // release when the exchange ends; it is kept only if the whole exchange succeeded.
 func exchange(ctx context.Context, c *conn, req *backendRequest, dialect Dialect, release func(*conn, bool)) (*backendResponse, error) {
 	c.written.Store(0)
+	req.progress.conn.Store(c)
+	mark(&req.progress.connectedAt)
 	if err := c.SetDeadline(req.deadline); err != nil {
 		release(c, false)
 		return nil, &exchangeError{reason: reasonBroken, err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	sent := make(chan error, 1)
-	go func() { sent <- write(c, req) }()
+	go func() {
+		err := write(c, req)
+		if err == nil {
+			mark(&req.progress.writtenAt)
+		}
+		sent <- err
+	}()
 	resp, err := read(c, req, dialect)
 	if err != nil {
 		stop()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,9 +76,10 @@
 	mayHaveRun bool   // whether an attempt without a usable response may have run
 	deniedBy   string // ID of the server that responded that it does not own the key
 	deniedAt   time.Duration
-	allowedBy  string        // ID of the owner for which allowedAtOwner has admitted the request
-	chosenLoad float64       // estimated requests at the chosen server
-	pausedFor  time.Duration // how much longer all servers that may run the request want none
+	allowedBy  string                   // ID of the owner for which allowedAtOwner has admitted the request
+	chosenLoad float64                  // estimated requests at the chosen server
+	pausedFor  time.Duration            // how much longer all servers that may run the request want none
+	progress   atomic.Pointer[progress] // of the latest attempt; nil before the first
 }
 
 // serve handles one client request.
@@ -161,6 +163,7 @@
 	ctx, cancel := context.WithCancel(c.attemptContext())
 	defer cancel()
 	defer context.AfterFunc(c.host.givingUp, cancel)()
+	defer context.AfterFunc(c.request.Context(), c.logClientLeft)()
 	c.ctx = ctx
 	lastReason := reasonNotExecuted
 	for {
@@ -294,6 +297,25 @@
 	}
 }
 
+// logClientLeft records that the client has closed its connection, and how far the request has come.
+func (c *call) logClientLeft() {
+	p := c.progress.Load()
+	e := eventlog.Event{
+		Name: "client left", Request: c.info.ID, Service: c.service, Key: c.info.Key, Phase: string(p.phase()),
+		TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: true,
+	}
+	if p != nil {
+		e.SinceStart = clockNow() - time.Duration(p.startedAt.Load())
+		e.Connect = between(&p.startedAt, &p.connectedAt)
+		e.Write = between(&p.connectedAt, &p.writtenAt)
+		if conn := p.conn.Load(); conn != nil {
+			e.Unsent, e.Unacked = unsentBytes(conn.Conn)
+		}
+	}
+	c.host.metrics.clientsLeft.WithLabelValues(e.Phase).Inc()
+	c.host.events.Add(e)
+}
+
 func (c *call) log(outcome, reason string, status int, important bool) {
 	c.host.metrics.count(outcome, reason, time.Since(c.started))
 	c.host.events.Add(eventlog.Event{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	retries     *prometheus.CounterVec
 	disconnects prometheus.Counter
 	notices     prometheus.Counter
+	clientsLeft *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -35,7 +36,10 @@
 	m.notices = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_server_notices_total", Help: "Changes of what backend servers say of themselves: limit, leaving, retry after.",
 	})
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices} {
+	m.clientsLeft = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenalug_gateway_clients_left_total", Help: "Clients that closed their connection before the response, by how far the request had come.",
+	}, []string{"phase"})
+	for _, c := range []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft} {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
