Give up requests whose clients leave before a server has them

- The opening of a connection ends when the client leaves, and nothing is written after that.
An unused connection returns to the pool.
- A request that may run only once is broken off if part of it was not written yet, or was not acknowledged for longer than a round trip (clientWatch).
What the kernel holds is discarded.
Its outcome stays unknown; one that the server has in full is left to it.
- A client that leaves no longer makes its server suspect, and no longer counts as a sample of the server's service time, if nothing was sent.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,7 +114,8 @@
 }
 
 // attemptContext returns the context of the attempts, as far as the client determines it. A request
-// that may run only once is not canceled when the client disconnects.
+// that may run only once is not canceled when the client disconnects, once it was sent completely; see
+// backendRequest.client.
 func (c *call) attemptContext() context.Context {
 	if c.route.Kind.Repeatable() {
 		return c.request.Context()
@@ -132,7 +133,7 @@
 	req := &backendRequest{
 		method: c.request.Method, target: c.request.RequestURI, host: c.request.Host,
 		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
-		slots: to.slots,
+		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
 	if c.stream != nil {
@@ -144,10 +145,10 @@
 // attempt sends the request to a server once.
 func (c *call) attempt(ctx context.Context, to *target) (*backendResponse, error) {
 	req := c.prepare(to)
-	return to.send(ctx, req, !c.route.Kind.Repeatable(), c.host.dialect)
+	return to.send(ctx, req, c.host.dialect)
 }
 
 func (c *call) attemptInto(ctx context.Context, to *target, req *backendRequest, results chan<- attemptResult) {
-	resp, err := to.send(ctx, req, false, c.host.dialect)
+	resp, err := to.send(ctx, req, c.host.dialect)
 	results <- attemptResult{resp, err}
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -24,6 +24,7 @@
 	startMillis     int64            // start time of the incarnation, Unix milliseconds; 0 if unknown
 	meanServiceTime *meanServiceTime // of the service
 	noticeCounter   prometheus.Counter
+	dial            dialFunc
 
 	mu        sync.Mutex // guards the fields below
 	idle      []*conn    // the most recently used last
@@ -45,10 +46,12 @@
 	byID             map[string]*backend
 	meanServiceTimes map[string]*meanServiceTime // by service
 	noticeCounter    prometheus.Counter
+	// dial opens connections to backend servers. Tests simulate slow links with it.
+	dial dialFunc
 }
 
 func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter}
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -62,7 +65,7 @@
 			server.close()
 		}
 		server = &backend{
-			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter,
+			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter, dial: b.dial,
 		}
 		b.byID[s.ID] = server
 	}
@@ -129,7 +132,7 @@
 }
 
 // send sends a request once and updates the load estimates.
-func (b *backend) send(ctx context.Context, req *backendRequest, once bool, dialect Dialect) (*backendResponse, error) {
+func (b *backend) send(ctx context.Context, req *backendRequest, dialect Dialect) (*backendResponse, error) {
 	b.mu.Lock()
 	now := clockNow()
 	queued := b.load.Requests(now) >= float64(req.slots)
@@ -137,7 +140,7 @@
 	b.load.Start()
 	b.mu.Unlock()
 	started := time.Now()
-	resp, err := b.connectAndExchange(ctx, req, once, dialect)
+	resp, err := b.connectAndExchange(ctx, req, dialect)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.load.End()
@@ -153,11 +156,16 @@
 	return resp, nil
 }
 
-func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, once bool, dialect Dialect) (*backendResponse, error) {
+func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, dialect Dialect) (*backendResponse, error) {
 	mark(&req.progress.startedAt)
 	dialContext, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
-	c, err := b.connect(dialContext, once, req.id)
+	defer context.AfterFunc(req.client, cancel)()
+	c, err := b.connect(dialContext, req.once, req.id)
+	if req.clientLeft() {
+		b.returnUnused(c, err)
+		return nil, &exchangeError{reason: reasonCanceled, err: context.Canceled}
+	}
 	if err != nil {
 		return nil, &exchangeError{reason: reasonConnect, connRefused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 	}
--- /dev/null
+++ b/internal/gateway/client_left_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// reachTime is how long after its client has left a request may still reach a server.
+const reachTime = 500 * time.Millisecond
+
+// sendRaw sends a request, or the beginning of one, on a connection of its own.
+func (f *fixture) sendRaw(method, path, id string, length int, body string) net.Conn {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	head := method + " " + path + " HTTP/1.1\r\nHost: depot.example\r\nTest-Id: " + id + "\r\nTest-Key: 7\r\nTest-Left: 900\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+	if _, err := io.WriteString(conn, head+body); err != nil {
+		f.t.Fatal(err)
+	}
+	return conn
+}
+
+// slowDial opens connections after a delay, and ends early only if the context does.
+func slowDial(delay time.Duration) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+}
+
+// Guards against a request that is sent to a server although its client left while the connection was
+// being opened, over a full link: it would run for nobody.
+func TestRequestIsNotSentAfterClientLeftWhileConnecting(t *testing.T) {
+	for _, path := range []string{"/look/1", "/order/1", "/photo/1"} {
+		t.Run(path, func(t *testing.T) {
+			server := newFakeBackend(t, okResponse("yes"))
+			f := newFixture(t)
+			f.host.backends.dial = slowDial(300 * time.Millisecond)
+			f.publish(server)
+			conn := f.sendRaw(http.MethodPost, path, "a1", 3, "two")
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.Close()
+			time.Sleep(reachTime)
+			if n := server.count(); n != 0 {
+				t.Errorf("%d requests reached the server after the client had left, want none", n)
+			}
+		})
+	}
+}
+
+// smallBuffers opens connections whose kernel buffers hold little.
+func smallBuffers(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+}
+
+// Guards against the body of a request whose client has left, and that no server can have in full yet,
+// occupying a full link to its end.
+func TestIncompleteRequestIsAbortedWhenClientLeaves(t *testing.T) {
+	const size = 900 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	f := newFixture(t)
+	f.host.backends.dial = smallBuffers
+	f.publish(&fakeBackend{t: t, listener: listener})
+	client := f.sendRaw(http.MethodPost, "/order/1", "a1", size, strings.Repeat("x", size))
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	time.Sleep(100 * time.Millisecond)
+	_ = client.Close()
+	time.Sleep(100 * time.Millisecond)
+	_ = conn.SetReadDeadline(time.Now().Add(reachTime))
+	if n, err := io.Copy(io.Discard, conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the server could read %d bytes (error: %v), want the connection to be reset", n, err)
+	}
+}
+
+// Guards against a request that waits in the kernel behind other bytes and reaches its server long after
+// its client has left.
+func TestUnacknowledgedRequestIsDiscardedWhenClientLeaves(t *testing.T) {
+	const size = 900 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	f := newFixture(t)
+	f.host.backends.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, conn.(*net.TCPConn).SetWriteBuffer(2 * size) // the whole request is written at once
+	}
+	f.publish(&fakeBackend{t: t, listener: listener})
+	client := f.sendRaw(http.MethodPost, "/order/1", "a1", size, strings.Repeat("x", size))
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	time.Sleep(ackTime)
+	_ = client.Close()
+	time.Sleep(2 * ackTime)
+	_ = conn.SetReadDeadline(time.Now().Add(reachTime))
+	if n, err := io.Copy(io.Discard, conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the server could read %d bytes (error: %v), want the connection to be reset", n, err)
+	}
+}
+
+// Guards against an order that is broken off at a server that has it in full: it may be running.
+func TestOrderIsLeftToItsServerWhenClientLeaves(t *testing.T) {
+	ended := make(chan error, 1)
+	server := newFakeBackend(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		_ = conn.SetReadDeadline(time.Now().Add(reachTime))
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	f := newFixture(t)
+	f.publish(server)
+	client := f.sendRaw(http.MethodPost, "/order/1", "a1", 3, "two")
+	time.Sleep(100 * time.Millisecond)
+	_ = client.Close()
+	if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection of the running order ended: %v", err)
+	}
+}
--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -40,7 +40,7 @@
 	if !errors.As(err, &e) {
 		return
 	}
-	unanswered := e.reason == reasonTimeout || e.reason == reasonCanceled
+	unanswered := e.mayHaveRun && (e.reason == reasonTimeout || e.reason == reasonCanceled)
 	if unanswered && hadFreeSlot && took > b.load.ServiceTime() {
 		b.recordServiceTime(took)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -9,25 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"slices"
-	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
-	"github.com/galenalug/galenalug/internal/idle"
 	"github.com/galenalug/galenalug/internal/readlimit"
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. It leaves a wide margin for regions that are
-	// 40 ms apart. A lost packet fails only this connection; the request can still be sent on
-	// another.
-	dialTimeout = 450 * time.Millisecond
-	// unackedTimeout is the TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged before
-	// the connection is closed. It detects a broken network path, not a slow server.
-	unackedTimeout = 1500 * time.Millisecond
 	// maxBufferedResponse is the size up to which a response body is read in full before the
 	// response is sent to the client. An error within that part can still be retried or reported.
 	maxBufferedResponse = 256 << 10
@@ -40,10 +27,7 @@
 	maxSkippedBody = 1 << 20
 	// maxRefusalBody is the maximum size of the body of a response that states that the request did
 	// not run, bytes. The connection of a longer one is closed.
-	maxRefusalBody  = 16 << 10
-	readBufferBytes = 4 << 10
-	// maxRefusedIDs is the number of refused requests after which a connection is not used again.
-	maxRefusedIDs = 16
+	maxRefusalBody = 16 << 10
 )
 
 // exchangeError is the error of an exchange that yielded no response.
@@ -70,19 +54,6 @@
 	reasonUnsealed = "unsealed-response"
 )
 
-// backendRequest is a request as it is sent to a backend server.
-type backendRequest struct {
-	method, target, host string
-	header               http.Header
-	id                   string
-	body                 []byte
-	stream               io.Reader // if not nil, replaces body
-	streamLength         int64     // -1 if not known
-	deadline             time.Time
-	slots                int // requests that the server runs concurrently
-	progress             progress
-}
-
 // backendResponse is a backend server's response. If rest is nil, body is the complete body;
 // otherwise rest yields the part after body.
 type backendResponse struct {
@@ -94,75 +65,6 @@
 	finish func(complete bool) // ends the exchange; must be called exactly once
 }
 
-// conn is a connection to a backend server.
-type conn struct {
-	net.Conn
-	reader   *bufio.Reader
-	limit    *readlimit.Reader // below reader
-	written  atomic.Int64      // bytes written of the current request
-	maxIdle  time.Duration     // how long the connection may be idle
-	lastUsed time.Time         // end of the last exchange
-	refused  []string          // IDs of the requests that were refused on the connection
-}
-
-// Write counts the bytes that were handed to the network.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
-}
-
-func dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if err := setUnackedTimeout(raw); err != nil {
-		_ = raw.Close() // nothing was sent
-		return nil, err
-	}
-	limit := readlimit.NewReader(raw)
-	return &conn{
-		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime,
-	}, nil
-}
-
-func setUnackedTimeout(c net.Conn) error {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "set TCP_USER_TIMEOUT")
-	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err == nil {
-		err = optionErr
-	}
-	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
-}
-
-// mayCarry reports whether a request with the given ID may be sent on the connection. A faulty server
-// may write a refusal once more; on the connection of an earlier attempt it would pass for the answer
-// to this one.
-func (c *conn) mayCarry(id string) bool { return id == "" || !slices.Contains(c.refused, id) }
-
-// reusable reports whether an idle connection is open and holds no unexpected bytes.
-func (c *conn) reusable() bool {
-	if len(c.refused) >= maxRefusedIDs || c.reader.Buffered() > 0 || time.Since(c.lastUsed) > c.maxIdle {
-		return false
-	}
-	return idle.Peek(c.Conn) == idle.Quiet
-}
-
 // exchange sends a request on a connection and reads the response. The connection is passed to
 // release when the exchange ends; it is kept only if the whole exchange succeeded.
 func exchange(ctx context.Context, c *conn, req *backendRequest, dialect Dialect, release func(*conn, bool)) (*backendResponse, error) {
@@ -173,21 +75,20 @@
 		release(c, false)
 		return nil, &exchangeError{reason: reasonBroken, err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	watch := watchClient(c, req)
+	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() }) // the exchange ends with an error
+	stop := func() (notCanceled bool) {
+		watch.end()
+		return stopCancel()
+	}
 	sent := make(chan error, 1)
-	go func() {
-		err := write(c, req)
-		if err == nil {
-			mark(&req.progress.writtenAt)
-		}
-		sent <- err
-	}()
+	go func() { sent <- send(c, req) }()
 	resp, err := read(c, req, dialect)
 	if err != nil {
 		stop()
 		release(c, false)
 		<-sent //nolint:errcheck // the read error is returned instead
-		return nil, newExchangeError(ctx, c, err)
+		return nil, newExchangeError(ctx, c, watch, err)
 	}
 	keepAlive := resp.finish != nil
 	resp.finish = func(complete bool) {
@@ -203,11 +104,20 @@
 	return resp, nil
 }
 
-func newExchangeError(ctx context.Context, c *conn, err error) *exchangeError {
+// send writes the request. It marks when the last byte was handed to the connection.
+func send(c *conn, req *backendRequest) error {
+	err := write(c, req)
+	if err == nil {
+		mark(&req.progress.writtenAt)
+	}
+	return err
+}
+
+func newExchangeError(ctx context.Context, c *conn, watch *clientWatch, err error) *exchangeError {
 	e := &exchangeError{reason: reasonBroken, mayHaveRun: c.written.Load() > 0, err: err}
 	var netErr net.Error
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, watch.hasAborted():
 		e.reason = reasonCanceled
 	case errors.Is(err, readlimit.ErrTooLong):
 		e.reason = reasonTooLong
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -168,7 +168,7 @@
 	lastReason := reasonNotExecuted
 	for {
 		c.limitToStop()
-		if c.request.Context().Err() != nil {
+		if c.clientLeft() {
 			c.log("client left", reasonCanceled, 0, true)
 			return
 		}
@@ -193,6 +193,11 @@
 	}
 }
 
+// clientLeft reports whether the client has closed its connection.
+func (c *call) clientLeft() bool {
+	return c.request.Context().Err() != nil
+}
+
 // mayAttempt reports whether another attempt is allowed. Each attempt after the first counts
 // against the retry budget.
 func (c *call) mayAttempt() bool {
@@ -244,7 +249,7 @@
 		reason = reasonNotOwner
 	}
 	c.mayHaveRun = c.mayHaveRun || mayHaveRun
-	if reason == reasonCanceled && c.request.Context().Err() == nil {
+	if reason == reasonCanceled && !c.clientLeft() {
 		reason = reasonStopping
 	}
 	switch {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -31,7 +31,11 @@
 	for {
 		c := b.takeIdle(once, id)
 		if c == nil {
-			return dial(ctx, b.address)
+			raw, err := b.dial(ctx, "tcp", b.address)
+			if err != nil {
+				return nil, err
+			}
+			return newConn(raw), nil
 		}
 		if c.reusable() {
 			return c, nil
@@ -57,13 +61,24 @@
 	return nil
 }
 
+// returnUnused returns a connection on which nothing was sent, if there is one.
+func (b *backend) returnUnused(c *conn, err error) {
+	if err == nil {
+		b.keepIdle(c, true)
+	}
+}
+
 // release returns a connection to the idle list, or closes it.
 func (b *backend) release(c *conn, keep bool) {
 	c.lastUsed = time.Now()
+	b.keepIdle(c, keep)
+}
+
+func (b *backend) keepIdle(c *conn, keep bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !keep || b.closed {
-		_ = c.Close() // the exchange has ended
+		_ = c.Close() // no request is in flight on it
 		return
 	}
 	b.idle = append(b.idle, c)
