End exchanges whose request body breaks off

A body of more than 1 MiB is streamed. If its client left meanwhile, the write to the server ended with an error, but the exchange waited for the server's response until the timeout, and the server for the rest of the body. While such a body waited for an owner or a connection, the leave of its client was not noticed at all: net/http watches a connection only once the body was read to its end.

A read error of the body now ends the exchange, and before a streamed body is sent, its client's connection is asked whether the client has closed it (idle.HungUp). The client's outcome stays unknown once a byte was sent.

--- a/internal/gateway/client_left_test.go
+++ b/internal/gateway/client_left_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -153,3 +155,88 @@
 		t.Errorf("the connection of the running order ended: %v", err)
 	}
 }
+
+// streamedBytes is the size of a body that the gateway streams.
+const streamedBytes = 4 * maxBufferedBody
+
+// recorder is a backend server that never responds and records how each connection ended.
+type recorder struct {
+	listener net.Listener
+	ended    chan recordedConn
+}
+
+// recordedConn is what a recorder received on a connection.
+type recordedConn struct {
+	bytes int64
+	err   error // nil if a complete request was received
+}
+
+func newRecorder(t *testing.T) *recorder {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &recorder{listener: listener, ended: make(chan recordedConn, 10)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.record(conn)
+		}
+	}()
+	return r
+}
+
+func (r *recorder) record(conn net.Conn) {
+	defer conn.Close()
+	var received bytes.Buffer
+	request, err := http.ReadRequest(bufio.NewReader(io.TeeReader(conn, &received)))
+	if err == nil {
+		_, err = io.Copy(io.Discard, request.Body)
+	}
+	r.ended <- recordedConn{bytes: int64(received.Len()), err: err}
+}
+
+// Guards against an exchange that waits until its timeout for the response to a body that has broken off.
+func TestBodyThatBreaksOffEndsExchange(t *testing.T) {
+	server := newRecorder(t)
+	f := newFixture(t)
+	f.publish(&fakeBackend{t: t, listener: server.listener})
+	client := f.sendRaw(http.MethodPost, "/photo/1", "a1", streamedBytes, strings.Repeat("x", streamedBytes/2))
+	time.Sleep(100 * time.Millisecond)
+	_ = client.Close()
+	select {
+	case got := <-server.ended:
+		if got.err == nil {
+			t.Error("the server took the body that broke off for a complete one")
+		}
+	case <-time.After(reachTime):
+		t.Errorf("the server still waits for the body %v after its client has left", reachTime)
+	}
+}
+
+// Guards against a large body that waits for an owner of its key while its client leaves: as long as
+// bytes of it are unread, net/http does not notice that.
+func TestLargeBodyIsNotSentAfterClientLeftWhileWaiting(t *testing.T) {
+	server := newRecorder(t)
+	f := newFixture(t)
+	f.publish(nil)
+	client := f.sendRaw(http.MethodPost, "/order/1", "a1", streamedBytes, strings.Repeat("x", maxBufferedBody+10))
+	time.Sleep(100 * time.Millisecond)
+	_ = client.Close()
+	time.Sleep(20 * time.Millisecond)
+	f.publish(&fakeBackend{t: t, listener: server.listener})
+	time.Sleep(reachTime)
+	f.host.backends.get(f.host.view.servers["s1"].Server).close()
+	select {
+	case got := <-server.ended:
+		if got.bytes > 0 {
+			t.Errorf("%d bytes reached the server after the client had left, want none", got.bytes)
+		}
+	case <-time.After(reachTime):
+		t.Error("the connection is still in use")
+	}
+}
--- a/internal/gateway/client_watch.go
+++ b/internal/gateway/client_watch.go
@@ -32,7 +32,7 @@
 	return w
 }
 
-// clientLeft is called when the client has left, and once more ackTime after
+// clientLeft is called when the client has left or has broken off its body, and once more ackTime after
 // the request was written.
 func (w *clientWatch) clientLeft() {
 	w.mu.Lock()
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -24,6 +24,21 @@
 	count int // open connections
 }
 
+// connKey is the context key of a request's client connection.
+type connKey struct{}
+
+// withClientConn is the ConnContext hook of the HTTP server.
+func withClientConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// hungUp reports whether the client has closed the connection of a request. Unlike the request's context
+// it also tells while bytes of the body are unread.
+func hungUp(r *http.Request) bool {
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	return ok && idle.HungUp(conn)
+}
+
 func newClientConns() *clientConns { return &clientConns{idle: map[net.Conn]struct{}{}} }
 
 // open returns the number of open connections.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,7 +82,7 @@
 		return stopCancel()
 	}
 	sent := make(chan error, 1)
-	go func() { sent <- send(c, req) }()
+	go func() { sent <- send(c, req, watch) }()
 	resp, err := read(c, req, dialect)
 	if err != nil {
 		stop()
@@ -104,12 +104,16 @@
 	return resp, nil
 }
 
-// send writes the request. It marks when the last byte was handed to the connection.
-func send(c *conn, req *backendRequest) error {
+// send writes the request. If the client's body breaks off, it closes the connection: the server waits
+// for the rest in vain.
+func send(c *conn, req *backendRequest, watch *clientWatch) error {
 	err := write(c, req)
 	if err == nil {
 		mark(&req.progress.writtenAt)
 	}
+	if req.stream != nil && req.stream.brokeOff() {
+		watch.clientLeft()
+	}
 	return err
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -69,7 +69,7 @@
 	service    string
 	stamp      Stamp
 	body       []byte
-	stream     io.Reader       // replaces body if the body exceeds maxBufferedBody
+	stream     *clientBody     // replaces body if the body exceeds maxBufferedBody
 	ctx        context.Context // of the attempts; ends when the gateway gives up its requests
 	attempts   int
 	server     string // ID of the server of the last attempt
@@ -151,7 +151,7 @@
 	}
 	c.body = body
 	if len(body) == maxBufferedBody {
-		c.stream = io.MultiReader(bytes.NewReader(body), c.request.Body)
+		c.stream = &clientBody{reader: io.MultiReader(bytes.NewReader(body), c.request.Body), request: c.request}
 		// Only HTTP/1 needs this, which is half duplex by default.
 		_ = http.NewResponseController(c.writer).EnableFullDuplex()
 	}
@@ -195,7 +195,7 @@
 
 // clientLeft reports whether the client has closed its connection.
 func (c *call) clientLeft() bool {
-	return c.request.Context().Err() != nil
+	return c.request.Context().Err() != nil || c.stream != nil && c.stream.brokeOff()
 }
 
 // mayAttempt reports whether another attempt is allowed. Each attempt after the first counts
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -125,6 +125,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         h.clientConns.setState,
+		ConnContext:       withClientConn,
 		ErrorLog:          discardLog,
 	}
 	h.readyServer = &http.Server{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // backendRequest is a request as it is sent to a backend server.
@@ -13,8 +16,8 @@
 	header               http.Header
 	id                   string
 	body                 []byte
-	stream               io.Reader // if not nil, replaces body
-	streamLength         int64     // -1 if not known
+	stream               *clientBody // if not nil, replaces body
+	streamLength         int64       // -1 if not known
 	deadline             time.Time
 	slots                int             // requests that the server runs concurrently
 	once                 bool            // may run only once
@@ -22,7 +25,27 @@
 	progress             progress
 }
 
-// clientLeft reports whether the client has left.
+// clientLeft reports whether the client has left, or has broken off its body.
 func (r *backendRequest) clientLeft() bool {
-	return r.client.Err() != nil
+	return r.client.Err() != nil || r.stream != nil && r.stream.brokeOff()
+}
+
+// clientBody is a request body that is read from the client while it is sent.
+type clientBody struct {
+	reader  io.Reader
+	request *http.Request
+	failed  atomic.Bool // a read has failed
 }
+
+// Read implements io.Reader.
+func (b *clientBody) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// brokeOff reports whether the body could not be read to its end, or the client has closed the
+// connection.
+func (b *clientBody) brokeOff() bool { return b.failed.Load() || hungUp(b.request) }
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of an idle connection.
@@ -33,6 +35,26 @@
 	return inspect(c, syscall.RawConn.Control) == Readable
 }
 
+// HungUp reports whether the peer has closed its side of a connection, even if bytes that it sent before
+// are still unread. It returns false if the connection is not a socket.
+func HungUp(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	hungUp := false
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(poll, 0)
+		hungUp = err == nil && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return hungUp || err != nil // fails only if the connection is closed
+}
+
 // inspect returns the state of a connection. run calls peek with the file descriptor.
 func inspect(c net.Conn, run func(raw syscall.RawConn, peek func(fd uintptr)) error) State {
 	socket, ok := c.(syscall.Conn)
