Bound the bulk bytes under way between regions by the delay they meet

Cause: nothing bounded what gateways have under way.

Requests wait for it in order, and one whose wait is longer than it may wait is refused at once, as not run. Small requests are never held.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,6 +136,9 @@
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
+	if to.otherRegion != "" {
+		req.bulk = c.bulk
+	}
 	if c.stream != nil {
 		req.body, req.stream, req.streamLength = nil, c.stream, c.request.ContentLength
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,6 +81,11 @@
 		watch.end()
 		return stopCancel()
 	}
+	answered := make(chan struct{})
+	defer close(answered)
+	if req.bulk != nil {
+		go req.bulk.watch(c, answered)
+	}
 	sent := make(chan error, 1)
 	go func() { sent <- send(c, req, watch) }()
 	resp, err := read(c, req, dialect)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -49,6 +49,7 @@
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
 	reasonOverload    = "owner-overloaded"
+	reasonLinkFull    = "link-between-regions-full"
 	reasonBody        = "request-body"
 	reasonBodyLarge   = "request-body-too-large"
 	reasonNoKey       = "no-key"
@@ -79,6 +80,8 @@
 	allowedBy  string                   // ID of the owner for which allowedAtOwner has admitted the request
 	chosenLoad float64                  // estimated requests at the chosen server
 	pausedFor  time.Duration            // how much longer all servers that may run the request want none
+	bulk       *linkTicket              // on links between regions; nil for a small request
+	linkWait   time.Duration            // how long the request would have to wait for the link
 	progress   atomic.Pointer[progress] // of the latest attempt; nil before the first
 }
 
@@ -165,6 +168,8 @@
 	defer context.AfterFunc(c.host.givingUp, cancel)()
 	defer context.AfterFunc(c.request.Context(), c.logClientLeft)()
 	c.ctx = ctx
+	c.bulk = c.bulkTicket()
+	defer c.bulk.release()
 	lastReason := reasonNotExecuted
 	for {
 		c.limitToStop()
@@ -182,6 +187,7 @@
 			return
 		}
 		resp, err := c.send(target, service)
+		c.bulk.release()
 		if err == nil && !c.notFinal(resp) {
 			c.respond(resp)
 			return
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -60,6 +60,7 @@
 	view        *view
 	leaderLink  *leaderLink
 	backends    *backends
+	regionLinks *regionLinks
 	metrics     *metrics
 	events      *eventlog.Log
 	server      *http.Server
@@ -96,6 +97,7 @@
 		dialect:       o.Dialect,
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends:      newBackends(m.notices),
+		regionLinks:   newRegionLinks(m.links),
 		clientConns:   newClientConns(),
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	disconnects prometheus.Counter
 	notices     prometheus.Counter
 	clientsLeft *prometheus.CounterVec
+	links       *linkMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -39,7 +40,9 @@
 	m.clientsLeft = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_clients_left_total", Help: "Clients that closed their connection before the response, by how far the request had come.",
 	}, []string{"phase"})
-	for _, c := range []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft} {
+	m.links = newLinkMetrics()
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft}
+	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -31,6 +31,8 @@
 		return min(shortRetryAfter, latest)
 	case reasonStaleConfig, reasonStopping:
 		return min(otherGatewayRetryAfter, latest)
+	case reasonLinkFull:
+		return min(c.linkWait, latest)
 	case string(dispatch.Paused):
 		return min(c.pausedFor, latest)
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -46,11 +46,11 @@
 		_, stamp, changed := c.host.view.snapshot(now)
 		c.stamp = stamp
 		target, full, reason := c.choose(now, service, entry)
-		if target != nil && !target.takeToken(now) { // another request took it since
-			target, full, reason = nil, target, string(dispatch.RateLimited)
+		if target != nil {
+			target, full, reason = c.claim(now, target)
 		}
 		left := time.Until(until)
-		if target != nil || left <= 0 || !isTransient(reason) {
+		if target != nil || left <= 0 || !isTransient(reason) || reason == reasonLinkFull && c.linkWait > left {
 			return target, reason
 		}
 		if full != nil && !entry.enqueue(now, left, full, dispatch.Reason(reason)) {
@@ -65,13 +65,28 @@
 	}
 }
 
+// claim reserves what an attempt needs besides a server with capacity: room on the link to the server's
+// region, and a token. Otherwise it returns the reason, and the server to queue for.
+func (c *call) claim(now time.Duration, to *target) (claimed, full *target, reason string) {
+	if c.bulk != nil && to.otherRegion != "" {
+		if c.linkWait = c.bulk.reserve(now, to.otherRegion); c.linkWait > 0 {
+			return nil, nil, reasonLinkFull
+		}
+	}
+	if !to.takeToken(now) { // another request took it since
+		c.bulk.release()
+		return nil, to, string(dispatch.RateLimited)
+	}
+	return to, nil, ""
+}
+
 // capacityPollInterval is the longest interval between checks for capacity.
 const capacityPollInterval = 20 * time.Millisecond
 
 // isTransient reports whether the cause of a refusal may pass within a short time.
 func isTransient(reason string) bool {
 	switch reason {
-	case reasonNoOwner, reasonNoServer, string(dispatch.QueueFull), string(dispatch.NoConnection), string(dispatch.RateLimited), string(dispatch.Paused):
+	case reasonNoOwner, reasonNoServer, reasonLinkFull, string(dispatch.QueueFull), string(dispatch.NoConnection), string(dispatch.RateLimited), string(dispatch.Paused):
 		return true
 	}
 	return false
@@ -111,7 +126,8 @@
 // target is the server selected for a request.
 type target struct {
 	*backend
-	slots int // requests that the server runs concurrently
+	slots       int    // requests that the server runs concurrently
+	otherRegion string // region of the server; empty if it is the gateway's own
 }
 
 // enqueue adds the request to the queue for a server, and removes it from any other queue. It
@@ -170,12 +186,21 @@
 	best, rejection := dispatch.Choose(now, candidates, request)
 	if best < 0 {
 		if i := c.queueFor(service, candidates, rejection); i >= 0 {
-			full = &target{backend: c.host.backends.get(servers[i]), slots: int(servers[i].Slots)}
+			full = c.host.target(servers[i])
 		}
 		return nil, full, string(rejection)
 	}
 	c.chosenLoad = candidates[best].Load.Requests(now)
-	return &target{backend: c.host.backends.get(servers[best]), slots: int(servers[best].Slots)}, nil, ""
+	return c.host.target(servers[best]), nil, ""
+}
+
+// target returns a server as a target.
+func (h *Host) target(s keyrange.Server) *target {
+	t := &target{backend: h.backends.get(s), slots: int(s.Slots)}
+	if h.distance(s.Domain) == dispatch.OtherRegion {
+		t.otherRegion = h.settings.Domains[s.Domain]
+	}
+	return t
 }
 
 // queueFor returns the index of the server to wait for, or -1 if the request does not wait for a
