Quarantine requests that crash backend servers

Cause: each gateway passed it on as if it were new; nothing counted crashes by request, and no gateway saw more than its own part of a crash.

Package quarantine: a gateway reports the end of a server's process with the requests that broke there; the leader combines the reports and tells all gateways. An answer clears a request.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -12,6 +12,7 @@
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -58,6 +59,8 @@
 			}
 			return h.issueTokens(request)
 		}))
+	case wire.KindPermitRequest:
+		return encodeReply(decodeAndHandle(body, func(request quarantine.PermitRequest) (any, error) { return h.permitRun(request) }))
 	case wire.KindSubscribe:
 		return encodeReply(decodeAndHandle(body, func(report routes.ConfigReport) (any, error) {
 			if err := h.confirmLeadership(ctx); err != nil {
@@ -94,12 +97,14 @@
 	return cbor.Marshal(reply)
 }
 
-// Notify handles messages of the replicated log and load reports.
+// Notify handles messages of the replicated log, load reports and crash reports.
 func (a *handler) Notify(from *peer.Conn, kind int, body []byte) {
 	switch kind {
 	case wire.KindRaft:
 		a.host.peers.recordHeard(from.Identity())
 		a.host.deliverRaft(body)
+	case wire.KindCrashReport:
+		a.host.handleCrashReport(from.Identity().Name, body)
 	case wire.KindLoadReport:
 		a.host.handleLoadReport(from.Identity().Name, body)
 	default:
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -8,6 +8,7 @@
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/rollout"
 )
@@ -20,6 +21,7 @@
 	encodedUpdates encodedUpdates
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
+	quarantine     *quarantine.Tracker
 	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
 	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
 }
@@ -51,7 +53,7 @@
 	if h.state.config().Version > 0 {
 		configs.Inherit(clock.Now())
 	}
-	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
+	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
 		Term:               term,
 		Keys:               keySpace,
 		RangesPerServer:    initialRangesPerServer,
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -25,6 +25,8 @@
 	logFailed    prometheus.Gauge
 	joinSeconds  prometheus.Histogram
 	tokens       *prometheus.CounterVec
+	quarantines  prometheus.Counter
+	suspects     *prometheus.GaugeVec
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -76,7 +78,14 @@
 	m.tokens = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_fleet_tokens_total", Help: "Tokens for requests to rate-limited servers that gateways asked for, by outcome.",
 	}, []string{"outcome"})
+	m.quarantines = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_fleet_quarantines_total", Help: "Requests that were quarantined because they crash backend servers.",
+	})
+	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
+	}, []string{"state"})
 	collectors := []prometheus.Collector{
+		m.quarantines, m.suspects,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.joinSeconds, m.tokens,
 	}
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -85,6 +85,7 @@
 	now := clock.Now()
 	h.publishConfig(now, l)
 	h.reportLeaves(now, l)
+	h.publishQuarantine(now, l)
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	update, changed := l.coordinator.Changes(now)
@@ -209,5 +210,8 @@
 		return errors.New("encode table")
 	}
 	log.WithField("gateway", conn.Identity().Name).Info("gateway connected")
+	if err := h.sendQuarantine(conn, l.quarantine.Snapshot(clock.Now())); err != nil {
+		return err
+	}
 	return conn.Notify(wire.KindFleetTable, body)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,9 +103,12 @@
 	return r.resp, nil
 }
 
-// hedgeTarget returns the server for the second attempt, or nil if no server can answer in time or
-// no further attempt is allowed.
+// hedgeTarget returns the server for the second attempt, or nil if no server can answer in time, no
+// further attempt is allowed, or the request is suspected of crashing servers.
 func (c *call) hedgeTarget(service *routes.Service) *target {
+	if c.suspicion().Crashes > 0 {
+		return nil
+	}
 	second, _, _ := c.choose(clockNow(), service, &queueEntry{priority: c.route.Priority})
 	if second == nil || !c.mayAttempt() || !second.takeToken(clockNow()) {
 		return nil
@@ -136,6 +139,9 @@
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
+	if c.stream == nil {
+		req.fingerprint = c.fingerprint
+	}
 	if to.otherRegion != "" {
 		req.bulk = c.bulk
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 )
 
@@ -25,19 +26,22 @@
 	meanServiceTime *meanServiceTime // of the service
 	noticeCounter   prometheus.Counter
 	dial            dialFunc
-
-	mu        sync.Mutex // guards the fields below
-	idle      []*conn    // the most recently used last
-	load      dispatch.Load
-	queue     dispatch.WaitQueue // requests that wait for capacity
-	share     dispatch.Share
-	notices   dispatch.Notices
-	tokens    ratelimit.Holder    // for the rate limit that the server has named
-	observed  keyrange.ServerLoad // not yet reported to the leader
-	failedAt  time.Duration       // time of the last failure; 0 for none
-	refusedAt time.Duration       // time of the last refused connection; 0 for none
-	replaced  bool                // another incarnation answered at the address
-	closed    bool                // connections are closed when their exchange ends
+	onCrash         func(quarantine.Crash) // called when the process has ended with requests
+
+	mu          sync.Mutex // guards the fields below
+	idle        []*conn    // the most recently used last
+	load        dispatch.Load
+	queue       dispatch.WaitQueue // requests that wait for capacity
+	share       dispatch.Share
+	notices     dispatch.Notices
+	tokens      ratelimit.Holder    // for the rate limit that the server has named
+	observed    keyrange.ServerLoad // not yet reported to the leader
+	failedAt    time.Duration       // time of the last failure; 0 for none
+	refusedAt   time.Duration       // time of the last refused connection; 0 for none
+	replaced    bool                // another incarnation answered at the address
+	broken      []func() string     // fingerprints of requests whose exchange broke, until checkEnd
+	checkingEnd bool
+	closed      bool // connections are closed when their exchange ends
 }
 
 // backends holds the backend servers and the mean service times of their services.
@@ -47,7 +51,8 @@
 	meanServiceTimes map[string]*meanServiceTime // by service
 	noticeCounter    prometheus.Counter
 	// dial opens connections to backend servers. Tests simulate slow links with it.
-	dial dialFunc
+	dial    dialFunc
+	onCrash func(quarantine.Crash)
 }
 
 func newBackends(noticeCounter prometheus.Counter) *backends {
@@ -65,7 +70,7 @@
 			server.close()
 		}
 		server = &backend{
-			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter, dial: b.dial,
+			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash,
 		}
 		b.byID[s.ID] = server
 	}
@@ -141,6 +146,7 @@
 	b.mu.Unlock()
 	started := time.Now()
 	resp, err := b.connectAndExchange(ctx, req, dialect)
+	b.recordBroken(err, req)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.load.End()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -15,6 +15,7 @@
 	ID      string        // ID of the client's attempt
 	Timeout time.Duration // how long the client waits; 0 if not given
 	Key     int64         // NoKey if not given
+	Caller  string        // all that names the caller, in any form; empty if nothing does
 }
 
 // ResponseInfo is what the gateway takes from the headers of a backend server's response.
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -25,7 +25,7 @@
 type testDialect struct{}
 
 func (testDialect) ParseRequest(header http.Header) RequestInfo {
-	info := RequestInfo{ID: header.Get("Test-Id"), Key: NoKey}
+	info := RequestInfo{ID: header.Get("Test-Id"), Key: NoKey, Caller: header.Get("Test-Caller")}
 	if left, err := strconv.Atoi(header.Get("Test-Left")); err == nil {
 		info.Timeout = time.Duration(left) * time.Millisecond
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,8 @@
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
 	reasonOverload    = "owner-overloaded"
+	reasonQuarantined = "crashes-servers"
+	reasonSuspected   = "may-crash-servers"
 	reasonLinkFull    = "link-between-regions-full"
 	reasonBody        = "request-body"
 	reasonBodyLarge   = "request-body-too-large"
@@ -60,29 +63,33 @@
 
 // call is the state of one client request.
 type call struct {
-	host       *Host
-	request    *http.Request
-	writer     http.ResponseWriter
-	info       RequestInfo
-	started    time.Time
-	deadline   time.Time
-	route      *routes.Route
-	service    string
-	stamp      Stamp
-	body       []byte
-	stream     *clientBody     // replaces body if the body exceeds maxBufferedBody
-	ctx        context.Context // of the attempts; ends when the gateway gives up its requests
-	attempts   int
-	server     string // ID of the server of the last attempt
-	mayHaveRun bool   // whether an attempt without a usable response may have run
-	deniedBy   string // ID of the server that responded that it does not own the key
-	deniedAt   time.Duration
-	allowedBy  string                   // ID of the owner for which allowedAtOwner has admitted the request
-	chosenLoad float64                  // estimated requests at the chosen server
-	pausedFor  time.Duration            // how much longer all servers that may run the request want none
-	bulk       *linkTicket              // on links between regions; nil for a small request
-	linkWait   time.Duration            // how long the request would have to wait for the link
-	progress   atomic.Pointer[progress] // of the latest attempt; nil before the first
+	host             *Host
+	request          *http.Request
+	writer           http.ResponseWriter
+	info             RequestInfo
+	started          time.Time
+	deadline         time.Time
+	route            *routes.Route
+	service          string
+	stamp            Stamp
+	body             []byte
+	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
+	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
+	attempts         int
+	server           string // ID of the server of the last attempt
+	mayHaveRun       bool   // whether an attempt without a usable response may have run
+	deniedBy         string // ID of the server that responded that it does not own the key
+	deniedAt         time.Duration
+	allowedBy        string        // ID of the owner for which allowedAtOwner has admitted the request
+	chosenLoad       float64       // estimated requests at the chosen server
+	pausedFor        time.Duration // how much longer all servers that may run the request want none
+	bulk             *linkTicket   // on links between regions; nil for a small request
+	linkWait         time.Duration // how long the request would have to wait for the link
+	permitted        bool          // the leader has permitted the run of a suspected request
+	quarantinedFor   time.Duration // how much longer the request is quarantined
+	fingerprintOnce  sync.Once
+	fingerprintValue string
+	progress         atomic.Pointer[progress] // of the latest attempt; nil before the first
 }
 
 // serve handles one client request.
@@ -173,6 +180,9 @@
 	lastReason := reasonNotExecuted
 	for {
 		c.limitToStop()
+		if c.refuseQuarantined() {
+			return
+		}
 		if c.clientLeft() {
 			c.log("client left", reasonCanceled, 0, true)
 			return
@@ -186,8 +196,16 @@
 			c.refuse(lastReason)
 			return
 		}
+		if reason := c.awaitPermit(target); reason != "" {
+			c.refuse(reason)
+			return
+		}
 		resp, err := c.send(target, service)
+		c.endPermit(resp, err)
 		c.bulk.release()
+		if err == nil && !resp.info.NotExecuted {
+			c.recordAnswer()
+		}
 		if err == nil && !c.notFinal(resp) {
 			c.respond(resp)
 			return
@@ -268,6 +286,9 @@
 	case c.mayHaveRun && !c.route.Kind.Repeatable():
 		c.fail(reason)
 		return false, reason
+	case mayHaveRun && c.suspicion().Crashes >= retryBelowCrashes:
+		c.fail(reason)
+		return false, reason
 	case reason == reasonTimeout || time.Until(c.deadline) <= 0:
 		c.fail(reason)
 		return false, reason
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -61,6 +61,7 @@
 	leaderLink  *leaderLink
 	backends    *backends
 	regionLinks *regionLinks
+	quarantined *quarantined
 	metrics     *metrics
 	events      *eventlog.Log
 	server      *http.Server
@@ -98,6 +99,7 @@
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends:      newBackends(m.notices),
 		regionLinks:   newRegionLinks(m.links),
+		quarantined:   newQuarantined(),
 		clientConns:   newClientConns(),
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
@@ -105,6 +107,7 @@
 		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
+	h.backends.onCrash = h.reportCrash
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
 	if err := m.registerViewGauges(o.Registry, h.view); err != nil {
 		return nil, err
@@ -119,6 +122,7 @@
 		onDisconnect: m.disconnects.Inc,
 		backends:     h.backends,
 		tokensWanted: make(chan struct{}, 1),
+		quarantined:  h.quarantined,
 	}
 	discardLog := stdlog.New(io.Discard, "", 0) // net/http would log errors that clients cause
 	h.server = &http.Server{
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -14,6 +14,7 @@
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -34,6 +35,8 @@
 	onDisconnect func() // called when a subscription has ended
 	backends     *backends
 	tokensWanted chan struct{} // signals that requests wait for tokens
+	quarantined  *quarantined
+	current      atomic.Pointer[peer.Client] // of the current subscription; nil for none
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
 	dial dialFunc
 
@@ -93,8 +96,11 @@
 func (l *leaderLink) serve(parent context.Context, s *subscription) (next *subscription) {
 	ctx, cancel := context.WithCancel(parent)
 	var loops sync.WaitGroup
+	l.current.Store(s.client)
+	defer l.current.Store(nil)
 	loops.Go(func() { l.reportConfig(ctx, s.client) })
 	loops.Go(func() { l.askForTokens(ctx, s.client) })
+	loops.Go(func() { l.reportCrashes(ctx, s.client) })
 	loops.Go(func() {
 		if next = l.watch(ctx, s); next != nil {
 			signal(s.ended)
@@ -181,6 +187,7 @@
 type updateHandler struct {
 	view            *view
 	needsFullConfig *atomic.Bool // of leaderLink
+	quarantined     *quarantined
 	ended           chan struct{}
 }
 
@@ -194,11 +201,22 @@
 	switch kind {
 	case wire.KindConfigUpdate:
 		u.applyConfig(from, body)
+	case wire.KindQuarantine:
+		u.applyQuarantine(body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
 	}
 }
 
+func (u *updateHandler) applyQuarantine(body []byte) {
+	var update quarantine.Update
+	if err := cbor.Unmarshal(body, &update); err != nil {
+		log.WithError(err).Error("cannot decode quarantine update")
+		return
+	}
+	u.quarantined.apply(update)
+}
+
 func (u *updateHandler) applyTable(from *peer.Conn, body []byte) {
 	var update keyrange.TableUpdate
 	if err := cbor.Unmarshal(body, &update); err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	notices     prometheus.Counter
 	clientsLeft *prometheus.CounterVec
 	links       *linkMetrics
+	crashes     prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -40,8 +41,11 @@
 	m.clientsLeft = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_clients_left_total", Help: "Clients that closed their connection before the response, by how far the request had come.",
 	}, []string{"phase"})
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_server_crashes_total", Help: "Backend servers whose process ended with requests of this gateway.",
+	})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -27,9 +27,11 @@
 		return min(otherGatewayRetryAfter, latest)
 	}
 	switch reason {
+	case reasonQuarantined:
+		return c.quarantinedFor
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
-	case reasonStaleConfig, reasonStopping:
+	case reasonStaleConfig, reasonStopping, reasonSuspected:
 		return min(otherGatewayRetryAfter, latest)
 	case reasonLinkFull:
 		return min(c.linkWait, latest)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,7 +23,8 @@
 	once                 bool            // may run only once
 	client               context.Context // ends when the client leaves
 	progress             progress
-	bulk                 *linkTicket // nil for a small request, and for one within the region
+	fingerprint          func() string // nil for a streamed body
+	bulk                 *linkTicket   // nil for a small request, and for one within the region
 }
 
 // clientLeft reports whether the client has left, or has broken off its body.
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -30,6 +30,9 @@
 	KindGetConfig       = 18 // empty, answered by routes.Config
 	KindConfigUpdate    = 20 // encoded routes.Update, one-way, control to entry
 	KindConfigReport    = 19 // routes.ConfigReport, entry to control; answered by routes.ConfigReportReply
+	KindCrashReport     = 22 // quarantine.Report, one-way, entry to control
+	KindPermitRequest   = 24 // quarantine.PermitRequest, entry to control; answered by quarantine.PermitReply
+	KindQuarantine      = 23 // quarantine.Update, one-way, control to entry
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
 )
 
--- /dev/null
+++ b/quarantine/tracker_test.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func crashReport(server string, requests ...string) Report {
+	return Report{Crashes: []Crash{{ServerID: server, StartMillis: 1, Requests: requests}}}
+}
+
+var (
+	deadly   = Fingerprint([]byte("deadly"))
+	innocent = Fingerprint([]byte("innocent"))
+)
+
+// A request is quarantined with the third crash, and the crashes then count for no other request.
+func TestThirdCrashQuarantines(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		now := time.Duration(i+1) * time.Second
+		requests := []string{deadly}
+		if i > 0 {
+			requests = append(requests, innocent)
+		}
+		got := tracker.Observe(now, crashReport(fmt.Sprint("s", i), requests...))
+		if quarantined := len(got) == 1 && got[0] == deadly; quarantined != (i == 2) {
+			t.Errorf("crash %d: quarantined %v", i+1, got)
+		}
+	}
+	table := NewTable()
+	table.Apply(4*time.Second, tracker.Changes(4*time.Second))
+	if state := table.State(4*time.Second, deadly); state.Quarantined <= 0 {
+		t.Errorf("state of the deadly request: %+v", state)
+	}
+	if state := table.State(4*time.Second, innocent); state.Crashes != 0 {
+		t.Errorf("state of the request that was at two of the servers: %+v, want no suspicion", state)
+	}
+}
+
+// Guards against one crash that counts several times: each gateway reports it.
+func TestCrashCountsOnceForAllGateways(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 10 {
+		if got := tracker.Observe(time.Duration(i)*time.Second, crashReport("s1", deadly)); len(got) > 0 {
+			t.Fatalf("report %d of the same crash quarantined the request", i+1)
+		}
+	}
+}
+
+// Requests that were at the same three servers can't be told apart: both are held, but not for long.
+func TestIndistinguishableRequestsAreHeldForAShortTime(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		tracker.Observe(time.Duration(i+1)*time.Second, crashReport(fmt.Sprint("s", i), deadly, innocent))
+	}
+	table := NewTable()
+	table.Apply(3*time.Second, tracker.Changes(3*time.Second))
+	for _, request := range []string{deadly, innocent} {
+		if left := table.State(3*time.Second, request).Quarantined; left <= 0 || left > ambiguousTime+time.Second {
+			t.Errorf("held for %v, want about %v", left, ambiguousTime)
+		}
+	}
+	later := 4*time.Second + ambiguousTime
+	if !tracker.Permit(later, PermitRequest{Request: innocent, ServerID: "s9"}).Granted {
+		t.Error("no run is permitted after that")
+	}
+	if tracker.Permit(later, PermitRequest{Request: deadly, ServerID: "s9"}).Granted {
+		t.Error("both may run at the same server")
+	}
+	tracker.Observe(later, Report{Answered: []string{innocent}})
+	if got := tracker.Observe(later+time.Second, crashReport("s9", deadly)); len(got) != 1 || got[0] != deadly {
+		t.Errorf("the next crash quarantined %v", got)
+	}
+}
+
+// A suspected request runs at one server at a time until the end of the run is known.
+func TestSuspectedRequestRunsAtOneServerAtATime(t *testing.T) {
+	tracker := NewTracker()
+	now := time.Second
+	permit := func() bool {
+		return tracker.Permit(now, PermitRequest{Request: deadly, ServerID: "s2"}).Granted
+	}
+	for range 2 {
+		if !permit() {
+			t.Error("a request without suspicion needs no permit")
+		}
+	}
+	tracker.Observe(now, crashReport("s1", deadly))
+	if !permit() || permit() {
+		t.Error("want one permit")
+	}
+	tracker.Observe(now, Report{Ended: []string{deadly}})
+	if !permit() || permit() {
+		t.Error("want another permit after the run has ended")
+	}
+	now += permitTime
+	if !permit() {
+		t.Error("want another permit when the end of the run was not reported")
+	}
+}
+
+// Guards against a new leader that lets quarantined requests crash three more servers.
+func TestNewLeaderKeepsQuarantine(t *testing.T) {
+	table := NewTable()
+	table.Apply(time.Second, Update{Entries: []Entry{{Request: deadly, Crashes: 3, QuarantineMillis: 60_000}}})
+	tracker := NewTracker()
+	tracker.Observe(0, Report{Known: table.Quarantined(2 * time.Second)})
+	if tracker.Permit(0, PermitRequest{Request: deadly, ServerID: "s1"}).Granted {
+		t.Error("the new leader permits a run")
+	}
+	other := NewTable()
+	other.Apply(0, tracker.Snapshot(0))
+	if other.State(0, deadly).Quarantined < 50*time.Second {
+		t.Error("another gateway does not learn of the quarantine")
+	}
+}
+
+// Guards against evidence that grows without bounds.
+func TestEvidenceIsBounded(t *testing.T) {
+	tracker, table := NewTracker(), NewTable()
+	for i := range 3 * maxCrashes {
+		now := time.Duration(i) * time.Second
+		var requests []string
+		for j := range 2 * maxRequestsPerCrash {
+			requests = append(requests, Fingerprint([]byte(fmt.Sprint(i, j))))
+		}
+		tracker.Observe(now, crashReport(fmt.Sprint("s", i), requests...))
+		table.Apply(now, tracker.Changes(now))
+	}
+	if len(tracker.suspects) > maxRequests || len(tracker.crashes) > maxCrashes || len(table.entries) > maxRequests {
+		t.Errorf("%d requests and %d crashes at the leader, %d requests at a gateway", len(tracker.suspects), len(tracker.crashes), len(table.entries))
+	}
+	end := 10 * maxCrashes * time.Second
+	tracker.Observe(end, Report{})
+	table.Apply(end, tracker.Changes(end))
+	if len(tracker.suspects) != 0 || !table.Empty() {
+		t.Errorf("%d requests at the leader and %d at a gateway are never forgotten", len(tracker.suspects), len(table.entries))
+	}
+}
+
+// Requests that differ in where one part ends and the next begins are different.
+func TestFingerprintKeepsPartsApart(t *testing.T) {
+	if Fingerprint([]byte("ab"), []byte("c")) == Fingerprint([]byte("a"), []byte("bc")) {
+		t.Error("the parts run together")
+	}
+}
