Refuse heartbeats that no backend server can mean

Another writer's single odd heartbeat stopped all gateways from following: an ID that is no UTF-8 was acknowledged and put into the table of servers, which then no gateway could decode; each subscribed again and again, and requests were refused once its lease on the configuration had ended. Ports out of range, host names, 2^63 slots, a start in the far future or a warmup without end were taken as servers to use, too. Deep nesting and numbers beyond 64 bits were refused already: encoding/json bounds both.

TestLeaderWithoutQuorumRefusesCalls sent an empty heartbeat, which is refused as invalid now, with or without a quorum. It sends a valid one, so that it still shows that a leader without a quorum refuses those.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -23,8 +23,12 @@
 	ErrUnknownOutcome = errors.New("fleet: the outcome is not known")
 )
 
-// Heartbeat processes the heartbeat of a backend server. A follower forwards it to the leader.
+// Heartbeat processes the heartbeat of a backend server. A follower forwards it to the leader. The error's
+// cause is keyrange.ErrInvalid if no server can mean the heartbeat.
 func (h *Host) Heartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
+	if err := hb.Validate(time.Now()); err != nil {
+		return keyrange.HeartbeatReply{}, err
+	}
 	if !h.Leads() {
 		var reply keyrange.HeartbeatReply
 		err := h.forwardToLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
@@ -94,6 +98,9 @@
 // Leave records that a backend server leaves. The record is committed to the log before the call is
 // acknowledged, so that a new leader has it.
 func (h *Host) Leave(ctx context.Context, leave keyrange.Leave) error {
+	if err := leave.Validate(time.Now()); err != nil {
+		return err
+	}
 	if !h.Leads() {
 		return h.forwardToLeader(ctx, wire.KindServerLeave, leave, nil)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -328,7 +328,9 @@
 		t.Errorf("read document %q without a quorum, want an error", document)
 	}
 	c.wait("heartbeats to be refused", func() bool {
-		_, err := leader.Heartbeat(ctx, keyrange.Heartbeat{})
+		_, err := leader.Heartbeat(ctx, keyrange.Heartbeat{
+			Server: keyrange.Server{ID: "s1", Service: "stock", Address: "127.0.0.1:80", Domain: "d1", Slots: 6, StartMillis: 1},
+		})
 		return errors.Is(err, ErrUnavailable)
 	})
 }
