--- a/internal/group/power_test.go
+++ b/internal/group/power_test.go
@@ -238,3 +238,61 @@
 	c.t.Error("no leader")
 	return 0
 }
+
+// fillInTurn fills the disk of each host for a while, in random order and never two at a time. In between
+// the leader loses power at times.
+func (c *powerCluster) fillInTurn(ctx context.Context) {
+	for _, name := range c.names() {
+		if leader := c.leaderName(); leader != "" && c.rng.IntN(3) == 0 {
+			c.powerOff([]string{leader})
+			c.boot(leader)
+		}
+		disk := c.disks[name]
+		disk.SetFaults(faultfs.Faults{FreeBytes: c.rng.IntN(3000)})
+		c.proposeFor(ctx, time.Duration(100+c.rng.IntN(1400))*time.Millisecond)
+		disk.SetFaults(faultfs.Faults{FreeBytes: -1})
+		c.proposeFor(ctx, time.Duration(c.rng.IntN(500))*time.Millisecond)
+	}
+}
+
+// leaderName returns the host that leads, or an empty text.
+func (c *powerCluster) leaderName() string {
+	for name, r := range c.runners {
+		if r.Leads() {
+			return name
+		}
+	}
+	return ""
+}
+
+// proposeFor proposes changes for a while.
+func (c *powerCluster) proposeFor(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		c.propose(ctx)
+		c.join(ctx)
+	}
+}
+
+// Guards against changes that are refused or stay unanswered to the end after the disks of all members were
+// full one after the other, though all have room again.
+func TestChangesAreAcceptedAfterDisksWereFullInTurn(t *testing.T) {
+	for seed := range uint64(*powerSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := newPowerCluster(t, *powerFirst+seed)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer c.proposals.Wait()
+			defer c.stopAll()
+			defer cancel()
+			for range 2 {
+				c.awaitWhole(ctx)
+				c.fillInTurn(ctx)
+			}
+			c.awaitWhole(ctx)
+			before := c.confirmed.Load()
+			c.await(ctx, "accept changes", func(replog.Status) bool { return c.confirmed.Load() > before+20 })
+			if sum, attempted := c.finalSum(), c.attempted.Load(); sum < before || sum > attempted {
+				t.Errorf("sum %d after %d confirmed and %d attempted proposals", sum, before, attempted)
+			}
+		})
+	}
+}
