--- a/internal/fleet/propagation_test.go
+++ b/internal/fleet/propagation_test.go
@@ -36,9 +36,14 @@
 // subscribeStub connects a gateway to the leader and subscribes.
 func (c *cluster) subscribeStub(leader *Host, name string) *peer.Client {
 	c.t.Helper()
-	stub := &gatewayStub{owners: map[string]string{}, draining: map[string]bool{}}
+	return c.subscribeHandler(leader, name, &gatewayStub{owners: map[string]string{}, draining: map[string]bool{}})
+}
+
+// subscribeHandler connects a gateway whose messages go to the handler, and subscribes.
+func (c *cluster) subscribeHandler(leader *Host, name string, handler peer.Handler) *peer.Client {
+	c.t.Helper()
 	client := peer.NewClient(peer.ClientOptions{
-		Address: leader.name, Self: peer.Identity{Name: name, Role: peer.RoleEntry}, ExpectedName: leader.name, Handler: stub,
+		Address: leader.name, Self: peer.Identity{Name: name, Role: peer.RoleEntry}, ExpectedName: leader.name, Handler: handler,
 	})
 	c.t.Cleanup(client.Close)
 	c.wait("subscription of "+name, func() bool {
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -47,16 +47,7 @@
 func (c *cluster) subscribeQuarantineStub(leader *Host, name string) *quarantineStub {
 	c.t.Helper()
 	stub := &quarantineStub{table: quarantine.NewTable()}
-	client := peer.NewClient(peer.ClientOptions{
-		Address: leader.name, Self: peer.Identity{Name: name, Role: peer.RoleEntry}, ExpectedName: leader.name, Handler: stub,
-	})
-	c.t.Cleanup(client.Close)
-	c.wait("subscription of "+name, func() bool {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		_, err := client.Call(ctx, wire.KindSubscribe, firstSubscription)
-		return err == nil
-	})
+	c.subscribeHandler(leader, name, stub)
 	return stub
 }
 
--- a/internal/gateway/client_left_test.go
+++ b/internal/gateway/client_left_test.go
@@ -34,6 +34,16 @@
 	return conn
 }
 
+// listen returns a listener for a backend server.
+func listen(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
 // slowDial opens connections after a delay, and ends early only if the context does.
 func slowDial(delay time.Duration) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -79,12 +89,7 @@
 // occupying a full link to its end.
 func TestIncompleteRequestIsAbortedWhenClientLeaves(t *testing.T) {
 	const size = 900 << 10
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	f := newFixture(t)
+	f, listener := newFixture(t), listen(t)
 	f.host.backends.dial = smallBuffers
 	f.publish(&fakeBackend{t: t, listener: listener})
 	client := f.sendRaw(http.MethodPost, "/order/1", "a1", size, strings.Repeat("x", size))
@@ -107,12 +112,7 @@
 // its client has left.
 func TestUnacknowledgedRequestIsDiscardedWhenClientLeaves(t *testing.T) {
 	const size = 900 << 10
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	f := newFixture(t)
+	f, listener := newFixture(t), listen(t)
 	f.host.backends.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
@@ -172,11 +172,7 @@
 }
 
 func newRecorder(t *testing.T) *recorder {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listen(t)
 	r := &recorder{listener: listener, ended: make(chan recordedConn, 10)}
 	go func() {
 		for {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +12,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -286,7 +284,7 @@
 	case c.mayHaveRun && !c.route.Kind.Repeatable():
 		c.fail(reason)
 		return false, reason
-	case mayHaveRun && c.suspicion().Crashes >= retryBelowCrashes:
+	case mayHaveRun && c.suspicion().Crashes >= noRetryCrashes:
 		c.fail(reason)
 		return false, reason
 	case reason == reasonTimeout || time.Until(c.deadline) <= 0:
@@ -298,63 +296,3 @@
 	}
 	return true, reason
 }
-
-// respond sends a backend server's response to the client.
-func (c *call) respond(resp *backendResponse) {
-	header := c.writer.Header()
-	for name, values := range endToEnd(resp.header) {
-		header[name] = values
-	}
-	c.closeIfStopping()
-	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil // keeps net/http from detecting one
-	}
-	c.log("answered", reasonFromServer, resp.status, resp.status >= http.StatusInternalServerError)
-	if resp.rest == nil {
-		header.Set("Content-Length", strconv.Itoa(len(resp.body)))
-		c.writer.WriteHeader(resp.status)
-		_, err := c.writer.Write(resp.body)
-		_ = err // a write fails only if the client has disconnected
-		resp.finish(true)
-		return
-	}
-	c.writer.WriteHeader(resp.status)
-	_, err := c.writer.Write(resp.body)
-	if err == nil {
-		_, err = io.Copy(c.writer, resp.rest)
-	}
-	resp.finish(err == nil)
-	if err != nil {
-		panic(http.ErrAbortHandler) // lets the client detect the truncated body
-	}
-}
-
-// logClientLeft records that the client has closed its connection, and how far the request has come.
-func (c *call) logClientLeft() {
-	p := c.progress.Load()
-	e := eventlog.Event{
-		Name: "client left", Request: c.info.ID, Service: c.service, Key: c.info.Key, Phase: string(p.phase()),
-		TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: true,
-	}
-	if p != nil {
-		e.SinceStart = clockNow() - time.Duration(p.startedAt.Load())
-		e.Connect = between(&p.startedAt, &p.connectedAt)
-		e.Write = between(&p.connectedAt, &p.writtenAt)
-		if conn := p.conn.Load(); conn != nil {
-			e.Unsent, e.Unacked = unsentBytes(conn.Conn)
-		}
-	}
-	c.host.metrics.clientsLeft.WithLabelValues(e.Phase).Inc()
-	c.host.events.Add(e)
-}
-
-func (c *call) log(outcome, reason string, status int, important bool) {
-	c.host.metrics.count(outcome, reason, time.Since(c.started))
-	c.host.events.Add(eventlog.Event{
-		Name: "request", Request: c.info.ID, Service: c.service, Server: c.server, Key: c.info.Key,
-		Outcome: outcome, Reason: reason, Status: status, Attempts: c.attempts,
-		ConfigVersion: c.stamp.Config, ConfigAge: c.stamp.ConfigAge,
-		Term: c.stamp.Term, TableVersion: c.stamp.Version, TableAge: c.stamp.Age,
-		ServerLoad: c.chosenLoad, TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: important,
-	})
-}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -19,6 +19,12 @@
 	}})
 }
 
+// order sends the order "two" and returns the status.
+func (f *fixture) order() int {
+	response, _ := f.do(http.MethodPost, "/order/1", strings.NewReader("two"))
+	return response.StatusCode
+}
+
 func (f *fixture) pendingReport() quarantine.Report {
 	report, _ := f.host.quarantined.takeReport()
 	return report
@@ -49,8 +55,8 @@
 	})
 	f := newFixture(t)
 	f.publish(server)
-	if response, _ := f.do(http.MethodPost, "/order/1", strings.NewReader("two")); response.StatusCode != http.StatusBadGateway {
-		t.Errorf("status %d, want 502: the order may have run", response.StatusCode)
+	if status := f.order(); status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502: the order may have run", status)
 	}
 	time.Sleep(10 * endCheckDelay)
 	crashes := f.pendingReport().Crashes
@@ -64,7 +70,7 @@
 	server := newFakeBackend(t, closeConnection)
 	f := newFixture(t)
 	f.publish(server)
-	_, _ = f.do(http.MethodPost, "/order/1", strings.NewReader("two"))
+	_ = f.order()
 	time.Sleep(10 * endCheckDelay)
 	if crashes := f.pendingReport().Crashes; len(crashes) != 0 {
 		t.Errorf("reported crashes: %+v, want none", crashes)
@@ -77,8 +83,8 @@
 	f := newFixture(t)
 	f.publish(server)
 	f.suspectOrder(1, 0)
-	if response, _ := f.do(http.MethodPost, "/order/1", strings.NewReader("two")); response.StatusCode != http.StatusOK {
-		t.Errorf("status %d, want 200", response.StatusCode)
+	if status := f.order(); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
 	}
 	if answered := f.pendingReport().Answered; len(answered) != 1 || answered[0] != orderFingerprint {
 		t.Errorf("reported answers: %v", answered)
@@ -91,7 +97,7 @@
 	f := newFixture(t)
 	f.publish(server)
 	f.suspectOrder(2, 0)
-	if response, _ := f.do(http.MethodPost, "/order/1", strings.NewReader("two")); response.StatusCode != http.StatusServiceUnavailable || server.count() != 0 {
-		t.Errorf("status %d, %d requests at the server; want a refusal", response.StatusCode, server.count())
+	if status := f.order(); status != http.StatusServiceUnavailable || server.count() != 0 {
+		t.Errorf("status %d, %d requests at the server; want a refusal", status, server.count())
 	}
 }
--- a/internal/group/power_test.go
+++ b/internal/group/power_test.go
@@ -193,10 +193,8 @@
 	}
 }
 
-// Guards against confirmed entries that are lost, and against a group that does not serve or does not bear
-// two lost disks again in time, when disks are lost or full and power goes at any moment of a replacement,
-// a snapshot or a change of leader (issue 20).
-func TestRandomLossesOfDisksAndPower(t *testing.T) {
+// runPowerSeeds runs a test on a new cluster for each seed.
+func runPowerSeeds(t *testing.T, test func(t *testing.T, ctx context.Context, c *powerCluster)) {
 	for seed := range uint64(*powerSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := newPowerCluster(t, *powerFirst+seed)
@@ -204,30 +202,39 @@
 			defer c.proposals.Wait()
 			defer c.stopAll()
 			defer cancel()
-			for range 8 {
-				c.awaitWhole(ctx)
-				for range c.rng.IntN(20) { // the next fault comes at any moment
-					c.propose(ctx)
-					time.Sleep(time.Duration(c.rng.IntN(5)) * time.Millisecond)
-				}
-				t.Log(c.strike())
-			}
-			c.awaitWhole(ctx)
-			names := c.names()
-			before := c.confirmed.Load()
-			c.powerOff(names)
-			for _, name := range names[2:] { // the disks of the first two are lost
-				c.boot(name)
-			}
-			c.await(ctx, "serve", func(status replog.Status) bool { return status.Quorum().Margin == 0 })
-			sum := c.finalSum()
-			if attempted := c.attempted.Load(); sum < before || sum > attempted {
-				t.Errorf("sum %d after %d confirmed and %d attempted proposals", sum, before, attempted)
-			}
+			test(t, ctx, c)
 		})
 	}
 }
 
+// Guards against confirmed entries that are lost, and against a group that does not serve or does not bear
+// two lost disks again in time, when disks are lost or full and power goes at any moment of a replacement,
+// a snapshot or a change of leader (issue 20).
+func TestRandomLossesOfDisksAndPower(t *testing.T) {
+	runPowerSeeds(t, func(t *testing.T, ctx context.Context, c *powerCluster) {
+		for range 8 {
+			c.awaitWhole(ctx)
+			for range c.rng.IntN(20) { // the next fault comes at any moment
+				c.propose(ctx)
+				time.Sleep(time.Duration(c.rng.IntN(5)) * time.Millisecond)
+			}
+			t.Log(c.strike())
+		}
+		c.awaitWhole(ctx)
+		names := c.names()
+		before := c.confirmed.Load()
+		c.powerOff(names)
+		for _, name := range names[2:] { // the disks of the first two are lost
+			c.boot(name)
+		}
+		c.await(ctx, "serve", func(status replog.Status) bool { return status.Quorum().Margin == 0 })
+		sum := c.finalSum()
+		if attempted := c.attempted.Load(); sum < before || sum > attempted {
+			t.Errorf("sum %d after %d confirmed and %d attempted proposals", sum, before, attempted)
+		}
+	})
+}
+
 // finalSum returns the sum at the leader.
 func (c *powerCluster) finalSum() uint64 {
 	for name, r := range c.runners {
@@ -276,23 +283,16 @@
 // Guards against changes that are refused or stay unanswered to the end after the disks of all members were
 // full one after the other, though all have room again.
 func TestChangesAreAcceptedAfterDisksWereFullInTurn(t *testing.T) {
-	for seed := range uint64(*powerSeeds) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			c := newPowerCluster(t, *powerFirst+seed)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer c.proposals.Wait()
-			defer c.stopAll()
-			defer cancel()
-			for range 2 {
-				c.awaitWhole(ctx)
-				c.fillInTurn(ctx)
-			}
+	runPowerSeeds(t, func(t *testing.T, ctx context.Context, c *powerCluster) {
+		for range 2 {
 			c.awaitWhole(ctx)
-			before := c.confirmed.Load()
-			c.await(ctx, "accept changes", func(replog.Status) bool { return c.confirmed.Load() > before+20 })
-			if sum, attempted := c.finalSum(), c.attempted.Load(); sum < before || sum > attempted {
-				t.Errorf("sum %d after %d confirmed and %d attempted proposals", sum, before, attempted)
-			}
-		})
-	}
+			c.fillInTurn(ctx)
+		}
+		c.awaitWhole(ctx)
+		before := c.confirmed.Load()
+		c.await(ctx, "accept changes", func(replog.Status) bool { return c.confirmed.Load() > before+20 })
+		if sum, attempted := c.finalSum(), c.attempted.Load(); sum < before || sum > attempted {
+			t.Errorf("sum %d after %d confirmed and %d attempted proposals", sum, before, attempted)
+		}
+	})
 }
