--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -57,7 +57,7 @@
 	c.wait("a leader", func() bool { return c.leader() != nil })
 	leader := c.leader()
 	early := c.subscribeQuarantineStub(leader, "gateway-early")
-	request := quarantine.Fingerprint([]byte("deadly"))
+	request := quarantine.Fingerprint([]byte("crashing"))
 	for i, gateway := range []string{"gateway-1", "gateway-2", "gateway-3"} {
 		client := c.subscribeStub(leader, gateway)
 		report := quarantine.Report{Crashes: []quarantine.Crash{{ServerID: gateway, StartMillis: int64(i), Requests: []string{request}}}}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -78,23 +78,23 @@
 	log.WithFields(log.Fields{
 		"server": c.ServerID, "requests": len(c.Requests), "first": c.Requests[0],
 	}).Warn("backend server ended with requests in flight")
-	h.quarantined.reportCrash(c)
+	h.evidence.reportCrash(c)
 }
 
 // reportCrashes reports crashes and answers to the leader until the context ends. The first report tells
 // a new leader what its predecessors have quarantined.
 func (l *leaderLink) reportCrashes(ctx context.Context, client *peer.Client) {
-	if known := l.quarantined.known(); len(known) > 0 {
+	if known := l.evidence.known(); len(known) > 0 {
 		notifyCrashes(client, quarantine.Report{Known: known})
 	}
 	for {
-		if report, any := l.quarantined.takeReport(); any {
+		if report, any := l.evidence.takeReport(); any {
 			notifyCrashes(client, report)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.quarantined.wake:
+		case <-l.evidence.wake:
 		}
 	}
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -61,7 +61,7 @@
 	leaderLink  *leaderLink
 	backends    *backends
 	regionLinks *regionLinks
-	quarantined *quarantined
+	evidence    *crashEvidence
 	metrics     *metrics
 	events      *eventlog.Log
 	server      *http.Server
@@ -99,7 +99,7 @@
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends:      newBackends(m.notices),
 		regionLinks:   newRegionLinks(m.links),
-		quarantined:   newQuarantined(),
+		evidence:      newCrashEvidence(),
 		clientConns:   newClientConns(),
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
@@ -122,7 +122,7 @@
 		onDisconnect: m.disconnects.Inc,
 		backends:     h.backends,
 		tokensWanted: make(chan struct{}, 1),
-		quarantined:  h.quarantined,
+		evidence:     h.evidence,
 	}
 	discardLog := stdlog.New(io.Discard, "", 0) // net/http would log errors that clients cause
 	h.server = &http.Server{
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -35,7 +35,7 @@
 	onDisconnect func() // called when a subscription has ended
 	backends     *backends
 	tokensWanted chan struct{} // signals that requests wait for tokens
-	quarantined  *quarantined
+	evidence     *crashEvidence
 	current      atomic.Pointer[peer.Client] // of the current subscription; nil for none
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
 	dial dialFunc
@@ -187,7 +187,7 @@
 type updateHandler struct {
 	view            *view
 	needsFullConfig *atomic.Bool // of leaderLink
-	quarantined     *quarantined
+	evidence        *crashEvidence
 	ended           chan struct{}
 }
 
@@ -214,7 +214,7 @@
 		log.WithError(err).Error("cannot decode quarantine update")
 		return
 	}
-	u.quarantined.apply(update)
+	u.evidence.apply(update)
 }
 
 func (u *updateHandler) applyTable(from *peer.Conn, body []byte) {
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -62,7 +62,7 @@
 	crashed := errors.As(err, &e) && e.reason == reasonBroken && e.mayHaveRun
 	answered := err == nil && !resp.info.NotExecuted
 	if !crashed && !answered {
-		c.host.quarantined.reportEnded(c.fingerprint())
+		c.host.evidence.reportEnded(c.fingerprint())
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,8 +11,8 @@
 // maxPendingCrashes is the number of crashes that wait to be reported while there is no leader.
 const maxPendingCrashes = 64
 
-// quarantined is the gateway's part in finding requests that crash backend servers.
-type quarantined struct {
+// crashEvidence is the gateway's part in finding requests that crash backend servers.
+type crashEvidence struct {
 	wake chan struct{} // signals that there is something to report
 
 	mu       sync.Mutex // guards the fields below; no other lock is acquired while it is held
@@ -22,83 +22,83 @@
 	ended    map[string]struct{} // permitted runs that have ended otherwise; not reported yet
 }
 
-func newQuarantined() *quarantined {
-	return &quarantined{wake: make(chan struct{}, 1), table: quarantine.NewTable(), answered: map[string]struct{}{}, ended: map[string]struct{}{}}
+func newCrashEvidence() *crashEvidence {
+	return &crashEvidence{wake: make(chan struct{}, 1), table: quarantine.NewTable(), answered: map[string]struct{}{}, ended: map[string]struct{}{}}
 }
 
 // empty reports whether no request is suspected.
-func (q *quarantined) empty() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Empty()
+func (e *crashEvidence) empty() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Empty()
 }
 
 // state returns what is known of a request.
-func (q *quarantined) state(fingerprint string) quarantine.State {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.State(clockNow(), fingerprint)
+func (e *crashEvidence) state(fingerprint string) quarantine.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.State(clockNow(), fingerprint)
 }
 
 // apply applies an update from the leader.
-func (q *quarantined) apply(u quarantine.Update) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.table.Apply(clockNow(), u)
+func (e *crashEvidence) apply(u quarantine.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.table.Apply(clockNow(), u)
 }
 
 // reportCrash queues the report of a crash.
-func (q *quarantined) reportCrash(c quarantine.Crash) {
-	q.mu.Lock()
-	q.crashes = append(q.crashes, c)
-	if len(q.crashes) > maxPendingCrashes {
-		q.crashes = slices.Delete(q.crashes, 0, 1)
+func (e *crashEvidence) reportCrash(c quarantine.Crash) {
+	e.mu.Lock()
+	e.crashes = append(e.crashes, c)
+	if len(e.crashes) > maxPendingCrashes {
+		e.crashes = slices.Delete(e.crashes, 0, 1)
 	}
-	q.mu.Unlock()
-	signal(q.wake)
+	e.mu.Unlock()
+	signal(e.wake)
 }
 
 // reportAnswered queues the report that a server has answered a suspected request.
-func (q *quarantined) reportAnswered(fingerprint string) {
-	q.mu.Lock()
-	known := q.table.State(clockNow(), fingerprint).Crashes > 0
+func (e *crashEvidence) reportAnswered(fingerprint string) {
+	e.mu.Lock()
+	known := e.table.State(clockNow(), fingerprint).Crashes > 0
 	if known {
-		q.answered[fingerprint] = struct{}{}
+		e.answered[fingerprint] = struct{}{}
 	}
-	q.mu.Unlock()
+	e.mu.Unlock()
 	if known {
-		signal(q.wake)
+		signal(e.wake)
 	}
 }
 
 // reportEnded queues the report that a permitted run has ended.
-func (q *quarantined) reportEnded(fingerprint string) {
-	q.mu.Lock()
-	q.ended[fingerprint] = struct{}{}
-	q.mu.Unlock()
-	signal(q.wake)
+func (e *crashEvidence) reportEnded(fingerprint string) {
+	e.mu.Lock()
+	e.ended[fingerprint] = struct{}{}
+	e.mu.Unlock()
+	signal(e.wake)
 }
 
 // takeReport returns what is not reported yet, and whether there is anything.
-func (q *quarantined) takeReport() (report quarantine.Report, any bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	report.Crashes, q.crashes = q.crashes, nil
-	for fingerprint := range q.answered {
+func (e *crashEvidence) takeReport() (report quarantine.Report, any bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report.Crashes, e.crashes = e.crashes, nil
+	for fingerprint := range e.answered {
 		report.Answered = append(report.Answered, fingerprint)
 	}
-	for fingerprint := range q.ended {
+	for fingerprint := range e.ended {
 		report.Ended = append(report.Ended, fingerprint)
 	}
-	q.answered, q.ended = map[string]struct{}{}, map[string]struct{}{}
+	e.answered, e.ended = map[string]struct{}{}, map[string]struct{}{}
 	return report, len(report.Crashes)+len(report.Answered)+len(report.Ended) > 0
 }
 
 // known returns the quarantined requests.
-func (q *quarantined) known() []quarantine.Entry {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.table.Quarantined(clockNow())
+func (e *crashEvidence) known() []quarantine.Entry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Quarantined(clockNow())
 }
 
 // fingerprint returns the fingerprint of the request, or an empty text if its body is streamed, so that a
@@ -117,10 +117,10 @@
 
 // suspicion returns what is known of the request. It computes no fingerprint while nothing is suspected.
 func (c *call) suspicion() quarantine.State {
-	if c.stream != nil || c.host.quarantined.empty() {
+	if c.stream != nil || c.host.evidence.empty() {
 		return quarantine.State{}
 	}
-	return c.host.quarantined.state(c.fingerprint())
+	return c.host.evidence.state(c.fingerprint())
 }
 
 // refuseQuarantined refuses the request if it is quarantined.
@@ -135,7 +135,7 @@
 
 // recordAnswer clears the request of suspicion: a server has run it and goes on.
 func (c *call) recordAnswer() {
-	if c.stream == nil && !c.host.quarantined.empty() {
-		c.host.quarantined.reportAnswered(c.fingerprint())
+	if c.stream == nil && !c.host.evidence.empty() {
+		c.host.evidence.reportAnswered(c.fingerprint())
 	}
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -14,7 +14,7 @@
 var orderFingerprint = quarantine.Fingerprint([]byte("POST"), []byte("depot.example"), []byte("/order/1"), []byte("7"), nil, []byte("two"))
 
 func (f *fixture) suspectOrder(crashes int64, quarantined time.Duration) {
-	f.host.quarantined.apply(quarantine.Update{Entries: []quarantine.Entry{
+	f.host.evidence.apply(quarantine.Update{Entries: []quarantine.Entry{
 		{Request: orderFingerprint, Crashes: crashes, QuarantineMillis: quarantined.Milliseconds()},
 	}})
 }
@@ -26,7 +26,7 @@
 }
 
 func (f *fixture) pendingReport() quarantine.Report {
-	report, _ := f.host.quarantined.takeReport()
+	report, _ := f.host.evidence.takeReport()
 	return report
 }
 
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -15,7 +15,7 @@
 )
 
 // model is a service with gateways, servers that crash, and clients that repeat their requests. Only the
-// model knows which requests are deadly.
+// model knows which requests are crashing.
 type model struct {
 	random    *rand.Rand
 	tracker   *Tracker
@@ -23,9 +23,9 @@
 	now       time.Duration
 	downUntil []time.Duration // by server
 	births    []int64         // by server; a new process each time
-	deadly    map[string]bool
+	crashing  map[string]bool
 	running   []modelRun
-	crashes   map[string][]time.Duration // times at which servers crashed, by deadly request
+	crashes   map[string][]time.Duration // times at which servers crashed, by crashing request
 	refused   map[string]int             // requests that were not sent, by request
 }
 
@@ -39,7 +39,7 @@
 
 func newModel(seed uint64) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 7)), tracker: NewTracker(), deadly: map[string]bool{}, crashes: map[string][]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, 7)), tracker: NewTracker(), crashing: map[string]bool{}, crashes: map[string][]time.Duration{},
 		refused: map[string]int{}, downUntil: make([]time.Duration, modelServers), births: make([]int64, modelServers), now: time.Second,
 	}
 	for range modelGateways {
@@ -71,7 +71,7 @@
 	m.running = append(m.running, modelRun{request, server, gateway, m.now + work})
 }
 
-// step ends the runs that are due. A deadly request crashes its server.
+// step ends the runs that are due. A crashing request crashes its server.
 func (m *model) step() {
 	m.now += modelStep
 	var due, rest []modelRun
@@ -86,7 +86,7 @@
 	for _, run := range due {
 		switch {
 		case m.downUntil[run.server] > m.now:
-		case m.deadly[run.request]:
+		case m.crashing[run.request]:
 			m.running = append(m.running, run)
 			m.crashes[run.request] = append(m.crashes[run.request], m.now)
 			m.crash(run.server)
@@ -143,9 +143,9 @@
 	}
 }
 
-// Guards against a deadly request that reaches servers without end, and against requests that are
+// Guards against a crashing request that reaches servers without end, and against requests that are
 // quarantined for having been at the same servers.
-func TestOnlyDeadlyRequestsAreQuarantined(t *testing.T) {
+func TestOnlyCrashingRequestsAreQuarantined(t *testing.T) {
 	const (
 		maxLateCrashes = 3               // later than lateAfter after the third crash
 		lateAfter      = 3 * time.Second // stableWindowMs of the users' rule
@@ -153,21 +153,21 @@
 	for seed := range uint64(40) {
 		m := newModel(seed)
 		for i := range 3 {
-			m.deadly[modelRequest("deadly", i)] = true
+			m.crashing[modelRequest("crashing", i)] = true
 		}
 		for step := range 6000 {
 			m.load(step)
 			if m.random.IntN(10) == 0 {
-				m.send(modelRequest("deadly", m.random.IntN(3)), m.random.IntN(modelServers))
+				m.send(modelRequest("crashing", m.random.IntN(3)), m.random.IntN(modelServers))
 			}
 			m.step()
 		}
 		for request, n := range m.refused {
-			if !m.deadly[request] {
-				t.Errorf("seed %d: an innocent request was refused %d times", seed, n)
+			if !m.crashing[request] {
+				t.Errorf("seed %d: a harmless request was refused %d times", seed, n)
 			}
 		}
-		for request := range m.deadly {
+		for request := range m.crashing {
 			late := 0
 			for _, at := range m.crashes[request] {
 				if len(m.crashes[request]) >= quarantineCrashes && at > m.crashes[request][quarantineCrashes-1]+lateAfter {
@@ -175,7 +175,7 @@
 				}
 			}
 			if late > maxLateCrashes || m.refused[request] == 0 {
-				t.Errorf("seed %d: a deadly request crashed %d servers, %d of them late, and was refused %d times", seed, len(m.crashes[request]), late, m.refused[request])
+				t.Errorf("seed %d: a crashing request crashed %d servers, %d of them late, and was refused %d times", seed, len(m.crashes[request]), late, m.refused[request])
 			}
 		}
 	}
@@ -183,7 +183,7 @@
 
 // Guards against quarantine on days on which servers crash for other reasons: single ones, a third of them
 // at the same moment, and one after the other while clients repeat their requests.
-func TestCrashesWithoutDeadlyRequestQuarantineNothing(t *testing.T) {
+func TestUnrelatedCrashesQuarantineNothing(t *testing.T) {
 	for seed := range uint64(40) {
 		m := newModel(seed)
 		for step := range 6000 {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -93,7 +93,7 @@
 		quarantined = append(quarantined, t.observeCrash(now, c)...)
 	}
 	for _, fingerprint := range r.Answered {
-		t.exonerate(fingerprint)
+		t.dropSuspect(fingerprint)
 	}
 	for _, fingerprint := range r.Ended {
 		if s := t.suspects[fingerprint]; s != nil {
@@ -183,7 +183,7 @@
 	s.crashes = slices.DeleteFunc(s.crashes, func(other *crash) bool { return other == c })
 	t.markChanged(s)
 	if len(s.crashes) == 0 && s.releaseAt == 0 {
-		t.exonerate(s.fingerprint)
+		t.dropSuspect(s.fingerprint)
 	}
 }
 
@@ -248,8 +248,8 @@
 	t.markChanged(s)
 }
 
-// exonerate forgets a request: a server has answered it, or nothing is held against it any more.
-func (t *Tracker) exonerate(fingerprint string) {
+// dropSuspect forgets a request: a server has answered it, or nothing is held against it any more.
+func (t *Tracker) dropSuspect(fingerprint string) {
 	s := t.suspects[fingerprint]
 	if s == nil {
 		return
@@ -284,7 +284,7 @@
 			t.discount(s, s.crashes[0])
 		}
 		if len(s.crashes) == 0 {
-			t.exonerate(s.fingerprint)
+			t.dropSuspect(s.fingerprint)
 		}
 	}
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -11,8 +11,8 @@
 }
 
 var (
-	deadly   = Fingerprint([]byte("deadly"))
-	innocent = Fingerprint([]byte("innocent"))
+	crashing = Fingerprint([]byte("crashing"))
+	harmless = Fingerprint([]byte("harmless"))
 )
 
 // A request is quarantined with the third crash, and the crashes then count for no other request.
@@ -20,21 +20,21 @@
 	tracker := NewTracker()
 	for i := range 3 {
 		now := time.Duration(i+1) * time.Second
-		requests := []string{deadly}
+		requests := []string{crashing}
 		if i > 0 {
-			requests = append(requests, innocent)
+			requests = append(requests, harmless)
 		}
 		got := tracker.Observe(now, crashReport(fmt.Sprint("s", i), requests...))
-		if quarantined := len(got) == 1 && got[0] == deadly; quarantined != (i == 2) {
+		if quarantined := len(got) == 1 && got[0] == crashing; quarantined != (i == 2) {
 			t.Errorf("crash %d: quarantined %v", i+1, got)
 		}
 	}
 	table := NewTable()
 	table.Apply(4*time.Second, tracker.Changes(4*time.Second))
-	if state := table.State(4*time.Second, deadly); state.Quarantined <= 0 {
-		t.Errorf("state of the deadly request: %+v", state)
+	if state := table.State(4*time.Second, crashing); state.Quarantined <= 0 {
+		t.Errorf("state of the crashing request: %+v", state)
 	}
-	if state := table.State(4*time.Second, innocent); state.Crashes != 0 {
+	if state := table.State(4*time.Second, harmless); state.Crashes != 0 {
 		t.Errorf("state of the request that was at two of the servers: %+v, want no suspicion", state)
 	}
 }
@@ -43,7 +43,7 @@
 func TestCrashCountsOnceForAllGateways(t *testing.T) {
 	tracker := NewTracker()
 	for i := range 10 {
-		if got := tracker.Observe(time.Duration(i)*time.Second, crashReport("s1", deadly)); len(got) > 0 {
+		if got := tracker.Observe(time.Duration(i)*time.Second, crashReport("s1", crashing)); len(got) > 0 {
 			t.Fatalf("report %d of the same crash quarantined the request", i+1)
 		}
 	}
@@ -53,24 +53,24 @@
 func TestIndistinguishableRequestsAreHeldForAShortTime(t *testing.T) {
 	tracker := NewTracker()
 	for i := range 3 {
-		tracker.Observe(time.Duration(i+1)*time.Second, crashReport(fmt.Sprint("s", i), deadly, innocent))
+		tracker.Observe(time.Duration(i+1)*time.Second, crashReport(fmt.Sprint("s", i), crashing, harmless))
 	}
 	table := NewTable()
 	table.Apply(3*time.Second, tracker.Changes(3*time.Second))
-	for _, request := range []string{deadly, innocent} {
+	for _, request := range []string{crashing, harmless} {
 		if left := table.State(3*time.Second, request).Quarantined; left <= 0 || left > ambiguousTime+time.Second {
 			t.Errorf("held for %v, want about %v", left, ambiguousTime)
 		}
 	}
 	later := 4*time.Second + ambiguousTime
-	if !tracker.Permit(later, PermitRequest{Request: innocent, ServerID: "s9"}).Granted {
+	if !tracker.Permit(later, PermitRequest{Request: harmless, ServerID: "s9"}).Granted {
 		t.Error("no run is permitted after that")
 	}
-	if tracker.Permit(later, PermitRequest{Request: deadly, ServerID: "s9"}).Granted {
+	if tracker.Permit(later, PermitRequest{Request: crashing, ServerID: "s9"}).Granted {
 		t.Error("both may run at the same server")
 	}
-	tracker.Observe(later, Report{Answered: []string{innocent}})
-	if got := tracker.Observe(later+time.Second, crashReport("s9", deadly)); len(got) != 1 || got[0] != deadly {
+	tracker.Observe(later, Report{Answered: []string{harmless}})
+	if got := tracker.Observe(later+time.Second, crashReport("s9", crashing)); len(got) != 1 || got[0] != crashing {
 		t.Errorf("the next crash quarantined %v", got)
 	}
 }
@@ -80,18 +80,18 @@
 	tracker := NewTracker()
 	now := time.Second
 	permit := func() bool {
-		return tracker.Permit(now, PermitRequest{Request: deadly, ServerID: "s2"}).Granted
+		return tracker.Permit(now, PermitRequest{Request: crashing, ServerID: "s2"}).Granted
 	}
 	for range 2 {
 		if !permit() {
 			t.Error("a request without suspicion needs no permit")
 		}
 	}
-	tracker.Observe(now, crashReport("s1", deadly))
+	tracker.Observe(now, crashReport("s1", crashing))
 	if !permit() || permit() {
 		t.Error("want one permit")
 	}
-	tracker.Observe(now, Report{Ended: []string{deadly}})
+	tracker.Observe(now, Report{Ended: []string{crashing}})
 	if !permit() || permit() {
 		t.Error("want another permit after the run has ended")
 	}
@@ -104,15 +104,15 @@
 // Guards against a new leader that lets quarantined requests crash three more servers.
 func TestNewLeaderKeepsQuarantine(t *testing.T) {
 	table := NewTable()
-	table.Apply(time.Second, Update{Entries: []Entry{{Request: deadly, Crashes: 3, QuarantineMillis: 60_000}}})
+	table.Apply(time.Second, Update{Entries: []Entry{{Request: crashing, Crashes: 3, QuarantineMillis: 60_000}}})
 	tracker := NewTracker()
 	tracker.Observe(0, Report{Known: table.Quarantined(2 * time.Second)})
-	if tracker.Permit(0, PermitRequest{Request: deadly, ServerID: "s1"}).Granted {
+	if tracker.Permit(0, PermitRequest{Request: crashing, ServerID: "s1"}).Granted {
 		t.Error("the new leader permits a run")
 	}
 	other := NewTable()
 	other.Apply(0, tracker.Snapshot(0))
-	if other.State(0, deadly).Quarantined < 50*time.Second {
+	if other.State(0, crashing).Quarantined < 50*time.Second {
 		t.Error("another gateway does not learn of the quarantine")
 	}
 }
