Keep the evidence of crashing requests when the leader changes

Cause: the leader's suspicions went with it. Its successor learned only of quarantined requests, answered "granted" for all others, and its first update overwrote what gateways had kept of earlier crashes; crashes reported to a leader that was going were lost. Each change of leader so gave a request up to three further crashes, and without a leader each gateway sent all copies of a request with one crash. Also, one answer cleared a request whatever its crashes, so that one that crashes only sometimes was never quarantined, and a deposed leader still gave permits.

Change: each gateway keeps the crashes it has seen and the evidence it was told (quarantine.Gateway), with the incarnations and ages, and reports it first to each new leader, which joins the reports: a crash counts once, and what was cleared later doesn't count. A successor gives no permits for requests with two crashes until its predecessor's have ended. Without a leader a gateway sends one copy at a time. Answers are weighed against crashes (cumulative sum, Page 1954) instead of clearing them.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -60,7 +60,12 @@
 			return h.issueTokens(request)
 		}))
 	case wire.KindPermitRequest:
-		return encodeReply(decodeAndHandle(body, func(request quarantine.PermitRequest) (any, error) { return h.permitRun(request) }))
+		return encodeReply(decodeAndHandle(body, func(request quarantine.PermitRequest) (any, error) {
+			if err := h.confirmLeadership(ctx); err != nil {
+				return nil, err
+			}
+			return h.permitRun(request)
+		}))
 	case wire.KindSubscribe:
 		return encodeReply(decodeAndHandle(body, func(report routes.ConfigReport) (any, error) {
 			if err := h.confirmLeadership(ctx); err != nil {
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -53,7 +53,7 @@
 	if h.state.config().Version > 0 {
 		configs.Inherit(clock.Now())
 	}
-	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
+	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(clock.Now()), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
 		Term:               term,
 		Keys:               keySpace,
 		RangesPerServer:    initialRangesPerServer,
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -16,7 +16,7 @@
 // quarantineStub is a gateway that only keeps what it is told of quarantined requests.
 type quarantineStub struct {
 	mu    sync.Mutex // guards table
-	table *quarantine.Table
+	table *quarantine.Gateway
 }
 
 // Call implements peer.Handler.
@@ -46,7 +46,7 @@
 
 func (c *cluster) subscribeQuarantineStub(leader *Host, name string) *quarantineStub {
 	c.t.Helper()
-	stub := &quarantineStub{table: quarantine.NewTable()}
+	stub := &quarantineStub{table: quarantine.NewGateway()}
 	c.subscribeHandler(leader, name, stub)
 	return stub
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -81,12 +81,19 @@
 	h.evidence.reportCrash(c)
 }
 
-// reportCrashes reports crashes and answers to the leader until the context ends. The first report tells
-// a new leader what its predecessors have quarantined.
-func (l *leaderLink) reportCrashes(ctx context.Context, client *peer.Client) {
-	if known := l.evidence.known(); len(known) > 0 {
-		notifyCrashes(client, quarantine.Report{Known: known})
+// reportKnownCrashes tells a new leader what this gateway has seen and heard of crashes. It precedes the first
+// call for a permit on the connection.
+func (l *leaderLink) reportKnownCrashes(client *peer.Client) {
+	report := l.evidence.firstReport()
+	if len(report.Crashes)+len(report.Known.Entries) == 0 {
+		return
 	}
+	log.WithFields(log.Fields{"crashes": len(report.Crashes), "requests": len(report.Known.Entries)}).Info("telling the leader of earlier crashes")
+	notifyCrashes(client, report)
+}
+
+// reportCrashes reports crashes and answers to the leader until the context ends.
+func (l *leaderLink) reportCrashes(ctx context.Context, client *peer.Client) {
 	for {
 		if report, any := l.evidence.takeReport(); any {
 			notifyCrashes(client, report)
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -96,6 +96,7 @@
 func (l *leaderLink) serve(parent context.Context, s *subscription) (next *subscription) {
 	ctx, cancel := context.WithCancel(parent)
 	var loops sync.WaitGroup
+	l.reportKnownCrashes(s.client)
 	l.current.Store(s.client)
 	defer l.current.Store(nil)
 	loops.Go(func() { l.reportConfig(ctx, s.client) })
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -15,8 +15,7 @@
 	permitTimeout = 250 * time.Millisecond
 	// permitPollInterval is the interval at which a suspected request asks again for a permit.
 	permitPollInterval = 50 * time.Millisecond
-	// noRetryCrashes is the number of crashes from which on a gateway does not repeat a request, nor sends
-	// it without the leader's permit.
+	// noRetryCrashes is the number of crashes from which on a gateway does not repeat a request.
 	noRetryCrashes = 2
 )
 
@@ -24,8 +23,8 @@
 var errNoLeader = errors.New("no connection to a leader")
 
 // awaitPermit returns when the request may be sent to a server as far as crashes of servers are concerned,
-// or the reason why it may not. A suspected request needs the leader's permit. Without a leader, it is sent
-// unless another crash would quarantine it.
+// or the reason why it may not. A suspected request needs the leader's permit, or its own gateway's while no
+// leader answers.
 func (c *call) awaitPermit(to *target) (reason string) {
 	until := c.waitDeadline()
 	for {
@@ -34,15 +33,15 @@
 		case state.Quarantined > 0:
 			c.quarantinedFor = state.Quarantined
 			return reasonQuarantined
-		case state.Crashes == 0:
+		case state.Crashes == 0 || state.Free:
 			return ""
 		}
 		granted, err := c.host.leaderLink.askForPermit(c.ctx, quarantine.PermitRequest{Request: c.fingerprint(), ServerID: to.id})
 		if err != nil {
-			granted = state.Crashes < noRetryCrashes
+			granted = c.host.evidence.permitAlone(c.fingerprint())
 		}
 		if granted {
-			c.permitted = err == nil
+			c.permitted = true
 			return ""
 		}
 		left := time.Until(until)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,72 +1,59 @@
 package gateway
 
 import (
-	"slices"
 	"strconv"
 	"sync"
 
 	"github.com/galenalug/galenalug/quarantine"
 )
 
-// maxPendingCrashes is the number of crashes that wait to be reported while there is no leader.
-const maxPendingCrashes = 64
-
 // crashEvidence is the gateway's part in finding requests that crash backend servers.
 type crashEvidence struct {
 	wake chan struct{} // signals that there is something to report
 
-	mu       sync.Mutex // guards the fields below; no other lock is acquired while it is held
-	table    *quarantine.Table
-	crashes  []quarantine.Crash  // not reported yet
-	answered map[string]struct{} // not reported yet
-	ended    map[string]struct{} // permitted runs that have ended otherwise; not reported yet
+	mu    sync.Mutex // guards known; no other lock is acquired while it is held
+	known *quarantine.Gateway
 }
 
 func newCrashEvidence() *crashEvidence {
-	return &crashEvidence{wake: make(chan struct{}, 1), table: quarantine.NewTable(), answered: map[string]struct{}{}, ended: map[string]struct{}{}}
+	return &crashEvidence{wake: make(chan struct{}, 1), known: quarantine.NewGateway()}
 }
 
 // empty reports whether no request is suspected.
 func (e *crashEvidence) empty() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.Empty()
+	return e.known.Empty()
 }
 
 // state returns what is known of a request.
 func (e *crashEvidence) state(fingerprint string) quarantine.State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.State(clockNow(), fingerprint)
+	return e.known.State(clockNow(), fingerprint)
 }
 
 // apply applies an update from the leader.
 func (e *crashEvidence) apply(u quarantine.Update) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.table.Apply(clockNow(), u)
+	e.known.Apply(clockNow(), u)
 }
 
 // reportCrash queues the report of a crash.
 func (e *crashEvidence) reportCrash(c quarantine.Crash) {
 	e.mu.Lock()
-	e.crashes = append(e.crashes, c)
-	if len(e.crashes) > maxPendingCrashes {
-		e.crashes = slices.Delete(e.crashes, 0, 1)
-	}
+	e.known.ObserveCrash(clockNow(), c)
 	e.mu.Unlock()
 	signal(e.wake)
 }
 
-// reportAnswered queues the report that a server has answered a suspected request.
+// reportAnswered queues the report that a server has answered a request, if it is suspected.
 func (e *crashEvidence) reportAnswered(fingerprint string) {
 	e.mu.Lock()
-	known := e.table.State(clockNow(), fingerprint).Crashes > 0
-	if known {
-		e.answered[fingerprint] = struct{}{}
-	}
+	suspected := e.known.ObserveAnswer(fingerprint)
 	e.mu.Unlock()
-	if known {
+	if suspected {
 		signal(e.wake)
 	}
 }
@@ -74,31 +61,30 @@
 // reportEnded queues the report that a permitted run has ended.
 func (e *crashEvidence) reportEnded(fingerprint string) {
 	e.mu.Lock()
-	e.ended[fingerprint] = struct{}{}
+	e.known.ObserveEnd(fingerprint)
 	e.mu.Unlock()
 	signal(e.wake)
 }
 
+// permitAlone reports whether a suspected request may be sent while no leader can be asked.
+func (e *crashEvidence) permitAlone(fingerprint string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.known.PermitAlone(clockNow(), fingerprint)
+}
+
 // takeReport returns what is not reported yet, and whether there is anything.
 func (e *crashEvidence) takeReport() (report quarantine.Report, any bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report.Crashes, e.crashes = e.crashes, nil
-	for fingerprint := range e.answered {
-		report.Answered = append(report.Answered, fingerprint)
-	}
-	for fingerprint := range e.ended {
-		report.Ended = append(report.Ended, fingerprint)
-	}
-	e.answered, e.ended = map[string]struct{}{}, map[string]struct{}{}
-	return report, len(report.Crashes)+len(report.Answered)+len(report.Ended) > 0
+	return e.known.TakeReport(clockNow())
 }
 
-// known returns the quarantined requests.
-func (e *crashEvidence) known() []quarantine.Entry {
+// firstReport returns the first report to a new leader.
+func (e *crashEvidence) firstReport() quarantine.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.Quarantined(clockNow())
+	return e.known.FirstReport(clockNow())
 }
 
 // fingerprint returns the fingerprint of the request, or an empty text if its body is streamed, so that a
--- a/quarantine/messages_gen.go
+++ b/quarantine/messages_gen.go
@@ -2,30 +2,47 @@
 
 package quarantine
 
-// Crash is the end of a backend server's process, and the requests of one gateway
-// that it ended.
+// Crash is the end of a backend server's process, and the requests that it ended.
 type Crash struct {
+	// Time since the crash when the message was sent, milliseconds.
+	AgeMillis int64 `json:"a" yaml:"a" cbor:"a"`
+
 	// Start of the incarnation, Unix milliseconds; 0 if unknown.
 	StartMillis int64 `json:"b" yaml:"b" cbor:"b"`
 
 	// ID of the server's incarnation.
 	ServerID string `json:"i" yaml:"i" cbor:"i"`
 
-	// Fingerprints of the requests that had been sent to it and were not answered.
+	// Fingerprints of the requests that had been sent to it and were not answered;
+	// empty in an Update, whose entries name the crash.
 	Requests []string `json:"r" yaml:"r" cbor:"r"`
 }
 
 // Entry is what is known of one request.
 type Entry struct {
-	// Servers that crashed while they had the request, and that nothing else
-	// explains; 0 takes back earlier entries.
+	// Answers of servers since the first of its crashes.
+	Answers int64 `json:"a" yaml:"a" cbor:"a"`
+
+	// Number of crashes that count against the request, less those that its answers
+	// outweigh; 0 if it is not suspected (any more).
 	Crashes int64 `json:"c" yaml:"c" cbor:"c"`
 
+	// Whether it may be sent without a permit: a server has answered it since its
+	// latest crash.
+	Free bool `json:"f" yaml:"f" cbor:"f"`
+
 	// How much longer the request is quarantined, milliseconds; 0 if it is not.
 	QuarantineMillis int64 `json:"q" yaml:"q" cbor:"q"`
 
 	// Fingerprint of the request.
 	Request string `json:"r" yaml:"r" cbor:"r"`
+
+	// Its crashes, as positions in Update.Crashes.
+	CrashIndexes []int `json:"s,omitempty,omitzero" yaml:"s,omitempty" cbor:"s,omitempty"`
+
+	// Time since the request was cleared when the message was sent, milliseconds; 0
+	// if it is suspected.
+	ClearedMillis int64 `json:"t" yaml:"t" cbor:"t"`
 }
 
 // PermitReply answers a PermitRequest.
@@ -59,14 +76,17 @@
 	// crash.
 	Ended []string `json:"e,omitempty,omitzero" yaml:"e,omitempty" cbor:"e,omitempty"`
 
-	// Quarantined requests that an earlier leader has named; in the first report to a
-	// leader.
-	Known []Entry `json:"k,omitempty,omitzero" yaml:"k,omitempty" cbor:"k,omitempty"`
+	// What the gateway has seen and was told by earlier leaders; in the first report
+	// to a leader.
+	Known *Update `json:"k,omitempty,omitzero" yaml:"k,omitempty" cbor:"k,omitempty"`
 }
 
-// Update is what has changed since the leader's previous update, or all that it
-// knows.
+// Update is what has changed since the leader's previous update, or all that its
+// sender knows.
 type Update struct {
+	// Crashes that the entries name.
+	Crashes []Crash `json:"c,omitempty,omitzero" yaml:"c,omitempty" cbor:"c,omitempty"`
+
 	// Changed entries.
 	Entries []Entry `json:"e" yaml:"e" cbor:"e"`
 }
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -19,35 +19,56 @@
 type model struct {
 	random    *rand.Rand
 	tracker   *Tracker
-	tables    []*Table
+	gateways  []*modelGateway
 	now       time.Duration
-	downUntil []time.Duration // by server
-	births    []int64         // by server; a new process each time
-	crashing  map[string]bool
+	downUntil []time.Duration    // by server
+	births    []int64            // by server; a new process each time
+	crashing  map[string]float64 // share of the runs of a request that crash their server
 	running   []modelRun
 	crashes   map[string][]time.Duration // times at which servers crashed, by crashing request
-	refused   map[string]int             // requests that were not sent, by request
+	refused   map[string]int             // requests that were refused as quarantined, by request
+	held      int                        // harmless requests that were not sent for lack of a permit
+}
+
+// modelGateway is a gateway and its connection to the leader.
+type modelGateway struct {
+	*Gateway
+	connectsAt time.Duration // to the present leader
+	connected  bool
 }
 
 // modelRun is a request at a server.
 type modelRun struct {
 	request string
 	server  int
-	gateway int
+	gateway *modelGateway
 	endsAt  time.Duration
 }
 
 func newModel(seed uint64) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 7)), tracker: NewTracker(), crashing: map[string]bool{}, crashes: map[string][]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, 7)), tracker: NewTracker(0), crashing: map[string]float64{}, crashes: map[string][]time.Duration{},
 		refused: map[string]int{}, downUntil: make([]time.Duration, modelServers), births: make([]int64, modelServers), now: time.Second,
 	}
 	for range modelGateways {
-		m.tables = append(m.tables, NewTable())
+		m.gateways = append(m.gateways, &modelGateway{Gateway: NewGateway()})
 	}
 	return m
 }
 
+// changeLeader replaces the leader by one that knows nothing. Each gateway connects to it within the given
+// time, or never.
+func (m *model) changeLeader(reconnect time.Duration, never float64) {
+	m.tracker = NewTracker(m.now)
+	for _, g := range m.gateways {
+		g.connected = false
+		g.connectsAt = m.now + time.Duration(m.random.Int64N(int64(reconnect)))
+		if m.random.Float64() < never {
+			g.connectsAt = time.Hour
+		}
+	}
+}
+
 func modelRequest(name string, number int) string {
 	return Fingerprint([]byte(name), []byte(fmt.Sprint(number)))
 }
@@ -56,24 +77,40 @@
 
 // send sends a request through a random gateway to a server, unless it is quarantined there.
 func (m *model) send(request string, server int) {
-	gateway := m.random.IntN(modelGateways)
-	if m.tables[gateway].State(m.now, request).Quarantined > 0 {
+	gateway := m.gateways[m.random.IntN(modelGateways)]
+	if gateway.State(m.now, request).Quarantined > 0 {
 		m.refused[request]++
 		return
 	}
 	if m.downUntil[server] > m.now {
 		return
 	}
-	if m.tables[gateway].State(m.now, request).Crashes > 0 && !m.tracker.Permit(m.now, PermitRequest{Request: request, ServerID: modelServer(server)}).Granted {
+	if !m.permit(gateway, request, server) {
+		if m.crashing[request] == 0 {
+			m.held++
+		}
 		return
 	}
 	work := 20*time.Millisecond + time.Duration(m.random.IntN(120))*time.Millisecond
 	m.running = append(m.running, modelRun{request, server, gateway, m.now + work})
 }
 
+// permit asks for a permit as gateways do.
+func (m *model) permit(gateway *modelGateway, request string, server int) bool {
+	state := gateway.State(m.now, request)
+	switch {
+	case state.Crashes == 0 || state.Free:
+		return true
+	case gateway.connected:
+		return m.tracker.Permit(m.now, PermitRequest{Request: request, ServerID: modelServer(server)}).Granted
+	}
+	return gateway.PermitAlone(m.now, request)
+}
+
 // step ends the runs that are due. A crashing request crashes its server.
 func (m *model) step() {
 	m.now += modelStep
+	m.connect()
 	var due, rest []modelRun
 	for _, run := range m.running {
 		if run.endsAt > m.now {
@@ -84,26 +121,56 @@
 	}
 	m.running = rest
 	for _, run := range due {
-		switch {
+		switch share := m.crashing[run.request]; {
 		case m.downUntil[run.server] > m.now:
-		case m.crashing[run.request]:
+		case share > 0 && m.random.Float64() < share:
 			m.running = append(m.running, run)
 			m.crashes[run.request] = append(m.crashes[run.request], m.now)
 			m.crash(run.server)
-		case m.tables[run.gateway].State(m.now, run.request).Crashes > 0:
-			m.tracker.Observe(m.now, Report{Answered: []string{run.request}})
+		default:
+			run.gateway.ObserveAnswer(run.request)
 		}
 	}
-	m.publish()
+	m.exchange()
 }
 
-// crash ends a server. Each gateway reports the requests that it had there.
+// connect connects the gateways that are due to the leader.
+func (m *model) connect() {
+	for _, g := range m.gateways {
+		if g.connected || m.now < g.connectsAt {
+			continue
+		}
+		g.connected = true
+		g.Apply(m.now, m.tracker.Snapshot(m.now))
+		m.tracker.Observe(m.now, g.FirstReport(m.now))
+	}
+}
+
+// exchange passes the reports of the connected gateways to the leader, and its news to them.
+func (m *model) exchange() {
+	for _, g := range m.gateways {
+		if !g.connected {
+			continue
+		}
+		if report, any := g.TakeReport(m.now); any {
+			m.tracker.Observe(m.now, report)
+		}
+	}
+	u := m.tracker.Changes(m.now)
+	for _, g := range m.gateways {
+		if g.connected {
+			g.Apply(m.now, u)
+		}
+	}
+}
+
+// crash ends a server. Each gateway sees the requests that it had there.
 func (m *model) crash(server int) {
-	reports := make([][]string, modelGateways)
+	ended := map[*modelGateway][]string{}
 	var rest []modelRun
 	for _, run := range m.running {
 		if run.server == server {
-			reports[run.gateway] = append(reports[run.gateway], run.request)
+			ended[run.gateway] = append(ended[run.gateway], run.request)
 		} else {
 			rest = append(rest, run)
 		}
@@ -111,20 +178,12 @@
 	m.running = rest
 	m.births[server]++
 	m.downUntil[server] = m.now + modelDowntime
-	for _, requests := range reports {
-		if len(requests) == 0 {
-			continue
+	for _, g := range m.gateways {
+		if requests := ended[g]; len(requests) > 0 {
+			g.ObserveCrash(m.now, Crash{ServerID: modelServer(server), StartMillis: m.births[server], Requests: requests})
 		}
-		m.tracker.Observe(m.now, Report{Crashes: []Crash{{ServerID: modelServer(server), StartMillis: m.births[server], Requests: requests}}})
-	}
-	m.publish()
-}
-
-func (m *model) publish() {
-	u := m.tracker.Changes(m.now)
-	for _, table := range m.tables {
-		table.Apply(m.now, u)
 	}
+	m.exchange()
 }
 
 // load sends the requests of one step: popular ones, one that is repeated for half a second, and each
@@ -143,17 +202,50 @@
 	}
 }
 
+// bound is the users' bound on a request that crashes servers.
+const (
+	boundCrashes     = 3               // crashes that start the clock
+	boundLate        = 3 * time.Second // after them
+	boundLateCrashes = 3               // that may come later than that
+)
+
+// lateCrashes returns how many servers a request crashed later than the bound allows.
+func (m *model) lateCrashes(request string) (late int) {
+	crashes := m.crashes[request]
+	if len(crashes) < boundCrashes {
+		return 0
+	}
+	for _, at := range crashes {
+		if at > crashes[boundCrashes-1]+boundLate {
+			late++
+		}
+	}
+	return late
+}
+
+// check reports harmless requests that were quarantined, and requests that crashed servers too late.
+func (m *model) check(t *testing.T, seed uint64) {
+	t.Helper()
+	for request, n := range m.refused {
+		if m.crashing[request] == 0 {
+			t.Errorf("seed %d: a harmless request was refused %d times", seed, n)
+		}
+	}
+	for request := range m.crashing {
+		if late := m.lateCrashes(request); late > boundLateCrashes {
+			t.Errorf("seed %d: a crashing request crashed %d servers, %d of them late, and was refused %d times",
+				seed, len(m.crashes[request]), late, m.refused[request])
+		}
+	}
+}
+
 // Guards against a crashing request that reaches servers without end, and against requests that are
 // quarantined for having been at the same servers.
 func TestOnlyCrashingRequestsAreQuarantined(t *testing.T) {
-	const (
-		maxLateCrashes = 3               // later than lateAfter after the third crash
-		lateAfter      = 3 * time.Second // stableWindowMs of the users' rule
-	)
 	for seed := range uint64(40) {
 		m := newModel(seed)
 		for i := range 3 {
-			m.crashing[modelRequest("crashing", i)] = true
+			m.crashing[modelRequest("crashing", i)] = 1
 		}
 		for step := range 6000 {
 			m.load(step)
@@ -162,21 +254,77 @@
 			}
 			m.step()
 		}
-		for request, n := range m.refused {
-			if !m.crashing[request] {
-				t.Errorf("seed %d: a harmless request was refused %d times", seed, n)
+		m.check(t, seed)
+		for request := range m.crashing {
+			if m.refused[request] == 0 {
+				t.Errorf("seed %d: a crashing request was never refused", seed)
 			}
 		}
-		for request := range m.crashing {
-			late := 0
-			for _, at := range m.crashes[request] {
-				if len(m.crashes[request]) >= quarantineCrashes && at > m.crashes[request][quarantineCrashes-1]+lateAfter {
-					late++
+	}
+}
+
+// Guards against a request that crashes servers without end because leaders change: each successor starts
+// without evidence, and some gateways reach it late or never.
+func TestEvidenceSurvivesChangesOfLeader(t *testing.T) {
+	for seed := range uint64(40) {
+		m := newModel(seed)
+		m.crashing[modelRequest("crashing", 0)] = 1
+		changeAt := m.now
+		for step := range 6000 {
+			if m.now >= changeAt {
+				m.changeLeader(1500*time.Millisecond, 0.1)
+				changeAt = m.now + 300*time.Millisecond + time.Duration(m.random.Int64N(int64(4*time.Second)))
+			}
+			m.load(step)
+			if m.random.IntN(100) == 0 {
+				m.send(modelRequest("crashing", 0), m.random.IntN(modelServers))
+			}
+			m.step()
+		}
+		m.check(t, seed)
+	}
+}
+
+// Guards against a leader that changes before it has done anything: what gateways know must suffice.
+func TestEvidenceSurvivesLeadersOfOneStep(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newModel(seed)
+		m.crashing[modelRequest("crashing", 0)] = 1
+		for step := range 1500 {
+			m.changeLeader(2*modelStep, 0.1)
+			m.load(step)
+			if m.random.IntN(100) == 0 {
+				m.send(modelRequest("crashing", 0), m.random.IntN(modelServers))
+			}
+			m.step()
+		}
+		m.check(t, seed)
+	}
+}
+
+// Guards against requests that crash only some of their servers and are cleared by the others' answers.
+func TestRequestsThatCrashSometimesAreQuarantined(t *testing.T) {
+	const seeds, meanCrashes = 15, 10
+	for _, share := range []float64{0.5, 0.8} {
+		crashes := 0
+		for seed := range uint64(seeds) {
+			m := newModel(seed)
+			request := modelRequest("crashing", 0)
+			m.crashing[request] = share
+			for step := range 6000 {
+				m.load(step)
+				if m.random.IntN(10) == 0 {
+					m.send(request, m.random.IntN(modelServers))
 				}
+				m.step()
 			}
-			if late > maxLateCrashes || m.refused[request] == 0 {
-				t.Errorf("seed %d: a crashing request crashed %d servers, %d of them late, and was refused %d times", seed, len(m.crashes[request]), late, m.refused[request])
+			if m.refused[request] == 0 {
+				t.Errorf("share %v, seed %d: crashed %d servers, and was never refused", share, seed, len(m.crashes[request]))
 			}
+			crashes += len(m.crashes[request])
+		}
+		if crashes > meanCrashes*seeds {
+			t.Errorf("share %v: %d crashes in %d runs, want %d a run on average at most", share, crashes, seeds, meanCrashes)
 		}
 	}
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -6,23 +6,15 @@
 )
 
 const (
-	// quarantineCrashes is the number of crashes without an answer at which a request is quarantined.
-	quarantineCrashes = 3
 	// quarantineTime is how long a request is quarantined that alone explains its crashes.
 	quarantineTime = 10 * time.Minute
 	// ambiguousTime is how long a request is quarantined at first if another one has as many crashes. It
 	// doubles each time.
 	ambiguousTime = 30 * time.Second
-	// crashSpacing is the time within which several crashes count as one for a request: servers that end at
-	// the same moment have a common cause, and a popular request is at many of them.
-	crashSpacing = 250 * time.Millisecond
 	// crashMemory is how long a crash counts.
 	crashMemory = 5 * time.Minute
 	// permitTime is how long a permitted run counts as under way if its end is not reported.
 	permitTime = 2 * time.Second
-	// isolatedCrashes is the number of crashes from which on a request shares a server with no other
-	// request that has as many.
-	isolatedCrashes = 2
 	// sweepInterval is the time between two searches for what may be forgotten.
 	sweepInterval = 100 * time.Millisecond
 	// maxRequests is the number of requests that are remembered.
@@ -33,67 +25,32 @@
 	maxRequestsPerCrash = 256
 )
 
-// incarnation identifies a backend server's process.
-type incarnation struct {
-	id          string
-	startMillis int64
-}
-
-// crash is what is known of the end of one process.
-type crash struct {
-	server   incarnation
-	at       time.Duration
-	requests []*suspect
-}
-
-// suspect is a request that was at a server when it crashed.
-type suspect struct {
-	fingerprint   string
-	crashes       []*crash      // that count for it, oldest first
-	releaseAt     time.Duration // end of the quarantine; 0 if it is not quarantined
-	ambiguousTime time.Duration // of the latest short quarantine; 0 if there was none
-	runsUntil     time.Duration // end of the permit for a run
-	runsAt        string        // ID of the server that the permit is for
-}
-
-// count returns the number of crashes that count for the request.
-func (s *suspect) count() int {
-	count := 0
-	var last time.Duration
-	for _, c := range s.crashes {
-		if count == 0 || c.at-last >= crashSpacing {
-			count, last = count+1, c.at
-		}
-	}
-	return count
-}
-
-func (s *suspect) quarantined(now time.Duration) bool { return s.releaseAt > now }
-
 // Tracker is the leader's record of crashes. It is not safe for concurrent use. Use NewTracker.
 type Tracker struct {
-	crashes  []*crash // oldest first
-	suspects map[string]*suspect
-	changed  map[string]struct{} // requests that changed or were cleared since the last call of Changes
-	sweptAt  time.Duration
+	startedAt time.Duration
+	crashes   []*crash // oldest first
+	suspects  map[string]*suspect
+	cleared   clearings
+	changed   map[string]struct{} // requests that changed or were cleared since the last call of Changes
+	sweptAt   time.Duration
 }
 
-// NewTracker returns a Tracker that knows of no crash.
-func NewTracker() *Tracker {
-	return &Tracker{suspects: map[string]*suspect{}, changed: map[string]struct{}{}}
+// NewTracker returns the Tracker of a leader that was elected now. It knows of no crash.
+func NewTracker(now time.Duration) *Tracker {
+	return &Tracker{startedAt: now, suspects: map[string]*suspect{}, cleared: clearings{}, changed: map[string]struct{}{}}
 }
 
 // Observe records a gateway's report, and returns the requests that it has quarantined.
 func (t *Tracker) Observe(now time.Duration, r Report) (quarantined []string) {
 	t.forget(now)
-	for _, entry := range r.Known {
-		t.restore(now, entry)
+	if r.Known != nil {
+		quarantined = t.merge(now, r.Known)
 	}
 	for _, c := range r.Crashes {
 		quarantined = append(quarantined, t.observeCrash(now, c)...)
 	}
 	for _, fingerprint := range r.Answered {
-		t.dropSuspect(fingerprint)
+		t.observeAnswer(now, fingerprint)
 	}
 	for _, fingerprint := range r.Ended {
 		if s := t.suspects[fingerprint]; s != nil {
@@ -103,18 +60,21 @@
 	return quarantined
 }
 
-// restore takes over the quarantine of an earlier leader.
-func (t *Tracker) restore(now time.Duration, e Entry) {
-	if e.QuarantineMillis <= 0 || !validFingerprint(e.Request) {
-		return
-	}
-	s := t.suspect(e.Request, nil)
+// observeAnswer weighs an answer against the crashes of a request.
+func (t *Tracker) observeAnswer(now time.Duration, fingerprint string) {
+	s := t.suspects[fingerprint]
 	if s == nil {
 		return
 	}
-	left := min(time.Duration(e.QuarantineMillis)*time.Millisecond, quarantineTime)
-	s.releaseAt = max(s.releaseAt, now+left)
+	s.answers++
+	s.answeredAt, s.runsUntil = now, 0
+	if s.quarantined(now) && s.points() < quarantinePoints {
+		s.releaseAt = 0
+	}
 	t.markChanged(s)
+	if s.points() <= 0 {
+		t.clear(now, s)
+	}
 }
 
 func validFingerprint(fingerprint string) bool { return len(fingerprint) == 2*fingerprintBytes }
@@ -138,31 +98,40 @@
 }
 
 func (t *Tracker) observeCrash(now time.Duration, reported Crash) (quarantined []string) {
-	c := t.crash(now, incarnation{reported.ServerID, reported.StartMillis})
+	c := t.crash(reported.at(now), reported.incarnation())
 	for _, fingerprint := range reported.Requests {
-		if !validFingerprint(fingerprint) || len(c.requests) >= maxRequestsPerCrash {
-			continue
-		}
-		if s := t.suspect(fingerprint, c); s != nil && !slices.Contains(c.requests, s) {
-			c.requests = append(c.requests, s)
-			s.crashes = append(s.crashes, c)
-			s.runsUntil = 0
-			t.markChanged(s)
-		}
+		t.suspectOf(c, fingerprint)
 	}
 	t.explain(now, c)
 	return t.quarantine(now)
 }
 
+// suspectOf makes a crash count for a request that was there, unless the request was cleared later.
+func (t *Tracker) suspectOf(c *crash, fingerprint string) {
+	if !validFingerprint(fingerprint) || len(c.requests) >= maxRequestsPerCrash {
+		return
+	}
+	if t.cleared.covers(fingerprint, c.at) {
+		t.changed[fingerprint] = struct{}{} // the reporter has not heard of it
+		return
+	}
+	if s := t.suspect(fingerprint, c); s != nil && !slices.Contains(c.requests, s) {
+		c.requests = append(c.requests, s)
+		s.addCrash(c)
+		t.markChanged(s)
+	}
+}
+
 // crash returns the record of a server's crash, which several gateways may report.
-func (t *Tracker) crash(now time.Duration, server incarnation) *crash {
+func (t *Tracker) crash(at time.Duration, server incarnation) *crash {
 	for _, c := range t.crashes {
 		if c.server == server {
 			return c
 		}
 	}
-	c := &crash{server: server, at: now}
+	c := &crash{server: server, at: at}
 	t.crashes = append(t.crashes, c)
+	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return int(a.at - b.at) })
 	if len(t.crashes) > maxCrashes {
 		t.dropCrash()
 	}
@@ -182,8 +151,8 @@
 func (t *Tracker) discount(s *suspect, c *crash) {
 	s.crashes = slices.DeleteFunc(s.crashes, func(other *crash) bool { return other == c })
 	t.markChanged(s)
-	if len(s.crashes) == 0 && s.releaseAt == 0 {
-		t.dropSuspect(s.fingerprint)
+	if s.points() <= 0 && s.releaseAt == 0 {
+		t.dropSuspect(s)
 	}
 }
 
@@ -200,11 +169,11 @@
 	}
 }
 
-// quarantine quarantines the requests with enough crashes. It starts with those that have most, as their
+// quarantine quarantines the requests with enough evidence. It starts with those that have most, as their
 // crashes don't count for others then.
 func (t *Tracker) quarantine(now time.Duration) (quarantined []string) {
 	for {
-		candidates := t.mostCrashes()
+		candidates := t.mostPoints()
 		if len(candidates) == 0 {
 			return quarantined
 		}
@@ -220,16 +189,16 @@
 	}
 }
 
-// mostCrashes returns the requests with the highest number of crashes, of those that are to be quarantined.
-func (t *Tracker) mostCrashes() []*suspect {
-	most := quarantineCrashes
+// mostPoints returns the requests with the most evidence, of those that are to be quarantined.
+func (t *Tracker) mostPoints() []*suspect {
+	most := quarantinePoints
 	var candidates []*suspect
 	for _, s := range t.suspects {
-		count := s.count()
+		points := s.points()
 		switch {
-		case s.releaseAt != 0 || count < most:
-		case count > most:
-			most, candidates = count, []*suspect{s}
+		case s.releaseAt != 0 || points < most:
+		case points > most:
+			most, candidates = points, []*suspect{s}
 		default:
 			candidates = append(candidates, s)
 		}
@@ -248,13 +217,15 @@
 	t.markChanged(s)
 }
 
-// dropSuspect forgets a request: a server has answered it, or nothing is held against it any more.
-func (t *Tracker) dropSuspect(fingerprint string) {
-	s := t.suspects[fingerprint]
-	if s == nil {
-		return
-	}
-	delete(t.suspects, fingerprint)
+// clear ends the suspicion of a request that servers have answered often enough.
+func (t *Tracker) clear(now time.Duration, s *suspect) {
+	t.cleared.add(s.fingerprint, now)
+	t.dropSuspect(s)
+}
+
+// dropSuspect forgets a request.
+func (t *Tracker) dropSuspect(s *suspect) {
+	delete(t.suspects, s.fingerprint)
 	for _, c := range s.crashes {
 		c.requests = slices.DeleteFunc(c.requests, func(other *suspect) bool { return other == s })
 	}
@@ -271,6 +242,7 @@
 		return
 	}
 	t.sweptAt = now
+	t.cleared.forget(now)
 	for len(t.crashes) > 0 && now-t.crashes[0].at >= crashMemory && !t.holdsQuarantine(now, t.crashes[0]) {
 		t.dropCrash()
 	}
@@ -280,11 +252,11 @@
 		}
 		s.releaseAt = 0
 		t.markChanged(s)
-		for s.count() >= quarantineCrashes {
+		for s.points() >= quarantinePoints {
 			t.discount(s, s.crashes[0])
 		}
-		if len(s.crashes) == 0 {
-			t.dropSuspect(s.fingerprint)
+		if s.points() <= 0 {
+			t.dropSuspect(s)
 		}
 	}
 }
@@ -298,16 +270,22 @@
 // no other such request runs, so that the next crash tells them apart. The end of a run must be reported.
 func (t *Tracker) Permit(now time.Duration, r PermitRequest) PermitReply {
 	s := t.suspects[r.Request]
-	if s == nil {
+	if s == nil || s.free() && !s.quarantined(now) {
 		return PermitReply{Granted: true}
 	}
-	if s.quarantined(now) || s.runsUntil > now || s.count() >= isolatedCrashes && t.isolatedRunAt(now, r.ServerID) {
+	if s.quarantined(now) || s.runsUntil > now || s.count() >= isolatedCrashes && !t.mayIsolate(now, r.ServerID) {
 		return PermitReply{}
 	}
 	s.runsUntil, s.runsAt = now+permitTime, r.ServerID
 	return PermitReply{Granted: true}
 }
 
+// mayIsolate reports whether a request that must run isolated may run at a server. A permit of the leader's
+// predecessor may still be out.
+func (t *Tracker) mayIsolate(now time.Duration, serverID string) bool {
+	return now-t.startedAt >= permitTime && !t.isolatedRunAt(now, serverID)
+}
+
 // isolatedRunAt reports whether a request that must run isolated runs at a server.
 func (t *Tracker) isolatedRunAt(now time.Duration, serverID string) bool {
 	for _, s := range t.suspects {
@@ -321,33 +299,25 @@
 // Changes returns what has changed since the last call.
 func (t *Tracker) Changes(now time.Duration) Update {
 	t.forget(now)
-	var u Update
+	b := newUpdateBuilder(now)
 	for fingerprint := range t.changed {
-		entry := Entry{Request: fingerprint}
 		if s := t.suspects[fingerprint]; s != nil {
-			entry = s.entry(now)
+			b.add(s.entry(now, b))
+		} else {
+			b.addCleared(fingerprint, now)
 		}
-		u.Entries = append(u.Entries, entry)
 	}
 	clear(t.changed)
-	return u
+	return b.update
 }
 
-// Snapshot returns all that is known.
+// Snapshot returns all that is suspected.
 func (t *Tracker) Snapshot(now time.Duration) Update {
-	var u Update
+	b := newUpdateBuilder(now)
 	for _, s := range t.suspects {
-		u.Entries = append(u.Entries, s.entry(now))
-	}
-	return u
-}
-
-func (s *suspect) entry(now time.Duration) Entry {
-	e := Entry{Request: s.fingerprint, Crashes: int64(max(1, s.count()))}
-	if s.quarantined(now) {
-		e.QuarantineMillis = (s.releaseAt - now).Milliseconds() + 1
+		b.add(s.entry(now, b))
 	}
-	return e
+	return b.update
 }
 
 // Counts returns the number of suspected requests, and how many of them are quarantined.
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -17,7 +17,7 @@
 
 // A request is quarantined with the third crash, and the crashes then count for no other request.
 func TestThirdCrashQuarantines(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(0)
 	for i := range 3 {
 		now := time.Duration(i+1) * time.Second
 		requests := []string{crashing}
@@ -29,19 +29,19 @@
 			t.Errorf("crash %d: quarantined %v", i+1, got)
 		}
 	}
-	table := NewTable()
-	table.Apply(4*time.Second, tracker.Changes(4*time.Second))
-	if state := table.State(4*time.Second, crashing); state.Quarantined <= 0 {
+	gateway := NewGateway()
+	gateway.Apply(4*time.Second, tracker.Changes(4*time.Second))
+	if state := gateway.State(4*time.Second, crashing); state.Quarantined <= 0 {
 		t.Errorf("state of the crashing request: %+v", state)
 	}
-	if state := table.State(4*time.Second, harmless); state.Crashes != 0 {
+	if state := gateway.State(4*time.Second, harmless); state.Crashes != 0 {
 		t.Errorf("state of the request that was at two of the servers: %+v, want no suspicion", state)
 	}
 }
 
 // Guards against one crash that counts several times: each gateway reports it.
 func TestCrashCountsOnceForAllGateways(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(0)
 	for i := range 10 {
 		if got := tracker.Observe(time.Duration(i)*time.Second, crashReport("s1", crashing)); len(got) > 0 {
 			t.Fatalf("report %d of the same crash quarantined the request", i+1)
@@ -51,14 +51,14 @@
 
 // Requests that were at the same three servers can't be told apart: both are held, but not for long.
 func TestIndistinguishableRequestsAreHeldForAShortTime(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(0)
 	for i := range 3 {
 		tracker.Observe(time.Duration(i+1)*time.Second, crashReport(fmt.Sprint("s", i), crashing, harmless))
 	}
-	table := NewTable()
-	table.Apply(3*time.Second, tracker.Changes(3*time.Second))
+	gateway := NewGateway()
+	gateway.Apply(3*time.Second, tracker.Changes(3*time.Second))
 	for _, request := range []string{crashing, harmless} {
-		if left := table.State(3*time.Second, request).Quarantined; left <= 0 || left > ambiguousTime+time.Second {
+		if left := gateway.State(3*time.Second, request).Quarantined; left <= 0 || left > ambiguousTime+time.Second {
 			t.Errorf("held for %v, want about %v", left, ambiguousTime)
 		}
 	}
@@ -77,7 +77,7 @@
 
 // A suspected request runs at one server at a time until the end of the run is known.
 func TestSuspectedRequestRunsAtOneServerAtATime(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(0)
 	now := time.Second
 	permit := func() bool {
 		return tracker.Permit(now, PermitRequest{Request: crashing, ServerID: "s2"}).Granted
@@ -103,14 +103,14 @@
 
 // Guards against a new leader that lets quarantined requests crash three more servers.
 func TestNewLeaderKeepsQuarantine(t *testing.T) {
-	table := NewTable()
-	table.Apply(time.Second, Update{Entries: []Entry{{Request: crashing, Crashes: 3, QuarantineMillis: 60_000}}})
-	tracker := NewTracker()
-	tracker.Observe(0, Report{Known: table.Quarantined(2 * time.Second)})
+	gateway := NewGateway()
+	gateway.Apply(time.Second, Update{Entries: []Entry{{Request: crashing, Crashes: 3, QuarantineMillis: 60_000}}})
+	tracker := NewTracker(0)
+	tracker.Observe(2*time.Second, gateway.FirstReport(2*time.Second))
 	if tracker.Permit(0, PermitRequest{Request: crashing, ServerID: "s1"}).Granted {
 		t.Error("the new leader permits a run")
 	}
-	other := NewTable()
+	other := NewGateway()
 	other.Apply(0, tracker.Snapshot(0))
 	if other.State(0, crashing).Quarantined < 50*time.Second {
 		t.Error("another gateway does not learn of the quarantine")
@@ -119,7 +119,7 @@
 
 // Guards against evidence that grows without bounds.
 func TestEvidenceIsBounded(t *testing.T) {
-	tracker, table := NewTracker(), NewTable()
+	tracker, gateway := NewTracker(0), NewGateway()
 	for i := range 3 * maxCrashes {
 		now := time.Duration(i) * time.Second
 		var requests []string
@@ -127,16 +127,16 @@
 			requests = append(requests, Fingerprint([]byte(fmt.Sprint(i, j))))
 		}
 		tracker.Observe(now, crashReport(fmt.Sprint("s", i), requests...))
-		table.Apply(now, tracker.Changes(now))
+		gateway.Apply(now, tracker.Changes(now))
 	}
-	if len(tracker.suspects) > maxRequests || len(tracker.crashes) > maxCrashes || len(table.entries) > maxRequests {
-		t.Errorf("%d requests and %d crashes at the leader, %d requests at a gateway", len(tracker.suspects), len(tracker.crashes), len(table.entries))
+	if len(tracker.suspects) > maxRequests || len(tracker.crashes) > maxCrashes || len(gateway.table.entries) > maxRequests {
+		t.Errorf("%d requests and %d crashes at the leader, %d requests at a gateway", len(tracker.suspects), len(tracker.crashes), len(gateway.table.entries))
 	}
 	end := 10 * maxCrashes * time.Second
 	tracker.Observe(end, Report{})
-	table.Apply(end, tracker.Changes(end))
-	if len(tracker.suspects) != 0 || !table.Empty() {
-		t.Errorf("%d requests at the leader and %d at a gateway are never forgotten", len(tracker.suspects), len(table.entries))
+	gateway.Apply(end, tracker.Changes(end))
+	if len(tracker.suspects) != 0 || !gateway.Empty() {
+		t.Errorf("%d requests at the leader and %d at a gateway are never forgotten", len(tracker.suspects), len(gateway.table.entries))
 	}
 }
 
