Routes with large responses, and the grant mode of a service

Cause: a configuration with a route of the kind "download" was refused, so that nothing was served on deployments with such routes, and the way in which a service's servers receive their keys was passed over.

Change: routes.Download, repeatable and bulk: it is sent to another region only if its own has no server, as uploads are.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -23,7 +23,7 @@
 	Priority      int64
 	UntilDeadline time.Duration // time remaining until the deadline
 	UntilTarget   time.Duration // time remaining until the latency target; negative if it has passed
-	Bulk          bool          // has a large body
+	Bulk          bool          // has a large body, or a large response
 }
 
 // maxRequestsPerSlot returns the number of requests per slot at which a server is full for a
@@ -92,9 +92,9 @@
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
 // none. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
-// are paused. Among candidates that meet the latency target it prefers the nearest. A large body is sent
-// to another region only if the own region has no server: the link between regions is slow, and is
-// saturated at the times when the servers are.
+// are paused. Among candidates that meet the latency target it prefers the nearest. A bulk
+// request is sent to another region only if the own region has no server: the link between regions is
+// slow, and is saturated at the times when the servers are.
 func Choose(now time.Duration, candidates []Candidate, r Request) (int, Reason) {
 	best, reason := -1, Paused
 	var bestRank rank
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -71,6 +71,7 @@
 	for _, s := range file.Services {
 		put.Config.Services = append(put.Config.Services, routes.Service{
 			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int64(s.MaxConnections), Keyed: s.Keyed, WarmMillis: int64(s.WarmMs),
+			Grants: grantMode(s),
 		})
 	}
 	for _, r := range file.Routes {
@@ -116,5 +117,13 @@
 func serviceEntry(s routes.Service) settings.ServiceEntry {
 	return settings.ServiceEntry{
 		Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int(s.MaxConnections), Keyed: s.Keyed, WarmMs: int(s.WarmMillis),
+		GrantsByCall: s.Grants == routes.GrantsByCall,
 	}
 }
+
+func grantMode(s settings.ServiceEntry) routes.GrantMode {
+	if s.Keyed && s.GrantsByCall {
+		return routes.GrantsByCall
+	}
+	return routes.GrantsByHeartbeat
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -170,7 +170,7 @@
 		Priority:      c.route.Priority,
 		UntilDeadline: time.Until(c.deadline),
 		UntilTarget:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)),
-		Bulk:          c.route.Kind == routes.Upload,
+		Bulk:          c.route.Kind.Bulk(),
 	}
 	servers, reason := c.servers(now, service)
 	if len(servers) == 0 {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -405,8 +405,8 @@
 	// Host name of the requests.
 	Host string `json:"host" yaml:"host" cbor:"host"`
 
-	// Whether a request may be executed more than once; once and upload may not, and
-	// an upload has a large body.
+	// Whether a request may be executed more than once; once and upload may not. An
+	// upload has a large body, a download a large response.
 	Kind RouteKind `json:"kind" yaml:"kind" cbor:"kind"`
 
 	// Maximum number of backend servers that one client attempt may be sent to.
@@ -434,6 +434,7 @@
 
 type RouteKind string
 
+const RouteKindDownload RouteKind = "download"
 const RouteKindIdempotent RouteKind = "idempotent"
 const RouteKindOnce RouteKind = "once"
 const RouteKindUpload RouteKind = "upload"
@@ -459,6 +460,10 @@
 
 // Set of backend servers that serve the same requests.
 type ServiceEntry struct {
+	// Whether servers receive keys by calls instead of in the replies to their
+	// heartbeats; only with keyed. Default: false.
+	GrantsByCall bool `json:"grants_by_call,omitempty,omitzero" yaml:"grants_by_call,omitempty" cbor:"grants_by_call,omitempty"`
+
 	// Path of the health check.
 	HealthPath string `json:"health_path" yaml:"health_path" cbor:"health_path"`
 
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -150,6 +150,10 @@
 	// hosts together.
 	MaxConnections int64 `json:"c" yaml:"c" cbor:"c"`
 
+	// How its backend servers receive their keys; only for services whose requests
+	// have keys.
+	Grants GrantMode `json:"g" yaml:"g" cbor:"g"`
+
 	// Path of the health check.
 	HealthPath string `json:"h" yaml:"h" cbor:"h"`
 
--- a/routes/types.go
+++ b/routes/types.go
@@ -11,10 +11,36 @@
 	Once Kind = "once"
 	// Upload requests are Once requests with large bodies.
 	Upload Kind = "upload"
+	// Download requests are Idempotent requests with large responses.
+	Download Kind = "download"
 )
 
 // Repeatable reports whether a request that may already have run may be sent again.
-func (k Kind) Repeatable() bool { return k == Idempotent }
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
+
+// Bulk reports whether the requests or their responses are large.
+func (k Kind) Bulk() bool { return k == Upload || k == Download }
+
+func (k Kind) valid() bool {
+	switch k {
+	case Idempotent, Once, Upload, Download:
+		return true
+	}
+	return false
+}
+
+// GrantMode says how the backend servers of a service receive their keys.
+type GrantMode string
+
+// Grant modes.
+const (
+	// GrantsByHeartbeat puts grants into the replies to the servers' heartbeats. It is the default.
+	GrantsByHeartbeat GrantMode = ""
+	// GrantsByCall has the leader call the servers.
+	GrantsByCall GrantMode = "call"
+)
+
+func (m GrantMode) valid() bool { return m == GrantsByHeartbeat || m == GrantsByCall }
 
 // Outcome is the result of a Put.
 type Outcome string
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -34,6 +34,9 @@
 		if s.MaxConnections < 0 || s.WarmMillis < 0 {
 			return nil, errors.Wrapf(ErrInvalid, "service %q has a negative limit", s.Name)
 		}
+		if !s.Grants.valid() {
+			return nil, errors.Wrapf(ErrInvalid, "service %q has the unknown grant mode %q", s.Name, s.Grants)
+		}
 		names[s.Name] = true
 	}
 	return names, nil
@@ -64,7 +67,7 @@
 
 func validateRoute(r Route, services map[string]bool) error {
 	switch {
-	case r.Kind != Idempotent && r.Kind != Once && r.Kind != Upload:
+	case !r.Kind.valid():
 		return errors.Wrapf(ErrInvalid, "unknown kind %q", r.Kind)
 	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
 		return errors.Wrapf(ErrInvalid, "prefix %q must begin and end with a slash", r.PathPrefix)
