Decide on calls by which servers take grants

Services whose servers take grants by calls get them from the same coordinator, balancing and record as those with heartbeats: keyrange.Calls names the calls that are due, CallEnded takes their results. Leases count from the latest possible arrival of the last call; a token is sent again only after an answer and on that answer's connection; a release follows only an answered grant. A server that doesn't answer is fenced by a grant with a higher token first. Keys of a process that ended by another one's word stay until their lease ends, since a call may have reached the other one.

--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -177,14 +177,14 @@
 	l.leavesRestored = true
 }
 
-func keyedServices(config routes.Config) []string {
-	var names []string
+func keyedServices(config routes.Config) []keyrange.KeyedService {
+	var services []keyrange.KeyedService
 	for _, s := range config.Services {
 		if s.Keyed {
-			names = append(names, s.Name)
+			services = append(services, keyrange.KeyedService{Name: s.Name, ByCall: s.Grants == routes.GrantsByCall})
 		}
 	}
-	return names
+	return services
 }
 
 // addHostInfo sets the fields that every update carries.
--- a/keyrange/assign.go
+++ b/keyrange/assign.go
@@ -8,7 +8,7 @@
 
 // assignFree grants free keys to the server, up to its target utilization.
 func (c *Coordinator) assignFree(now time.Duration, svc *service, s *server, f *fleet) {
-	if !s.ready() || !svc.hasFree(now) {
+	if !s.ready() || !svc.hasFree(now) || svc.byCall && !c.takesKeys(now, s) {
 		return
 	}
 	if !svc.seeded {
@@ -107,6 +107,9 @@
 		from: seg.from, to: seg.to, holder: s.info.ID, startMillis: s.info.StartMillis,
 		token: c.nextToken(), sequence: s.sequence, handover: seg.handover, pendingSince: max(now, 1),
 	}
+	if svc.byCall {
+		seg.leaseEnd = now + unsentGrantTime
+	}
 	c.granted = append(c.granted, Assignment{
 		Service: svc.name, From: seg.from, To: seg.to, ServerID: seg.holder, StartMillis: seg.startMillis, Token: seg.token, Sequence: seg.sequence,
 	})
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -20,6 +20,7 @@
 	rateLimit    float64       // requests a second that it takes from all entry hosts; 0 for no limit
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
 	granted      int           // number of ranges in the last reply
+	calls        serverCalls   // for services whose servers take grants by calls
 }
 
 // departure records that an incarnation is leaving. It outlives the server's entry, so that a
@@ -41,6 +42,8 @@
 	lastJoinAt time.Duration // time of the first heartbeat of its newest server
 	seeded     bool          // whether the keys have been assigned for the first time
 	fleet      fleet         // result of the last measureFleet
+	byCall     bool          // servers take grants by calls
+	assignAt   time.Duration // time of the next assignAll
 }
 
 // Coordinator assigns key ranges to servers. It is not safe for concurrent use.
@@ -72,24 +75,51 @@
 	}
 }
 
-// SetKeyedServices sets the services that are partitioned by key.
-func (c *Coordinator) SetKeyedServices(names []string) {
-	for _, name := range names {
-		if c.services[name] == nil {
-			c.services[name] = c.newService(name)
+// KeyedService is a service that is partitioned by key.
+type KeyedService struct {
+	Name   string
+	ByCall bool // its servers take grants by calls instead of in the replies to heartbeats
+}
+
+// SetServices sets the services that are partitioned by key.
+func (c *Coordinator) SetServices(list []KeyedService) {
+	for _, s := range list {
+		svc := c.services[s.Name]
+		if svc == nil {
+			svc = c.newService(s)
+			c.services[s.Name] = svc
 		}
+		svc.setMode(s.ByCall)
 	}
 	for name := range c.services {
-		if !slices.Contains(names, name) {
+		if !slices.ContainsFunc(list, func(s KeyedService) bool { return s.Name == name }) {
 			delete(c.services, name)
 		}
 	}
 }
 
+// setMode changes how the servers take grants. What they hold is granted anew in the other way.
+func (svc *service) setMode(byCall bool) {
+	if svc.byCall == byCall {
+		return
+	}
+	svc.byCall = byCall
+	for i := range svc.segments {
+		seg := &svc.segments[i]
+		seg.call, seg.unconfirmed, seg.reported = callState{}, seg.holder != "", false
+	}
+}
+
 // newService returns a service whose keys are held according to the grants of earlier terms.
-func (c *Coordinator) newService(name string) *service {
+func (c *Coordinator) newService(s KeyedService) *service {
+	name := s.Name
 	svc := &service{
-		name: name, segments: segments{{from: 0, to: c.options.Keys - 1}}, load: newLoad(c.options.Keys),
+		name: name, segments: segments{{from: 0, to: c.options.Keys - 1}}, load: newLoad(c.options.Keys), byCall: s.ByCall,
+	}
+	leaseEnd, lastSentAt := c.options.InheritedLeasesEnd, time.Duration(0)
+	if s.ByCall { // calls of an earlier leader may still be on their way
+		leaseEnd += callTimeout + arrivalSlack
+		lastSentAt = leaseEnd - LeaseBound(c.options.Lease)
 	}
 	for _, a := range c.options.RecordedGrants {
 		if a.Service != name || !valid(a.From, a.To, c.options.Keys) {
@@ -98,7 +128,8 @@
 		svc.seeded = true
 		svc.segments.forEach(a.From, a.To, func(seg *segment) {
 			seg.holder, seg.startMillis, seg.token, seg.sequence = a.ServerID, a.StartMillis, a.Token, a.Sequence
-			seg.leaseEnd, seg.unconfirmed = c.options.InheritedLeasesEnd, true
+			seg.leaseEnd, seg.unconfirmed = leaseEnd, true
+			seg.call.lastSentAt = lastSentAt
 		})
 	}
 	return svc
@@ -158,11 +189,17 @@
 		svc.firstAt = max(now, 1)
 	}
 	svc.lastJoinAt = max(svc.lastJoinAt, s.firstAt)
-	c.applyReport(now, svc, s, hb)
+	if !svc.byCall {
+		c.applyReport(now, svc, s, hb)
+	}
 	f := c.measureFleet(svc)
 	c.revokeExcess(now, svc, s, f)
 	c.assignFree(now, svc, s, f)
-	c.compact(svc, s)
+	if svc.byCall {
+		c.compact(svc, s, f.segmentsOf(s))
+		return HeartbeatReply{}
+	}
+	c.compact(svc, s, s.granted)
 	return HeartbeatReply{
 		Renewed:     true,
 		Grants:      svc.renew(now, s, now+LeaseBound(c.options.Lease)),
@@ -180,7 +217,7 @@
 	case info.StartMillis < known.info.StartMillis:
 		return nil
 	case info.StartMillis > known.info.StartMillis:
-		c.removeEnded(now, known)
+		c.replaceIncarnation(now, known)
 		known = nil
 	case hb.Sequence <= known.sequence:
 		return nil
@@ -230,14 +267,43 @@
 	return true
 }
 
-// removeEnded removes an incarnation whose process has ended and frees its keys.
+// removeEnded removes an incarnation whose process has ended, as another one uses its ID or address, and frees
+// its keys. Keys that servers take by calls are left to the end of their lease: the other process may have
+// answered a call about them.
 func (c *Coordinator) removeEnded(now time.Duration, s *server) {
+	c.freeEnded(now, s, func(seg *segment) bool { return seg.neverSent() })
+}
+
+// freeEnded removes an incarnation whose process has ended and frees its keys. If the servers take grants by
+// calls, keys for which settled is false are left to the end of their lease.
+func (c *Coordinator) freeEnded(now time.Duration, s *server, settled func(*segment) bool) {
 	if svc := c.services[s.info.Service]; svc != nil {
 		for i := range svc.segments {
-			if seg := &svc.segments[i]; seg.holder == s.info.ID && seg.startMillis == s.info.StartMillis {
-				c.recordEvent(now, EventEnded, svc, seg)
-				seg.free(now, "")
+			seg := &svc.segments[i]
+			if seg.holder != s.info.ID || seg.startMillis != s.info.StartMillis || svc.byCall && !settled(seg) {
+				continue
 			}
+			c.recordEvent(now, EventEnded, svc, seg)
+			seg.free(now, "")
+		}
+	}
+	c.removeServer(s)
+}
+
+// replaceIncarnation removes an incarnation after which another one has started under its ID. Keys that servers
+// take by calls stay with the server: a late call may already have reached the new process, which a grant with
+// a higher token settles.
+func (c *Coordinator) replaceIncarnation(now time.Duration, s *server) {
+	svc := c.services[s.info.Service]
+	if svc == nil || !svc.byCall {
+		c.removeEnded(now, s)
+		return
+	}
+	for i := range svc.segments {
+		if seg := &svc.segments[i]; seg.holder == s.info.ID {
+			c.recordEvent(now, EventEnded, svc, seg)
+			seg.reported, seg.revoking = false, false
+			seg.call.confirmedAt, seg.call.failures = 0, 0
 		}
 	}
 	c.removeServer(s)
--- a/keyrange/event.go
+++ b/keyrange/event.go
@@ -13,6 +13,7 @@
 	EventExpired  EventKind = "lease-expired" // a holder's lease expired
 	EventAdopted  EventKind = "adopted"       // a server reported keys that an earlier leader granted
 	EventEnded    EventKind = "server-ended"  // the holder's process ended
+	EventAccepted EventKind = "accepted"      // the server has answered the call that granted the keys
 )
 
 // Event is one change of key ownership.
--- a/keyrange/evidence.go
+++ b/keyrange/evidence.go
@@ -29,17 +29,21 @@
 		s.refusals = map[string]time.Duration{}
 	}
 	s.refusals[reporter] = now
-	recent := 0
+	recent, first := 0, now
 	for _, at := range s.refusals {
 		if now-at < refusalWindow {
 			recent++
+			first = min(first, at)
 		}
 	}
 	if recent >= minRefusalReporters && s.maxInterval > 0 && now-s.lastSeen > missedHeartbeats*s.maxInterval {
-		c.removeEnded(now, s)
+		c.freeEnded(now, s, func(seg *segment) bool { return seg.noCallSince(first - maxReportDelay) })
 	}
 }
 
+// maxReportDelay is the longest time from an observation of an entry host to its report.
+const maxReportDelay = 500 * time.Millisecond
+
 // observeInterval updates the longest time between two heartbeats.
 func (s *server) observeInterval(interval time.Duration) {
 	s.maxInterval = max(s.maxInterval, interval)
--- a/keyrange/fleet.go
+++ b/keyrange/fleet.go
@@ -77,6 +77,14 @@
 	return f
 }
 
+// segmentsOf returns the number of segments that a server holds.
+func (f *fleet) segmentsOf(s *server) int {
+	if m := f.members[s.info.ID]; m != nil {
+		return m.segments
+	}
+	return 0
+}
+
 // reset empties the fleet but keeps its memory for reuse, since every heartbeat measures the
 // fleet.
 func (f *fleet) reset(members int) {
--- a/keyrange/load_test.go
+++ b/keyrange/load_test.go
@@ -160,7 +160,7 @@
 		options.InheritedLeasesEnd, options.RecordedGrants = p.now+LeaseBound(lease), p.record.All()
 	}
 	p.leader = New(options)
-	p.leader.SetKeyedServices([]string{testService})
+	p.leader.SetServices([]KeyedService{{Name: testService}})
 }
 
 func (p *loadSimulation) counted(r loadRequest) bool { return r.at >= p.warmup }
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -127,7 +127,7 @@
 		o.Lease = modelLease / 2 // the leader assumes half of the lease time that the servers use
 	}
 	m.leader = New(o)
-	m.leader.SetKeyedServices([]string{testService})
+	m.leader.SetServices([]KeyedService{{Name: testService}})
 }
 
 func (m *model) start(id, address string) {
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -137,7 +137,8 @@
 			continue
 		}
 		id := ""
-		if seg.holder != "" && !seg.revoking && !c.drained(now, seg.holder) {
+		serves := !svc.byCall || seg.reported // a call that grants keys may take long
+		if seg.holder != "" && !seg.revoking && serves && !c.drained(now, seg.holder) {
 			id = seg.holder
 		}
 		if last := len(owners) - 1; last >= 0 && owners[last].ServerID == id && owners[last].To+1 == seg.from {
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -106,8 +106,8 @@
 }
 
 // compact merges adjacent segments of a server that holds many, under one new token.
-func (c *Coordinator) compact(svc *service, s *server) {
-	if s.granted < compactThreshold {
+func (c *Coordinator) compact(svc *service, s *server, ranges int) {
+	if ranges < compactThreshold {
 		return
 	}
 	out := svc.segments[:0]
@@ -116,6 +116,8 @@
 		if last >= 0 && compactable(&out[last], &next, s.info.ID) {
 			out[last].to, out[last].rateVersion = next.to, 0
 			out[last].token = c.nextToken() // the record stays valid, since the holder does not change
+			out[last].leaseEnd = max(out[last].leaseEnd, next.leaseEnd)
+			out[last].call.confirmedAt, out[last].call.connection = 0, 0
 			continue
 		}
 		out = append(out, next)
@@ -125,5 +127,5 @@
 
 func compactable(a, b *segment, id string) bool {
 	return a.holder == id && b.holder == id && a.reported && b.reported &&
-		!a.revoking && !b.revoking && a.handover == "" && b.handover == ""
+		!a.revoking && !b.revoking && a.handover == "" && b.handover == "" && a.callsSettled() && b.callsSettled()
 }
--- a/keyrange/revoke.go
+++ b/keyrange/revoke.go
@@ -73,7 +73,7 @@
 	}
 	for i := range svc.segments {
 		seg := &svc.segments[i]
-		if seg.holder != id || seg.revoking || !seg.reported {
+		if seg.holder != id || seg.revoking || !seg.reported || !seg.callsSettled() {
 			continue
 		}
 		consider(seg.from, seg.to, svc.rate(seg))
@@ -104,7 +104,7 @@
 func (svc *service) hotKey(id string, bound float64) (int64, bool) {
 	for i := range svc.segments {
 		seg := &svc.segments[i]
-		if seg.holder != id || seg.revoking || !seg.reported {
+		if seg.holder != id || seg.revoking || !seg.reported || !seg.callsSettled() {
 			continue
 		}
 		for key := seg.from; key <= seg.to; key++ {
--- a/keyrange/segment.go
+++ b/keyrange/segment.go
@@ -27,6 +27,8 @@
 	reservedAt     time.Duration
 	handover       string // reference from the previous holder
 
+	call callState // if servers take grants by calls
+
 	rate        float64 // requests per second; see service.rate
 	rateVersion uint64  // load.version at which rate was computed; 0 for none
 }
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -100,7 +100,7 @@
 		o.RecordedGrants = s.record.All()
 	}
 	s.coord = New(o)
-	s.coord.SetKeyedServices([]string{testService})
+	s.coord.SetServices([]KeyedService{{Name: testService}})
 	return ""
 }
 
