Count refused connections only against their own incarnation

Cause: a gateway's report that a server's address refuses connections was counted against the newest incarnation of that ID, although the report names the one it is about. A process that had just started again at another address could lose its keys to another server while it held them, if some of its heartbeats were late.

TestRefusalsCountOnlyForTheirIncarnation failed before.

--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -136,13 +136,13 @@
 	}
 	for _, observed := range report.Servers {
 		s := c.servers[observed.ServerID]
-		if s == nil {
-			continue
+		if s == nil || observed.StartMillis != s.info.StartMillis {
+			continue // nothing else counts for another incarnation either
 		}
 		if observed.Count > 0 {
 			s.serviceTimes.add(now, float64(observed.ServiceTimeMicros)/1e6, observed.Count)
 		}
-		if observed.Leaving && observed.StartMillis == s.info.StartMillis {
+		if observed.Leaving {
 			s.saysLeaving, s.info.Draining = true, true
 		}
 		c.applyEvidence(now, s, observed, reporter)
