Send grants and releases to backend servers by calls

The leader sends the calls that keyrange names: one kept connection a server for grants and one for releases, which wait for requests to end; at most 256 calls at a time in a pool of their own; given up after their timeout with a reset, so that nothing of them arrives later; none once the leadership is lost. Grants are recorded before their first call. The platform's wire format and the meaning of the answers are in platform/grantcaller.go. Metrics of calls by kind and outcome, of their time, and of keys without an owner; a log line for each call that fails.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -40,7 +40,9 @@
 				return err
 			}
 			registry := prometheus.NewRegistry()
-			host, err := fleet.New(fleet.Options{Settings: &s, Secret: secret, Registry: registry})
+			host, err := fleet.New(fleet.Options{
+				Settings: &s, Secret: secret, Registry: registry, NewGrantCaller: platform.NewGrantCaller,
+			})
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -67,6 +67,9 @@
 	Settings *settings.FleetSettings
 	Secret   []byte // shared secret of peers; empty on an open network
 	Registry *prometheus.Registry
+	// NewGrantCaller returns what sends the leader's calls to backend servers that take grants by calls. If it
+	// is nil, such servers receive no keys.
+	NewGrantCaller func() GrantCaller
 }
 
 // Host is a control host.
@@ -83,6 +86,8 @@
 	logFailed       atomic.Bool   // whether the replicated log had failed in the last call to observeVoters
 	voting          atomic.Bool   // whether this host was a voter in the last call to observeVoters
 	publishRequests chan struct{} // signals publishLoop that the table may have changed
+	grantWake       chan struct{} // signals grantLoop that calls may be due
+	newCaller       func() GrantCaller
 	cancel          context.CancelFunc
 	loops           sync.WaitGroup
 
@@ -100,6 +105,8 @@
 		settings:        o.Settings,
 		name:            PeerAddress(o.Settings.Ip, o.Settings.PeerPort),
 		publishRequests: make(chan struct{}, 1),
+		grantWake:       make(chan struct{}, 1),
+		newCaller:       o.NewGrantCaller,
 		subscribers:     map[*peer.Conn]*subscriber{},
 	}
 	h.state = &fleetState{onChange: h.requestPublish}
@@ -159,6 +166,14 @@
 	}
 	h.loops.Go(func() { h.membershipLoop(ctx) })
 	h.loops.Go(func() { h.publishLoop(ctx) })
+	if h.newCaller == nil {
+		return nil
+	}
+	pool, err := newGrantPool()
+	if err != nil {
+		return err
+	}
+	h.loops.Go(func() { h.grantLoop(ctx, pool) })
 	return nil
 }
 
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -22,6 +22,7 @@
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
 	quarantine     *quarantine.Tracker
+	calls          *grantCalls   // nil if this host makes no calls to backend servers
 	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
 	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
 }
@@ -34,8 +35,10 @@
 	defer h.mu.Unlock()
 	if !leads {
 		h.metrics.leads.Set(0)
+		h.metrics.ownerless.Set(0)
 		if h.leading != nil {
 			close(h.leading.reported) // ends the waiting acknowledgements
+			h.leading.calls.end()
 		}
 		h.leading = nil
 		for conn := range h.subscribers {
@@ -53,7 +56,7 @@
 	if h.state.config().Version > 0 {
 		configs.Inherit(clock.Now())
 	}
-	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(clock.Now()), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
+	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(clock.Now()), calls: h.newGrantCalls(), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
 		Term:               term,
 		Keys:               keySpace,
 		RangesPerServer:    initialRangesPerServer,
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -46,6 +46,20 @@
 	return update, changed
 }
 
+// KeysWithoutOwner returns the number of keys to which entry hosts send no requests, as of the last call of
+// Changes. Keys whose owner is known to entry hosts from an earlier term are not counted.
+func (c *Coordinator) KeysWithoutOwner() int64 {
+	count := int64(0)
+	for _, owners := range c.published.owners {
+		for _, o := range owners {
+			if o.ServerID == "" {
+				count += o.To - o.From + 1
+			}
+		}
+	}
+	return count
+}
+
 // Snapshot returns the full table as of the last call of Changes.
 func (c *Coordinator) Snapshot() TableUpdate {
 	update := TableUpdate{Term: c.options.Term, Version: c.published.version, Full: true, Partial: c.published.partial}
