Show in traces and dumps who may hold keys that are granted by calls

The state dump of the leader and galenactl trace key name the last call about a range, how long its server may still hold it, and what the keys wait for. A host that stops ends its calls also if it could not hand over.

--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
@@ -32,10 +33,22 @@
 	if h.leading != nil {
 		snapshot := h.leading.coordinator.Snapshot()
 		dump.Table, dump.Owners = &snapshot, tableOwners(snapshot)
+		dump.Holdings = holdings(h.leading.coordinator.Holdings(clock.Now()))
 	}
 	return dump
 }
 
+func holdings(list []keyrange.Holding) []trace.Holding {
+	var all []trace.Holding
+	for _, h := range list {
+		all = append(all, trace.Holding{
+			Service: h.Service, From: h.From, To: h.To, Server: h.ServerID, Token: h.Token, LeaseLeftMs: h.LeaseLeft.Milliseconds(),
+			LastCall: h.LastCall, WhyNotFree: h.WhyNotFree,
+		})
+	}
+	return all
+}
+
 func recordedOwners(granted []keyrange.Assignment) []trace.Owner {
 	var owners []trace.Owner
 	for _, a := range granted {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -32,27 +32,38 @@
 	seeds []string
 	hosts map[string]*Host // by IP
 	dirs  map[string]string
+	// newCaller makes the callers of hosts that are started; nil for none.
+	newCaller func() GrantCaller
 }
 
 // newCluster starts a cluster whose hosts are all seeds that bootstrap the group.
-func newCluster(t testing.TB, ips ...string) *cluster {
+func newCluster(t testing.TB, ips ...string) *cluster { return newCallingCluster(t, nil, ips...) }
+
+// newCallingCluster is newCluster with callers.
+func newCallingCluster(t testing.TB, newCaller func() GrantCaller, ips ...string) *cluster {
 	port, err := testport.Free(ips...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cluster{t: t, port: port, hosts: map[string]*Host{}, dirs: map[string]string{}}
+	c := &cluster{t: t, port: port, hosts: map[string]*Host{}, dirs: map[string]string{}, newCaller: newCaller}
+	c.startAll(ips)
+	t.Cleanup(c.killAll)
+	return c
+}
+
+func (c *cluster) startAll(ips []string) {
 	for _, ip := range ips {
 		c.seeds = append(c.seeds, ip+":1")
 	}
 	for _, ip := range ips {
 		c.start(ip, true)
 	}
-	t.Cleanup(func() {
-		for _, h := range c.hosts {
-			c.kill(h)
-		}
-	})
-	return c
+}
+
+func (c *cluster) killAll() {
+	for _, h := range c.hosts {
+		c.kill(h)
+	}
 }
 
 // start starts a host with its existing data directory, or with an empty one if it has none.
@@ -67,7 +78,8 @@
 			DataDir: c.dirs[ip], Bootstrap: bootstrap, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500, ConfigApplyMs: 2500,
 			ElectionMs: 200, RaftHeartbeatMs: 40,
 		},
-		Registry: prometheus.NewRegistry(),
+		Registry:       prometheus.NewRegistry(),
+		NewGrantCaller: c.newCaller,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/fleet/grantcalls.go
+++ b/internal/fleet/grantcalls.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// endGrantCalls ends the calls of a host that stops, also if it could not hand over its leadership.
+func (h *Host) endGrantCalls() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading != nil {
+		h.leading.calls.end()
+	}
+}
+
 // grantLoop sends the leader's calls to backend servers.
 func (h *Host) grantLoop(ctx context.Context, pool *ants.Pool) {
 	defer pool.Release()
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -247,6 +247,7 @@
 	log.WithField("host", h.name).Info("control host stops")
 	h.cancel()
 	h.runner.Stop(ctx)
+	h.endGrantCalls()
 	err := h.server.Stop(ctx)
 	h.peers.close()
 	h.loops.Wait()
--- a/internal/trace/dump.go
+++ b/internal/trace/dump.go
@@ -23,6 +23,19 @@
 	Since   time.Time `json:"since"`  // when the host learned of the owner; zero if unknown
 }
 
+// Holding is a key range of a service whose servers take grants by calls, and who may hold it, as known to the
+// leader.
+type Holding struct {
+	Service     string `json:"service"`
+	From        int64  `json:"from"`   // first key
+	To          int64  `json:"to"`     // last key
+	Server      string `json:"server"` // empty if the keys are free
+	Token       uint64 `json:"token"`
+	LeaseLeftMs int64  `json:"lease_left_ms"`          // for which the server may still hold the keys
+	LastCall    string `json:"last_call,omitempty"`    // and what is known of it
+	WhyNotFree  string `json:"why_not_free,omitempty"` // empty if the keys are free, or served as intended
+}
+
 // Dump is the part of a host's state dump that traces use.
 type Dump struct {
 	Host     string                  `json:"host"`
@@ -31,4 +44,5 @@
 	Keys     []Timestamped[KeyEvent] `json:"keys,omitempty"`
 	Owners   []Owner                 `json:"owners,omitempty"`   // as known to the host now
 	Recorded []Owner                 `json:"recorded,omitempty"` // latest grants in the replicated log
+	Holdings []Holding               `json:"holdings,omitempty"` // only on the leader
 }
--- a/internal/trace/writehistory.go
+++ b/internal/trace/writehistory.go
@@ -51,6 +51,7 @@
 	for _, d := range dumps {
 		rows = append(rows, ownerRows(d.Host, "owner now", d.Owners, service, key)...)
 		rows = append(rows, ownerRows(d.Host, "newest grant in the log", d.Recorded, service, key)...)
+		rows = append(rows, holdingRows(d, service, key)...)
 	}
 	return writeTable(w, rows)
 }
@@ -95,6 +96,30 @@
 	return nil
 }
 
+func holdingRows(d Dump, service string, key int64) [][]string {
+	var rows [][]string
+	for _, h := range d.Holdings {
+		if h.Service != service || key < h.From || h.To < key {
+			continue
+		}
+		detail := []string{fmt.Sprintf("token %d", h.Token)}
+		if h.LeaseLeftMs > 0 {
+			detail = append(detail, fmt.Sprintf("at most %d ms more", h.LeaseLeftMs))
+		}
+		for _, text := range []string{h.LastCall, h.WhyNotFree} {
+			if text != "" {
+				detail = append(detail, text)
+			}
+		}
+		server := h.Server
+		if server == "" {
+			server = "-"
+		}
+		rows = append(rows, []string{"-", d.Host, "may be held by", server, formatRange(h.From, h.To), strings.Join(detail, "; ")})
+	}
+	return rows
+}
+
 func formatTime(t time.Time) string { return t.UTC().Format(timeFormat) }
 
 func formatRange(from, to int64) string { return fmt.Sprintf("%d-%d", from, to) }
