Compress the table that gateways are sent, and encode the whole one once for all

Cause: on deployments of hundreds of machines entry hosts have links of 2 Mbit/s. A table of 657 servers and 2,628 ranges took 144,502 bytes, 0.58 s of such a link, and each change of the leader sends it to all 195 at the same moment, half of them over the link between the regions. The leader encoded it for each of them again.

The whole table is encoded once for each version.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -256,11 +255,18 @@
 	draining map[string]bool   // by server ID
 }
 
+// decodeTable decodes an update of the table.
+func decodeTable(body []byte, u *keyrange.TableUpdate) (ok bool) {
+	decoded, err := keyrange.DecodeTable(body)
+	*u = decoded
+	return err == nil
+}
+
 func (g *gatewayStub) Call(context.Context, *peer.Conn, int, []byte) ([]byte, error) { return nil, nil }
 func (g *gatewayStub) Closed(*peer.Conn)                                             {}
 func (g *gatewayStub) Notify(_ *peer.Conn, kind int, body []byte) {
 	var update keyrange.TableUpdate
-	if kind != wire.KindFleetTable || cbor.Unmarshal(body, &update) != nil {
+	if kind != wire.KindFleetTable || !decodeTable(body, &update) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -19,6 +19,7 @@
 	coordinator    *keyrange.Coordinator
 	propagation    *propagation
 	encodedUpdates encodedUpdates
+	fullTable      fullTable
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
 	quarantine     *quarantine.Tracker
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/clock"
@@ -101,7 +100,7 @@
 // held.
 func (h *Host) sendTable(update keyrange.TableUpdate) {
 	h.addHostInfo(&update)
-	body, err := cbor.Marshal(update)
+	body, err := keyrange.EncodeTable(update)
 	if err != nil {
 		log.WithError(err).Error("encoding the table failed")
 		return
@@ -132,16 +131,26 @@
 	}
 }
 
+// fullTable is the encoded full table of a version. After a change of the leader all gateways ask for it.
+type fullTable struct {
+	version uint64
+	body    []byte // nil if there is none yet
+}
+
 // encodeFullTable returns the encoded full table, or nil if that fails. It must be called with Host.mu
 // held.
 func (h *Host) encodeFullTable(l *leadership) []byte {
-	update := l.coordinator.Snapshot()
-	h.addHostInfo(&update)
-	body, err := cbor.Marshal(update)
-	if err != nil {
-		log.WithError(err).Error("encoding the table failed")
+	if version := l.coordinator.TableVersion(); l.fullTable.body == nil || l.fullTable.version != version {
+		update := l.coordinator.Snapshot()
+		h.addHostInfo(&update)
+		body, err := keyrange.EncodeTable(update)
+		if err != nil {
+			log.WithError(err).Error("encoding the table failed")
+			return nil
+		}
+		l.fullTable = fullTable{version: version, body: body}
 	}
-	return body
+	return l.fullTable.body
 }
 
 // recordKeyEvents adds the key events since the last call to the log output, the history and the
--- a/internal/fleet/slowgateway_test.go
+++ b/internal/fleet/slowgateway_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
@@ -36,7 +34,7 @@
 func (r *tableRecorder) Closed(*peer.Conn) {}
 func (r *tableRecorder) Notify(_ *peer.Conn, kind int, body []byte) {
 	var update keyrange.TableUpdate
-	if kind == wire.KindFleetTable && cbor.Unmarshal(body, &update) == nil {
+	if kind == wire.KindFleetTable && decodeTable(body, &update) {
 		r.updates <- update
 	}
 }
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -219,8 +219,8 @@
 }
 
 func (u *updateHandler) applyTable(from *peer.Conn, body []byte) {
-	var update keyrange.TableUpdate
-	if err := cbor.Unmarshal(body, &update); err != nil {
+	update, err := keyrange.DecodeTable(body)
+	if err != nil {
 		log.WithError(err).Error("cannot decode table update; resubscribing")
 		from.Close()
 		return
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -60,6 +60,9 @@
 	return count
 }
 
+// TableVersion returns the version of the table as of the last call of Changes.
+func (c *Coordinator) TableVersion() uint64 { return c.published.version }
+
 // Snapshot returns the full table as of the last call of Changes.
 func (c *Coordinator) Snapshot() TableUpdate {
 	update := TableUpdate{Term: c.options.Term, Version: c.published.version, Full: true, Partial: c.published.partial}
