Don't break off a long response when the other attempt of its request is canceled

Cause: both attempts of a hedged request shared one context. Once the first usable response was there, it was canceled to end the other attempt, which closed the connection of the used response as well. Responses of up to 256 KiB were already read; of longer ones, as routes with large responses have, the client got the first part and a reset. It also kept every connection with a hedged response from being used again.

Change: each attempt has a context of its own. TestLongResponseOfHedgedRequestIsComplete failed before ("unexpected EOF").

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,9 @@
 type attemptResult struct {
 	resp *backendResponse
 	err  error
+	end  context.CancelFunc // breaks off the exchange, also while its response is being read
+
+	second bool // whether the attempt is the hedged one
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -39,6 +42,21 @@
 	if r.err == nil {
 		r.resp.finish(false)
 	}
+	r.end()
+}
+
+// use returns the response, whose exchange ends with its finish.
+func (r attemptResult) use() (*backendResponse, error) {
+	if r.err != nil {
+		r.end()
+		return nil, r.err
+	}
+	finish := r.resp.finish
+	r.resp.finish = func(complete bool) {
+		finish(complete)
+		r.end()
+	}
+	return r.resp, nil
 }
 
 // send sends the request to a server. If the first attempt of an idempotent request with a
@@ -49,32 +67,35 @@
 	if !c.route.Kind.Repeatable() || c.stream != nil || c.attempts > 0 {
 		return c.attempt(c.ctx, to)
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
 	results := make(chan attemptResult, 2)
-	go c.attemptInto(ctx, to, c.prepare(to), results)
+	endFirst := c.startAttempt(to, results)
 	timer := time.NewTimer(c.hedgeDelay(to))
 	defer timer.Stop()
 	select {
 	case r := <-results:
-		return c.cancelOnFinish(cancel, r)
+		return r.use()
 	case <-timer.C:
 	}
 	second := c.hedgeTarget(service)
 	if second == nil {
-		return c.cancelOnFinish(cancel, <-results)
+		return (<-results).use()
+	}
+	endSecond := c.startAttempt(second, results)
+	earlier := <-results
+	if earlier.err != nil || c.notFinal(earlier.resp) {
+		c.mayHaveRun = c.mayHaveRun || earlier.mayHaveRun()
+		earlier.discard()
+		return (<-results).use()
 	}
-	go c.attemptInto(ctx, second, c.prepare(second), results)
-	first := <-results
-	if first.err != nil || c.notFinal(first.resp) {
-		c.mayHaveRun = c.mayHaveRun || first.mayHaveRun()
-		first.discard()
-		return c.cancelOnFinish(cancel, <-results)
+	endOther := endSecond
+	if earlier.second {
+		endOther = endFirst
 	}
 	go func() {
-		cancel()
+		endOther()
 		(<-results).discard()
 	}()
-	return first.resp, nil
+	return earlier.use()
 }
 
 // hedgeDelay returns how long to wait for a response before the request is sent a second time. If
@@ -88,21 +109,6 @@
 	return max(minHedgeDelay, hedgeFactor*expectedTime)
 }
 
-// cancelOnFinish cancels the attempts' context when the exchange of the response ends, or at once
-// if the attempt failed.
-func (c *call) cancelOnFinish(cancel context.CancelFunc, r attemptResult) (*backendResponse, error) {
-	if r.err != nil {
-		cancel()
-		return nil, r.err
-	}
-	finish := r.resp.finish
-	r.resp.finish = func(complete bool) {
-		finish(complete)
-		cancel()
-	}
-	return r.resp, nil
-}
-
 // hedgeTarget returns the server for the second attempt, or nil if no server can answer in time, no
 // further attempt is allowed, or the request is suspected of crashing servers.
 func (c *call) hedgeTarget(service *routes.Service) *target {
@@ -157,7 +163,14 @@
 	return to.send(ctx, req, c.host.dialect)
 }
 
-func (c *call) attemptInto(ctx context.Context, to *target, req *backendRequest, results chan<- attemptResult) {
-	resp, err := to.send(ctx, req, c.host.dialect)
-	results <- attemptResult{resp, err}
+// startAttempt sends the request to a server on a new goroutine, with a context of its own.
+func (c *call) startAttempt(to *target, results chan<- attemptResult) (end context.CancelFunc) {
+	ctx, end := context.WithCancel(c.ctx)
+	req := c.prepare(to)
+	second := c.attempts > 1
+	go func() {
+		resp, err := to.send(ctx, req, c.host.dialect)
+		results <- attemptResult{resp: resp, err: err, end: end, second: second}
+	}()
+	return end
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -261,6 +261,32 @@
 	}
 }
 
+// Guards against a long response that breaks off halfway: the other attempt of a hedged request was canceled,
+// and with it the one whose response was being passed on.
+func TestLongResponseOfHedgedRequestIsComplete(t *testing.T) {
+	body := strings.Repeat("x", 4*maxBufferedResponse)
+	slow := func(net.Conn, *http.Request, []byte) bool {
+		time.Sleep(1200 * time.Millisecond)
+		return false
+	}
+	long := func(conn net.Conn, r *http.Request, _ []byte) bool {
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nTest-Id: %s\r\nTest-Seal: s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Test-Id"), len(body))
+		if _, err := io.WriteString(conn, head+body[:2*maxBufferedResponse]); err != nil {
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+		_, err := io.WriteString(conn, body[2*maxBufferedResponse:])
+		return err == nil
+	}
+	server := newFakeBackend(t, slow, long)
+	f := newFixture(t)
+	f.publish(server)
+	response, got := f.do("GET", "/look/1", nil)
+	if response.StatusCode != http.StatusOK || got != body {
+		t.Errorf("status %d, %d of %d bytes after %d attempts", response.StatusCode, len(got), len(body), server.count())
+	}
+}
+
 // With many gateways and many servers, a gateway often sends to a server for the first time. The
 // hedge delay then depends on the mean service time of the service, so that a slow service does not
 // get each request twice.
