Count a route's timeout from when its client sent the request, on full links

Cause: a gateway counts a route's timeout from when it has read the request.

Change: the queueing on the host's own link is estimated from the round trips of the reports to the leader (least round trip as the base, as in LEDBAT), and taken from the timeout, a third of it at most. Metric galenalug_gateway_link_delay_seconds.

--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -51,6 +51,7 @@
 		log.WithError(err).Debug("cannot report the configuration in force")
 		return
 	}
+	l.delay.add(sentAt)
 	if reply.TableSent {
 		l.view.confirmTable(sentAt)
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -62,6 +62,7 @@
 	backends    *backends
 	regionLinks *regionLinks
 	evidence    *crashEvidence
+	linkDelay   *linkDelay
 	metrics     *metrics
 	events      *eventlog.Log
 	server      *http.Server
@@ -100,6 +101,7 @@
 		backends:      newBackends(m.notices),
 		regionLinks:   newRegionLinks(m.links),
 		evidence:      newCrashEvidence(),
+		linkDelay:     &linkDelay{},
 		clientConns:   newClientConns(),
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
@@ -109,7 +111,7 @@
 	}
 	h.backends.onCrash = h.reportCrash
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
-	if err := m.registerViewGauges(o.Registry, h.view); err != nil {
+	if err := m.registerGauges(o.Registry, h.view, h.linkDelay); err != nil {
 		return nil, err
 	}
 	h.leaderLink = &leaderLink{
@@ -123,6 +125,7 @@
 		backends:     h.backends,
 		tokensWanted: make(chan struct{}, 1),
 		evidence:     h.evidence,
+		delay:        h.linkDelay,
 	}
 	discardLog := stdlog.New(io.Discard, "", 0) // net/http would log errors that clients cause
 	h.server = &http.Server{
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -37,6 +37,7 @@
 	tokensWanted chan struct{} // signals that requests wait for tokens
 	evidence     *crashEvidence
 	current      atomic.Pointer[peer.Client] // of the current subscription; nil for none
+	delay        *linkDelay
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
 	dial dialFunc
 
--- /dev/null
+++ b/internal/gateway/linkdelay.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/galenalug/galenalug/pacing"
+)
+
+// linkDelay estimates the queueing on this host's own link from the reports to the leader.
+type linkDelay struct {
+	mu    sync.Mutex // guards trips; no other lock is acquired while it is held
+	trips pacing.RoundTrips
+}
+
+// add records the round trip of a report that was sent at the given time and is answered now.
+func (d *linkDelay) add(sentAt time.Duration) {
+	now := clockNow()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trips.Add(now, now-sentAt)
+}
+
+// remaining returns the part of a timeout that is left for a request that has just been read.
+func (d *linkDelay) remaining(timeout time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.trips.Remaining(clockNow(), timeout)
+}
+
+// queueing returns the present queueing delay.
+func (d *linkDelay) queueing() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.trips.Queueing(clockNow())
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,8 +54,8 @@
 	return m, nil
 }
 
-// registerViewGauges registers gauges that are read from the view at each scrape.
-func (m *metrics) registerViewGauges(registry prometheus.Registerer, v *view) error {
+// registerGauges registers gauges that are read at each scrape.
+func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay) error {
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_table_age_seconds", Help: "Time since the newest update of the ownership table.",
 	}, func() float64 {
@@ -74,7 +74,10 @@
 		_, stamp, _ := v.snapshot(clockNow())
 		return stamp.ConfigAge.Seconds()
 	})
-	for _, c := range []prometheus.Collector{age, config, configAge} {
+	queueing := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_link_delay_seconds", Help: "Queueing on this host's own link, both ways, as reports to the leader have met it.",
+	}, func() float64 { return d.queueing().Seconds() })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
