Bound the large responses under way from another region

Cause: a route with large responses that moves to a service with servers in the other region, and a burst of such requests, filled the link between the regions: small requests reached their servers more than half a second after their clients had left. pacing.Window bounded large requests only.

Change: a second window for the way back. Its bytes are the expected size of the responses of the route (a moving average), its delay is the time in which connections to servers of that region are opened, which is two small packets in the same queues. What would have to wait too long is refused at once.

TestLargeResponseForFullLinkIsRefusedAtOnce and TestLargeResponsesLeaveTheLink are new.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,8 +148,11 @@
 	if c.stream == nil {
 		req.fingerprint = c.fingerprint
 	}
-	if to.otherRegion != "" {
-		req.bulk = c.bulk
+	if region := to.otherRegion; region != "" {
+		if c.route.Kind != routes.Download {
+			req.bulk = c.bulk
+		}
+		req.onDial = func(took time.Duration) { c.host.observeDial(region, took, c.bulk) }
 	}
 	if c.stream != nil {
 		req.body, req.stream, req.streamLength = nil, c.stream, c.request.ContentLength
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -175,6 +175,10 @@
 	if err != nil {
 		return nil, &exchangeError{reason: reasonConnect, connRefused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 	}
+	if c.dialTook > 0 && req.onDial != nil {
+		req.onDial(c.dialTook)
+	}
+	c.dialTook = 0
 	return exchange(ctx, c, req, dialect, b.release)
 }
 
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -35,6 +35,7 @@
 	reader   *bufio.Reader
 	limit    *readlimit.Reader // below reader
 	written  atomic.Int64      // bytes written of the current request
+	dialTook time.Duration     // how long it took to open; 0 once that was reported
 	maxIdle  time.Duration     // how long the connection may be idle
 	lastUsed time.Time         // end of the last exchange
 	refused  []string          // IDs of the requests that were refused on the connection
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -205,6 +205,7 @@
 			route("look", routes.Idempotent, "stock"),
 			route("order", routes.Once, "stock"),
 			route("photo", routes.Upload, "photos"),
+			route("chart", routes.Download, "photos"),
 		},
 		Services: []routes.Service{{Name: "stock", Keyed: true, MaxConnections: 20}, {Name: "photos", MaxConnections: 20}},
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -200,11 +200,15 @@
 		}
 		resp, err := c.send(target, service)
 		c.endPermit(resp, err)
-		c.bulk.release()
+		final := err == nil && !c.notFinal(resp)
+		if !final || c.route.Kind != routes.Download {
+			c.bulk.release()
+		}
 		if err == nil && !resp.info.NotExecuted {
 			c.recordAnswer()
 		}
-		if err == nil && !c.notFinal(resp) {
+		if final {
+			c.host.responseSizes.observe(c.route, resp)
 			c.respond(resp)
 			return
 		}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -60,22 +60,25 @@
 	view        *view
 	leaderLink  *leaderLink
 	backends    *backends
-	regionLinks *regionLinks
-	evidence    *crashEvidence
-	linkDelay   *linkDelay
-	metrics     *metrics
-	events      *eventlog.Log
-	server      *http.Server
-	listener    net.Listener // of server
-	clientConns *clientConns
-	readyServer *http.Server
-	stopping    atomic.Bool     // the balancer check fails, and clients are asked to leave
-	stopEnd     atomic.Int64    // when requests in flight are given up, on clock.Now; 0 unless stopping
-	givingUp    context.Context // ends at stopEnd
-	giveUp      context.CancelFunc
-	draining    atomic.Bool // new requests are refused
-	cancel      context.CancelFunc
-	done        sync.WaitGroup
+	regionLinks *regionLinks // for large requests to other regions
+	// responseLinks bounds large responses from other regions.
+	responseLinks *regionLinks
+	responseSizes *responseSizes
+	evidence      *crashEvidence
+	linkDelay     *linkDelay
+	metrics       *metrics
+	events        *eventlog.Log
+	server        *http.Server
+	listener      net.Listener // of server
+	clientConns   *clientConns
+	readyServer   *http.Server
+	stopping      atomic.Bool     // the balancer check fails, and clients are asked to leave
+	stopEnd       atomic.Int64    // when requests in flight are given up, on clock.Now; 0 unless stopping
+	givingUp      context.Context // ends at stopEnd
+	giveUp        context.CancelFunc
+	draining      atomic.Bool // new requests are refused
+	cancel        context.CancelFunc
+	done          sync.WaitGroup
 
 	// mu guards the fields below. No other lock is acquired while it is held.
 	mu            sync.Mutex
@@ -99,7 +102,9 @@
 		dialect:       o.Dialect,
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
 		backends:      newBackends(m.notices),
-		regionLinks:   newRegionLinks(m.links),
+		regionLinks:   newRegionLinks(m.links, requestsOut),
+		responseLinks: newRegionLinks(m.links, responsesIn),
+		responseSizes: newResponseSizes(),
 		evidence:      newCrashEvidence(),
 		linkDelay:     &linkDelay{},
 		clientConns:   newClientConns(),
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -31,11 +31,14 @@
 	for {
 		c := b.takeIdle(once, id)
 		if c == nil {
+			started := clockNow()
 			raw, err := b.dial(ctx, "tcp", b.address)
 			if err != nil {
 				return nil, err
 			}
-			return newConn(raw), nil
+			c = newConn(raw)
+			c.dialTook = clockNow() - started
+			return c, nil
 		}
 		if c.reusable() {
 			return c, nil
--- a/internal/gateway/regionlink.go
+++ b/internal/gateway/regionlink.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/pacing"
+	"github.com/galenalug/galenalug/routes"
 )
 
 const (
@@ -19,9 +20,10 @@
 	headBytes = 512
 )
 
-// regionLinks bounds the bulk bytes under way to each other region.
+// regionLinks bounds the bulk bytes under way to each other region, or from it.
 type regionLinks struct {
-	metrics *linkMetrics
+	metrics   *linkMetrics
+	direction string // label of the metrics
 
 	mu       sync.Mutex // guards byRegion and the links; no other lock is acquired while it is held
 	byRegion map[string]*regionLink
@@ -34,8 +36,14 @@
 	waiting []*linkTicket // in order of arrival
 }
 
-func newRegionLinks(m *linkMetrics) *regionLinks {
-	return &regionLinks{metrics: m, byRegion: map[string]*regionLink{}}
+// Directions of links.
+const (
+	requestsOut = "requests"
+	responsesIn = "responses"
+)
+
+func newRegionLinks(m *linkMetrics, direction string) *regionLinks {
+	return &regionLinks{metrics: m, direction: direction, byRegion: map[string]*regionLink{}}
 }
 
 // get returns the link to a region. The caller holds mu.
@@ -80,7 +88,7 @@
 	t.remove()
 	link.window.Send(now, t.bytes)
 	t.link, t.sent, t.acked, t.sampled = link, true, 0, false
-	t.links.metrics.observe(link)
+	t.links.observe(link)
 	return 0
 }
 
@@ -114,7 +122,7 @@
 		window.Remove(acked - t.acked)
 		t.acked = acked
 	}
-	t.links.metrics.observe(t.link)
+	t.links.observe(t.link)
 }
 
 // release takes the request off its link, whether it waits or is under way. A nil ticket is on none.
@@ -134,7 +142,7 @@
 		return
 	case t.sent:
 		t.link.window.Remove(t.bytes - t.acked)
-		t.links.metrics.observe(t.link)
+		t.links.observe(t.link)
 	default:
 		t.link.waiting = slices.DeleteFunc(t.link.waiting, func(other *linkTicket) bool { return other == t })
 	}
@@ -162,8 +170,12 @@
 	}
 }
 
-// bulkTicket returns the ticket of a request that counts as bulk on links between regions, or nil.
+// bulkTicket returns the ticket of a request that counts as bulk on links between regions, or nil. If its
+// response is what is large, the ticket is for the way back.
 func (c *call) bulkTicket() *linkTicket {
+	if c.route.Kind == routes.Download {
+		return &linkTicket{links: c.host.responseLinks, bytes: c.host.responseSizes.expected(c.route)}
+	}
 	bytes := int64(len(c.body))
 	if c.stream != nil {
 		bytes = max(bytes, c.request.ContentLength)
@@ -181,12 +193,12 @@
 
 func newLinkMetrics() *linkMetrics {
 	gauge := func(name, help string) *prometheus.GaugeVec {
-		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{"region"})
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, []string{"region", "direction"})
 	}
 	return &linkMetrics{
-		window:   gauge("galenalug_gateway_link_window_bytes", "Bulk bytes that may be under way to another region."),
-		underWay: gauge("galenalug_gateway_link_bulk_bytes", "Bulk bytes that are under way to another region."),
-		queueing: gauge("galenalug_gateway_link_queueing_seconds", "Queueing delay that the latest bulk request to another region has met."),
+		window:   gauge("galenalug_gateway_link_window_bytes", "Bulk bytes that may be under way to or from another region."),
+		underWay: gauge("galenalug_gateway_link_bulk_bytes", "Bulk bytes that are under way to or from another region."),
+		queueing: gauge("galenalug_gateway_link_queueing_seconds", "Queueing delay that the latest sample to another region has met."),
 	}
 }
 
@@ -194,8 +206,10 @@
 	return []prometheus.Collector{m.window, m.underWay, m.queueing}
 }
 
-func (m *linkMetrics) observe(l *regionLink) {
-	m.window.WithLabelValues(l.region).Set(float64(l.window.Size()))
-	m.underWay.WithLabelValues(l.region).Set(float64(l.window.InFlight()))
-	m.queueing.WithLabelValues(l.region).Set(l.window.Queueing().Seconds())
+// observe updates the metrics of a link. The caller holds mu.
+func (l *regionLinks) observe(link *regionLink) {
+	m := l.metrics
+	m.window.WithLabelValues(link.region, l.direction).Set(float64(link.window.Size()))
+	m.underWay.WithLabelValues(link.region, l.direction).Set(float64(link.window.InFlight()))
+	m.queueing.WithLabelValues(link.region, l.direction).Set(link.window.Queueing().Seconds())
 }
--- a/internal/gateway/regionlink_test.go
+++ b/internal/gateway/regionlink_test.go
@@ -54,6 +54,54 @@
 	}
 }
 
+// fillResponseLink makes the link from region r1 carry much more than its window, with a long queue.
+func (f *fixture) fillResponseLink() {
+	f.host.observeDial("r1", 40*time.Millisecond, nil)
+	f.host.observeDial("r1", 400*time.Millisecond, nil)
+	l := f.host.responseLinks
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.get("r1").window.Send(clockNow(), 1<<20)
+}
+
+// Guards against large responses that fill the link between the regions, so that small requests wait behind them:
+// one that would wait too long is refused at once, as not run.
+func TestLargeResponseForFullLinkIsRefusedAtOnce(t *testing.T) {
+	server := newFakeBackend(t, okResponse("yes"))
+	f := newRemoteFixture(t)
+	f.publish(server)
+	f.fillResponseLink()
+	response, _ := f.do(http.MethodGet, "/chart/1", nil)
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || server.count() != 0 {
+		t.Errorf("status %d, Retry-After %q, %d requests at the server; want a refusal", response.StatusCode, response.Header.Get("Retry-After"), server.count())
+	}
+	if response, _ := f.do(http.MethodGet, "/look/1", nil); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d for a small request, want 200", response.StatusCode)
+	}
+}
+
+// Guards against a window whose sizes are wrong or that is never given back, also if responses break off.
+func TestLargeResponsesLeaveTheLink(t *testing.T) {
+	long := okResponse(strings.Repeat("x", 2*maxBufferedResponse))
+	server := newFakeBackend(t, long, closeConnection, notExecuted, long)
+	f := newRemoteFixture(t)
+	f.publish(server)
+	for range 40 {
+		_, _ = f.do(http.MethodGet, "/chart/1", nil)
+	}
+	time.Sleep(50 * time.Millisecond) // the last response ends after its client has it
+	l := f.host.responseLinks
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n := l.get("r1").window.InFlight(); n != 0 {
+		t.Errorf("%d bytes are under way after all requests have ended", n)
+	}
+	config := testConfig()
+	if got := f.host.responseSizes.expected(&config.Routes[3]); got < maxBufferedResponse {
+		t.Errorf("%d bytes expected, want about %d", got, 2*maxBufferedResponse)
+	}
+}
+
 // Guards against bytes that count as under way for ever, so that a link ends up closed to bodies.
 func TestBodiesLeaveTheLinkWithTheirRequests(t *testing.T) {
 	server := newFakeBackend(t, okResponse("yes"), closeConnection, notExecuted, okResponse("yes"))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -23,8 +23,9 @@
 	once                 bool            // may run only once
 	client               context.Context // ends when the client leaves
 	progress             progress
-	fingerprint          func() string // nil for a streamed body
-	bulk                 *linkTicket   // nil for a small request, and for one within the region
+	fingerprint          func() string            // nil for a streamed body
+	bulk                 *linkTicket              // nil for a small request, and for one within the region
+	onDial               func(took time.Duration) // called when a connection was opened; nil within the region
 }
 
 // clientLeft reports whether the client has left, or has broken off its body.
