Don't send copies of requests where a full link or queue explains the wait

Cause: an idempotent request without a response after four times the expected time was sent again, also if the host's own link was full, so that the copy only made its queue longer, and also to the server that had queued the first one (the owner of its key).

Change: no copies while reports to the leader meet more than 100 ms of queueing, and none to the same server while it runs as many requests as it can.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,6 +17,9 @@
 	// minHedgeDelay is the lower bound of that delay. The loss of a single packet delays a response
 	// by about as much, so a shorter delay gains nothing.
 	minHedgeDelay = 250 * time.Millisecond
+	// maxHedgeQueueing is the queueing on this host's own link up to which requests are sent a second time.
+	// Beyond it the link explains why there is no response, and another copy only adds to its queue.
+	maxHedgeQueueing = 100 * time.Millisecond
 )
 
 // attemptResult is the outcome of one attempt: a response or an error.
@@ -76,7 +79,7 @@
 		return r.use()
 	case <-timer.C:
 	}
-	second := c.hedgeTarget(service)
+	second := c.hedgeTarget(to, service)
 	if second == nil {
 		return (<-results).use()
 	}
@@ -110,13 +113,17 @@
 }
 
 // hedgeTarget returns the server for the second attempt, or nil if no server can answer in time, no
-// further attempt is allowed, or the request is suspected of crashing servers.
-func (c *call) hedgeTarget(service *routes.Service) *target {
-	if c.suspicion().Crashes > 0 {
+// further attempt is allowed, the request is suspected of crashing servers, or a full link or the queue of
+// its server explains why there is no response yet.
+func (c *call) hedgeTarget(first *target, service *routes.Service) *target {
+	if c.suspicion().Crashes > 0 || c.host.linkDelay.queueing() > maxHedgeQueueing {
 		return nil
 	}
 	second, _, _ := c.choose(clockNow(), service, &queueEntry{priority: c.route.Priority})
-	if second == nil || !c.mayAttempt() || !second.takeToken(clockNow()) {
+	if second == nil || second.backend == first.backend && second.queues(clockNow(), second.slots) {
+		return nil
+	}
+	if !c.mayAttempt() || !second.takeToken(clockNow()) {
 		return nil
 	}
 	return second
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -198,6 +198,13 @@
 	return b.replaced || b.refusedAt != 0 && now-b.refusedAt < refusedPeriod
 }
 
+// queues reports whether the server runs as many requests as it can, so that others wait there.
+func (b *backend) queues(now time.Duration, slots int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.load.ExpectedWait(now, slots) > 0
+}
+
 // enqueue adds a request to the queue for the server.
 func (b *backend) enqueue(priority int64) dispatch.Ticket {
 	b.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -261,6 +262,47 @@
 	}
 }
 
+// Guards against copies of requests that fill a link which is full already: there the link, and not the server,
+// explains a late response.
+func TestNoHedgedRequestOnFullLink(t *testing.T) {
+	slow := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(600 * time.Millisecond)
+		return okResponse("yes")(conn, r, body)
+	}
+	server := newFakeBackend(t, slow, okResponse("copy"))
+	f := newFixture(t)
+	f.publish(server)
+	f.host.linkDelay.add(clockNow() - 20*time.Millisecond)
+	f.host.linkDelay.add(clockNow() - 400*time.Millisecond)
+	if response, body := f.do("GET", "/look/1", nil); response.StatusCode != http.StatusOK || body != "yes" || server.count() != 1 {
+		t.Errorf("status %d, body %q, %d requests at the server; want its only response", response.StatusCode, body, server.count())
+	}
+}
+
+// Guards against a second copy of a request at a server that has queued the first one.
+func TestNoHedgedRequestToTheQueueOfTheSameServer(t *testing.T) {
+	slow := func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(600 * time.Millisecond)
+		return okResponse("yes")(conn, r, body)
+	}
+	server := newFakeBackend(t, slow)
+	f := newFixture(t)
+	f.publish(server)
+	const requests = 8 // more than the server runs at a time
+	var clients sync.WaitGroup
+	for range requests {
+		clients.Go(func() {
+			if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != http.StatusOK {
+				t.Errorf("status %d", response.StatusCode)
+			}
+		})
+	}
+	clients.Wait()
+	if server.count() != requests {
+		t.Errorf("%d requests at the server, want %d", server.count(), requests)
+	}
+}
+
 // Guards against a long response that breaks off halfway: the other attempt of a hedged request was canceled,
 // and with it the one whose response was being passed on.
 func TestLongResponseOfHedgedRequestIsComplete(t *testing.T) {
