--- a/internal/fleet/grantcalls.go
+++ b/internal/fleet/grantcalls.go
@@ -131,7 +131,7 @@
 
 // endCall passes the result of a call to the coordinator, if this host still leads.
 func (h *Host) endCall(l *leadership, call keyrange.Call, result keyrange.CallResult, took time.Duration) {
-	h.metrics.countCall(call.Kind, result.Outcome, took)
+	h.metrics.calls.count(call.Kind, result.Outcome, took)
 	if result.Outcome != keyrange.CallDone && result.Outcome != keyrange.CallNoConn {
 		log.WithFields(log.Fields{
 			"kind": call.Kind, "outcome": result.Outcome, "server": call.ServerID, "address": call.Address,
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -36,7 +36,7 @@
 	defer h.mu.Unlock()
 	if !leads {
 		h.metrics.leads.Set(0)
-		h.metrics.ownerless.Set(0)
+		h.metrics.calls.ownerless.Set(0)
 		if h.leading != nil {
 			close(h.leading.reported) // ends the waiting acknowledgements
 			h.leading.calls.end()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -5,8 +5,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/galenalug/galenalug/keyrange"
 )
 
 // metrics holds the Prometheus metrics of a control host.
@@ -29,9 +27,7 @@
 	tokens       *prometheus.CounterVec
 	quarantines  prometheus.Counter
 	suspects     *prometheus.GaugeVec
-	calls        *prometheus.CounterVec
-	callSeconds  *prometheus.HistogramVec
-	ownerless    prometheus.Gauge
+	calls        *callMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -89,18 +85,9 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
-	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "galenalug_fleet_grant_calls_total", Help: "Calls about keys to backend servers, by kind and outcome.",
-	}, []string{"kind", "outcome"})
-	m.callSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "galenalug_fleet_grant_call_seconds", Help: "Time until a call about keys to a backend server has ended, by kind.",
-		Buckets: []float64{0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 0.5, 1},
-	}, []string{"kind"})
-	m.ownerless = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "galenalug_fleet_keys_without_owner", Help: "Keys of all services to which no gateway sends requests; 0 on a follower.",
-	})
+	m.calls = newCallMetrics()
 	collectors := []prometheus.Collector{
-		m.calls, m.callSeconds, m.ownerless,
+		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.joinSeconds, m.tokens,
@@ -113,11 +100,6 @@
 	return m, nil
 }
 
-func (m *metrics) countCall(kind keyrange.CallKind, outcome keyrange.CallOutcome, took time.Duration) {
-	m.calls.WithLabelValues(string(kind), string(outcome)).Inc()
-	m.callSeconds.WithLabelValues(string(kind)).Observe(took.Seconds())
-}
-
 func (m *metrics) countHeartbeat(started time.Time, err error) {
 	answered := "yes"
 	if err != nil {
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -88,7 +88,7 @@
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	update, changed := l.coordinator.Changes(now)
-	h.metrics.ownerless.Set(float64(l.coordinator.KeysWithoutOwner()))
+	h.metrics.calls.ownerless.Set(float64(l.coordinator.KeysWithoutOwner()))
 	if changed {
 		h.sendTable(update)
 	}
