Load model of key ranges: reports name the incarnation, as gateways' reports do

The test's bounds are as they were.

Also: pacing.RoundTrips uses the base delay of the windows instead of one of its own.

--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -46,6 +46,8 @@
 	maxKeylessPause = 8 * time.Second
 	// unsentGrantTime is how long keys stay assigned to a server before the first call.
 	unsentGrantTime = 3 * time.Second
+	// assignInterval is the least time between two assignments of free keys to all servers.
+	assignInterval = 50 * time.Millisecond
 	// rejectedPause is how long a server that refuses a call as invalid gets no further one.
 	rejectedPause = 5 * time.Second
 )
@@ -191,9 +193,6 @@
 	}
 }
 
-// assignInterval is the least time between two assignments of free keys to all servers.
-const assignInterval = 50 * time.Millisecond
-
 // dueCall is a call that is due.
 type dueCall struct {
 	service  *service
--- a/keyrange/load_test.go
+++ b/keyrange/load_test.go
@@ -302,7 +302,7 @@
 			s.running = append(s.running, r)
 			observed := p.observed[s.id]
 			if observed == nil {
-				observed = &ServerLoad{ServerID: s.id}
+				observed = &ServerLoad{ServerID: s.id, StartMillis: 1}
 				p.observed[s.id] = observed
 			}
 			observed.Count++
--- a/pacing/roundtrips.go
+++ b/pacing/roundtrips.go
@@ -3,9 +3,6 @@
 import "time"
 
 const (
-	// baseWindow is the time for which the least round trip counts as the one without queueing. Two of these
-	// windows are kept, as in LEDBAT (RFC 6817).
-	baseWindow = 30 * time.Second
 	// recentWindow is the time for which a round trip tells about the present.
 	recentWindow = 1500 * time.Millisecond
 	// acceptedQueueing is the delay of a response by queueing that its receiver accepts.
@@ -17,21 +14,15 @@
 // RoundTrips estimates the queueing delay on a host's link, both ways together, from the round trips of small
 // messages. Its zero value has no estimate. It is not safe for concurrent use.
 type RoundTrips struct {
-	base, earlierBase time.Duration // least round trip of this and of the previous window; 0 for none
-	baseSince         time.Duration // start of this window
-	recent            []roundTrip   // oldest first
+	base   baseDelay   // round trip without queueing
+	recent []roundTrip // oldest first
 }
 
 type roundTrip struct{ at, took time.Duration }
 
 // Add records a round trip that has ended now.
 func (r *RoundTrips) Add(now, took time.Duration) {
-	if now-r.baseSince >= baseWindow {
-		r.earlierBase, r.base, r.baseSince = r.base, 0, now
-	}
-	if r.base == 0 || took < r.base {
-		r.base = took
-	}
+	r.base.observe(now, took)
 	r.forget(now)
 	r.recent = append(r.recent, roundTrip{now, took})
 }
@@ -49,15 +40,7 @@
 	for _, trip := range r.recent {
 		longest = max(longest, trip.took)
 	}
-	return max(0, longest-r.baseline())
-}
-
-// baseline returns the round trip without queueing.
-func (r *RoundTrips) baseline() time.Duration {
-	if r.earlierBase == 0 {
-		return r.base
-	}
-	return min(r.base, r.earlierBase)
+	return max(0, longest-r.base.value())
 }
 
 // Remaining returns the part of a timeout that is left for a request that has just been read: what its sender
