Skip late responses of up to 256 KiB only

Cause: a late response to an earlier request was skipped up to 1 MiB.

Change: 256 KiB, after which the connection is closed. The bound of the test is as it was.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -23,8 +23,9 @@
 	maxLateResponses = 2
 	// maxResponseHead is the maximum size of a response's head, bytes.
 	maxResponseHead = 64 << 10
-	// maxSkippedBody is the maximum size of the body of a late response, bytes.
-	maxSkippedBody = 1 << 20
+	// maxSkippedBody is the maximum size of the body of a late response, bytes. A new connection costs less
+	// than reading more.
+	maxSkippedBody = 256 << 10
 	// maxRefusalBody is the maximum size of the body of a response that states that the request did
 	// not run, bytes. The connection of a longer one is closed.
 	maxRefusalBody = 16 << 10
