--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -122,6 +122,9 @@
 // Calls returns calls that are due, at most the given number, the most urgent first. Each must be sent at once
 // and end with CallEnded. Grants that TakePendingGrants has returned become due once they are resolved.
 func (c *Coordinator) Calls(now time.Duration, limit int) []Call {
+	if !c.anyByCall() {
+		return nil
+	}
 	c.Tick(now)
 	var due []dueCall
 	for _, svc := range c.services {
@@ -151,6 +154,16 @@
 	return calls
 }
 
+// anyByCall reports whether a service has servers that take grants by calls.
+func (c *Coordinator) anyByCall() bool {
+	for _, svc := range c.services {
+		if svc.byCall {
+			return true
+		}
+	}
+	return false
+}
+
 // revokeFromLeaving revokes the keys of servers that leave. These may send no further heartbeat.
 func (c *Coordinator) revokeFromLeaving(now time.Duration, svc *service) {
 	for i := range svc.segments {
