Keep first reports to a new leader small

Cause: since evidence of crashes survives the leader, a gateway's first report to a successor had everything that it had heard: up to 4,096 requests, as many cleared ones and 64 crashes, some 200 kB, at once from each gateway, over links of 2 Mbit/s, and merged by the leader under its lock. Each answer to a suspected request also went to all gateways.

Change: the 256 requests with most crashes, 256 cleared ones of the last 10 s, the crashes of the last 5 s. Gateways hear of an answer only if it changes what they may do.

TestFirstReportIsSmall: at most 32 KiB.

--- a/quarantine/gateway.go
+++ b/quarantine/gateway.go
@@ -8,6 +8,9 @@
 const (
 	// maxOwnCrashes is the number of crashes that a gateway keeps to tell the next leader.
 	maxOwnCrashes = 64
+	// repeatTime is how long a crash is told to the next leader again, since the present one may be gone before
+	// it has told the others.
+	repeatTime = 5 * time.Second
 	// aloneCrashes is the number of crashes from which on a gateway sends a request only by permit of a leader.
 	aloneCrashes = quarantinePoints/crashPoints - 1
 )
@@ -98,7 +101,7 @@
 
 // TakeReport returns what the leader was not told yet, and whether there is anything.
 func (g *Gateway) TakeReport(now time.Duration) (report Report, any bool) {
-	report.Crashes = g.crashes(now, g.own[len(g.own)-g.unsent:])
+	report.Crashes = g.crashes(now, g.own[len(g.own)-g.unsent:], crashMemory)
 	g.unsent = 0
 	for fingerprint := range g.answered {
 		report.Answered = append(report.Answered, fingerprint)
@@ -114,15 +117,18 @@
 // FirstReport returns the first report to a new leader: all that this gateway has seen and heard, as earlier
 // leaders may have taken it with them. The leader counts nothing twice.
 func (g *Gateway) FirstReport(now time.Duration) Report {
+	repeated := g.own[:len(g.own)-g.unsent]
+	unsent := g.own[len(g.own)-g.unsent:]
 	g.unsent = 0
-	return Report{Known: g.table.known(now), Crashes: g.crashes(now, g.own)}
+	crashes := append(g.crashes(now, repeated, repeatTime), g.crashes(now, unsent, crashMemory)...)
+	return Report{Known: g.table.known(now), Crashes: crashes}
 }
 
-// crashes returns crashes as they are reported.
-func (g *Gateway) crashes(now time.Duration, own []ownCrash) []Crash {
+// crashes returns crashes that are younger than maxAge as they are reported.
+func (g *Gateway) crashes(now time.Duration, own []ownCrash, maxAge time.Duration) []Crash {
 	var crashes []Crash
 	for _, c := range own {
-		if now-c.at >= crashMemory {
+		if now-c.at >= maxAge {
 			continue
 		}
 		c.AgeMillis = (now - c.at).Milliseconds()
--- a/quarantine/gateway_test.go
+++ b/quarantine/gateway_test.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // crashAt is a crash with the given requests as a gateway sees it.
@@ -71,6 +74,31 @@
 	}
 }
 
+// Hundreds of gateways with slow links subscribe to a new leader at the same moment. Guards against first reports
+// that fill their links and keep the leader busy.
+func TestFirstReportIsSmall(t *testing.T) {
+	const maxBytes = 32 << 10 // an eighth of a second at 2 Mbit/s
+	g := NewGateway()
+	for i := range 3 * maxRequests {
+		request := Fingerprint([]byte(fmt.Sprint(i)))
+		if i%3 == 0 {
+			g.Apply(time.Second, Update{Entries: []Entry{{Request: request}}})
+		} else {
+			g.Apply(time.Second, Update{Entries: []Entry{{Request: request, Crashes: 1}}})
+		}
+	}
+	g.ObserveCrash(time.Second, crashAt("s1", crashing))
+	g.ObserveCrash(2*time.Second, crashAt("s2", crashing))
+	report := g.FirstReport(3 * time.Second)
+	body, err := cbor.Marshal(report)
+	if err != nil || len(body) > maxBytes {
+		t.Errorf("%d bytes, %v; want at most %d", len(body), err, maxBytes)
+	}
+	if len(report.Known.Entries) == 0 {
+		t.Error("nothing is reported")
+	}
+}
+
 // Guards against a successor that lets a request crash a third server beside a run that its predecessor has
 // permitted.
 func TestSuccessorWaitsForPermitsOfItsPredecessor(t *testing.T) {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -147,13 +147,21 @@
 	return time.Duration(min(max(0, millis), limit)) * time.Millisecond
 }
 
+const (
+	// clearingMemory is how long it is remembered that a request was cleared: longer than gateways mostly take
+	// to reach a new leader.
+	clearingMemory = 10 * time.Second
+	// maxClearings is the number of cleared requests that are remembered.
+	maxClearings = 256
+)
+
 // clearings remembers when requests were cleared of suspicion, so that older evidence against them, from
 // those who have not heard of it, doesn't count.
 type clearings map[string]time.Duration // by fingerprint
 
 // add records that a request was cleared.
 func (c clearings) add(fingerprint string, at time.Duration) {
-	if len(c) >= maxRequests {
+	if len(c) >= maxClearings {
 		for other := range c {
 			delete(c, other)
 			break
@@ -168,10 +176,10 @@
 	return known && at <= clearedAt
 }
 
-// forget drops what is older than the evidence that counts.
+// forget drops what is too old.
 func (c clearings) forget(now time.Duration) {
 	for fingerprint, at := range c {
-		if now-at >= crashMemory {
+		if now-at >= clearingMemory {
 			delete(c, fingerprint)
 		}
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -100,11 +102,19 @@
 	return State{Crashes: e.crashes, Free: e.free, Quarantined: max(0, e.releaseAt-now)}
 }
 
-// known returns all that the table has, for a new leader.
+// maxKnown is the number of suspected requests that a new leader is told, so that the report takes little of a
+// slow link.
+const maxKnown = 256
+
+// known returns what the table has, for a new leader. If it is much, it has the requests with most crashes.
 func (t *table) known(now time.Duration) *Update {
 	t.forget(now)
+	fingerprints := slices.SortedFunc(maps.Keys(t.entries), func(a, b string) int {
+		return cmp.Or(t.entries[b].crashes-t.entries[a].crashes, cmp.Compare(a, b))
+	})
 	b := newUpdateBuilder(now)
-	for fingerprint, e := range t.entries {
+	for _, fingerprint := range fingerprints[:min(len(fingerprints), maxKnown)] {
+		e := t.entries[fingerprint]
 		entry := Entry{Request: fingerprint, Crashes: int64(e.crashes), Answers: e.answers}
 		if e.releaseAt > now {
 			entry.QuarantineMillis = (e.releaseAt - now).Milliseconds()
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -66,12 +66,17 @@
 	if s == nil {
 		return
 	}
+	before := s.count()
+	wasFree := s.free()
 	s.answers++
 	s.answeredAt, s.runsUntil = now, 0
 	if s.quarantined(now) && s.points() < quarantinePoints {
 		s.releaseAt = 0
+		t.markChanged(s)
+	}
+	if s.count() != before || s.free() != wasFree {
+		t.markChanged(s) // gateways need not hear of each answer
 	}
-	t.markChanged(s)
 	if s.points() <= 0 {
 		t.clear(now, s)
 	}
