Full table kept for all gateways: name their number within a tenth

The encoded table is kept for a version, and said how many gateways were connected when the first of them asked. Gateways derive their shares of connections and retries from that number.

--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -133,14 +134,25 @@
 
 // fullTable is the encoded full table of a version. After a change of the leader all gateways ask for it.
 type fullTable struct {
-	version uint64
-	body    []byte // nil if there is none yet
+	version  uint64
+	gateways int    // that it says are connected
+	body     []byte // nil if there is none yet
+}
+
+// maxGatewaysOff is by how much, as a part, the number of connected gateways in a full table may be off: their
+// shares of connections and of the retry budget follow from it.
+const maxGatewaysOff = 0.1
+
+// current reports whether the table can be sent at a version, with a number of connected gateways.
+func (t fullTable) current(version uint64, gateways int) bool {
+	off := math.Abs(float64(gateways - t.gateways))
+	return t.body != nil && t.version == version && off <= maxGatewaysOff*float64(gateways)
 }
 
 // encodeFullTable returns the encoded full table, or nil if that fails. It must be called with Host.mu
 // held.
 func (h *Host) encodeFullTable(l *leadership) []byte {
-	if version := l.coordinator.TableVersion(); l.fullTable.body == nil || l.fullTable.version != version {
+	if version := l.coordinator.TableVersion(); !l.fullTable.current(version, len(h.subscribers)) {
 		update := l.coordinator.Snapshot()
 		h.addHostInfo(&update)
 		body, err := keyrange.EncodeTable(update)
@@ -148,7 +160,7 @@
 			log.WithError(err).Error("encoding the table failed")
 			return nil
 		}
-		l.fullTable = fullTable{version: version, body: body}
+		l.fullTable = fullTable{version: version, gateways: len(h.subscribers), body: body}
 	}
 	return l.fullTable.body
 }
--- a/internal/fleet/publish_test.go
+++ b/internal/fleet/publish_test.go
@@ -21,3 +21,17 @@
 		}
 	}
 }
+
+// Guards against gateways that take themselves for one of few, and so use too many connections and retries: the
+// table that is kept for all that subscribe names their number.
+func TestKeptTableNamesTheNumberOfGateways(t *testing.T) {
+	kept := fullTable{version: 3, gateways: 100, body: []byte{0}}
+	for gateways, want := range map[int]bool{1: false, 80: false, 95: true, 100: true, 110: true, 120: false, 195: false} {
+		if got := kept.current(3, gateways); got != want {
+			t.Errorf("%d gateways: kept table current %v, want %v", gateways, got, want)
+		}
+	}
+	if kept.current(4, 100) || (fullTable{}).current(0, 0) {
+		t.Error("a table of another version, or none, counts as current")
+	}
+}
