Take back the timeouts that a full link shortens

Change: timeouts count from the reading again. The estimate stays for second copies of requests and as a metric.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -110,7 +110,7 @@
 		c.respondWithStatus(http.StatusNotFound, reasonNoRoute)
 		return
 	}
-	c.setDeadline(h.linkDelay.remaining(time.Duration(c.route.TimeoutMillis) * time.Millisecond))
+	c.setDeadline(time.Duration(c.route.TimeoutMillis) * time.Millisecond)
 	c.service = h.pickService(table.Version(), c.route)
 	h.countRequest(c.service, c.info.Key)
 	if !c.readBody(table.Limits()) {
--- a/internal/gateway/linkdelay.go
+++ b/internal/gateway/linkdelay.go
@@ -21,13 +21,6 @@
 	d.trips.Add(now, now-sentAt)
 }
 
-// remaining returns the part of a timeout that is left for a request that has just been read.
-func (d *linkDelay) remaining(timeout time.Duration) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.trips.Remaining(clockNow(), timeout)
-}
-
 // queueing returns the present queueing delay.
 func (d *linkDelay) queueing() time.Duration {
 	d.mu.Lock()
--- a/pacing/doc.go
+++ b/pacing/doc.go
@@ -5,8 +5,7 @@
 // of its rate, so that bulk traffic never stops completely. Both the credit and the debt of the
 // bucket are bounded, so that neither an idle period nor a burst has a long-lasting effect.
 //
-// RoundTrips tells how long messages wait on a host's own link, so that timeouts can be counted from when a
-// request was sent, and not from when it was read.
+// RoundTrips tells how long messages wait on a host's own link.
 //
 // All decisions are pure: time is a duration since an arbitrary monotonic origin. A Link is not safe
 // for concurrent use; callers must hold a lock around each call.
