A server that comes back during a call gets grants again

Cause: a server that was taken for ended while a call to it was under way, and came back with its next heartbeat, is counted anew. The end of the old call then made the number of its calls -1, and a server gets a grant only at 0: it never got one again.

Change: the count does not go below 0. TestServerThatComesBackDuringACallGetsGrants failed before ("no call in 5s").

--- a/keyrange/callresult.go
+++ b/keyrange/callresult.go
@@ -34,10 +34,11 @@
 
 // observeCall records how the server takes calls.
 func (s *server) observeCall(now time.Duration, call Call, result CallResult) {
+	// The server may have been forgotten and come back during the call, which then isn't counted.
 	if call.Kind == CallRelease {
-		s.calls.releases--
+		s.calls.releases = max(0, s.calls.releases-1)
 	} else {
-		s.calls.grants--
+		s.calls.grants = max(0, s.calls.grants-1)
 	}
 	switch result.Outcome {
 	case CallDone, CallStale:
