--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # Plays the case foreign-heartbeat; see claim.txt. It needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/galena-control ] && [ -x target/galena-entry ] && [ -x review/bin/standin ] || exit 2
-exec review/bin/standin foreign-heartbeat review/2
+exec review/bin/standin foreign-heartbeat review/3
