Review: hundreds of changes of a large configuration fill the memory of the control hosts

Cause: the replicated log is cut by the number of its entries, and each entry holds the whole configuration twice.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -29,6 +29,8 @@
 	dir     string
 	trouble bool
 	limit   time.Time
+	// putTimeout is how long the operator sends a configuration without a clear answer.
+	putTimeout time.Duration
 
 	ips      ipRange
 	ports    ports
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +25,7 @@
 var cases = map[string]caseFunc{
 	"foreign-heartbeat": foreignHeartbeat,
 	"service-returns":   serviceReturns,
+	"config-growth":     configGrowth,
 }
 
 // timeLimit ends a case that hangs.
@@ -49,8 +52,16 @@
 		return exitFailed
 	}
 	defer os.RemoveAll(dir)
-	r := &run{record: record, dir: dir, trouble: os.Getenv("TROUBLE") != "0", limit: time.Now().Add(timeLimit)}
+	r := &run{record: record, dir: dir, trouble: os.Getenv("TROUBLE") != "0", limit: time.Now().Add(timeLimit), putTimeout: 20 * time.Second}
 	defer r.end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		r.end()
+		_ = os.RemoveAll(dir)
+		os.Exit(exitFailed)
+	}()
 	breaks, err := c(r)
 	if err != nil {
 		record.printf("the case could not run: %v", err)
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -59,7 +59,7 @@
 // put sends a configuration until it has a clear answer, each time to another control host.
 func (r *run) put(base, version int, routes []route, services []service) error {
 	body := configBody(version, routes, services)
-	until := time.Now().Add(20 * time.Second)
+	until := time.Now().Add(r.putTimeout)
 	for i := rand.IntN(len(r.controls)); time.Now().Before(until); i++ {
 		address := r.controlAddress(i % len(r.controls))
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/config/put", bytes.NewReader(body))
@@ -84,5 +84,5 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return fmt.Errorf("version %d was not acknowledged within 20 s", version)
+	return fmt.Errorf("version %d was not acknowledged within %v", version, r.putTimeout)
 }
