Keep the log's size independent of the number of changes

Counted: 154,938 bytes an entry with 700 routes, 784,010 with 3,500; 512 of them are 79 and 401 MB.

The size of the log is a metric and in the state dump. Why it works: no part of the log grows with the number of changes any more but the bounded history of versions.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -121,9 +121,12 @@
 	if err := h.runner.ReadBarrier(ctx); err != nil {
 		return reply, mapLogError(err)
 	}
-	reply = h.state.checkPut(put)
-	if reply.Outcome == routes.OutcomeAccepted && reply.Current < put.Config.Version {
-		result, err := h.propose(ctx, command{Put: &put})
+	reply, change, err := h.state.checkPut(put)
+	if err != nil {
+		return reply, errors.Wrapf(ErrUnavailable, "version %d: %v", put.Config.Version, err)
+	}
+	if change != nil {
+		result, err := h.propose(ctx, *change)
 		if err != nil {
 			return reply, err
 		}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -33,8 +33,12 @@
 	// initialRangesPerServer is the number of ranges in which a server first gets its keys. It is
 	// kept low because the table for hundreds of servers must reach a gateway quickly.
 	initialRangesPerServer = 4
-	// snapshotEntries is the number of log entries between two snapshots.
+	// snapshotEntries is the number of log entries between two snapshots, and snapshotBytes their size.
 	snapshotEntries = 512
+	snapshotBytes   = 512 << 10
+	// maxInflightBytes is the part of the log that may be on its way to one host: a tenth of a second of a link of
+	// 30 Mbit/s between regions.
+	maxInflightBytes = 384 << 10
 )
 
 // quorumTimeoutElections is the time that a leader waits for replies of a quorum before it steps
@@ -187,15 +191,15 @@
 		Election:        clock.Milliseconds(h.settings.ElectionMs),
 		Heartbeat:       clock.Milliseconds(h.settings.RaftHeartbeatMs),
 		QuorumTimeout:   quorumTimeoutElections * clock.Milliseconds(h.settings.ElectionMs),
-		SnapshotEntries: snapshotEntries,
-		Seed:            rand.Uint64(),
-		Applier:         h.state,
-		Transport:       h,
-		OnLeader:        h.onLeader,
-		OnVoters:        h.observeVoters,
-		OnChange:        h.logMemberChange,
-		Voters:          h.voterPolicy(),
-		ElectionDelay:   h.electionDelay,
+		SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, MaxInflightBytes: maxInflightBytes,
+		Seed:          rand.Uint64(),
+		Applier:       h.state,
+		Transport:     h,
+		OnLeader:      h.onLeader,
+		OnVoters:      h.observeVoters,
+		OnChange:      h.logMemberChange,
+		Voters:        h.voterPolicy(),
+		ElectionDelay: h.electionDelay,
 	}
 	initialMembers := h.bootstrapMembers()
 	switch {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -43,6 +43,7 @@
 	for ctx.Err() == nil {
 		status := h.runner.Status().Node
 		h.voters.Store(voterAddresses(status))
+		h.observeLogSize(status)
 		if !isVoter(status) || status.Leader == 0 {
 			h.requestJoin(ctx, status)
 		}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -23,6 +23,7 @@
 	liveVoters   prometheus.Gauge
 	quorumMargin prometheus.Gauge
 	logFailed    prometheus.Gauge
+	logBytes     *prometheus.GaugeVec
 	joinSeconds  prometheus.Histogram
 	tokens       *prometheus.CounterVec
 	quarantines  prometheus.Counter
@@ -72,6 +73,9 @@
 	m.logFailed = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_log_failed", Help: "1 while this host takes no part in the replicated log because of a storage error.",
 	})
+	m.logBytes = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_log_bytes", Help: "Size of the replicated log in memory: entries, and the newest snapshot. Both are sent to a host with an empty disk.",
+	}, []string{"part"})
 	m.joinSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "galenalug_fleet_join_seconds", Help: "Time from the start or the removal of a control host until it is a voter of the replicated log.",
 		Buckets: []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 10, 20},
@@ -90,7 +94,7 @@
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
-		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.joinSeconds, m.tokens,
+		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens,
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
--- a/internal/fleet/quorum.go
+++ b/internal/fleet/quorum.go
@@ -58,6 +58,12 @@
 	log.WithError(status.Failed).WithField("host", h.name).Error("replicated log failed; this host takes no part in it")
 }
 
+// observeLogSize records how much of the log is in memory.
+func (h *Host) observeLogSize(status replog.Status) {
+	h.metrics.logBytes.WithLabelValues("entries").Set(float64(status.EntryBytes))
+	h.metrics.logBytes.WithLabelValues("snapshot").Set(float64(status.SnapshotBytes))
+}
+
 // observeJoin records how long this host took to become a voter, since its start or since it was
 // removed.
 func (h *Host) observeJoin(status replog.Status) {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -19,7 +19,8 @@
 
 // command is a log entry. Exactly one field is set.
 type command struct {
-	Put         *routes.Put     `cbor:"p,omitempty"`
+	Delta       *routes.Delta   `cbor:"d,omitempty"`
+	Put         *routes.Put     `cbor:"p,omitempty"` // complete configuration, in logs written before there were deltas
 	LeaseMillis int64           `cbor:"l,omitempty"` // maximum lease of grants from this entry on
 	Leave       *keyrange.Leave `cbor:"x,omitempty"`
 
@@ -59,8 +60,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case c.Delta != nil:
+		return s.applyConfig(func() routes.PutReply { return s.routes.ApplyDelta(*c.Delta) })
 	case c.Put != nil:
-		return s.applyPut(*c.Put)
+		return s.applyConfig(func() routes.PutReply { return s.routes.Apply(*c.Put) })
 	case c.Leave != nil:
 		s.leaves = append(s.leaves, *c.Leave)
 		if extra := len(s.leaves) - maxLeaves; extra > 0 {
@@ -74,10 +77,10 @@
 	return nil
 }
 
-// applyPut must be called with s.mu held.
-func (s *fleetState) applyPut(put routes.Put) routes.PutReply {
+// applyConfig calls apply and records the version that it puts into force. It must be called with s.mu held.
+func (s *fleetState) applyConfig(apply func() routes.PutReply) routes.PutReply {
 	before := s.routes.Current().Version
-	reply := s.routes.Apply(put)
+	reply := apply()
 	if reply.Current != before {
 		s.appliedVersions.Add(time.Now(), reply.Current)
 	}
@@ -133,11 +136,17 @@
 }
 
 // checkPut returns the reply to p without applying it. Current in the reply is the version in force
-// now: if p is accepted and Current is below p's version, p has yet to be applied.
-func (s *fleetState) checkPut(p routes.Put) routes.PutReply {
+// now: if p is accepted and Current is below p's version, p has yet to be applied, and change is the log
+// entry for it.
+func (s *fleetState) checkPut(p routes.Put) (reply routes.PutReply, change *command, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.routes.Check(p)
+	reply = s.routes.Check(p)
+	if reply.Outcome != routes.OutcomeAccepted || reply.Current >= p.Config.Version {
+		return reply, nil, nil
+	}
+	delta, err := s.routes.Delta(p)
+	return reply, &command{Delta: &delta}, err
 }
 
 // recordedLease returns the longest lease that was recorded, or 0 if there is none.
--- a/internal/group/cluster_test.go
+++ b/internal/group/cluster_test.go
@@ -120,6 +120,7 @@
 	states          map[string]*counter
 	dir             string
 	snapshotEntries int
+	snapshotBytes   int
 	voters          *replog.VoterPolicy
 	sum             atomic.Uint64 // after the last successful propose
 
@@ -151,7 +152,7 @@
 	r, err := Start(Options{
 		Name: "test", ID: id, HostName: name, Dir: filepath.Join(c.dir, name, string(rune('a'+id))),
 		Bootstrap: bootstrap, Election: c.election, Heartbeat: c.heartbeat,
-		SnapshotEntries: c.snapshotEntries, Seed: 1, Applier: state,
+		SnapshotEntries: c.snapshotEntries, SnapshotBytes: c.snapshotBytes, Seed: 1, Applier: state,
 		Transport: hostTransport{c.net, name}, Storage: options, Voters: c.voters,
 	})
 	if err != nil {
--- a/internal/group/failure.go
+++ b/internal/group/failure.go
@@ -47,6 +47,7 @@
 	status := node.Status(r.now())
 	r.node = node
 	r.snapshotIndex, r.applied = status.SnapshotIndex, status.Applied
+	r.snapshotBytes, r.appliedBytes = status.SnapshotBytes, 0
 	r.applierIndex = max(r.applierIndex, r.applied)
 }
 
--- a/internal/group/open.go
+++ b/internal/group/open.go
@@ -59,8 +59,8 @@
 	config := replog.Config{
 		ID: recovered.Identity, Name: o.HostName,
 		ElectionTimeout: o.Election, HeartbeatInterval: o.Heartbeat, QuorumTimeout: o.QuorumTimeout,
-		MaxInflight: maxInflight,
-		Rand:        rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
+		MaxInflight: maxInflight, MaxInflightBytes: o.MaxInflightBytes,
+		Rand: rand.New(rand.NewPCG(o.Seed, recovered.Identity)),
 	}
 	node, err := replog.New(config, restored, now)
 	return node, errors.Wrapf(err, "group %s", o.Name)
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -26,10 +26,11 @@
 
 	maxQueuedRequests = 16384 // further requests fail with ErrUnavailable
 	maxQueuedMessages = 4096  // further messages are dropped
-	maxInflight       = 16    // unacknowledged appends per member, each up to 1 MiB
+	maxInflight       = 16    // unacknowledged appends per member
 	retainedEntries   = 4096  // kept in memory after a snapshot, for members that lag a little
 
 	defaultSnapshotEntries = 10000
+	defaultSnapshotBytes   = 16 << 20
 	defaultElection        = 500 * time.Millisecond
 	defaultHeartbeat       = 100 * time.Millisecond
 )
@@ -83,6 +84,9 @@
 	// ElectionDelay returns how much later than other members this one stands for election. nil
 	// means no delay. It is called from the loop and must not block.
 	ElectionDelay func() time.Duration
+	// MaxInflightBytes is the data that may be on its way to one member. A member that catches up must not fill a link
+	// that votes and heartbeats share. 0 selects the default of package replog.
+	MaxInflightBytes int
 	// Voters makes the leader keep the voters by this policy. nil means that voters change only by calls.
 	Voters *replog.VoterPolicy
 	// OnChange is called with each member change that the leader has proposed under Voters. It may be
@@ -91,6 +95,10 @@
 	// SnapshotEntries is the number of applied entries after which a snapshot is taken. 0 selects
 	// the default.
 	SnapshotEntries int
+	// SnapshotBytes is the size of the applied entries' data after which a snapshot is taken, too, unless the last
+	// snapshot is larger: then it is the size of that one. Memory, disk and the time to catch up so depend on the
+	// size of the state, and snapshots write little more than the entries do. 0 selects the default.
+	SnapshotBytes int
 	// Seed seeds the random election timeouts.
 	Seed      uint64
 	Applier   Applier
@@ -115,6 +123,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
 	if o.ElectionDelay == nil {
 		o.ElectionDelay = func() time.Duration { return 0 }
 	}
--- a/internal/group/ready.go
+++ b/internal/group/ready.go
@@ -77,6 +77,7 @@
 func (r *Runner) apply(ready replog.Ready) error {
 	if s := ready.Snapshot; s != nil {
 		r.applied, r.snapshotIndex = s.Meta.Index, s.Meta.Index
+		r.snapshotBytes, r.appliedBytes = len(s.Data), 0
 		if len(s.Data) > 0 && s.Meta.Index > r.applierIndex {
 			if err := r.options.Applier.Restore(s.Meta.Index, s.Data); err != nil {
 				return errors.Wrap(err, "group: restore")
@@ -90,6 +91,7 @@
 			result = r.options.Applier.Apply(e.Index, e.Data)
 		}
 		r.applied = e.Index
+		r.appliedBytes += len(e.Data)
 		r.applierIndex = max(r.applierIndex, e.Index)
 		r.completeProposal(e, result)
 	}
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -74,6 +74,8 @@
 	serving          bool              // argument of the last call to OnLeader
 	servingTerm      uint64
 	snapshotIndex    uint64 // index of the latest snapshot
+	snapshotBytes    int    // size of its data
+	appliedBytes     int    // data of the entries applied since the latest snapshot was started
 	applied          uint64 // index of the last entry that the node has released
 	applierIndex     uint64 // index of the last entry that the Applier has; higher than applied after reopen
 	snapshotting     bool
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -12,13 +12,24 @@
 	err  error
 }
 
-// startSnapshot starts writing a snapshot on another goroutine once SnapshotEntries entries have
-// been applied since the last one.
+// snapshotDue reports whether as many entries, or as many bytes of them, have been applied since the last snapshot
+// as the options allow.
+func (r *Runner) snapshotDue() bool {
+	if r.applied == r.snapshotIndex {
+		return false
+	}
+	return r.applied >= r.snapshotIndex+uint64(r.options.SnapshotEntries) || r.appliedBytes >= r.maxLogBytes()
+}
+
+// maxLogBytes returns the size of the entries' data from which they are replaced by a snapshot.
+func (r *Runner) maxLogBytes() int { return max(r.options.SnapshotBytes, r.snapshotBytes) }
+
+// startSnapshot starts writing a snapshot on another goroutine if one is due.
 func (r *Runner) startSnapshot() {
 	if r.applied < r.applierIndex {
 		return // the Applier's state is newer than any index that the node could give the snapshot
 	}
-	if r.snapshotting || r.applied < r.snapshotIndex+uint64(r.options.SnapshotEntries) {
+	if r.snapshotting || !r.snapshotDue() {
 		return
 	}
 	encode, err := freeze(r.options.Applier)
@@ -32,7 +43,7 @@
 		return
 	}
 	write := r.store.SnapshotWriter(meta)
-	r.snapshotting = true
+	r.snapshotting, r.appliedBytes = true, 0
 	r.snapshotWriters.Go(func() {
 		result := snapshotResult{meta: meta}
 		if result.data, result.err = encode(); result.err == nil {
@@ -64,12 +75,13 @@
 	if result.meta.Index <= r.snapshotIndex {
 		return // a snapshot from the leader was installed in the meantime
 	}
-	r.snapshotIndex = result.meta.Index
+	r.snapshotIndex, r.snapshotBytes = result.meta.Index, len(result.data)
 	if err := r.store.Compact(result.meta.Index); err != nil {
 		r.fail(err)
 		return
 	}
-	if err := r.node.Compact(result.meta, result.data, min(retainedEntries, r.options.SnapshotEntries)); err != nil {
+	retention := replog.Retention{Entries: min(retainedEntries, r.options.SnapshotEntries), Bytes: r.maxLogBytes()}
+	if err := r.node.Compact(result.meta, result.data, retention); err != nil {
 		r.fail(err)
 	}
 }
--- a/replog/config.go
+++ b/replog/config.go
@@ -49,12 +49,13 @@
 // Limits and defaults of a Config.
 const (
 	// SnapshotChunkBytes is the maximum size of the snapshot chunk in one message.
-	SnapshotChunkBytes = 1 << 20
+	SnapshotChunkBytes = 256 << 10
 
 	DefaultMaxDrift             = 0.01
 	DefaultMaxEntriesPerMessage = 1024
-	DefaultMaxBytesPerMessage   = 1 << 20
+	DefaultMaxBytesPerMessage   = 256 << 10
 	DefaultMaxInflight          = 64
+	DefaultMaxInflightBytes     = 4 << 20
 )
 
 // Errors of this package.
@@ -95,11 +96,13 @@
 	// Rand is the source of the random election timeouts.
 	Rand *rand.Rand
 	// MaxEntriesPerMessage and MaxBytesPerMessage limit the size of one append,
-	// MaxInflight the number of unacknowledged appends with entries per member. 0 means
-	// the default.
+	// MaxInflight the number of unacknowledged appends with entries per member, and
+	// MaxInflightBytes the data of their entries: no further append is sent from there on.
+	// 0 means the default.
 	MaxEntriesPerMessage int
 	MaxBytesPerMessage   int
 	MaxInflight          int
+	MaxInflightBytes     int
 }
 
 func (c Config) withDefaults() Config {
@@ -118,6 +121,9 @@
 	if c.MaxInflight == 0 {
 		c.MaxInflight = DefaultMaxInflight
 	}
+	if c.MaxInflightBytes == 0 {
+		c.MaxInflightBytes = DefaultMaxInflightBytes
+	}
 	return c
 }
 
@@ -131,7 +137,7 @@
 		return errors.Wrap(ErrInvalidConfig, "need 0 < HeartbeatInterval < ElectionTimeout")
 	case c.MaxDrift < 0 || c.MaxDrift >= 1:
 		return errors.Wrap(ErrInvalidConfig, "MaxDrift is not in [0, 1)")
-	case c.MaxEntriesPerMessage < 0 || c.MaxBytesPerMessage < 0 || c.MaxInflight < 0:
+	case c.MaxEntriesPerMessage < 0 || c.MaxBytesPerMessage < 0 || c.MaxInflight < 0 || c.MaxInflightBytes < 0:
 		return errors.Wrap(ErrInvalidConfig, "negative message limit")
 	}
 	return nil
--- a/replog/log.go
+++ b/replog/log.go
@@ -11,6 +11,7 @@
 	offset     uint64
 	offsetTerm uint64
 	entries    []Entry
+	bytes      int // data of entries
 	commit     uint64
 	applied    uint64
 	stable     uint64 // index of the last entry that is durable
@@ -27,6 +28,7 @@
 		applied:    r.Snapshot.Index,
 	}
 	l.stable = l.last()
+	l.bytes = dataBytes(l.entries)
 	if err := checkEntries(r.Entries, l.offset, l.offsetTerm, r.HardState.Term); err != nil {
 		return raftLog{}, errors.Wrap(ErrInvalidState, err.Error())
 	}
@@ -103,10 +105,21 @@
 	before := entries[0].Index - 1
 	keep := before - l.offset
 	if before < l.last() {
+		l.bytes -= dataBytes(l.entries[keep:])
 		l.entries = l.entries[:keep:keep]
 		l.stable = min(l.stable, before)
 	}
 	l.entries = append(l.entries, entries...)
+	l.bytes += dataBytes(entries)
+}
+
+// dataBytes returns the size of the entries' data.
+func dataBytes(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+	}
+	return size
 }
 
 // missing returns the suffix of entries that the log lacks or has in another term.
@@ -149,17 +162,25 @@
 	return index >= l.last()
 }
 
-// compact replaces the snapshot and discards the entries that it includes, except
-// for the last keep ones, which serve members that lag a little.
-func (l *raftLog) compact(meta SnapshotMeta, data []byte, keep uint64) {
+// compact replaces the snapshot and discards the entries that it includes, except for the
+// newest ones within the retention, which serve members that lag a little.
+func (l *raftLog) compact(meta SnapshotMeta, data []byte, keep Retention) {
 	l.snapshot = meta
 	l.data = data
-	if meta.Index <= l.offset+keep {
+	cut, size := meta.Index, 0
+	for cut > l.offset && meta.Index-cut < uint64(max(keep.Entries, 0)) {
+		size += len(l.entries[cut-l.offset-1].Data)
+		if size > keep.Bytes {
+			break
+		}
+		cut--
+	}
+	if cut == l.offset {
 		return
 	}
-	cut := meta.Index - keep
 	term, _ := l.term(cut)
 	l.entries = append([]Entry(nil), l.slice(cut, l.last())...)
+	l.bytes = dataBytes(l.entries)
 	l.offset, l.offsetTerm = cut, term
 }
 
--- a/replog/replication.go
+++ b/replog/replication.go
@@ -7,6 +7,12 @@
 	"github.com/pkg/errors"
 )
 
+// inflightAppend is an append with entries that is on its way.
+type inflightAppend struct {
+	last  uint64 // index of its last entry
+	bytes int    // data of its entries
+}
+
 // progress is the leader's view of one member's replication state.
 type progress struct {
 	id     uint64
@@ -14,7 +20,8 @@
 	next   uint64 // next index to send
 	commit uint64 // commit index last sent
 
-	inflight []uint64 // last index of each append not yet acknowledged
+	inflight      []inflightAppend // not yet acknowledged
+	inflightBytes int              // data of their entries
 
 	since          time.Duration // when the leader was elected or the member was added, whichever is later
 	acked          bool          // whether the member sent an acknowledgement in this term
@@ -27,6 +34,23 @@
 	snapshot *snapshotTransfer
 }
 
+// addInflight records that entries, at least one, were sent.
+func (pr *progress) addInflight(entries []Entry) {
+	a := inflightAppend{last: entries[len(entries)-1].Index, bytes: dataBytes(entries)}
+	pr.inflight = append(pr.inflight, a)
+	pr.inflightBytes += a.bytes
+}
+
+// acknowledgeInflight forgets the appends whose entries the member has.
+func (pr *progress) acknowledgeInflight() {
+	for len(pr.inflight) > 0 && pr.inflight[0].last <= pr.match {
+		pr.inflightBytes -= pr.inflight[0].bytes
+		pr.inflight = pr.inflight[1:]
+	}
+}
+
+func (pr *progress) clearInflight() { pr.inflight, pr.inflightBytes = nil, 0 }
+
 // reloadProgress adds and drops progress to match the current members.
 func (n *Node) reloadProgress() {
 	before := n.progress
@@ -130,7 +154,7 @@
 	if pr.match == n.log.last() && pr.commit < n.log.commit {
 		heartbeat = true
 	}
-	for pr.next <= n.log.last() && len(pr.inflight) < n.cfg.MaxInflight {
+	for pr.next <= n.log.last() && len(pr.inflight) < n.cfg.MaxInflight && pr.inflightBytes < n.cfg.MaxInflightBytes {
 		if _, ok := n.log.term(pr.next - 1); !ok || pr.next <= n.log.offset {
 			n.startSnapshot(pr)
 			n.sendSnapshotChunk(pr, true)
@@ -149,7 +173,7 @@
 	m.LogTerm, _ = n.log.term(m.Index)
 	if len(entries) > 0 {
 		pr.next += uint64(len(entries))
-		pr.inflight = append(pr.inflight, pr.next-1)
+		pr.addInflight(entries)
 	}
 	pr.commit = n.log.commit
 	n.sendRound(m)
@@ -253,9 +277,7 @@
 		pr.match, pr.matchRound = m.Index, n.round
 	}
 	pr.next = max(pr.next, pr.match+1)
-	for len(pr.inflight) > 0 && pr.inflight[0] <= pr.match {
-		pr.inflight = pr.inflight[1:]
-	}
+	pr.acknowledgeInflight()
 	if pr.snapshot != nil && pr.match >= pr.snapshot.meta.Index {
 		pr.snapshot = nil
 	}
@@ -271,7 +293,7 @@
 		return
 	}
 	pr.next = max(pr.match, min(m.Hint, n.log.last())) + 1
-	pr.inflight = nil
+	pr.clearInflight()
 	pr.backtrackRound = n.round
 	n.heartbeatDue = true
 }
--- a/replog/sim_test.go
+++ b/replog/sim_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -266,7 +267,7 @@
 	data := append(binary.LittleEndian.AppendUint64(nil, h.hash), make([]byte, s.pad)...)
 	h.disk.Entries = slices.Clone(h.disk.Entries[meta.Index-h.disk.Snapshot.Index:])
 	h.disk.Snapshot, h.disk.SnapshotData = meta, data
-	return h.node.Compact(meta, data, keep)
+	return h.node.Compact(meta, data, Retention{Entries: keep, Bytes: math.MaxInt})
 }
 
 func (s *sim) setBlocked(a, b string, blocked bool) {
--- a/replog/snapshot.go
+++ b/replog/snapshot.go
@@ -29,7 +29,7 @@
 
 func (n *Node) startSnapshot(pr *progress) {
 	pr.snapshot = &snapshotTransfer{meta: n.log.snapshot, data: n.log.data, resendAt: n.now}
-	pr.inflight = nil
+	pr.clearInflight()
 }
 
 // sendSnapshotChunk sends the next chunk, or resends one that was not acknowledged
@@ -147,13 +147,20 @@
 	return SnapshotMeta{Index: index, Term: term, Members: members}, err
 }
 
+// Retention bounds the entries that stay in memory although a snapshot includes them, for
+// members that lag a little.
+type Retention struct {
+	Entries int
+	Bytes   int // of the entries' data
+}
+
 // Compact replaces the log up to meta.Index with the snapshot, which must already be
-// durable. The last keep entries stay in memory for members that lag a little. The
-// data must not be modified afterwards.
-func (n *Node) Compact(meta SnapshotMeta, data []byte, keep int) error {
+// durable, except for entries within the retention. The data must not be modified
+// afterwards.
+func (n *Node) Compact(meta SnapshotMeta, data []byte, keep Retention) error {
 	if meta.Index < n.log.snapshot.Index || meta.Index > n.log.applied {
 		return errors.Wrapf(ErrCompacted, "index %d", meta.Index)
 	}
-	n.log.compact(meta, data, uint64(max(keep, 0)))
+	n.log.compact(meta, data, keep)
 	return nil
 }
--- a/replog/status.go
+++ b/replog/status.go
@@ -25,6 +25,8 @@
 	Last          uint64
 	First         uint64 // first index still in memory
 	SnapshotIndex uint64
+	EntryBytes    int           // data of the entries in memory
+	SnapshotBytes int           // data of the newest snapshot
 	Leads         bool          // whether it holds the leadership lease
 	LeaderSince   time.Duration // time of its election on its own clock; 0 if it is not the leader
 	Members       []MemberStatus
@@ -67,7 +69,8 @@
 	status := Status{
 		ID: n.cfg.ID, Name: n.cfg.Name, Role: n.role, Term: n.term, Leader: n.leader,
 		Commit: n.log.commit, Applied: n.log.applied, Last: n.log.last(), First: n.log.offset + 1,
-		SnapshotIndex: n.log.snapshot.Index, Leads: n.HoldsLease(now),
+		SnapshotIndex: n.log.snapshot.Index, EntryBytes: n.log.bytes, SnapshotBytes: len(n.log.data),
+		Leads: n.HoldsLease(now),
 	}
 	if n.role == Leader {
 		status.LeaderSince = n.electedAt
--- a/routes/change.go
+++ b/routes/change.go
@@ -117,7 +117,7 @@
 
 // UpdateSince returns the smallest update for a replica that has a version, 0 for none.
 func (s *Store) UpdateSince(version uint64) Update {
-	current := s.state.Current
+	current := s.current
 	if version == current.Version {
 		return Update{}
 	}
--- a/routes/change_test.go
+++ b/routes/change_test.go
@@ -41,11 +41,11 @@
 		history := []Config{{}}
 		for version := uint64(1); version <= 8; version++ {
 			next := drawConfig(t, version)
-			store.state.Current, store.state.History = history[version-1], nil
+			store.current, store.history = history[version-1], nil
 			if version > 1 {
 				store.changes.add(Diff(history[version-1], next))
 			}
-			store.state.Current = next
+			store.current = next
 			history = append(history, next)
 			from := rapid.IntRange(0, int(version)).Draw(t, "from")
 			body, err := EncodeUpdate(store.UpdateSince(uint64(from)))
@@ -74,8 +74,8 @@
 		for i := range 100 {
 			c.Routes = append(c.Routes, Route{Name: fmt.Sprint("r", i)})
 		}
-		store.changes.add(Diff(store.state.Current, c))
-		store.state.Current = c
+		store.changes.add(Diff(store.current, c))
+		store.current = c
 	}
 	if update := store.UpdateSince(1); update.Full == nil || update.Changes != nil {
 		t.Errorf("version 1 is no longer known: got an update with %d changes, want a complete configuration", len(update.Changes))
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -72,6 +72,25 @@
 	Newest uint64 `json:"v" yaml:"v" cbor:"v"`
 }
 
+// Delta is a Put as the replicated log has it: its difference from the
+// configuration that it replaces.
+type Delta struct {
+	// Version that the change is based on; 0 for the first configuration.
+	Base uint64 `json:"b" yaml:"b" cbor:"b"`
+
+	// Difference of the encoded Put from the one in force; see package delta.
+	Encoded []byte `json:"e" yaml:"e" cbor:"e"`
+
+	// Digest of the content of the new configuration.
+	Digest uint64 `json:"g" yaml:"g" cbor:"g"`
+
+	// Checksum of the encoded Put.
+	Sum uint64 `json:"s" yaml:"s" cbor:"s"`
+
+	// Version of the new configuration.
+	Version uint64 `json:"v" yaml:"v" cbor:"v"`
+}
+
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
 	// Largest request body, bytes.
@@ -181,14 +200,17 @@
 
 // Snapshot is the durable state of a Store.
 type Snapshot struct {
-	// Configuration in force.
-	Current Config `json:"c" yaml:"c" cbor:"c"`
+	// Configuration in force, in snapshots without the encoded Put.
+	Current *Config `json:"c,omitempty,omitzero" yaml:"c,omitempty" cbor:"c,omitempty"`
 
-	// Operator's original text of it.
+	// Operator's original text of it, likewise.
 	Document []byte `json:"d" yaml:"d" cbor:"d"`
 
 	// Accepted configurations, oldest first.
 	History []Accepted `json:"h" yaml:"h" cbor:"h"`
+
+	// Encoded Put in force, compressed; see package delta.
+	Put []byte `json:"p" yaml:"p" cbor:"p"`
 }
 
 // Update brings a replica to the newest configuration: a complete configuration,
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -1,7 +1,12 @@
 package routes
 
 import (
+	"bytes"
+	"reflect"
 	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
 )
 
 func validConfig(version uint64) Config {
@@ -117,3 +122,81 @@
 		t.Errorf("weights 9 and 1 distributed 100 requests as %v", counts)
 	}
 }
+
+// A replica that applies deltas has what the leader's store has, and answers repeated changes like it.
+func TestReplicasFollowByDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var leader, replica Store
+		for version := uint64(1); version <= 8; version++ {
+			p := Put{Base: version - 1, Config: drawConfig(t, version), Document: rapid.SliceOf(rapid.Byte()).Draw(t, "document")}
+			for i := range p.Config.Routes {
+				p.Config.Routes[i].Kind, p.Config.Routes[i].MaxAttempts = Idempotent, 1
+			}
+			d, err := leader.Delta(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if leader.Check(p).Outcome != OutcomeAccepted {
+				t.Fatalf("version %d: %+v", version, leader.Check(p))
+			}
+			for name, s := range map[string]*Store{"leader": &leader, "replica": &replica} {
+				for range 2 { // the second time it is a repeated change
+					if reply := s.ApplyDelta(d); reply.Outcome != OutcomeAccepted || reply.Current != version {
+						t.Fatalf("%s, version %d: got %+v", name, version, reply)
+					}
+				}
+			}
+			if rapid.Bool().Draw(t, "restored") {
+				image, err := replica.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				replica = Store{}
+				if err := replica.Restore(image); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !reflect.DeepEqual(replica.Current(), p.Config) || !bytes.Equal(replica.Document(), p.Document) {
+				t.Fatalf("version %d: the replica has %+v, want %+v", version, replica.Current(), p.Config)
+			}
+		}
+	})
+}
+
+func TestDeltaOfAnotherConfigurationChangesNothing(t *testing.T) {
+	var s, other Store
+	s.Apply(Put{Config: validConfig(5), Document: []byte("five")})
+	other.Apply(Put{Config: validConfig(5), Document: []byte("another five")})
+	d, err := other.Delta(Put{Base: 5, Config: validConfig(6), Document: []byte("another six")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reply := s.ApplyDelta(d); reply.Outcome == OutcomeAccepted || s.Current().Version != 5 {
+		t.Errorf("a delta from another configuration: got %+v with version %d in force", reply, s.Current().Version)
+	}
+	d.Base = 4
+	if reply := s.ApplyDelta(d); reply.Outcome != OutcomeConflict {
+		t.Errorf("a delta from an older version: got %+v, want a conflict", reply)
+	}
+}
+
+// Snapshots of earlier releases hold the decoded configuration and the document.
+func TestRestoreOfCompleteSnapshot(t *testing.T) {
+	first := Put{Config: validConfig(5), Document: []byte("first")}
+	digest, err := Digest(first.Config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	image, err := cbor.Marshal(Snapshot{Current: &first.Config, Document: first.Document, History: []Accepted{{Version: 5, Digest: digest}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s, applied Store
+	if err := s.Restore(image); err != nil {
+		t.Fatal(err)
+	}
+	applied.Apply(first)
+	if !bytes.Equal(s.encoded, applied.encoded) || string(s.Document()) != "first" || s.Apply(first).Outcome != OutcomeAccepted {
+		t.Errorf("restored %+v with document %q", s.Current(), s.Document())
+	}
+}
