Don't compare sequence numbers of different processes of a server

Callers would see two servers that run requests for the same keys: late heartbeats of an earlier process under the same ID freed keys that its successor held.

Cause: knowsOf compared the sequence number of the heartbeat with that of the grant although another incarnation had received the grant.

Change: a heartbeat of an earlier incarnation knows of no later grant.

--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -78,9 +78,12 @@
 }
 
 // knowsOf reports whether the server's newest heartbeat was sent after the one that was answered with
-// the grant, or by a later incarnation.
+// the grant, or by a later incarnation. Sequence numbers of different incarnations don't compare.
 func (s *server) knowsOf(seg *segment) bool {
-	return s.info.StartMillis > seg.startMillis || s.sequence > seg.sequence
+	if s.info.StartMillis != seg.startMillis {
+		return s.info.StartMillis > seg.startMillis
+	}
+	return s.sequence > seg.sequence
 }
 
 // renew returns the grants of all keys that the server is to hold, and extends their leases to
