Let refused connections end no server

Callers saw: servers that were cut off with resets kept running under their leases, and 1.5 s after the cut other servers got their keys.

Cause: connections that two gateways saw refused, with two missed heartbeats, counted as proof that the process had ended. A path that answers with resets looks the same.

Change: hasEnded (keyrange/ended.go) alone decides that a server has ended, and only another process under its ID or at its address proves it. All paths go through it; reports of refused connections are gone from the protocol, as is the leader's own refused call as evidence.

Why it works: nothing that a network path can produce frees keys any more before the lease ends.

Evidence: TestServerThatIsCutOffKeepsItsKeysUntilItsLeaseEnds failed on the old code (s1 holds 0 of 16 keys).

TestRefusalsCountOnlyForTheirIncarnation demanded that refused connections end a server, which a trace shows to be wrong; it is replaced by TestAnswerOfAnotherServerAtItsAddressEndsServer, which asks the same of what does prove it. The model of grants by calls reports another server at the address instead of refused connections.

Price: keys of a crashed server whose address stays closed wait for the end of the lease.

--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -50,7 +50,6 @@
 	b.failedAt = clockNow()
 	if e.connRefused {
 		b.refusedAt = b.failedAt
-		b.observed.Refused++
 	}
 }
 
--- a/keyrange/callmodel_test.go
+++ b/keyrange/callmodel_test.go
@@ -72,7 +72,7 @@
 	connections int64 // number of connections so far
 	calls       []*modelCall
 	beats       []modelMessage
-	refusals    []modelRefusal
+	reports     []modelReport
 	closed      []string // addresses of processes that have ended
 	lastHolder  [callModelKeys]*callProcess
 	heldAt      [callModelKeys]time.Duration // when it last had a holder
@@ -81,11 +81,10 @@
 	fault       callFault
 }
 
-// modelRefusal is an entry host's report of a refused connection.
-type modelRefusal struct {
+// modelReport is an entry host's report that another process answers at a server's address.
+type modelReport struct {
 	at   time.Duration
 	load ServerLoad
-	host string
 }
 
 // callFault is a safety rule that is broken on purpose.
@@ -194,7 +193,7 @@
 	m.check()
 }
 
-// end ends a process. Entry hosts find its address closed, if no other process starts there before.
+// end ends a process. If another one starts at its address, an entry host may report that, also late.
 func (m *callModel) end() {
 	if len(m.processes) < 2 {
 		return
@@ -209,31 +208,24 @@
 	}
 	if m.draw(2) == 0 {
 		m.start(id, old.address)
+		load := ServerLoad{ServerID: old.id, StartMillis: old.startMillis, Misdirected: 1}
+		m.reports = append(m.reports, modelReport{at: m.now + m.drawTime(2*time.Second), load: load})
 		return
 	}
 	if m.draw(1) == 0 {
 		m.start(id, fmt.Sprint("b", m.starts))
 	}
-	for _, host := range []string{"gateway-1", "gateway-2"} {
-		refusedAt := m.now + m.drawTime(2*time.Second)
-		load := ServerLoad{ServerID: old.id, StartMillis: old.startMillis, Refused: 1}
-		m.refusals = append(m.refusals, modelRefusal{at: refusedAt, load: load, host: host})
-	}
 }
 
-// restart starts processes at the addresses of ended ones. While an address is closed, its refusals are
-// observed; a report takes up to 0.3 s.
+// restart starts processes at the addresses of ended ones, and delivers the reports that are due.
 func (m *callModel) restart() {
-	var later []modelRefusal
-	for _, r := range m.refusals {
-		if r.at > m.now {
-			later = append(later, r)
-			continue
+	m.reports = slices.DeleteFunc(m.reports, func(r modelReport) bool {
+		if r.at <= m.now {
+			m.leader.Report(m.now, "gateway", LoadReport{Servers: []ServerLoad{r.load}})
 		}
-		m.leader.Report(m.now, r.host, LoadReport{Servers: []ServerLoad{r.load}})
-	}
-	m.refusals = later
-	if m.calm || len(m.processes) >= callModelServers || len(later) > 0 || len(m.closed) == 0 || m.draw(20) != 0 {
+		return r.at <= m.now
+	})
+	if m.calm || len(m.processes) >= callModelServers || len(m.closed) == 0 || m.draw(20) != 0 {
 		return
 	}
 	m.start(fmt.Sprint("s", 200+m.starts), m.closed[0])
--- a/keyrange/callresult.go
+++ b/keyrange/callresult.go
@@ -24,14 +24,8 @@
 			c.applyGrantCall(now, svc, seg, result)
 		}
 	})
-	if result.Outcome == CallRefused && s != nil && s.info.StartMillis == call.StartMillis {
-		c.applyEvidence(now, s, ServerLoad{ServerID: call.ServerID, Refused: 1}, leaderReporter)
-	}
 }
 
-// leaderReporter names the leader among the hosts that observe refused connections.
-const leaderReporter = "leader"
-
 // observeCall records how the server takes calls.
 func (s *server) observeCall(now time.Duration, call Call, result CallResult) {
 	// The server may have been forgotten and come back during the call, which then isn't counted.
@@ -43,7 +37,6 @@
 	switch result.Outcome {
 	case CallDone, CallStale:
 		s.calls.failures = 0
-		s.refusals = nil // the process lives
 	case CallNoConn:
 	case CallInvalid:
 		s.calls.failures = 0
@@ -104,9 +97,3 @@
 
 // callsSettled reports whether no call about the keys is under way or without an answer.
 func (seg *segment) callsSettled() bool { return seg.call.sentAt == 0 && !seg.call.unanswered }
-
-// noCallSince reports whether no call about the keys can have reached a process that started after the given
-// time.
-func (seg *segment) noCallSince(at time.Duration) bool {
-	return seg.call.sentAt == 0 && seg.call.lastSentAt < at
-}
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -10,12 +10,10 @@
 	info         Server
 	sequence     int64
 	lastSeen     time.Duration
-	firstAt      time.Duration            // time of its first heartbeat in this term
-	leaving      bool                     // whether it sent a Leave message
-	leaveAt      time.Duration            // time of that message
-	saysLeaving  bool                     // whether its responses to requests say that it is about to stop
-	maxInterval  time.Duration            // longest time between two heartbeats; 0 if unknown
-	refusals     map[string]time.Duration // time of the last refused connection, by entry host
+	firstAt      time.Duration // time of its first heartbeat in this term
+	leaving      bool          // whether it sent a Leave message
+	leaveAt      time.Duration // time of that message
+	saysLeaving  bool          // whether its responses to requests say that it is about to stop
 	serviceTimes serviceTimes
 	rateLimit    float64       // requests a second that it takes from all entry hosts; 0 for no limit
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
@@ -212,30 +210,26 @@
 func (c *Coordinator) acceptHeartbeat(now time.Duration, hb Heartbeat) *server {
 	info := hb.Server
 	known := c.servers[info.ID]
+	seen := sighting{id: info.ID, address: info.Address, startMillis: info.StartMillis}
 	switch {
 	case known == nil:
-	case info.StartMillis < known.info.StartMillis:
-		return nil
-	case info.StartMillis > known.info.StartMillis:
-		c.replaceIncarnation(now, known)
+	case info.StartMillis == known.info.StartMillis:
+		if hb.Sequence <= known.sequence {
+			return nil
+		}
+	case c.endIfProved(now, known, seen):
 		known = nil
-	case hb.Sequence <= known.sequence:
+	default:
 		return nil
 	}
-	if known == nil && !c.claimAddress(now, info) {
+	if known == nil && !c.claimAddress(now, seen) {
 		return nil
 	}
 	if known == nil {
-		known = &server{}
+		known = &server{firstAt: max(now, 1)}
 		c.servers[info.ID] = known
 		c.addresses[info.Address] = info.ID
 	}
-	if known.lastSeen != 0 {
-		known.observeInterval(now - known.lastSeen)
-	}
-	if known.firstAt == 0 {
-		known.firstAt = max(now, 1)
-	}
 	known.info, known.sequence, known.lastSeen = info, hb.Sequence, now
 	known.info.Draining = known.info.Draining || known.saysLeaving
 	c.applyDeparture(known)
@@ -252,61 +246,11 @@
 	s.info.Draining = true
 }
 
-// claimAddress removes an older incarnation that has the same address: its process has ended,
-// since a newer one uses the address. It returns false if the heartbeat is itself a delayed one
-// of an older incarnation.
-func (c *Coordinator) claimAddress(now time.Duration, info Server) bool {
-	other := c.servers[c.addresses[info.Address]]
-	if other == nil || other.info.ID == info.ID {
-		return true
-	}
-	if info.StartMillis <= other.info.StartMillis {
-		return false
-	}
-	c.removeEnded(now, other)
-	return true
-}
-
-// removeEnded removes an incarnation whose process has ended, as another one uses its ID or address, and frees
-// its keys. Keys that servers take by calls are left to the end of their lease: the other process may have
-// answered a call about them.
-func (c *Coordinator) removeEnded(now time.Duration, s *server) {
-	c.freeEnded(now, s, func(seg *segment) bool { return seg.neverSent() })
-}
-
-// freeEnded removes an incarnation whose process has ended and frees its keys. If the servers take grants by
-// calls, keys for which settled is false are left to the end of their lease.
-func (c *Coordinator) freeEnded(now time.Duration, s *server, settled func(*segment) bool) {
-	if svc := c.services[s.info.Service]; svc != nil {
-		for i := range svc.segments {
-			seg := &svc.segments[i]
-			if seg.holder != s.info.ID || seg.startMillis != s.info.StartMillis || svc.byCall && !settled(seg) {
-				continue
-			}
-			c.recordEvent(now, EventEnded, svc, seg)
-			seg.free(now, "")
-		}
-	}
-	c.removeServer(s)
-}
-
-// replaceIncarnation removes an incarnation after which another one has started under its ID. Keys that servers
-// take by calls stay with the server: a late call may already have reached the new process, which a grant with
-// a higher token settles.
-func (c *Coordinator) replaceIncarnation(now time.Duration, s *server) {
-	svc := c.services[s.info.Service]
-	if svc == nil || !svc.byCall {
-		c.removeEnded(now, s)
-		return
-	}
-	for i := range svc.segments {
-		if seg := &svc.segments[i]; seg.holder == s.info.ID {
-			c.recordEvent(now, EventEnded, svc, seg)
-			seg.reported, seg.revoking = false, false
-			seg.call.confirmedAt, seg.call.failures = 0, 0
-		}
-	}
-	c.removeServer(s)
+// claimAddress returns false if another server that may still run has the address of a new process: the heartbeat
+// is then a delayed one.
+func (c *Coordinator) claimAddress(now time.Duration, seen sighting) bool {
+	other := c.servers[c.addresses[seen.address]]
+	return other == nil || other.info.ID == seen.id || c.endIfProved(now, other, seen)
 }
 
 func (c *Coordinator) removeServer(s *server) {
--- a/keyrange/doc.go
+++ b/keyrange/doc.go
@@ -10,8 +10,9 @@
 // # Guarantees
 //
 //   - At most one server holds a key. A range is granted again only after its holder released
-//     it, after the holder's process has provably ended (another incarnation uses its ID or
-//     address), or after every lease on it has expired even by the slowest permitted clock.
+//     it, after the holder's process has provably ended (hasEnded decides it: another process
+//     uses its ID or address), or after every lease on it has expired even by the slowest
+//     permitted clock.
 //   - Fencing tokens increase. The leader's term is their upper part; terms are never reused, so
 //     tokens are unique even if a disk loses data.
 //   - A grant is recorded durably before it is sent to its server (TakePendingGrants, Record).
--- /dev/null
+++ b/keyrange/ended_test.go
@@ -0,0 +1,123 @@
+package keyrange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// endedTest has one server, s1 at a:1, which holds all keys of the service.
+type endedTest struct {
+	t   *testing.T
+	c   *Coordinator
+	now time.Duration
+}
+
+const (
+	endedLease = 4 * time.Second
+	endedBeat  = 500 * time.Millisecond
+)
+
+func newEndedTest(t *testing.T) *endedTest {
+	e := &endedTest{t: t, now: time.Second, c: New(Options{Term: 1, Keys: 16, Lease: endedLease, HeartbeatTimeout: 2 * endedLease})}
+	e.c.SetServices([]KeyedService{{Name: testService}})
+	for sequence := range int64(8) {
+		e.now += endedBeat
+		e.beat("s1", "a:1", testService, 2, sequence+1)
+	}
+	if held := e.keys("s1"); held != 16 {
+		t.Fatalf("s1 holds %d keys, want all 16", held)
+	}
+	return e
+}
+
+func (e *endedTest) beat(id, address, service string, startMillis, sequence int64) HeartbeatReply {
+	hb := Heartbeat{Sequence: sequence, Server: Server{ID: id, StartMillis: startMillis, Service: service, Address: address, Slots: 1}}
+	reply := e.c.Heartbeat(e.now, hb)
+	e.c.ResolveGrants(e.now, e.c.TakePendingGrants(), true)
+	return reply
+}
+
+// keys returns the number of keys that a server holds by the leader's knowledge.
+func (e *endedTest) keys(id string) int64 {
+	held := int64(0)
+	for _, seg := range e.c.services[testService].segments {
+		if seg.holder == id {
+			held += seg.to - seg.from + 1
+		}
+	}
+	return held
+}
+
+func (e *endedTest) expectHeld(what string) {
+	e.t.Helper()
+	if held := e.keys("s1"); held != 16 {
+		e.t.Errorf("%s: s1 holds %d keys before its lease ends, want all 16", what, held)
+	}
+}
+
+// Guards against keys of a server that is cut off, with resets, and goes on: refused connections and missing
+// heartbeats counted as its end (review 2).
+func TestServerThatIsCutOffKeepsItsKeysUntilItsLeaseEnds(t *testing.T) {
+	e := newEndedTest(t)
+	lastBeat := e.now
+	for e.now += endedBeat; e.now < lastBeat+endedLease; e.now += endedBeat {
+		for _, gateway := range []string{"gateway-1", "gateway-2"} {
+			e.c.Report(e.now, gateway, LoadReport{Servers: []ServerLoad{refusedConnections(t, "s1", 2)}})
+		}
+		e.beat("s2", "b:1", testService, 3, int64(e.now))
+		e.expectHeld("connections to it are refused")
+	}
+	e.now = lastBeat + LeaseBound(endedLease) + 1
+	e.beat("s2", "b:1", testService, 3, int64(e.now))
+	if e.keys("s1") != 0 || e.keys("s2") == 0 {
+		t.Errorf("after the lease of s1 it holds %d keys and s2 %d, want 0 and more than 0", e.keys("s1"), e.keys("s2"))
+	}
+}
+
+// refusedConnections returns what entry hosts of earlier releases report of refused connections. Field "f" was
+// their number.
+func refusedConnections(t *testing.T, id string, startMillis int64) ServerLoad {
+	t.Helper()
+	body, err := cbor.Marshal(map[string]any{"i": id, "b": startMillis, "f": 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var load ServerLoad
+	if err := cbor.Unmarshal(body, &load); err != nil {
+		t.Fatal(err)
+	}
+	return load
+}
+
+func TestLaterProcessAtIDOrAddressEndsServer(t *testing.T) {
+	for name, later := range map[string]Server{
+		"same ID and address":            {ID: "s1", Address: "a:1", Service: testService, StartMillis: 3},
+		"same ID, other address":         {ID: "s1", Address: "c:1", Service: testService, StartMillis: 3},
+		"same address":                   {ID: "x", Address: "a:1", Service: testService, StartMillis: 3},
+		"same address, service no keys":  {ID: "x", Address: "a:1", Service: "photos", StartMillis: 3},
+		"same ID, service without keys":  {ID: "s1", Address: "c:1", Service: "photos", StartMillis: 3},
+		"same ID and address, other one": {ID: "s1", Address: "a:1", Service: "photos", StartMillis: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndedTest(t)
+			e.beat(later.ID, later.Address, later.Service, later.StartMillis, 1)
+			for _, seg := range e.c.services[testService].segments {
+				if seg.holder == "s1" && seg.startMillis == 2 {
+					t.Fatalf("keys %d to %d are still leased to the process that has ended", seg.from, seg.to)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswerOfAnotherServerAtItsAddressEndsServer(t *testing.T) {
+	e := newEndedTest(t)
+	e.c.Report(e.now, "gateway-1", LoadReport{Servers: []ServerLoad{{ServerID: "s1", StartMillis: 1, Misdirected: 1}}})
+	e.expectHeld("a report of its earlier process")
+	e.c.Report(e.now, "gateway-1", LoadReport{Servers: []ServerLoad{{ServerID: "s1", StartMillis: 2, Misdirected: 1}}})
+	if held := e.keys("s1"); held != 0 {
+		t.Errorf("s1 holds %d keys although another server answers at its address", held)
+	}
+}
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -145,6 +145,8 @@
 		if observed.Leaving {
 			s.saysLeaving, s.info.Draining = true, true
 		}
-		c.applyEvidence(now, s, observed, reporter)
+		if observed.Misdirected > 0 {
+			c.endIfProved(now, s, sighting{address: s.info.Address, answered: true})
+		}
 	}
 }
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -179,16 +179,13 @@
 	// Start time of the incarnation, Unix milliseconds; 0 if unknown.
 	StartMillis int64 `json:"b" yaml:"b" cbor:"b"`
 
-	// Connection attempts refused by the server's host.
-	Refused int64 `json:"f" yaml:"f" cbor:"f"`
-
 	// ID of the server.
 	ServerID string `json:"i" yaml:"i" cbor:"i"`
 
 	// Whether a response said that the server is about to stop.
 	Leaving bool `json:"l" yaml:"l" cbor:"l"`
 
-	// Requests rejected by another incarnation at the server's address.
+	// Requests that another server answered at the server's address.
 	Misdirected int64 `json:"m" yaml:"m" cbor:"m"`
 
 	// Requests that ran without waiting in the server's queue.
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -40,6 +40,7 @@
 	sentAt          time.Duration // time at which that heartbeat was sent
 	nextAt          time.Duration
 	draining        bool
+	cutUntil        time.Duration // until then its messages are lost and connections to it are refused
 }
 
 type modelMessage struct {
@@ -48,6 +49,7 @@
 	hb      Heartbeat
 	reply   HeartbeatReply
 	seq     int64
+	report  *ServerLoad // of an entry host
 }
 
 type model struct {
@@ -63,10 +65,21 @@
 	highestToken [modelKeys]uint64 // highest token of any grant that a process accepted
 	lastHolder   [modelKeys]*modelProcess
 	steps        int
-	held         int    // keys with a holder, added up over all steps
-	removedGuard string // guard that is disabled: inherited, lease or recorded; empty for none
+	held         int // keys with a holder, added up over all steps
+	removedGuard modelGuard
 }
 
+// modelGuard is a safety rule that a run disables; empty for none.
+type modelGuard string
+
+const (
+	guardInherited modelGuard = "a new leader waits for the leases of earlier ones"
+	guardLease     modelGuard = "the leader knows how long a lease is"
+	guardRecorded  modelGuard = "grants are recorded"
+	guardCut       modelGuard = "refused connections and missing heartbeats end no server"
+	guardLate      modelGuard = "a late heartbeat of an earlier process ends no server"
+)
+
 func TestModelNeverTwoHolders(t *testing.T) {
 	steps, held := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -83,20 +96,22 @@
 // TestModelFindsRemovedGuards proves that the model check can fail: if one of the safety rules
 // is disabled, it finds two holders.
 func TestModelFindsRemovedGuards(t *testing.T) {
-	for _, guard := range []string{"inherited", "lease", "recorded"} {
-		found := ""
-		for seed := uint64(0); seed < 500 && found == ""; seed++ {
+	for _, guard := range []modelGuard{guardInherited, guardLease, guardRecorded, guardCut, guardLate} {
+		found, seed := "", uint64(0)
+		for ; seed < 500 && found == ""; seed++ {
 			found = runModel(seed, guard).violation
 		}
 		if found == "" {
-			t.Errorf("no violation found with the guard %q removed", guard)
+			t.Errorf("no violation found without the guard %q", guard)
+			continue
 		}
+		t.Logf("without the guard %q: seed %d: %s", guard, seed-1, found)
 	}
 }
 
 // runModel runs one random schedule. If removedGuard is not empty, that safety rule is
 // disabled.
-func runModel(seed uint64, removedGuard string) *model {
+func runModel(seed uint64, removedGuard modelGuard) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, 0)), removedGuard: removedGuard}
 	m.elect()
 	for i := range modelServers {
@@ -119,11 +134,11 @@
 		o.RecordedGrants = m.record.All()
 	}
 	switch m.removedGuard {
-	case "inherited":
+	case guardInherited:
 		o.InheritedLeasesEnd = m.now
-	case "recorded":
+	case guardRecorded:
 		o.RecordedGrants = nil
-	case "lease":
+	case guardLease:
 		o.Lease = modelLease / 2 // the leader assumes half of the lease time that the servers use
 	}
 	m.leader = New(o)
@@ -154,14 +169,31 @@
 		m.leader.Report(m.now, "gateway", LoadReport{Services: []ServiceLoad{{
 			Service: testService, Keys: []KeyLoad{{Key: int64(m.draw(modelKeys - 1)), Count: 60}},
 		}}})
+	case 4:
+		m.processes[m.draw(len(m.processes)-1)].cutUntil = m.now + time.Duration(m.draw(2500))*time.Millisecond
 	}
+	m.refuse()
 	for _, p := range m.processes {
 		m.heartbeat(p)
 	}
 	m.check()
 }
 
-// crash ends a process and starts another one with the same ID or only the same address.
+// refuse lets the leader take refused connections for the end of a server, which a guard forbids.
+func (m *model) refuse() {
+	if m.removedGuard != guardCut {
+		return
+	}
+	for _, p := range m.processes {
+		s := m.leader.servers[p.id]
+		if m.now < p.cutUntil && s != nil && m.now-s.lastSeen > time.Second {
+			m.leader.endIfProved(m.now, s, sighting{address: s.info.Address, answered: true})
+		}
+	}
+}
+
+// crash ends a process and starts another one with the same ID or only the same address. An entry host may report
+// what answers at the address now.
 func (m *model) crash() {
 	i := m.draw(len(m.processes) - 1)
 	old := m.processes[i]
@@ -171,6 +203,9 @@
 		id = fmt.Sprintf("s%d", 100+m.startMillis)
 	}
 	m.start(id, old.address)
+	if m.draw(1) == 0 {
+		m.send(modelMessage{report: &ServerLoad{ServerID: old.id, StartMillis: old.startMillis, Misdirected: 1}}, nil)
+	}
 }
 
 func (m *model) expire() {
@@ -202,7 +237,7 @@
 	if m.draw(9) == 0 {
 		delay = time.Duration(m.draw(int(modelMaxDelay/time.Millisecond))) * time.Millisecond
 	}
-	if m.draw(15) == 0 {
+	if m.draw(15) == 0 || from != nil && m.now < from.cutUntil {
 		return
 	}
 	message.at = m.now + delay
@@ -220,6 +255,8 @@
 		switch {
 		case message.at > m.now:
 			later = append(later, message)
+		case message.report != nil:
+			m.leader.Report(m.now, "gateway", LoadReport{Servers: []ServerLoad{*message.report}})
 		case message.hb.Sequence != 0:
 			m.answerHeartbeat(message)
 		default:
@@ -231,6 +268,9 @@
 
 // answerHeartbeat processes a heartbeat on the current leader.
 func (m *model) answerHeartbeat(message modelMessage) {
+	if s := m.leader.servers[message.hb.Server.ID]; m.removedGuard == guardLate && s != nil && s.info.StartMillis > message.hb.Server.StartMillis {
+		m.leader.endIfProved(m.now, s, sighting{address: s.info.Address, answered: true})
+	}
 	reply := m.leader.Heartbeat(m.now, message.hb)
 	granted := m.leader.TakePendingGrants()
 	recorded := m.draw(19) != 0
@@ -252,7 +292,7 @@
 	for _, other := range m.processes {
 		alive = alive || other == p
 	}
-	if !alive || p.pendingSequence != message.seq || m.now-p.sentAt >= modelReplyTimeout {
+	if !alive || m.now < p.cutUntil || p.pendingSequence != message.seq || m.now-p.sentAt >= modelReplyTimeout {
 		return
 	}
 	p.pendingSequence = 0
