Check heartbeats against the configuration before they change anything

Cause: acceptHeartbeat took the address over, which ended the server that had it, before the service was looked up. With the ID of a server, such a heartbeat overwrote its entry and sequence number, and the server's own heartbeats counted as outdated.

Change: a known process's heartbeat has to name its service and address; another process's first one has to name a service of the configuration. Otherwise nothing changes. The coordinator is told the services without keys, too, and a new leader knows the services from its election on.

Why it works: what proves that a server has ended (hasEnded) is reached only by heartbeats that a server of the configuration can have sent.

TestSlowGatewayGetsNewestTable sent heartbeats of a service that its configuration lacked, which now name no server; its configuration has the service, its checks are the same.

--- a/internal/fleet/distribute.go
+++ b/internal/fleet/distribute.go
@@ -41,7 +41,7 @@
 // called with Host.mu held.
 func (h *Host) publishConfig(now time.Duration, l *leadership) {
 	config := h.state.config()
-	l.coordinator.SetServices(keyedServices(config))
+	setServices(l.coordinator, config)
 	if l.propagation == nil || l.propagation.version != config.Version {
 		l.propagation = &propagation{version: config.Version, started: now}
 	}
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -67,6 +67,7 @@
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatTimeout:   2 * lease,
 	})}
+	setServices(h.leading.coordinator, h.state.config())
 	h.requestPublish()
 }
 
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -199,14 +199,18 @@
 	l.leavesRestored = true
 }
 
-func keyedServices(config routes.Config) []keyrange.KeyedService {
-	var services []keyrange.KeyedService
+// setServices tells a coordinator the services of the configuration.
+func setServices(c *keyrange.Coordinator, config routes.Config) {
+	var keyed []keyrange.KeyedService
+	var keyless []string
 	for _, s := range config.Services {
 		if s.Keyed {
-			services = append(services, keyrange.KeyedService{Name: s.Name, ByCall: s.Grants == routes.GrantsByCall})
+			keyed = append(keyed, keyrange.KeyedService{Name: s.Name, ByCall: s.Grants == routes.GrantsByCall})
+		} else {
+			keyless = append(keyless, s.Name)
 		}
 	}
-	return services
+	c.SetServices(keyed, keyless...)
 }
 
 // addHostInfo sets the fields that every update carries.
--- a/internal/fleet/slowgateway_test.go
+++ b/internal/fleet/slowgateway_test.go
@@ -10,6 +10,7 @@
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
 )
 
 // gatedConn is a connection from which nothing can be read while the gate is closed.
@@ -80,7 +81,9 @@
 	c := newCluster(t, "127.0.0.1")
 	c.wait("a leader", func() bool { return c.leader() != nil })
 	leader := c.leader()
-	c.putUntilAccepted(put(0, 1))
+	config := put(0, 1)
+	config.Config.Services = append(config.Config.Services, routes.Service{Name: "photos"})
+	c.putUntilAccepted(config)
 	var closed atomic.Bool
 	recorder := &tableRecorder{updates: make(chan keyrange.TableUpdate, 4*servers)}
 	client := peer.NewClient(peer.ClientOptions{
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -51,6 +51,7 @@
 	servers         map[string]*server
 	addresses       map[string]string // server ID by address
 	services        map[string]*service
+	configured      map[string]bool      // services of the configuration, with and without keys
 	departures      map[string]departure // by server ID
 	published       published
 	overload        map[string]int64 // AdmitPermille by server ID
@@ -79,9 +80,15 @@
 	ByCall bool // its servers take grants by calls instead of in the replies to heartbeats
 }
 
-// SetServices sets the services that are partitioned by key.
-func (c *Coordinator) SetServices(list []KeyedService) {
-	for _, s := range list {
+// SetServices sets the services of the configuration. keyless names those that are not partitioned by key: their
+// servers receive no keys.
+func (c *Coordinator) SetServices(keyed []KeyedService, keyless ...string) {
+	c.configured = map[string]bool{}
+	for _, name := range keyless {
+		c.configured[name] = true
+	}
+	for _, s := range keyed {
+		c.configured[s.Name] = true
 		svc := c.services[s.Name]
 		if svc == nil {
 			svc = c.newService(s)
@@ -90,7 +97,7 @@
 		svc.setMode(s.ByCall)
 	}
 	for name := range c.services {
-		if !slices.ContainsFunc(list, func(s KeyedService) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(keyed, func(s KeyedService) bool { return s.Name == name }) {
 			delete(c.services, name)
 		}
 	}
@@ -205,37 +212,47 @@
 	}
 }
 
-// acceptHeartbeat updates the server's entry and returns it, or nil if the heartbeat is out of
-// date.
+// acceptHeartbeat updates the server's entry and returns it, or nil if the heartbeat is out of date or no server of
+// the configuration can have sent it. In the latter cases nothing changes.
 func (c *Coordinator) acceptHeartbeat(now time.Duration, hb Heartbeat) *server {
 	info := hb.Server
 	known := c.servers[info.ID]
-	seen := sighting{id: info.ID, address: info.Address, startMillis: info.StartMillis}
-	switch {
-	case known == nil:
-	case info.StartMillis == known.info.StartMillis:
-		if hb.Sequence <= known.sequence {
+	if known != nil && known.info.StartMillis == info.StartMillis {
+		if !known.continuedBy(hb) {
 			return nil
 		}
-	case c.endIfProved(now, known, seen):
-		known = nil
-	default:
-		return nil
-	}
-	if known == nil && !c.claimAddress(now, seen) {
+	} else if known = c.admitProcess(now, known, info); known == nil {
 		return nil
 	}
-	if known == nil {
-		known = &server{firstAt: max(now, 1)}
-		c.servers[info.ID] = known
-		c.addresses[info.Address] = info.ID
-	}
 	known.info, known.sequence, known.lastSeen = info, hb.Sequence, now
 	known.info.Draining = known.info.Draining || known.saysLeaving
 	c.applyDeparture(known)
 	return known
 }
 
+// continuedBy reports whether a heartbeat is a newer one of the same process. A process keeps its service and its
+// address: one that names others is not from the server.
+func (s *server) continuedBy(hb Heartbeat) bool {
+	return hb.Server.Service == s.info.Service && hb.Server.Address == s.info.Address && hb.Sequence > s.sequence
+}
+
+// admitProcess adds the entry of a process whose first heartbeat has arrived, and ends the processes of whose end
+// that is proof. It returns nil if the configuration does not have the service, or if the heartbeat is a delayed one
+// of an earlier process. earlier is the entry of another process with the same ID, or nil.
+func (c *Coordinator) admitProcess(now time.Duration, earlier *server, info Server) *server {
+	if !c.configured[info.Service] {
+		return nil
+	}
+	seen := sighting{id: info.ID, address: info.Address, startMillis: info.StartMillis}
+	if earlier != nil && !c.endIfProved(now, earlier, seen) || !c.claimAddress(now, seen) {
+		return nil
+	}
+	s := &server{firstAt: max(now, 1)}
+	c.servers[info.ID] = s
+	c.addresses[info.Address] = info.ID
+	return s
+}
+
 // applyDeparture marks a server as leaving if it sent a Leave message.
 func (c *Coordinator) applyDeparture(s *server) {
 	d, known := c.departures[s.info.ID]
--- a/keyrange/ended.go
+++ b/keyrange/ended.go
@@ -6,7 +6,8 @@
 // them or if its process has ended. hasEnded alone decides the latter, from what was seen of another process.
 //
 // None of these proves it: refused or reset connections and missing heartbeats, since a server that is cut off goes
-// on; a leave or an announced stop, since the server goes on until its requests have ended.
+// on; a leave or an announced stop, since the server goes on until its requests have ended; a heartbeat of a service
+// that the configuration does not have, which no server has sent.
 
 // sighting is another process that was seen where a server's process should be: it sent a heartbeat, or answered a
 // request at the server's address.
--- a/keyrange/ended_test.go
+++ b/keyrange/ended_test.go
@@ -21,7 +21,7 @@
 
 func newEndedTest(t *testing.T) *endedTest {
 	e := &endedTest{t: t, now: time.Second, c: New(Options{Term: 1, Keys: 16, Lease: endedLease, HeartbeatTimeout: 2 * endedLease})}
-	e.c.SetServices([]KeyedService{{Name: testService}})
+	e.c.SetServices([]KeyedService{{Name: testService}}, "photos")
 	for sequence := range int64(8) {
 		e.now += endedBeat
 		e.beat("s1", "a:1", testService, 2, sequence+1)
@@ -91,6 +91,36 @@
 	return load
 }
 
+// Guards against heartbeats of other writers that end a server whose address or ID they name (review 3).
+func TestHeartbeatThatNoServerSentEndsNoServer(t *testing.T) {
+	for name, hb := range map[string]Server{
+		"unknown service at its address":            {ID: "x", Address: "a:1", Service: "nobody", StartMillis: 9},
+		"unknown service under its ID":              {ID: "s1", Address: "a:1", Service: "nobody", StartMillis: 9},
+		"unknown service of its own process":        {ID: "s1", Address: "a:1", Service: "nobody", StartMillis: 2},
+		"another service of its own process":        {ID: "s1", Address: "a:1", Service: "photos", StartMillis: 2},
+		"another address of its own process":        {ID: "s1", Address: "c:1", Service: testService, StartMillis: 2},
+		"earlier process at its address":            {ID: "x", Address: "a:1", Service: testService, StartMillis: 1},
+		"process without a start time":              {ID: "x", Address: "a:1", Service: testService},
+		"earlier process under its ID":              {ID: "s1", Address: "a:1", Service: testService, StartMillis: 1},
+		"other service's earlier process under ID":  {ID: "s1", Address: "a:1", Service: "photos", StartMillis: 1},
+		"unknown service at an address of no other": {ID: "s1", Address: "c:1", Service: "nobody", StartMillis: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndedTest(t)
+			if reply := e.beat(hb.ID, hb.Address, hb.Service, hb.StartMillis, 100); reply.Renewed {
+				t.Errorf("the heartbeat was answered with a lease")
+			}
+			e.expectHeld("after the heartbeat")
+			e.now += endedBeat
+			if reply := e.beat("s1", "a:1", testService, 2, 9); !reply.Renewed || len(reply.Grants) == 0 {
+				t.Errorf("the server's own next heartbeat got %+v, want its keys", reply)
+			}
+			e.beat("s2", "b:1", testService, 3, 1)
+			e.expectHeld("after its own next heartbeat")
+		})
+	}
+}
+
 func TestLaterProcessAtIDOrAddressEndsServer(t *testing.T) {
 	for name, later := range map[string]Server{
 		"same ID and address":            {ID: "s1", Address: "a:1", Service: testService, StartMillis: 3},
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -77,6 +77,7 @@
 	guardLease     modelGuard = "the leader knows how long a lease is"
 	guardRecorded  modelGuard = "grants are recorded"
 	guardCut       modelGuard = "refused connections and missing heartbeats end no server"
+	guardForeign   modelGuard = "a heartbeat of an unknown service ends no server"
 	guardLate      modelGuard = "a late heartbeat of an earlier process ends no server"
 )
 
@@ -96,7 +97,7 @@
 // TestModelFindsRemovedGuards proves that the model check can fail: if one of the safety rules
 // is disabled, it finds two holders.
 func TestModelFindsRemovedGuards(t *testing.T) {
-	for _, guard := range []modelGuard{guardInherited, guardLease, guardRecorded, guardCut, guardLate} {
+	for _, guard := range []modelGuard{guardInherited, guardLease, guardRecorded, guardCut, guardForeign, guardLate} {
 		found, seed := "", uint64(0)
 		for ; seed < 500 && found == ""; seed++ {
 			found = runModel(seed, guard).violation
@@ -142,9 +143,20 @@
 		o.Lease = modelLease / 2 // the leader assumes half of the lease time that the servers use
 	}
 	m.leader = New(o)
+	m.configure()
+}
+
+// configure gives the leader the configuration in force.
+func (m *model) configure() {
 	m.leader.SetServices([]KeyedService{{Name: testService}})
+	if m.removedGuard == guardForeign {
+		m.leader.configured[modelForeignService] = true
+	}
 }
 
+// modelForeignService is a service that no configuration has.
+const modelForeignService = "nobody"
+
 func (m *model) start(id, address string) {
 	m.startMillis++
 	m.processes = append(m.processes, &modelProcess{
@@ -171,6 +183,8 @@
 		}}})
 	case 4:
 		m.processes[m.draw(len(m.processes)-1)].cutUntil = m.now + time.Duration(m.draw(2500))*time.Millisecond
+	case 5:
+		m.foreignHeartbeat()
 	}
 	m.refuse()
 	for _, p := range m.processes {
@@ -192,6 +206,19 @@
 	}
 }
 
+// foreignHeartbeat has another writer send a heartbeat with the address of a process, and with its ID or another one.
+func (m *model) foreignHeartbeat() {
+	p := m.processes[m.draw(len(m.processes)-1)]
+	id := p.id
+	if m.draw(1) == 0 {
+		id = "foreign"
+	}
+	start := p.startMillis + int64(m.draw(1))
+	hb := Heartbeat{Server: Server{ID: id, StartMillis: start, Service: modelForeignService, Address: p.address, Slots: 2}, Sequence: p.sequence + int64(m.draw(100))}
+	m.leader.Heartbeat(m.now, hb)
+	m.leader.ResolveGrants(m.now, m.leader.TakePendingGrants(), false)
+}
+
 // crash ends a process and starts another one with the same ID or only the same address. An entry host may report
 // what answers at the address now.
 func (m *model) crash() {
