Keep the leases of a service that leaves the configuration

Cause: SetServices deleted the state of the service. On its return it was rebuilt from the grants and leases at the beginning of the leadership.

Change: a service that the configuration lacks becomes inactive; its keys stay with their holders until the leases end, and it is forgotten once no key has a holder.

Why it works: the leases that the leader granted are known until the last of them has ended, whatever the configuration says meanwhile.

--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -128,7 +128,7 @@
 	c.Tick(now)
 	var due []dueCall
 	for _, svc := range c.services {
-		if !svc.byCall {
+		if !svc.byCall || !svc.active {
 			continue
 		}
 		c.revokeFromLeaving(now, svc)
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -41,6 +41,7 @@
 	seeded     bool          // whether the keys have been assigned for the first time
 	fleet      fleet         // result of the last measureFleet
 	byCall     bool          // servers take grants by calls
+	active     bool          // the configuration has it; if not, its keys are kept until the leases end
 	assignAt   time.Duration // time of the next assignAll
 }
 
@@ -81,12 +82,16 @@
 }
 
 // SetServices sets the services of the configuration. keyless names those that are not partitioned by key: their
-// servers receive no keys.
+// servers receive no keys. Keys of a service that is no longer in the list stay with their servers until the leases
+// end, since the servers go on until then.
 func (c *Coordinator) SetServices(keyed []KeyedService, keyless ...string) {
 	c.configured = map[string]bool{}
 	for _, name := range keyless {
 		c.configured[name] = true
 	}
+	for _, svc := range c.services {
+		svc.active = false
+	}
 	for _, s := range keyed {
 		c.configured[s.Name] = true
 		svc := c.services[s.Name]
@@ -94,13 +99,9 @@
 			svc = c.newService(s)
 			c.services[s.Name] = svc
 		}
+		svc.active = true
 		svc.setMode(s.ByCall)
 	}
-	for name := range c.services {
-		if !slices.ContainsFunc(keyed, func(s KeyedService) bool { return s.Name == name }) {
-			delete(c.services, name)
-		}
-	}
 }
 
 // setMode changes how the servers take grants. What they hold is granted anew in the other way.
@@ -187,7 +188,7 @@
 		return HeartbeatReply{}
 	}
 	svc := c.services[s.info.Service]
-	if svc == nil {
+	if svc == nil || !svc.active {
 		return HeartbeatReply{}
 	}
 	if svc.firstAt == 0 {
@@ -304,8 +305,11 @@
 
 // Tick frees keys whose leases have expired and removes servers that send no heartbeats.
 func (c *Coordinator) Tick(now time.Duration) {
-	for _, svc := range c.services {
+	for name, svc := range c.services {
 		c.expire(now, svc)
+		if !svc.active && svc.unheld(now) {
+			delete(c.services, name)
+		}
 	}
 	c.expireRateLimits(now)
 	for _, s := range c.servers {
@@ -315,6 +319,11 @@
 	}
 }
 
+// unheld reports whether no server may hold a key of the service.
+func (svc *service) unheld(now time.Duration) bool {
+	return !slices.ContainsFunc(svc.segments, func(seg segment) bool { return !seg.grantable(now) })
+}
+
 func (c *Coordinator) expire(now time.Duration, svc *service) {
 	for i := range svc.segments {
 		seg := &svc.segments[i]
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -67,6 +67,7 @@
 	steps        int
 	held         int // keys with a holder, added up over all steps
 	removedGuard modelGuard
+	withdrawn    time.Duration // until then the configuration lacks the service; 0 if it has it
 }
 
 // modelGuard is a safety rule that a run disables; empty for none.
@@ -79,6 +80,7 @@
 	guardCut       modelGuard = "refused connections and missing heartbeats end no server"
 	guardForeign   modelGuard = "a heartbeat of an unknown service ends no server"
 	guardLate      modelGuard = "a late heartbeat of an earlier process ends no server"
+	guardWithdrawn modelGuard = "keys of a service that the configuration lacks stay leased"
 )
 
 func TestModelNeverTwoHolders(t *testing.T) {
@@ -97,7 +99,7 @@
 // TestModelFindsRemovedGuards proves that the model check can fail: if one of the safety rules
 // is disabled, it finds two holders.
 func TestModelFindsRemovedGuards(t *testing.T) {
-	for _, guard := range []modelGuard{guardInherited, guardLease, guardRecorded, guardCut, guardForeign, guardLate} {
+	for _, guard := range []modelGuard{guardInherited, guardLease, guardRecorded, guardCut, guardForeign, guardLate, guardWithdrawn} {
 		found, seed := "", uint64(0)
 		for ; seed < 500 && found == ""; seed++ {
 			found = runModel(seed, guard).violation
@@ -148,9 +150,18 @@
 
 // configure gives the leader the configuration in force.
 func (m *model) configure() {
-	m.leader.SetServices([]KeyedService{{Name: testService}})
-	if m.removedGuard == guardForeign {
+	if m.withdrawn > 0 {
+		m.leader.SetServices(nil)
+	} else {
+		m.leader.SetServices([]KeyedService{{Name: testService}})
+	}
+	switch m.removedGuard {
+	case guardForeign:
 		m.leader.configured[modelForeignService] = true
+	case guardWithdrawn:
+		if m.withdrawn > 0 {
+			delete(m.leader.services, testService)
+		}
 	}
 }
 
@@ -185,6 +196,15 @@
 		m.processes[m.draw(len(m.processes)-1)].cutUntil = m.now + time.Duration(m.draw(2500))*time.Millisecond
 	case 5:
 		m.foreignHeartbeat()
+	case 6:
+		if m.withdrawn == 0 {
+			m.withdrawn = m.now + time.Duration(m.draw(800))*time.Millisecond
+			m.configure()
+		}
+	}
+	if m.withdrawn > 0 && m.now >= m.withdrawn {
+		m.withdrawn = 0
+		m.configure()
 	}
 	m.refuse()
 	for _, p := range m.processes {
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -34,6 +34,9 @@
 	update.RemovedServers = append(update.RemovedServers, c.newlyDeparted(servers)...)
 	owners := map[string][]Owner{}
 	for name, svc := range c.services {
+		if !svc.active {
+			continue
+		}
 		owners[name] = c.visibleOwners(now, svc)
 		update.Owners = append(update.Owners, changedOwners(c.published.owners[name], owners[name])...)
 	}
