Keep keys taken by calls when heartbeats don't report them

Callers would see two holders: a service changes from grants by calls to grants by heartbeats, and a server that goes on under the lease of its calls loses its keys to others.

Cause: two heartbeats without the keys counted as proof that the server did not hold them, but servers need not report keys that they took by calls. Under a new leader the recorded grants were judged likewise.

Change: grants made by calls, and those in force when the service changes to heartbeats, can't be denied by a heartbeat of their process; they are adopted if it reports them, or wait for the end of the lease.

TestKeysTakenByCallsOutliveTheChangeToHeartbeats failed before (s1 holds 0 of 16 keys), under the same leader and under a new one. Left: a service that changes from heartbeats to calls and back, with a change of leader after that, is judged by the record of its first grants.

--- a/keyrange/assign.go
+++ b/keyrange/assign.go
@@ -108,7 +108,7 @@
 		token: c.nextToken(), sequence: s.sequence, handover: seg.handover, pendingSince: max(now, 1),
 	}
 	if svc.byCall {
-		seg.leaseEnd = now + unsentGrantTime
+		seg.leaseEnd, seg.sequence = now+unsentGrantTime, neverReported
 	}
 	c.granted = append(c.granted, Assignment{
 		Service: svc.name, From: seg.from, To: seg.to, ServerID: seg.holder, StartMillis: seg.startMillis, Token: seg.token, Sequence: seg.sequence,
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -1,6 +1,7 @@
 package keyrange
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -113,9 +114,15 @@
 	for i := range svc.segments {
 		seg := &svc.segments[i]
 		seg.call, seg.unconfirmed, seg.reported = callState{}, seg.holder != "", false
+		if !byCall {
+			seg.sequence = neverReported // a server need not report what it took by calls
+		}
 	}
 }
 
+// neverReported is the sequence number of a grant that no heartbeat of its holder's process can deny.
+const neverReported = math.MaxInt64
+
 // newService returns a service whose keys are held according to the grants of earlier terms.
 func (c *Coordinator) newService(s KeyedService) *service {
 	name := s.Name
--- a/keyrange/withdrawn_test.go
+++ b/keyrange/withdrawn_test.go
@@ -74,3 +74,39 @@
 	e.beat("s2", "b:1", testService, 3, 1)
 	e.expectHeld("under a new leader, after the return")
 }
+
+// Guards against heartbeats without the keys that a server has taken by calls, which freed them once the service
+// changed to grants by heartbeats: servers need not report such keys.
+func TestKeysTakenByCallsOutliveTheChangeToHeartbeats(t *testing.T) {
+	e := &endedTest{t: t, now: time.Second, c: New(Options{Term: 1, Keys: 16, Lease: endedLease, HeartbeatTimeout: 2 * endedLease})}
+	e.c.SetServices([]KeyedService{{Name: testService, ByCall: true}})
+	var record Record
+	for sequence := range int64(8) {
+		e.now += endedBeat
+		e.c.Heartbeat(e.now, Heartbeat{Sequence: sequence + 1, Server: Server{ID: "s1", StartMillis: 2, Service: testService, Address: "a:1", Slots: 1}})
+		for _, call := range e.c.Calls(e.now, 10) {
+			e.c.CallEnded(e.now, call, CallResult{Outcome: CallDone, Connection: 1})
+		}
+		granted := e.c.TakePendingGrants()
+		record.Apply(granted)
+		e.c.ResolveGrants(e.now, granted, true)
+	}
+	e.expectHeld("by calls")
+	e.c.SetServices([]KeyedService{{Name: testService}})
+	e.expectDenialsChangeNothing("after the change")
+	e.c = New(Options{Term: 2, Keys: 16, Lease: endedLease, HeartbeatTimeout: 2 * endedLease, RecordedGrants: record.All(), InheritedLeasesEnd: e.now + LeaseBound(endedLease)})
+	e.c.SetServices([]KeyedService{{Name: testService}})
+	e.expectDenialsChangeNothing("under a new leader")
+}
+
+// expectDenialsChangeNothing sends heartbeats of s1 that don't report its keys, and of another server.
+func (e *endedTest) expectDenialsChangeNothing(when string) {
+	e.t.Helper()
+	for range 3 {
+		e.now += endedBeat
+		hb := Heartbeat{Sequence: int64(e.now/time.Millisecond), Server: Server{ID: "s1", StartMillis: 2, Service: testService, Address: "a:1", Slots: 1, Draining: true}}
+		e.c.Heartbeat(e.now, hb)
+		e.beat("s2", "b:1", testService, 3, int64(e.now/time.Millisecond))
+		e.expectHeld(when + ", with heartbeats that don't report the keys")
+	}
+}
