Bound the memory of response bodies of all requests together

Change: 16 KiB of each body are read first; up to 256 KiB only while all of these take at most 24 MiB, in buffers of their final size. Otherwise the client gets the rest as it arrives, as it already did beyond 256 KiB.

TestManyEndlessBodiesAreBounded failed before in three of its four forms; it passes within 64 MiB of growth. TestCutLargeBodyIsNoCompleteResponse guards the new reading of bodies that break off (passed before, too).

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -27,6 +27,7 @@
 	noticeCounter   prometheus.Counter
 	dial            dialFunc
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
+	buffers         *responseBuffers       // shared with the other servers
 
 	mu          sync.Mutex // guards the fields below
 	idle        []*conn    // the most recently used last
@@ -53,10 +54,11 @@
 	// dial opens connections to backend servers. Tests simulate slow links with it.
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
+	buffers *responseBuffers // of all servers
 }
 
 func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP}
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: newResponseBuffers()}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -70,7 +72,8 @@
 			server.close()
 		}
 		server = &backend{
-			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service), noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash,
+			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
+			noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
 		}
 		b.byID[s.ID] = server
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -39,6 +39,7 @@
 	maxIdle  time.Duration     // how long the connection may be idle
 	lastUsed time.Time         // end of the last exchange
 	refused  []string          // IDs of the requests that were refused on the connection
+	buffers  *responseBuffers  // of all connections
 }
 
 // Write counts the bytes that were handed to the network.
@@ -65,10 +66,10 @@
 	return raw, nil
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, buffers *responseBuffers) *conn {
 	limit := readlimit.NewReader(raw)
 	return &conn{
-		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime,
+		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime, buffers: buffers,
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// maxBufferedResponse is the size up to which a response body is read in full before the
-	// response is sent to the client. An error within that part can still be retried or reported.
-	maxBufferedResponse = 256 << 10
 	// maxLateResponses is the number of late responses to earlier requests that are skipped before
 	// the response to a request. Interim (1xx) responses count as well.
 	maxLateResponses = 2
@@ -64,6 +61,8 @@
 	body   []byte
 	rest   io.Reader
 	finish func(complete bool) // ends the exchange; must be called exactly once
+
+	releaseBody func() // returns the memory of body; called by finish
 }
 
 // exchange sends a request on a connection and reads the response. The connection is passed to
@@ -106,6 +105,7 @@
 			c.refused = append(c.refused, req.id)
 		}
 		release(c, complete && keepAlive && bodySent && notCanceled && c.reader.Buffered() == 0)
+		resp.releaseBody()
 	}
 	return resp, nil
 }
@@ -218,16 +218,12 @@
 func readBody(c *conn, httpResp *http.Response, info ResponseInfo) (*backendResponse, error) {
 	c.maxIdle = keepAliveTime(httpResp.Header)
 	resp := &backendResponse{status: httpResp.StatusCode, header: httpResp.Header, info: info}
-	maxBody := int64(maxBufferedResponse)
-	if info.NotExecuted {
-		maxBody = maxRefusalBody
-	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxBody))
+	start, err := readStart(c, httpResp, info)
 	if err != nil {
 		return nil, err
 	}
-	resp.body = body
-	if int64(len(body)) == maxBody {
+	resp.body, resp.releaseBody = start.data, start.release
+	if !start.complete {
 		resp.rest = httpResp.Body
 	}
 	if !httpResp.Close {
@@ -235,3 +231,13 @@
 	}
 	return resp, nil
 }
+
+// readStart reads the part of the body that is read before the response is sent. What follows the first bytes of a
+// refusal is not needed.
+func readStart(c *conn, httpResp *http.Response, info ResponseInfo) (bodyStart, error) {
+	if !info.NotExecuted {
+		return c.buffers.read(httpResp)
+	}
+	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxRefusalBody))
+	return bodyStart{data: body, complete: len(body) < maxRefusalBody, release: func() {}}, err
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -36,7 +36,7 @@
 			if err != nil {
 				return nil, err
 			}
-			c = newConn(raw)
+			c = newConn(raw, b.buffers)
 			c.dialTook = clockNow() - started
 			return c, nil
 		}
