Let a lease cover grants that are sent at the last moment

Cause: a grant may be sent up to 0.5 s after its decision, be under way for 0.5 s until it is given up, and arrive 0.5 s after that; the lease was counted from 1 s after the decision. A new leader waited too short a time for the calls of the earlier one, too.

Change: maxArrival has all three parts. TestLeaseCoversTheLatestArrivalOfAGrant failed before (lease taken to end at 8.18 s, lasts until 8.68 s).

--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -19,11 +19,15 @@
 //   - A release is sent only under a token whose last grant was answered. So no earlier grant of these keys can
 //     take effect at the server after the release.
 const (
+	// sendSlack is how long after its decision a call may still be sent.
+	sendSlack = 500 * time.Millisecond
 	// callTimeout is how long a grant may take to be answered.
 	callTimeout = 500 * time.Millisecond
 	// arrivalSlack is how long after it was given up a call may still arrive: its connection is reset then, so
 	// that only what is on its way counts.
 	arrivalSlack = 500 * time.Millisecond
+	// maxArrival is the longest time from the decision of a grant to its arrival at the server.
+	maxArrival = sendSlack + callTimeout + arrivalSlack
 	// releaseTimeout is how long a release may take. The server answers it when its requests have ended; if that
 	// takes longer, the next release goes on waiting.
 	releaseTimeout = time.Second
@@ -279,13 +283,13 @@
 			seg.token = c.nextToken() // the record stays valid, since the holder does not change
 			seg.call.confirmedAt, seg.call.connection = 0, 0
 		}
-		seg.leaseEnd = max(seg.leaseEnd, now+callTimeout+arrivalSlack+LeaseBound(c.options.Lease))
+		seg.leaseEnd = max(seg.leaseEnd, now+maxArrival+LeaseBound(c.options.Lease))
 	}
 	seg.call.sentAt = max(now, 1)
 	call := Call{
 		Kind: d.kind, Service: d.service.name, ServerID: s.info.ID, StartMillis: s.info.StartMillis, Address: s.info.Address,
 		From: seg.from, To: seg.to, Token: seg.token, Handover: seg.handover, Lease: c.options.Lease,
-		Connection: seg.call.connection, NotAfter: now + arrivalSlack, Timeout: callTimeout,
+		Connection: seg.call.connection, NotAfter: now + sendSlack, Timeout: callTimeout,
 	}
 	if d.kind == CallRelease {
 		call.Timeout, call.Connection = releaseTimeout, 0
--- a/keyrange/calls_test.go
+++ b/keyrange/calls_test.go
@@ -39,3 +39,26 @@
 	}
 	t.Error("no call in 5s after the server came back")
 }
+
+// Guards against a grant that is sent at the last moment and arrives late: the server held the keys longer than the
+// leader assumed.
+func TestLeaseCoversTheLatestArrivalOfAGrant(t *testing.T) {
+	e := &endedTest{t: t, now: time.Second, c: New(Options{Term: 1, Keys: 16, Lease: endedLease, HeartbeatTimeout: 2 * endedLease})}
+	e.c.SetServices([]KeyedService{{Name: testService, ByCall: true}})
+	var calls []Call
+	for sequence := int64(1); len(calls) == 0; sequence++ {
+		e.now += endedBeat
+		e.beat("s1", "a:1", testService, 2, sequence)
+		calls = e.c.Calls(e.now, 1)
+		e.c.ResolveGrants(e.now, e.c.TakePendingGrants(), true)
+	}
+	for _, call := range calls {
+		latestArrival := call.NotAfter + call.Timeout + arrivalSlack
+		for _, seg := range e.c.services[testService].segments {
+			if seg.token == call.Token && seg.leaseEnd < latestArrival+LeaseBound(call.Lease) {
+				t.Errorf("keys %d to %d: the leader takes the lease to end at %v, but a call that arrives at %v lasts until %v",
+					seg.from, seg.to, seg.leaseEnd, latestArrival, latestArrival+LeaseBound(call.Lease))
+			}
+		}
+	}
+}
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -131,7 +131,7 @@
 	}
 	leaseEnd, lastSentAt := c.options.InheritedLeasesEnd, time.Duration(0)
 	if s.ByCall { // calls of an earlier leader may still be on their way
-		leaseEnd += callTimeout + arrivalSlack
+		leaseEnd += maxArrival
 		lastSentAt = leaseEnd - LeaseBound(c.options.Lease)
 	}
 	for _, a := range c.options.RecordedGrants {
