Measure a service again only when its keys or servers have changed

Part of the cause: each heartbeat measured all servers and all ranges of its service, and expired all leases.

Change: a measurement is used again for up to 100 ms if only the load has changed; heartbeats expire leases at most every 10 ms.

--- a/keyrange/callresult.go
+++ b/keyrange/callresult.go
@@ -65,6 +65,7 @@
 		seg.leaseEnd = seg.call.leaseBefore
 		if seg.neverSent() {
 			seg.free(now, seg.handover)
+			svc.changes++
 			return
 		}
 		seg.call.backOff(now)
--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -182,6 +182,7 @@
 		}
 		if seg.neverSent() && seg.pendingSince == 0 {
 			seg.free(now, seg.handover)
+			svc.changes++
 		}
 	}
 }
@@ -197,7 +198,7 @@
 		return
 	}
 	svc.assignAt = now + assignInterval
-	f := c.measureFleet(svc)
+	f := c.measureFleet(now, svc)
 	members := make([]*member, 0, len(f.members))
 	for _, m := range f.members {
 		members = append(members, m)
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -41,6 +41,7 @@
 	lastJoinAt time.Duration // time of the first heartbeat of its newest server
 	seeded     bool          // whether the keys have been assigned for the first time
 	fleet      fleet         // result of the last measureFleet
+	changes    uint64        // number of changes of its keys' holders and its servers
 	byCall     bool          // servers take grants by calls
 	active     bool          // the configuration has it; if not, its keys are kept until the leases end
 	assignAt   time.Duration // time of the next assignAll
@@ -58,6 +59,7 @@
 	published       published
 	overload        map[string]int64 // AdmitPermille by server ID
 	overloadUpdated time.Duration    // time at which overload was computed
+	tickedAt        time.Duration    // time of the last Tick
 
 	granted       []Assignment // since the last call of TakePendingGrants
 	events        []Event
@@ -111,6 +113,7 @@
 		return
 	}
 	svc.byCall = byCall
+	svc.changes++
 	for i := range svc.segments {
 		seg := &svc.segments[i]
 		seg.call, seg.unconfirmed, seg.reported = callState{}, seg.holder != "", false
@@ -181,15 +184,22 @@
 			seg.pendingSince = 0
 			if !ok {
 				seg.free(now, seg.handover)
+				svc.changes++
 			}
 		}
 	}
 }
 
+// heartbeatTickInterval is the least time between two calls of Tick by heartbeats, each of which looks at all keys and
+// servers.
+const heartbeatTickInterval = 10 * time.Millisecond
+
 // Heartbeat processes a heartbeat and returns its reply. Before the reply is sent, the grants
 // of TakePendingGrants must be recorded.
 func (c *Coordinator) Heartbeat(now time.Duration, hb Heartbeat) HeartbeatReply {
-	c.Tick(now)
+	if now-c.tickedAt >= heartbeatTickInterval {
+		c.Tick(now)
+	}
 	s := c.acceptHeartbeat(now, hb)
 	if s == nil {
 		return HeartbeatReply{}
@@ -205,7 +215,7 @@
 	if !svc.byCall {
 		c.applyReport(now, svc, s, hb)
 	}
-	f := c.measureFleet(svc)
+	f := c.measureFleet(now, svc)
 	c.revokeExcess(now, svc, s, f)
 	c.assignFree(now, svc, s, f)
 	if svc.byCall {
@@ -232,8 +242,12 @@
 	} else if known = c.admitProcess(now, known, info); known == nil {
 		return nil
 	}
-	known.info, known.sequence, known.lastSeen = info, hb.Sequence, now
-	known.info.Draining = known.info.Draining || known.saysLeaving
+	info.Draining = info.Draining || known.saysLeaving
+	if info != known.info {
+		known.info = info
+		c.serverChanged(known)
+	}
+	known.sequence, known.lastSeen = hb.Sequence, now
 	c.applyDeparture(known)
 	return known
 }
@@ -269,6 +283,15 @@
 	}
 	s.leaving, s.leaveAt = true, d.at
 	s.info.Draining = true
+	c.serverChanged(s)
+}
+
+// serverChanged must be called when what a server says of itself or may receive has changed, and when it is added
+// or removed.
+func (c *Coordinator) serverChanged(s *server) {
+	if svc := c.services[s.info.Service]; svc != nil {
+		svc.changes++
+	}
 }
 
 // claimAddress returns false if another server that may still run has the address of a new process: the heartbeat
@@ -280,6 +303,7 @@
 
 func (c *Coordinator) removeServer(s *server) {
 	delete(c.servers, s.info.ID)
+	c.serverChanged(s)
 	if c.addresses[s.info.Address] == s.info.ID {
 		delete(c.addresses, s.info.Address)
 	}
@@ -312,6 +336,7 @@
 
 // Tick frees keys whose leases have expired and removes servers that send no heartbeats.
 func (c *Coordinator) Tick(now time.Duration) {
+	c.tickedAt = now
 	for name, svc := range c.services {
 		c.expire(now, svc)
 		if !svc.active && svc.unheld(now) {
--- a/keyrange/event.go
+++ b/keyrange/event.go
@@ -39,7 +39,9 @@
 	return events, dropped
 }
 
+// recordEvent records that the keys of a segment have changed.
 func (c *Coordinator) recordEvent(now time.Duration, kind EventKind, svc *service, seg *segment) {
+	svc.changes++
 	if len(c.events) >= maxEvents {
 		c.droppedEvents++
 		return
--- a/keyrange/fleet.go
+++ b/keyrange/fleet.go
@@ -27,12 +27,29 @@
 	average          float64  // utilization if the load were spread in proportion to capacity
 	moving           int      // number of servers from which keys are being revoked
 	reservedSegments int      // number of free segments reserved for servers without keys
+
+	at       time.Duration // time of the measurement; 0 if there is none
+	changes  uint64        // service.changes at that time
+	segments int           // number of segments at that time
 }
 
-// measureFleet computes the load of the servers that may receive keys. The result is valid
-// until the next call for the same service.
-func (c *Coordinator) measureFleet(svc *service) *fleet {
+// maxFleetAge is the age up to which a measurement is used again if only the load has changed since.
+const maxFleetAge = 100 * time.Millisecond
+
+// current reports whether the measurement is still that of the service.
+func (f *fleet) current(now time.Duration, svc *service) bool {
+	return f.at != 0 && now-f.at < maxFleetAge && f.changes == svc.changes && f.segments == len(svc.segments)
+}
+
+// measureFleet computes the load of the servers that may receive keys, unless nothing but the load has changed
+// for a short time: with many servers, most heartbeats change nothing. The result is valid until the next call
+// for the same service.
+func (c *Coordinator) measureFleet(now time.Duration, svc *service) *fleet {
 	f := &svc.fleet
+	if f.current(now, svc) {
+		return f
+	}
+	f.at, f.changes, f.segments = max(now, 1), svc.changes, len(svc.segments)
 	f.reset(len(c.servers))
 	serviceTimeSeconds := c.averageServiceTimeSeconds(svc.name)
 	capacity := 0.0
--- a/keyrange/limit.go
+++ b/keyrange/limit.go
@@ -11,6 +11,7 @@
 func (c *Coordinator) SetRateLimit(now time.Duration, serverID string, perSecond float64) {
 	if s := c.servers[serverID]; s != nil {
 		s.rateLimit, s.rateLimitAt = perSecond, now
+		c.serverChanged(s)
 	}
 }
 
@@ -19,6 +20,7 @@
 	for _, s := range c.servers {
 		if s.rateLimit > 0 && now-s.rateLimitAt >= rateLimitLifetime {
 			s.rateLimit = 0
+			c.serverChanged(s)
 		}
 	}
 }
--- a/keyrange/load.go
+++ b/keyrange/load.go
@@ -144,6 +144,7 @@
 		}
 		if observed.Leaving {
 			s.saysLeaving, s.info.Draining = true, true
+			c.serverChanged(s)
 		}
 		if observed.Misdirected > 0 {
 			c.endIfProved(now, s, sighting{address: s.info.Address, answered: true})
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -392,7 +393,32 @@
 	return true
 }
 
+// checkFleet compares a measurement that is used again with a new one.
+func (m *model) checkFleet() {
+	svc := m.leader.services[testService]
+	if svc == nil || m.steps%8 != 0 {
+		return
+	}
+	kept := m.leader.measureFleet(m.now, svc).counts()
+	svc.fleet.at = 0
+	if measured := m.leader.measureFleet(m.now, svc).counts(); kept != measured {
+		m.fail("at %v the kept measurement is %s, a new one %s", m.now, kept, measured)
+	}
+}
+
+// counts describes who is a member and how many segments of each kind it has.
+func (f *fleet) counts() string {
+	var lines []string
+	for id, member := range f.members {
+		lines = append(lines, fmt.Sprintf("%s/%d: %d segments, %d unconfirmed, %d revoking",
+			id, member.server.info.StartMillis, member.segments, member.unconfirmed, member.revoking))
+	}
+	slices.Sort(lines)
+	return fmt.Sprint(lines, f.moving)
+}
+
 func (m *model) check() {
+	m.checkFleet()
 	for key := int64(0); key < modelKeys; key++ {
 		var holder *modelProcess
 		for _, p := range m.processes {
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -138,7 +138,7 @@
 	c.overloadUpdated = max(now, 1)
 	c.overload = map[string]int64{}
 	for _, svc := range c.services {
-		for id, m := range c.measureFleet(svc).members {
+		for id, m := range c.measureFleet(now, svc).members {
 			if m.utilization() > overloadThreshold {
 				permille := int64(1000 * overloadTarget / m.utilization())
 				c.overload[id] = max(permille/admitStep, 1) * admitStep
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -121,6 +121,7 @@
 			out[last].token = c.nextToken() // the record stays valid, since the holder does not change
 			out[last].leaseEnd = max(out[last].leaseEnd, next.leaseEnd)
 			out[last].call.confirmedAt, out[last].call.connection = 0, 0
+			svc.changes++
 			continue
 		}
 		out = append(out, next)
