Limit the reports of all gateways together, and refuse fewer calls

Change: from 100 (200) gateways on, their load reports (reports of the configuration) come less often, 400 a second in all. The leader handles up to 2,048 calls at the same time: one for each backend server and gateway.

--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -45,6 +45,11 @@
 // down, in election timeouts. A saturated link between regions delays replies by 1 s.
 const quorumTimeoutElections = 4
 
+// callWorkers is the number of calls of gateways and other control hosts that the leader handles at the same time. Each
+// backend server may wait for the record of its grants, and each gateway for its report. A call beyond it is refused,
+// and tried again elsewhere.
+const callWorkers = 2048
+
 // peerLimits detect an unresponsive peer within a few election timeouts.
 var peerLimits = peer.Limits{
 	PingInterval:     400 * time.Millisecond,
@@ -126,6 +131,7 @@
 		Secret:  o.Secret,
 		Handler: &handler{host: h},
 		Limits:  GatewayLimits(),
+		Workers: callWorkers,
 		Metrics: peerMetrics,
 	})
 	return h, errors.Wrap(err, "peer listener")
--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// configReportInterval is the interval between reports of an unchanged configuration.
+	// configReportInterval is the least interval between reports of an unchanged configuration.
 	configReportInterval = 500 * time.Millisecond
 	// configReportTimeout bounds one report. It is shorter than the lease, but longer than packets
 	// mostly wait on a full link: a report that was given up renews no lease.
@@ -27,15 +27,13 @@
 // until the context ends. A report doesn't wait for the replies to earlier ones: the acknowledgement
 // of a new configuration waits for it.
 func (l *leaderLink) reportConfig(ctx context.Context, client *peer.Client) {
-	ticker := time.NewTicker(configReportInterval)
-	defer ticker.Stop()
 	var reports sync.WaitGroup
 	defer reports.Wait()
 	for ctx.Err() == nil {
 		reports.Go(func() { l.reportVersion(ctx, client) })
 		select {
 		case <-ctx.Done():
-		case <-ticker.C:
+		case <-time.After(intervalFor(l.view.gateways(), configReportInterval)):
 		case <-l.view.configChanged:
 		}
 	}
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -18,8 +18,18 @@
 	"github.com/galenalug/galenalug/routes"
 )
 
-// reportInterval is the interval between load reports.
-const reportInterval = 250 * time.Millisecond
+const (
+	// reportInterval is the least interval between load reports.
+	reportInterval = 250 * time.Millisecond
+	// maxReportsPerSecond limits the load reports of all gateways together, and their reports of an unchanged
+	// configuration: the leader handles each of them.
+	maxReportsPerSecond = 400
+)
+
+// intervalFor returns the interval between reports of one kind for a number of gateways, at least shortest.
+func intervalFor(gateways int64, shortest time.Duration) time.Duration {
+	return max(shortest, time.Duration(gateways)*time.Second/maxReportsPerSecond)
+}
 
 // dialFunc opens a connection, as net.Dialer.DialContext does.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -160,15 +170,13 @@
 
 // reportLoad sends load reports until the connection or the context ends.
 func (l *leaderLink) reportLoad(ctx context.Context, client *peer.Client, ended <-chan struct{}) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ended:
 			return
-		case <-ticker.C:
+		case <-time.After(intervalFor(l.view.gateways(), reportInterval)):
 		}
 		report := l.report()
 		if len(report.Services) == 0 && len(report.Servers) == 0 {
