--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -1,10 +1,6 @@
 package keyrange
 
-import (
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 // server is the state of one incarnation of a backend server.
 type server struct {
@@ -22,31 +18,9 @@
 	calls        serverCalls   // for services whose servers take grants by calls
 }
 
-// departure records that an incarnation is leaving. It outlives the server's entry, so that a
-// delayed heartbeat does not add the server again.
-type departure struct {
-	startMillis int64
-	at          time.Duration
-}
-
 // ready reports whether the server may receive keys.
 func (s *server) ready() bool { return !s.info.Draining && !s.leaving }
 
-// service is the state of one service that is partitioned by key.
-type service struct {
-	name       string
-	segments   segments
-	load       *load
-	firstAt    time.Duration // time of the first heartbeat of its first server
-	lastJoinAt time.Duration // time of the first heartbeat of its newest server
-	seeded     bool          // whether the keys have been assigned for the first time
-	fleet      fleet         // result of the last measureFleet
-	changes    uint64        // number of changes of its keys' holders and its servers
-	byCall     bool          // servers take grants by calls
-	active     bool          // the configuration has it; if not, its keys are kept until the leases end
-	assignAt   time.Duration // time of the next assignAll
-}
-
 // Coordinator assigns key ranges to servers. It is not safe for concurrent use.
 type Coordinator struct {
 	options         Options
@@ -78,79 +52,6 @@
 	}
 }
 
-// KeyedService is a service that is partitioned by key.
-type KeyedService struct {
-	Name   string
-	ByCall bool // its servers take grants by calls instead of in the replies to heartbeats
-}
-
-// SetServices sets the services of the configuration. keyless names those that are not partitioned by key: their
-// servers receive no keys. Keys of a service that is no longer in the list stay with their servers until the leases
-// end, since the servers go on until then.
-func (c *Coordinator) SetServices(keyed []KeyedService, keyless ...string) {
-	c.configured = map[string]bool{}
-	for _, name := range keyless {
-		c.configured[name] = true
-	}
-	for _, svc := range c.services {
-		svc.active = false
-	}
-	for _, s := range keyed {
-		c.configured[s.Name] = true
-		svc := c.services[s.Name]
-		if svc == nil {
-			svc = c.newService(s)
-			c.services[s.Name] = svc
-		}
-		svc.active = true
-		svc.setMode(s.ByCall)
-	}
-}
-
-// setMode changes how the servers take grants. What they hold is granted anew in the other way.
-func (svc *service) setMode(byCall bool) {
-	if svc.byCall == byCall {
-		return
-	}
-	svc.byCall = byCall
-	svc.changes++
-	for i := range svc.segments {
-		seg := &svc.segments[i]
-		seg.call, seg.unconfirmed, seg.reported = callState{}, seg.holder != "", false
-		if !byCall {
-			seg.sequence = neverReported // a server need not report what it took by calls
-		}
-	}
-}
-
-// neverReported is the sequence number of a grant that no heartbeat of its holder's process can deny.
-const neverReported = math.MaxInt64
-
-// newService returns a service whose keys are held according to the grants of earlier terms.
-func (c *Coordinator) newService(s KeyedService) *service {
-	name := s.Name
-	svc := &service{
-		name: name, segments: segments{{from: 0, to: c.options.Keys - 1}}, load: newLoad(c.options.Keys), byCall: s.ByCall,
-	}
-	leaseEnd, lastSentAt := c.options.InheritedLeasesEnd, time.Duration(0)
-	if s.ByCall { // calls of an earlier leader may still be on their way
-		leaseEnd += maxArrival
-		lastSentAt = leaseEnd - LeaseBound(c.options.Lease)
-	}
-	for _, a := range c.options.RecordedGrants {
-		if a.Service != name || !valid(a.From, a.To, c.options.Keys) {
-			continue
-		}
-		svc.seeded = true
-		svc.segments.forEach(a.From, a.To, func(seg *segment) {
-			seg.holder, seg.startMillis, seg.token, seg.sequence = a.ServerID, a.StartMillis, a.Token, a.Sequence
-			seg.leaseEnd, seg.unconfirmed = leaseEnd, true
-			seg.call.lastSentAt = lastSentAt
-		})
-	}
-	return svc
-}
-
 // Partial reports whether keys may still be held under leases of earlier terms.
 func (c *Coordinator) Partial(now time.Duration) bool { return now < c.options.InheritedLeasesEnd }
 
@@ -230,110 +131,6 @@
 	}
 }
 
-// acceptHeartbeat updates the server's entry and returns it, or nil if the heartbeat is out of date or no server of
-// the configuration can have sent it. In the latter cases nothing changes.
-func (c *Coordinator) acceptHeartbeat(now time.Duration, hb Heartbeat) *server {
-	info := hb.Server
-	known := c.servers[info.ID]
-	if known != nil && known.info.StartMillis == info.StartMillis {
-		if !known.continuedBy(hb) {
-			return nil
-		}
-	} else if known = c.admitProcess(now, known, info); known == nil {
-		return nil
-	}
-	info.Draining = info.Draining || known.saysLeaving
-	if info != known.info {
-		known.info = info
-		c.serverChanged(known)
-	}
-	known.sequence, known.lastSeen = hb.Sequence, now
-	c.applyDeparture(known)
-	return known
-}
-
-// continuedBy reports whether a heartbeat is a newer one of the same process. A process keeps its service and its
-// address: one that names others is not from the server.
-func (s *server) continuedBy(hb Heartbeat) bool {
-	return hb.Server.Service == s.info.Service && hb.Server.Address == s.info.Address && hb.Sequence > s.sequence
-}
-
-// admitProcess adds the entry of a process whose first heartbeat has arrived, and ends the processes of whose end
-// that is proof. It returns nil if the configuration does not have the service, or if the heartbeat is a delayed one
-// of an earlier process. earlier is the entry of another process with the same ID, or nil.
-func (c *Coordinator) admitProcess(now time.Duration, earlier *server, info Server) *server {
-	if !c.configured[info.Service] {
-		return nil
-	}
-	seen := sighting{id: info.ID, address: info.Address, startMillis: info.StartMillis}
-	if earlier != nil && !c.endIfProved(now, earlier, seen) || !c.claimAddress(now, seen) {
-		return nil
-	}
-	s := &server{firstAt: max(now, 1)}
-	c.servers[info.ID] = s
-	c.addresses[info.Address] = info.ID
-	return s
-}
-
-// applyDeparture marks a server as leaving if it sent a Leave message.
-func (c *Coordinator) applyDeparture(s *server) {
-	d, known := c.departures[s.info.ID]
-	if !known || d.startMillis < s.info.StartMillis {
-		return
-	}
-	s.leaving, s.leaveAt = true, d.at
-	s.info.Draining = true
-	c.serverChanged(s)
-}
-
-// serverChanged must be called when what a server says of itself or may receive has changed, and when it is added
-// or removed.
-func (c *Coordinator) serverChanged(s *server) {
-	if svc := c.services[s.info.Service]; svc != nil {
-		svc.changes++
-	}
-}
-
-// claimAddress returns false if another server that may still run has the address of a new process: the heartbeat
-// is then a delayed one.
-func (c *Coordinator) claimAddress(now time.Duration, seen sighting) bool {
-	other := c.servers[c.addresses[seen.address]]
-	return other == nil || other.info.ID == seen.id || c.endIfProved(now, other, seen)
-}
-
-func (c *Coordinator) removeServer(s *server) {
-	delete(c.servers, s.info.ID)
-	c.serverChanged(s)
-	if c.addresses[s.info.Address] == s.info.ID {
-		delete(c.addresses, s.info.Address)
-	}
-}
-
-// Leave records that a server stops serving after the drain period. Its keys become free when
-// it releases them or its lease expires.
-func (c *Coordinator) Leave(now time.Duration, leave Leave) {
-	c.recordDeparture(leave, now)
-}
-
-// RestoreLeave records a Leave message that an earlier leader received. The server receives no
-// more requests, since the start of its drain period is unknown.
-func (c *Coordinator) RestoreLeave(now time.Duration, leave Leave) {
-	c.recordDeparture(leave, now-c.options.DrainPeriod)
-}
-
-func (c *Coordinator) recordDeparture(leave Leave, at time.Duration) {
-	if s := c.servers[leave.ID]; s != nil && leave.StartMillis == 0 {
-		leave.StartMillis = s.info.StartMillis // the message did not name an incarnation
-	}
-	if d, known := c.departures[leave.ID]; known && d.startMillis >= leave.StartMillis {
-		return
-	}
-	c.departures[leave.ID] = departure{startMillis: leave.StartMillis, at: at}
-	if s := c.servers[leave.ID]; s != nil {
-		c.applyDeparture(s)
-	}
-}
-
 // Tick frees keys whose leases have expired and removes servers that send no heartbeats.
 func (c *Coordinator) Tick(now time.Duration) {
 	c.tickedAt = now
@@ -351,11 +148,6 @@
 	}
 }
 
-// unheld reports whether no server may hold a key of the service.
-func (svc *service) unheld(now time.Duration) bool {
-	return !slices.ContainsFunc(svc.segments, func(seg segment) bool { return !seg.grantable(now) })
-}
-
 func (c *Coordinator) expire(now time.Duration, svc *service) {
 	for i := range svc.segments {
 		seg := &svc.segments[i]
--- /dev/null
+++ b/keyrange/leave.go
@@ -0,0 +1,46 @@
+package keyrange
+
+import "time"
+
+// departure records that an incarnation is leaving. It outlives the server's entry, so that a
+// delayed heartbeat does not add the server again.
+type departure struct {
+	startMillis int64
+	at          time.Duration
+}
+
+// applyDeparture marks a server as leaving if it sent a Leave message.
+func (c *Coordinator) applyDeparture(s *server) {
+	d, known := c.departures[s.info.ID]
+	if !known || d.startMillis < s.info.StartMillis {
+		return
+	}
+	s.leaving, s.leaveAt = true, d.at
+	s.info.Draining = true
+	c.serverChanged(s)
+}
+
+// Leave records that a server stops serving after the drain period. Its keys become free when
+// it releases them or its lease expires.
+func (c *Coordinator) Leave(now time.Duration, leave Leave) {
+	c.recordDeparture(leave, now)
+}
+
+// RestoreLeave records a Leave message that an earlier leader received. The server receives no
+// more requests, since the start of its drain period is unknown.
+func (c *Coordinator) RestoreLeave(now time.Duration, leave Leave) {
+	c.recordDeparture(leave, now-c.options.DrainPeriod)
+}
+
+func (c *Coordinator) recordDeparture(leave Leave, at time.Duration) {
+	if s := c.servers[leave.ID]; s != nil && leave.StartMillis == 0 {
+		leave.StartMillis = s.info.StartMillis // the message did not name an incarnation
+	}
+	if d, known := c.departures[leave.ID]; known && d.startMillis >= leave.StartMillis {
+		return
+	}
+	c.departures[leave.ID] = departure{startMillis: leave.StartMillis, at: at}
+	if s := c.servers[leave.ID]; s != nil {
+		c.applyDeparture(s)
+	}
+}
--- a/keyrange/withdrawn_test.go
+++ b/keyrange/withdrawn_test.go
@@ -104,7 +104,7 @@
 	e.t.Helper()
 	for range 3 {
 		e.now += endedBeat
-		hb := Heartbeat{Sequence: int64(e.now/time.Millisecond), Server: Server{ID: "s1", StartMillis: 2, Service: testService, Address: "a:1", Slots: 1, Draining: true}}
+		hb := Heartbeat{Sequence: int64(e.now / time.Millisecond), Server: Server{ID: "s1", StartMillis: 2, Service: testService, Address: "a:1", Slots: 1, Draining: true}}
 		e.c.Heartbeat(e.now, hb)
 		e.beat("s2", "b:1", testService, 3, int64(e.now/time.Millisecond))
 		e.expectHeld(when + ", with heartbeats that don't report the keys")
