Read the start of a response into memory of its final size

Traced: io.ReadAll leaves several times what it returns behind while it grows, 400 times at the same time.

Change: each part of a body is read into memory of its final size, and all bodies beyond their first 16 KiB take at most 16 instead of 24 MiB.

--- a/internal/gateway/responsebuffers.go
+++ b/internal/gateway/responsebuffers.go
@@ -16,7 +16,7 @@
 	maxBufferedResponse = 256 << 10
 	// maxBufferedResponses is the memory for the bodies of all responses beyond minBufferedResponse, bytes. Beyond it,
 	// the client gets the rest as it arrives.
-	maxBufferedResponses = 24 << 20
+	maxBufferedResponses = 16 << 20
 )
 
 // responseBuffers is the memory for response bodies that are read before they are sent. It is safe for concurrent
@@ -36,32 +36,38 @@
 
 // read reads the start of a response body. After an error nothing needs to be released.
 func (b *responseBuffers) read(response *http.Response) (bodyStart, error) {
-	start := bodyStart{release: func() {}}
-	var err error
-	if start.data, err = io.ReadAll(io.LimitReader(response.Body, minBufferedResponse)); err != nil {
-		return bodyStart{}, err
-	}
-	if start.complete = len(start.data) < minBufferedResponse; start.complete {
-		return start, nil
-	}
-	size := int64(maxBufferedResponse)
-	if response.ContentLength >= 0 {
-		size = min(size, response.ContentLength)
+	first := bodyStart{release: func() {}}
+	if err := first.extend(response, minBufferedResponse); err != nil || first.complete {
+		return first, err
 	}
+	size := partOf(response, maxBufferedResponse)
 	if !b.bytes.TryAcquire(size) {
-		return start, nil
+		return first, nil
 	}
-	data := make([]byte, size)
-	n, ended, err := readUntilFull(response.Body, data, copy(data, start.data))
-	if err != nil {
-		b.bytes.Release(size)
+	start := bodyStart{data: first.data, release: func() { b.bytes.Release(size) }}
+	if err := start.extend(response, maxBufferedResponse); err != nil {
+		start.release()
 		return bodyStart{}, err
 	}
-	start.data, start.complete = data[:n], ended || int64(n) == response.ContentLength
-	start.release = func() { b.bytes.Release(size) }
 	return start, nil
 }
 
+// partOf returns the size of the part of a response's body that is within a limit, as far as it is known.
+func partOf(response *http.Response, limit int64) int64 {
+	if response.ContentLength < 0 {
+		return limit
+	}
+	return min(limit, response.ContentLength)
+}
+
+// extend reads the body up to a limit into memory of that size.
+func (s *bodyStart) extend(response *http.Response, limit int64) error {
+	data := make([]byte, partOf(response, limit))
+	n, ended, err := readUntilFull(response.Body, data, copy(data, s.data))
+	s.data, s.complete = data[:n], ended || int64(n) == response.ContentLength
+	return err
+}
+
 // readUntilFull fills data from its nth byte on. It returns the number of bytes in data, and whether the reader has
 // ended. A body that breaks off is an error.
 func readUntilFull(reader io.Reader, data []byte, n int) (filled int, ended bool, err error) {
