Let no server claim the keys of another by a high token

Callers would see two holders.

Cause: the higher token decided between two servers that hold a range by the leader's knowledge. Grants are recorded before they are sent, so no server can know of a newer one than the leader.

Change: keys of another holder stay there. TestClaimOfKeysWithHighTokenTakesNothing failed before (s1 holds 0 of 16 keys, s2 was granted keys 7 to 15).

--- a/keyrange/ended_test.go
+++ b/keyrange/ended_test.go
@@ -151,3 +151,20 @@
 		t.Errorf("s1 holds %d keys although another server answers at its address", held)
 	}
 }
+
+// Guards against a heartbeat that claims the keys of another server under a high token, and took them at once.
+func TestClaimOfKeysWithHighTokenTakesNothing(t *testing.T) {
+	e := newEndedTest(t)
+	claim := Heartbeat{
+		Sequence: 1, Holds: []Range{{From: 0, To: 15, Token: 1 << 50}},
+		Server: Server{ID: "s2", StartMillis: 3, Service: testService, Address: "b:1", Slots: 1},
+	}
+	for _, g := range e.c.Heartbeat(e.now, claim).Grants {
+		t.Errorf("s2 was granted keys %d to %d", g.From, g.To)
+	}
+	e.expectHeld("after the claim")
+	e.now += endedBeat
+	if reply := e.beat("s1", "a:1", testService, 2, 9); len(reply.Grants) == 0 {
+		t.Errorf("the holder's next heartbeat got %+v, want its keys", reply)
+	}
+}
--- a/keyrange/report.go
+++ b/keyrange/report.go
@@ -29,7 +29,8 @@
 func valid(from, to, keys int64) bool { return from >= 0 && from <= to && to < keys }
 
 // applyHeld processes a range that the server reports as held. Grants of an earlier leader are
-// adopted. If another holder is known, the higher token decides.
+// adopted. Keys of another holder stay there: each grant is recorded before it is sent, so that
+// no server can know of a newer one than the leader.
 func (c *Coordinator) applyHeld(now time.Duration, svc *service, s *server, held Range) {
 	bound := LeaseBound(c.options.Lease)
 	svc.segments.forEach(held.From, held.To, func(seg *segment) {
@@ -40,12 +41,6 @@
 			}
 			seg.reported, seg.unconfirmed = true, false
 			seg.token = max(seg.token, held.Token)
-		case seg.holder != "" && held.Token > seg.token:
-			*seg = segment{
-				from: seg.from, to: seg.to, holder: s.info.ID, startMillis: s.info.StartMillis,
-				token: held.Token, leaseEnd: now + bound, reported: true,
-			}
-			c.recordEvent(now, EventAdopted, svc, seg)
 		case seg.holder == "":
 			// The lease has expired by the leader's clock, but the server may still consider it
 			// valid: grant the keys only after a further lease bound.
