Say what decoding a difference from another text gives

The comment promised an error that Zstandard doesn't give; routes.Store checks the sum of the target, as TestDeltaOfAnotherConfigurationChangesNothing shows.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -59,8 +59,8 @@
 	return min(max(1<<bits.Len(uint(size)), minWindowBytes), maxWindowBytes)
 }
 
-// Decode returns the target of a difference from base. It fails if the target has more than maxBytes bytes, or if
-// the difference was made from a text of another size; the caller checks that the target is the right one.
+// Decode returns the target of a difference from base. It fails if the target has more than maxBytes bytes. The
+// target of a difference from another text is wrong, not an error: the caller checks it.
 func Decode(base, encoded []byte, maxBytes int) ([]byte, error) {
 	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(maxBytes))}
 	if len(base) > 0 {
