Wait as long for a connection as the host's own link is full

Cause, by trace (a trial that logs where each of 115,111 requests waited): from second 8 to 13 a request of binh-thanh spent 836 ms of 1,972 in connections that were given up after 450 ms, 375 ms over all zones. A gateway's link of 2 Mbit/s queues for up to 2.8 s then, as its reports to the leader show, so no connection could open in time, and each new one waited in the same queue.

Change: the timeout of a connection is 450 ms and the queueing that the reports to the leader have met, 1.5 s of it at most. It is set where the request is known (context of the dial) in place of the dialer.

TestConnectionsAreOpenedOverAFullLink fails with a timeout of 450 ms (504 for all three kinds of request).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,8 @@
 	c.host.dialect.SetForwardHeaders(header, time.Until(c.deadline), to.id)
 	req := &backendRequest{
 		method: c.request.Method, target: c.request.RequestURI, host: c.request.Host,
-		header: header, id: c.info.ID, body: c.body, deadline: c.deadline,
+		header: header, id: c.info.ID, body: c.body,
+		deadline: c.deadline, dialTimeout: c.host.linkDelay.dialTimeout(),
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. It leaves a wide margin for regions that are
-	// 40 ms apart. A lost packet fails only this connection; the request can still be sent on
-	// another.
+	// dialTimeout bounds the opening of a connection, besides the queueing on this host's own link. It
+	// leaves a wide margin for regions that are 40 ms apart. A lost packet fails only this connection; the
+	// request can still be sent on another.
 	dialTimeout = 450 * time.Millisecond
 	// unackedTimeout is the TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged before
 	// the connection is closed. It detects a broken network path, not a slow server.
@@ -49,10 +49,9 @@
 	return n, err
 }
 
-// dialTCP opens a TCP connection to a backend server.
+// dialTCP opens a TCP connection to a backend server. The context bounds how long that may take.
 func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
 	}
 	raw, err := dialer.DialContext(ctx, network, address)
--- a/internal/gateway/linkdelay.go
+++ b/internal/gateway/linkdelay.go
@@ -7,6 +7,9 @@
 	"github.com/galenalug/galenalug/pacing"
 )
 
+// maxDialQueueing is the queueing on this host's own link up to which opening a connection may take longer.
+const maxDialQueueing = 1500 * time.Millisecond
+
 // linkDelay estimates the queueing on this host's own link from the reports to the leader.
 type linkDelay struct {
 	mu    sync.Mutex // guards trips; no other lock is acquired while it is held
@@ -27,3 +30,9 @@
 	defer d.mu.Unlock()
 	return d.trips.Queueing(clockNow())
 }
+
+// dialTimeout returns how long to wait for a connection to open. On a full link its packets wait in the queue:
+// one that is given up too soon only has to wait there anew.
+func (d *linkDelay) dialTimeout() time.Duration {
+	return dialTimeout + min(d.queueing(), maxDialQueueing)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -19,6 +19,7 @@
 	stream               *clientBody // if not nil, replaces body
 	streamLength         int64       // -1 if not known
 	deadline             time.Time
+	dialTimeout          time.Duration   // bounds the opening of a connection
 	slots                int             // requests that the server runs concurrently
 	once                 bool            // may run only once
 	client               context.Context // ends when the client leaves
