Count the link's queue in the drain time of servers

A gateway checked the drain time when it chose the server. Opening the connection, and the queue on the host's own link, came on top; 400 ms were left for both.

Change: the drain time is compared with when a request passes the link's queue, when its server is chosen, and once more when its connection is open. A connection that opened too late is kept for others, and nothing is sent on it.

TestNoRequestReachesServerAfterItsDrainTime: without the change one request each with a slow connection and with a full link.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,6 +153,7 @@
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
+	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
 	if c.stream == nil {
 		req.fingerprint = c.fingerprint
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -165,9 +165,12 @@
 	return resp, nil
 }
 
+// errDrained is the error of a request for which a connection opened only at the end of its server's drain time.
+var errDrained = errors.New("the server's drain time has passed")
+
 func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, dialect Dialect) (*backendResponse, error) {
 	mark(&req.progress.startedAt)
-	dialContext, cancel := context.WithDeadline(ctx, req.deadline)
+	dialContext, cancel := context.WithTimeout(ctx, min(req.dialTimeout, time.Until(req.deadline)))
 	defer cancel()
 	defer context.AfterFunc(req.client, cancel)()
 	c, err := b.connect(dialContext, req.once, req.id)
@@ -178,6 +181,10 @@
 	if err != nil {
 		return nil, &exchangeError{reason: reasonConnect, connRefused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 	}
+	if req.tooLate() {
+		b.returnUnused(c, nil)
+		return nil, &exchangeError{reason: reasonConnect, err: errDrained}
+	}
 	if c.dialTook > 0 && req.onDial != nil {
 		req.onDial(c.dialTook)
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -219,7 +219,8 @@
 
 // unavailable reports whether a server gets no requests now.
 func (h *Host) unavailable(now time.Duration, s keyrange.Server) bool {
-	return h.backends.get(s).unavailable(now) || h.hasLeft(now, s)
+	b := h.backends.get(s)
+	return b.unavailable(now) || h.hasLeft(h.arrivalTime(now), b)
 }
 
 // distance returns the distance to a failure domain.
--- a/internal/gateway/linkdelay_test.go
+++ b/internal/gateway/linkdelay_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/galenalug/galenalug/keyrange"
 )
 
 // Guards against requests that reach no server over a full link: each connection was given up while its packets
@@ -43,3 +45,40 @@
 		t.Errorf("status %d after %s, want 504 at the timeout of 1 s", response.StatusCode, time.Since(started))
 	}
 }
+
+// publishDraining applies a table in which the owner of all keys drains, and may get requests for the given time.
+func (f *fixture) publishDraining(server *fakeBackend, usable time.Duration) {
+	f.publish(server)
+	announced := clockNow() + usable + sendMargin - f.host.view.drainTime
+	f.host.view.confirmTable(announced)
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Version: 1, EntryHosts: 1, Servers: []keyrange.Server{
+		{ID: "s1", Service: "stock", Address: server.listener.Addr().String(), Domain: "d1", Slots: 6, Draining: true},
+	}})
+}
+
+// Guards against requests that reach a server after its drain time, since opening the connection or the queue on the
+// host's own link took longer than the server was still in use.
+func TestNoRequestReachesServerAfterItsDrainTime(t *testing.T) {
+	const usable = 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		dial, queueing time.Duration
+		requests       int
+	}{
+		"free link":       {0, 0, 1},
+		"slow connection": {usable + 100*time.Millisecond, 0, 0},
+		"full link":       {0, usable + 100*time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeBackend(t, okResponse("yes"))
+			f := newFixture(t)
+			f.host.backends.dial = slowDial(c.dial)
+			f.host.linkDelay.add(clockNow() - time.Millisecond)
+			f.host.linkDelay.add(clockNow() - time.Millisecond - c.queueing)
+			f.publishDraining(server, usable)
+			response, _ := f.do(http.MethodPost, "/order/1", nil)
+			if server.count() != c.requests {
+				t.Errorf("status %d, %d requests reached the server, want %d", response.StatusCode, server.count(), c.requests)
+			}
+		})
+	}
+}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -40,11 +40,20 @@
 
 // hasLeft reports whether a server that said that it is about to stop gets no more requests. This
 // gateway knows it from the server itself, so it does not depend on the leader.
-func (h *Host) hasLeft(now time.Duration, s keyrange.Server) bool {
-	leaving := h.backends.get(s).leavingFor(now)
+func (h *Host) hasLeft(now time.Duration, b *backend) bool {
+	leaving := b.leavingFor(now)
 	return leaving > 0 && leaving >= h.view.drainTime-sendMargin
 }
 
+// arrivalTime returns the time at which a request that is sent now has passed the queue on this host's own link.
+func (h *Host) arrivalTime(now time.Duration) time.Duration { return now + h.linkDelay.queueing() }
+
+// tooLateFor reports whether a request that is sent now may reach a server after the end of its drain time.
+func (h *Host) tooLateFor(b *backend) bool {
+	arrival := h.arrivalTime(clockNow())
+	return h.hasLeft(arrival, b) || h.view.hasDrained(arrival, b.id)
+}
+
 // staying returns the servers that have not said that they are about to stop, or all if there are none.
 func (h *Host) staying(now time.Duration, servers []keyrange.Server) []keyrange.Server {
 	leaves := func(s keyrange.Server) bool { return h.backends.get(s).leavingFor(now) > 0 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -222,9 +222,9 @@
 // servers returns the servers that may run the request, or the reason why there are none.
 func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
 	if !service.Keyed {
-		return c.host.available(now, c.host.view.serversOf(now, service.Name)), reasonNoServer
+		return c.host.available(now, c.host.view.serversOf(c.host.arrivalTime(now), service.Name)), reasonNoServer
 	}
-	owner, learnedAt, found := c.host.view.owner(now, service.Name, c.info.Key)
+	owner, learnedAt, found := c.host.view.owner(c.host.arrivalTime(now), service.Name, c.info.Key)
 	if !found || c.host.unavailable(now, owner) || c.knownNotOwner(now, owner.ID, learnedAt) {
 		return nil, reasonNoOwner
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -168,8 +168,8 @@
 }
 
 // owner returns the server that owns a key and when this gateway learned of it. It reports false if
-// the key has no owner, or the owner gets no more requests.
-func (v *view) owner(now time.Duration, service string, key int64) (owner keyrange.Server, learnedAt time.Duration, found bool) {
+// the key has no owner, or the owner gets no more requests at the given time.
+func (v *view) owner(at time.Duration, service string, key int64) (owner keyrange.Server, learnedAt time.Duration, found bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	list := v.owners[service]
@@ -178,41 +178,49 @@
 		return keyrange.Server{}, 0, false
 	}
 	s := v.servers[list[i].ServerID]
-	if s == nil || v.drained(now, s) {
+	if s == nil || v.drained(at, s) {
 		return keyrange.Server{}, 0, false
 	}
 	return s.Server, list[i].learnedAt, true
 }
 
-// drained reports whether a draining server gets no more requests.
-func (v *view) drained(now time.Duration, s *serverEntry) bool {
+// hasDrained reports whether a server gets no more requests at the given time, since it is draining.
+func (v *view) hasDrained(at time.Duration, id string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s := v.servers[id]
+	return s != nil && v.drained(at, s)
+}
+
+// drained does the work of hasDrained. The caller holds mu.
+func (v *view) drained(at time.Duration, s *serverEntry) bool {
 	if s.drainingSince == 0 {
 		return false
 	}
-	if now-s.drainingSince >= v.drainTime-drainMargin {
+	if at-s.drainingSince >= v.drainTime-drainMargin {
 		return true
 	}
-	return s.announcedAfter != 0 && now-s.announcedAfter >= v.drainTime-sendMargin
+	return s.announcedAfter != 0 && at-s.announcedAfter >= v.drainTime-sendMargin
 }
 
 const (
 	// drainMargin is how long before the end of its drain time a server stops getting requests. Up to
 	// half of this margin may pass before the update that reports the draining reaches a gateway.
 	drainMargin = 1200 * time.Millisecond
-	// sendMargin is the time that a request needs to reach a server. The rest of drainMargin is not
-	// needed where the time of the announcement is known.
+	// sendMargin is the time that a request needs to reach a server, besides the queueing on this host's own
+	// link. The rest of drainMargin is not needed where the time of the announcement is known.
 	sendMargin = 400 * time.Millisecond
 )
 
-// serversOf returns the servers of a service that may get new requests. Draining servers are
+// serversOf returns the servers of a service that may get new requests at the given time. Draining servers are
 // included only if there are no others.
-func (v *view) serversOf(now time.Duration, service string) []keyrange.Server {
+func (v *view) serversOf(at time.Duration, service string) []keyrange.Server {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var active, draining []keyrange.Server
 	for _, s := range v.servers {
 		switch {
-		case s.Service != service || v.drained(now, s):
+		case s.Service != service || v.drained(at, s):
 		case s.Draining:
 			draining = append(draining, s.Server)
 		default:
