Record that a server drains before its heartbeat is acknowledged

What callers could see: requests at a server after its drain time. A leader acknowledged a heartbeat that says "draining", and ended before the gateways heard of it; the next leader knew nothing of it until the server's next heartbeat, which may not come (a server can be cut off from the control hosts alone).

Cause: only Leave messages were recorded in the log; a draining heartbeat changed the leader's memory alone.

Change: the first accepted heartbeat of a process that says that it drains is recorded like a Leave message, once, before its reply. A heartbeat that no server of the configuration can have sent records nothing.

Cost: one log entry for each server that drains.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -54,17 +54,36 @@
 	if err := h.confirmLeadership(ctx); err != nil {
 		return keyrange.HeartbeatReply{}, err
 	}
-	reply, granted, err := h.applyHeartbeat(hb, received)
+	reply, toRecord, err := h.applyHeartbeat(hb, received)
 	if err != nil {
 		return reply, err
 	}
-	if err := h.recordGrants(ctx, granted); err != nil {
+	if err := h.recordGrants(ctx, toRecord.grants); err != nil {
+		return keyrange.HeartbeatReply{}, err
+	}
+	if err := h.recordDraining(ctx, toRecord.draining); err != nil {
 		return keyrange.HeartbeatReply{}, err
 	}
 	h.requestPublish()
 	return reply, nil
 }
 
+// heartbeatRecord is what must be recorded before the reply to a heartbeat is sent.
+type heartbeatRecord struct {
+	grants   []keyrange.Assignment
+	draining *keyrange.Leave // nil if the server does not drain, or that is recorded
+}
+
+// recordDraining commits to the log that a server drains: the acknowledgement of its heartbeat also binds later
+// leaders, which may not hear from it.
+func (h *Host) recordDraining(ctx context.Context, draining *keyrange.Leave) error {
+	if draining == nil {
+		return nil
+	}
+	_, err := h.propose(ctx, command{Leave: draining})
+	return err
+}
+
 // recordGrants commits grants to the log. It must succeed before the reply with the grants is sent.
 func (h *Host) recordGrants(ctx context.Context, granted []keyrange.Assignment) error {
 	if len(granted) == 0 {
@@ -79,20 +98,24 @@
 	return err
 }
 
-// applyHeartbeat returns the reply to a heartbeat, and the grants that must be recorded before the
-// reply is sent.
-func (h *Host) applyHeartbeat(hb keyrange.Heartbeat, received time.Duration) (keyrange.HeartbeatReply, []keyrange.Assignment, error) {
+// applyHeartbeat returns the reply to a heartbeat, and what must be recorded before the reply is sent.
+func (h *Host) applyHeartbeat(hb keyrange.Heartbeat, received time.Duration) (keyrange.HeartbeatReply, heartbeatRecord, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading == nil || h.state.recordedLease() < h.lease() {
-		return keyrange.HeartbeatReply{}, nil, errors.Wrap(ErrUnavailable, "leadership begins")
+		return keyrange.HeartbeatReply{}, heartbeatRecord{}, errors.Wrap(ErrUnavailable, "leadership begins")
 	}
 	if clock.Now()-received > heartbeatTimeout {
-		return keyrange.HeartbeatReply{}, nil, errors.Wrap(ErrUnavailable, "this host was suspended")
+		return keyrange.HeartbeatReply{}, heartbeatRecord{}, errors.Wrap(ErrUnavailable, "this host was suspended")
 	}
-	reply := h.leading.coordinator.Heartbeat(clock.Now(), hb)
+	coordinator := h.leading.coordinator
+	reply := coordinator.Heartbeat(clock.Now(), hb)
 	reply.HeartbeatAddress = h.settings.ControlListen
-	return reply, h.leading.coordinator.TakePendingGrants(), nil
+	toRecord := heartbeatRecord{grants: coordinator.TakePendingGrants()}
+	if hb.Server.Draining && !coordinator.KnowsDeparture(hb.Server) {
+		toRecord.draining = &keyrange.Leave{ID: hb.Server.ID, StartMillis: hb.Server.StartMillis}
+	}
+	return reply, toRecord, nil
 }
 
 // Leave records that a backend server leaves. The record is committed to the log before the call is
--- /dev/null
+++ b/internal/fleet/draining_test.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/galenalug/galenalug/keyrange"
+)
+
+// Guards against requests that reach a server after its drain time, since the leader that acknowledged its draining
+// was lost, and the next one does not hear from the server.
+func TestAcknowledgedDrainingOutlivesTheLeader(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	c.putUntilAccepted(put(0, 1))
+	leader := c.leader()
+	hb := keyrange.Heartbeat{Server: keyrange.Server{ID: "s1", StartMillis: 1, Service: "stock", Address: "s1:80", Slots: 6}}
+	c.wait("the server to be known", func() bool {
+		hb.Sequence++
+		reply, err := leader.Heartbeat(t.Context(), hb)
+		return err == nil && len(reply.Grants) > 0
+	})
+	hb.Server.Draining = true
+	for range 2 {
+		hb.Sequence++
+		if _, err := leader.Heartbeat(t.Context(), hb); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if leaves := leader.state.recordedLeaves(); len(leaves) != 1 {
+		t.Errorf("recorded: %v, want the draining of s1 once", leaves)
+	}
+	foreign := hb
+	foreign.Server.ID, foreign.Server.Service, foreign.Server.Address = "s2", "unknown", "s2:80"
+	if _, err := leader.Heartbeat(t.Context(), foreign); err != nil {
+		t.Fatal(err)
+	}
+	c.kill(leader)
+	c.wait("the next leader to withdraw the server from the gateways", func() bool {
+		next := c.leader()
+		if next == nil {
+			return false
+		}
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.leading != nil && slices.Equal(next.leading.coordinator.Snapshot().RemovedServers, []string{"s1"})
+	})
+}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,9 @@
 	case c.Put != nil:
 		return s.applyConfig(func() routes.PutReply { return s.routes.Apply(*c.Put) })
 	case c.Leave != nil:
-		s.leaves = append(s.leaves, *c.Leave)
+		if !slices.Contains(s.leaves, *c.Leave) {
+			s.leaves = append(s.leaves, *c.Leave)
+		}
 		if extra := len(s.leaves) - maxLeaves; extra > 0 {
 			s.leaves = s.leaves[extra:]
 		}
--- a/keyrange/leave.go
+++ b/keyrange/leave.go
@@ -20,7 +20,15 @@
 	c.serverChanged(s)
 }
 
-// Leave records that a server stops serving after the drain period. Its keys become free when
+// KnowsDeparture reports whether nothing needs to be recorded of a process that says that it is draining: that was
+// passed to Leave or RestoreLeave, or no heartbeat of the process was accepted.
+func (c *Coordinator) KnowsDeparture(info Server) bool {
+	s := c.servers[info.ID]
+	return s == nil || s.info.StartMillis != info.StartMillis || s.leaving
+}
+
+// Leave records that a server stops serving after the drain period: it sent a Leave message, or says in its
+// heartbeats that it is draining. Its keys become free when
 // it releases them or its lease expires.
 func (c *Coordinator) Leave(now time.Duration, leave Leave) {
 	c.recordDeparture(leave, now)
