Bound the memory of response bodies in forward, all together

Cause: the bound held for one response. io.ReadAll also takes more memory than it returns while it grows.

Change: the gateway's memory for bodies becomes internal/bodybuffer, which both use: the first 16 KiB of a body, and more only while all bodies together take at most 16 MiB; the rest is streamed. A large body that was received as a whole is passed on as a stream too, whose Close returns its memory; Response.Complete says that its exchange has ended, so that its slot is free at once, as before.

--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -158,7 +158,7 @@
 	if reply.ContentType != "" {
 		header.SetContentType(reply.ContentType)
 	}
-	return &forward.Response{Header: header, Body: reply.Body, Length: len(reply.Body)}
+	return &forward.Response{Header: header, Body: reply.Body, Length: len(reply.Body), Complete: true}
 }
 
 // ledgerKey returns the key that determines the record's home: the request's key, or its idempotency
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -132,7 +132,7 @@
 	if err == nil {
 		h.observer.Answered(to.server, time.Since(started))
 		h.reportAttemptEnd(r, to, chosenAt, signalAnswered)
-		if response.Stream == nil {
+		if response.Complete {
 			to.attemptEnded(time.Time{})
 		}
 		releaseWhenClosed(response, permit, func() { to.attemptEnded(h.mayRunUntil(r)) })
@@ -185,9 +185,9 @@
 	}
 }
 
-// releaseWhenClosed releases the slot permit, for a streamed response only once the stream is closed.
+// releaseWhenClosed releases the slot permit, for an incomplete response only once its stream is closed.
 func releaseWhenClosed(response *forward.Response, permit *slotPermit, onClose func()) {
-	if response.Stream == nil {
+	if response.Complete {
 		permit.release(admission.Succeeded)
 		return
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -122,6 +122,14 @@
 type prefixedBody struct {
 	prefix []byte
 	io.ReadCloser
+	release  func() // returns the memory of the prefix
+	released sync.Once
+}
+
+// Close closes the body.
+func (p *prefixedBody) Close() error {
+	p.released.Do(p.release)
+	return p.ReadCloser.Close()
 }
 
 // Read implements io.Reader.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/retry"
 )
@@ -50,6 +51,7 @@
 type Client struct {
 	dial     Dial
 	counters counters
+	buffers  *bodybuffer.Pool // for response bodies
 
 	mu    sync.Mutex // guards pools; acquired before pool.mu
 	pools map[poolKey]*pool
@@ -60,7 +62,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Client{dial: dial, pools: map[poolKey]*pool{}}
+	return &Client{dial: dial, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), pools: map[poolKey]*pool{}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, acquireFailure(ctx, err)
 	}
-	e := &exchange{pool: p, conn: connection, request: request, counters: &c.counters}
+	e := &exchange{pool: p, conn: connection, request: request, counters: &c.counters, buffers: c.buffers}
 	return e.run(ctx)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/retry"
 )
@@ -38,6 +39,7 @@
 	conn     *conn
 	request  *Request
 	counters *counters
+	buffers  *bodybuffer.Pool
 	// stopCancelWatch ends the watch of the context, which closes the connection on cancellation. It
 	// returns false if the context was canceled before.
 	stopCancelWatch func() bool
@@ -223,7 +225,8 @@
 	return nil, errors.Wrapf(errTooManyInterim, "more than %d", maxInterimResponses)
 }
 
-// readResponse reads the body up to MaxBuffered bytes, or returns it as a stream if it is longer.
+// readResponse reads the body up to MaxBuffered bytes, or returns it as a stream if it is longer or there is no memory
+// for it.
 func (e *exchange) readResponse(header *protocol.ResponseHeader) (*Response, error) {
 	e.extendDeadline()
 	if header.StatusCode() == 101 {
@@ -241,15 +244,22 @@
 		response.Stream = body
 		return response, nil
 	}
-	response.Body, err = io.ReadAll(io.LimitReader(body, int64(e.request.MaxBuffered)+1))
+	start, err := e.buffers.Read(body, int64(length), int64(e.request.MaxBuffered))
 	if err != nil {
 		return nil, err
 	}
-	if len(response.Body) > e.request.MaxBuffered {
-		response.Stream = &prefixedBody{prefix: response.Body, ReadCloser: body}
-		response.Body = nil
+	switch {
+	case !start.Complete:
+		response.Stream = &prefixedBody{prefix: start.Data, ReadCloser: body, release: start.Release}
 		return response, nil
+	case len(start.Data) <= bodybuffer.MinBytes:
+		response.Body = start.Data
+		start.Release()
+	default:
+		response.Length = len(start.Data)
+		response.Stream = &prefixedBody{prefix: start.Data, ReadCloser: io.NopCloser(body), release: start.Release}
 	}
+	response.Complete = true
 	return response, body.Close()
 }
 
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -37,7 +37,7 @@
 	// Meter receives the byte counts of the exchange; nil for none.
 	Meter Meter
 	// MaxBuffered is the size in bytes of the largest response body that Send reads completely before
-	// it returns.
+	// it returns. A body of more than bodybuffer.MinBytes is streamed if there is no memory for it.
 	MaxBuffered int
 }
 
@@ -50,10 +50,11 @@
 // Response is a response whose header was received. Either Body holds the complete body, or Stream
 // yields it and fails if the body is truncated. Stream must be closed if it is not nil.
 type Response struct {
-	Header *protocol.ResponseHeader
-	Body   []byte
-	Stream io.ReadCloser
-	Length int // of Stream in bytes; -1 if unknown
+	Header   *protocol.ResponseHeader
+	Body     []byte
+	Stream   io.ReadCloser
+	Length   int  // of Stream in bytes; -1 if unknown
+	Complete bool // the whole body was received: Stream can't fail, and the exchange has ended
 }
 
 // Values of Error.Reason, in addition to those that servers send in wire.HeaderRefused.
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
@@ -27,7 +28,7 @@
 	noticeCounter   prometheus.Counter
 	dial            dialFunc
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
-	buffers         *responseBuffers       // shared with the other servers
+	buffers         *bodybuffer.Pool       // shared with the other servers
 
 	mu          sync.Mutex // guards the fields below
 	idle        []*conn    // the most recently used last
@@ -54,11 +55,11 @@
 	// dial opens connections to backend servers. Tests simulate slow links with it.
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
-	buffers *responseBuffers // of all servers
+	buffers *bodybuffer.Pool // for the response bodies of all servers
 }
 
 func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: newResponseBuffers()}
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes)}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/idle"
 	"github.com/galenalug/galenalug/internal/readlimit"
 )
@@ -39,7 +40,7 @@
 	maxIdle  time.Duration     // how long the connection may be idle
 	lastUsed time.Time         // end of the last exchange
 	refused  []string          // IDs of the requests that were refused on the connection
-	buffers  *responseBuffers  // of all connections
+	buffers  *bodybuffer.Pool  // of all connections
 }
 
 // Write counts the bytes that were handed to the network.
@@ -65,7 +66,7 @@
 	return raw, nil
 }
 
-func newConn(raw net.Conn, buffers *responseBuffers) *conn {
+func newConn(raw net.Conn, buffers *bodybuffer.Pool) *conn {
 	limit := readlimit.NewReader(raw)
 	return &conn{
 		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime, buffers: buffers,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/readlimit"
 )
 
@@ -26,6 +27,9 @@
 	// maxRefusalBody is the maximum size of the body of a response that states that the request did
 	// not run, bytes. The connection of a longer one is closed.
 	maxRefusalBody = 16 << 10
+	// maxBufferedResponse is the size up to which a response body is read in full before the response is sent to the
+	// client, if there is memory for it, bytes. An error within that part can still be retried or reported.
+	maxBufferedResponse = 256 << 10
 )
 
 // exchangeError is the error of an exchange that yielded no response.
@@ -222,8 +226,8 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.body, resp.releaseBody = start.data, start.release
-	if !start.complete {
+	resp.body, resp.releaseBody = start.Data, start.Release
+	if !start.Complete {
 		resp.rest = httpResp.Body
 	}
 	if !httpResp.Close {
@@ -234,10 +238,10 @@
 
 // readStart reads the part of the body that is read before the response is sent. What follows the first bytes of a
 // refusal is not needed.
-func readStart(c *conn, httpResp *http.Response, info ResponseInfo) (bodyStart, error) {
+func readStart(c *conn, httpResp *http.Response, info ResponseInfo) (bodybuffer.Start, error) {
 	if !info.NotExecuted {
-		return c.buffers.read(httpResp)
+		return c.buffers.Read(httpResp.Body, httpResp.ContentLength, maxBufferedResponse)
 	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxRefusalBody))
-	return bodyStart{data: body, complete: len(body) < maxRefusalBody, release: func() {}}, err
+	return bodybuffer.Start{Data: body, Complete: len(body) < maxRefusalBody, Release: func() {}}, err
 }
