One function that sleeps until a context ends; smaller files

clock.Sleep replaces six copies in gateway, peer, groupcall, entry, backend and demo. No behaviour changes.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -37,20 +38,11 @@
 			entry = (entry + 1) % len(s.settings.Entries)
 		}
 		if err == nil || entry == 0 {
-			sleep(ctx, heartbeat)
+			clock.Sleep(ctx, heartbeat)
 		}
 	}
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) announce(ctx context.Context, entry string) error {
 	announcement := s.announcement()
 	sentAt := s.clock()
@@ -127,7 +119,7 @@
 			entry = (entry + 1) % len(s.settings.Entries)
 		}
 		if !polled || err != nil {
-			sleep(ctx, grantsRetryDelay)
+			clock.Sleep(ctx, grantsRetryDelay)
 		}
 	}
 }
--- a/internal/backend/execute.go
+++ b/internal/backend/execute.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -166,7 +167,7 @@
 	defer s.end(c)
 	c.run.StartNanos = monotonicNanos()
 	c.run.StartedAt = time.Now()
-	sleep(ctx, s.serviceTime())
+	clock.Sleep(ctx, s.serviceTime())
 	s.freezeGate.wait()
 	if ctx.Err() != nil {
 		return result{}, wire.RefusedDeadline
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/backend"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 	}
 	workers.Wait()
 	// A request with unknown outcome may still run until its deadline.
-	if !sleep(ctx, requestDeadline) {
+	if !clock.Sleep(ctx, requestDeadline) {
 		return Report{}, errors.Wrap(ctx.Err(), "wait for requests with unknown outcome")
 	}
 	return d.buildReport()
@@ -131,7 +132,7 @@
 			got := result{}
 			for got.outcome != Answered {
 				got = d.send(ctx, entry, keyName(key), "")
-				if got.outcome != Answered && !sleep(ctx, warmUpRetryDelay) {
+				if got.outcome != Answered && !clock.Sleep(ctx, warmUpRetryDelay) {
 					return errors.Errorf("entry host %s did not answer for key %s during the warm-up: %s", entry, keyName(key), got.reason)
 				}
 			}
@@ -142,18 +143,6 @@
 
 func keyName(key int) string { return "pram-" + strconv.Itoa(key) }
 
-// sleep returns false if the context ends before the duration has passed.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // work sends requests one after the other until the context ends. It does not cancel a request in
 // flight. Apart from repeated orders, each worker uses one entry host, so that an unresponsive entry
 // host does not block all workers.
@@ -172,7 +161,7 @@
 		if got != Answered {
 			wait = retryDelay
 		}
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 }
 
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/pacing"
 )
@@ -110,7 +111,7 @@
 		if wait == 0 {
 			return n, err
 		}
-		sleepContext(p.ctx, wait)
+		clock.Sleep(p.ctx, wait)
 		if p.ctx.Err() != nil {
 			return 0, p.ctx.Err()
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/admission"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/retry"
@@ -264,17 +265,10 @@
 }
 
 func sleepBeforeRetry(ctx context.Context, delay time.Duration, last *forward.Error) *refusal {
-	if delay <= 0 {
+	if delay <= 0 || clock.Sleep(ctx, delay) {
 		return nil
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return attemptRefusal(last)
-	}
+	return attemptRefusal(last)
 }
 
 // attemptRefusal returns the refusal for a request whose last attempt failed.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
 )
@@ -24,7 +24,7 @@
 	h.stopping.Store(true)
 	close(h.stopStarted)
 	h.logger.Info("shutting down: readiness check now fails")
-	sleepContext(ctx, h.config.unreadyPeriod)
+	clock.Sleep(ctx, h.config.unreadyPeriod)
 	drainContext, cancel := context.WithTimeout(ctx, h.config.drainPeriod)
 	defer cancel()
 	err := h.callerServer.Shutdown(drainContext)
@@ -51,15 +51,6 @@
 	}
 }
 
-func sleepContext(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // cancelOnStop returns a context that is also canceled when the shutdown starts, so that long polls
 // don't delay it.
 func (h *Host) cancelOnStop(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
@@ -75,7 +76,7 @@
 		ID: fmt.Sprint("s", i), StartMillis: 1, Service: "stock", Address: fmt.Sprint("s", i, ":80"), Slots: 6,
 	}}
 	next := time.Duration(rand.Int64N(int64(benchHeartbeatInterval)))
-	for sleep(ctx, next) {
+	for clock.Sleep(ctx, next) {
 		hb.Sequence++
 		reply, err := leader.Heartbeat(ctx, hb)
 		next = benchHeartbeatInterval
@@ -110,7 +111,7 @@
 			break
 		}
 	}
-	for sleep(ctx, benchReportInterval) {
+	for clock.Sleep(ctx, benchReportInterval) {
 		firstHotKey := time.Since(started).Milliseconds() / 4000 * 7919 % keySpace
 		counts := map[int64]int64{}
 		for range int(benchRequestsPerSecond * benchReportInterval / time.Second) {
@@ -131,16 +132,6 @@
 	}
 }
 
-// sleep waits for d and returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // updateCount is a peer handler that counts the table updates received by gateways.
 type updateCount struct {
 	mu sync.Mutex
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -47,17 +47,38 @@
 		}
 		return
 	}
-	inheritedLeasesEnd := time.Duration(0)
-	if previous := h.state.recordedLease(); previous > 0 {
-		inheritedLeasesEnd = clock.Now() + keyrange.LeaseBound(previous)
-	}
 	h.metrics.leads.Set(1)
-	lease := h.lease()
+	h.leading = h.newLeadership(term)
+	setServices(h.leading.coordinator, h.state.config())
+	h.requestPublish()
+}
+
+// newLeadership returns the state of a leader whose term begins.
+func (h *Host) newLeadership(term uint64) *leadership {
+	now := clock.Now()
 	configs := h.newRollout()
 	if h.state.config().Version > 0 {
-		configs.Inherit(clock.Now())
+		configs.Inherit(now)
+	}
+	return &leadership{
+		term:        term,
+		coordinator: h.newCoordinator(now, term),
+		rollout:     configs,
+		issuer:      ratelimit.NewIssuer(),
+		quarantine:  quarantine.NewTracker(now),
+		calls:       h.newGrantCalls(),
+		reported:    make(chan struct{}),
 	}
-	h.leading = &leadership{term: term, rollout: configs, issuer: ratelimit.NewIssuer(), quarantine: quarantine.NewTracker(clock.Now()), calls: h.newGrantCalls(), reported: make(chan struct{}), coordinator: keyrange.New(keyrange.Options{
+}
+
+// newCoordinator returns the coordinator of a term that begins. Servers may hold keys under leases of earlier terms.
+func (h *Host) newCoordinator(now time.Duration, term uint64) *keyrange.Coordinator {
+	inheritedLeasesEnd := time.Duration(0)
+	if previous := h.state.recordedLease(); previous > 0 {
+		inheritedLeasesEnd = now + keyrange.LeaseBound(previous)
+	}
+	lease := h.lease()
+	return keyrange.New(keyrange.Options{
 		Term:               term,
 		Keys:               keySpace,
 		RangesPerServer:    initialRangesPerServer,
@@ -66,9 +87,7 @@
 		RecordedGrants:     h.state.grants(),
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatTimeout:   2 * lease,
-	})}
-	setServices(h.leading.coordinator, h.state.config())
-	h.requestPublish()
+	})
 }
 
 // Leads reports whether this host considers itself the leader. A deposed leader may still return
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/idle"
 )
 
@@ -83,6 +84,6 @@
 // arrived on them.
 func (c *clientConns) awaitRead(ctx context.Context) {
 	for ctx.Err() == nil && c.hasUnread() {
-		sleep(ctx, unreadPollInterval)
+		clock.Sleep(ctx, unreadPollInterval)
 	}
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -186,7 +186,7 @@
 
 func (h *Host) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepInterval)
+		clock.Sleep(ctx, sweepInterval)
 		h.backends.sweep(clockNow(), h.view.has)
 	}
 }
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -140,13 +140,6 @@
 	return body
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/internal/gateway/leadersearch.go
+++ b/internal/gateway/leadersearch.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -131,7 +132,7 @@
 // or nil if there is none when the context ends.
 func (l *leaderLink) watch(ctx context.Context, s *subscription) *subscription {
 	for ctx.Err() == nil {
-		sleep(ctx, silenceInterval)
+		clock.Sleep(ctx, silenceInterval)
 		if s.client.Silence() < silenceLimit {
 			continue
 		}
@@ -142,7 +143,7 @@
 		go func() {
 			defer cancel()
 			for searchCtx.Err() == nil && s.client.Silence() >= silenceLimit {
-				sleep(searchCtx, silenceInterval)
+				clock.Sleep(searchCtx, silenceInterval)
 			}
 		}()
 		next := l.search(searchCtx)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -38,7 +38,7 @@
 	defer time.AfterFunc(total-stopReserve-answerReserve, h.giveUp).Stop()
 	ctx, cancel := context.WithTimeout(ctx, total-stopReserve)
 	defer cancel()
-	sleep(ctx, min(unreadyTime, total/2))
+	clock.Sleep(ctx, min(unreadyTime, total/2))
 	h.draining.Store(true)
 	_ = h.listener.Close() // shutDown closes it again
 	h.awaitClients(ctx, idleReserve)
@@ -66,6 +66,6 @@
 func (h *Host) awaitClients(ctx context.Context, reserve time.Duration) {
 	deadline, _ := ctx.Deadline()
 	for time.Until(deadline) > reserve && ctx.Err() == nil && h.clientConns.open() > 0 {
-		sleep(ctx, clientPollInterval)
+		clock.Sleep(ctx, clientPollInterval)
 	}
 }
--- a/internal/groupcall/caller.go
+++ b/internal/groupcall/caller.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
 )
@@ -79,7 +80,7 @@
 			return nil, errors.Wrapf(ErrRefused, "%s: %v", group, err)
 		}
 		c.updateLeader(group, name, err)
-		if (attempt+1)%len(c.order) == 0 && !sleep(ctx, roundPause) || ctx.Err() != nil {
+		if (attempt+1)%len(c.order) == 0 && !clock.Sleep(ctx, roundPause) || ctx.Err() != nil {
 			return nil, errors.Wrapf(ErrUnavailable, "%s: %v", group, lastErr)
 		}
 	}
@@ -134,15 +135,3 @@
 	}
 	return remote.Code == wire.CodeInvalid || remote.Code == wire.CodeConflict
 }
-
-// sleep waits and returns true, or returns false once ctx is done.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -122,7 +123,7 @@
 		c.options.Logger.WithFields(log.Fields{
 			"peer": c.options.ExpectedName, "address": c.options.Address, "error": err.Error(),
 		}).Warn("peer connection failed; reconnecting")
-		if !sleep(ctx, jitter(random, wait)) {
+		if !clock.Sleep(ctx, jitter(random, wait)) {
 			return
 		}
 		wait = min(2*wait, c.options.Limits.BackoffMax)
@@ -135,17 +136,6 @@
 	return half + time.Duration(random.Int64N(int64(half)+1))
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Client) connect(ctx context.Context) (*Conn, error) {
 	limits := c.options.Limits
 	ctx, cancel := context.WithTimeout(ctx, limits.HandshakeTimeout)
