Record no draining from a heartbeat that was refused

Cause, found in the last reading of the diff: since a heartbeat with the ID and the start of a server, but another service or address, changed nothing in the coordinator, but was recorded as that server's draining if it said so. The gateways then stopped sending to a server that goes on.

Change: only what the coordinator has accepted counts, that is, the server's own entry must say that it drains.

TestAcknowledgedDrainingOutlivesTheLeader now sends both forms; before the change s1 was recorded.

--- a/internal/fleet/draining_test.go
+++ b/internal/fleet/draining_test.go
@@ -20,6 +20,20 @@
 		reply, err := leader.Heartbeat(t.Context(), hb)
 		return err == nil && len(reply.Grants) > 0
 	})
+	for _, change := range []func(*keyrange.Server){
+		func(s *keyrange.Server) { s.Service = "unknown" },
+		func(s *keyrange.Server) { s.Address = "s2:80" },
+	} {
+		foreign := hb
+		foreign.Server.Draining, foreign.Sequence = true, hb.Sequence+10
+		change(&foreign.Server)
+		if _, err := leader.Heartbeat(t.Context(), foreign); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if leaves := leader.state.recordedLeaves(); len(leaves) != 0 {
+		t.Errorf("recorded: %v, want nothing from heartbeats that s1 did not send", leaves)
+	}
 	hb.Server.Draining = true
 	for range 2 {
 		hb.Sequence++
--- a/keyrange/leave.go
+++ b/keyrange/leave.go
@@ -21,10 +21,10 @@
 }
 
 // KnowsDeparture reports whether nothing needs to be recorded of a process that says that it is draining: that was
-// passed to Leave or RestoreLeave, or no heartbeat of the process was accepted.
+// passed to Leave or RestoreLeave, or no such heartbeat of the process was accepted.
 func (c *Coordinator) KnowsDeparture(info Server) bool {
 	s := c.servers[info.ID]
-	return s == nil || s.info.StartMillis != info.StartMillis || s.leaving
+	return s == nil || s.info.StartMillis != info.StartMillis || !s.info.Draining || s.leaving
 }
 
 // Leave records that a server stops serving after the drain period: it sent a Leave message, or says in its
