Refuse partial responses and malformed heads of servers in trouble

Cause: the kernel reports a reset once. If the writer of a request got it, the reader saw an orderly end, and a body without a length counted as complete. The parsers of the libraries accept a status outside 100 to 599, a space or a control byte in a field name, and folded lines.

Change: the end of a body without a length counts only after the request was sent without an error.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,8 +5,11 @@
 	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/httphead"
 	"github.com/galenalug/galenalug/internal/idle"
 )
 
@@ -23,6 +26,9 @@
 	fresh     bool      // carried no complete exchange yet
 	readErr   error     // error of the last network read, which hertz's codec does not pass on
 	meter     Meter     // of the current exchange; nil for none
+	skipped   []byte    // what the last call to Skip has discarded, if keepSkipped is set
+	// keepSkipped is set while a response header is read: hertz skips it as a whole once it has parsed it.
+	keepSkipped bool
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
@@ -70,10 +76,27 @@
 
 // Skip implements network.Reader.
 func (c *conn) Skip(n int) error {
+	if c.keepSkipped {
+		head, err := c.reader.Peek(n)
+		if err != nil {
+			return err
+		}
+		c.skipped = append(c.skipped[:0], head...)
+	}
 	_, err := c.reader.Discard(n)
 	return err
 }
 
+// readHeader reads the header of one response. It fails if the header is malformed, also where hertz accepts it.
+func (c *conn) readHeader(header *protocol.ResponseHeader) error {
+	c.keepSkipped = true
+	defer func() { c.keepSkipped = false }()
+	if err := resp.ReadHeader(header, c); err != nil {
+		return err
+	}
+	return httphead.CheckResponse(c.skipped)
+}
+
 // Release implements network.Reader. It does nothing, as the buffer is kept as long as the connection.
 func (c *conn) Release() error { return nil }
 
--- a/internal/forward/cut_head_test.go
+++ b/internal/forward/cut_head_test.go
@@ -71,3 +71,21 @@
 		Deadline: time.Now().Add(time.Second), MaxBuffered: 1 << 10,
 	})
 }
+
+// Guards against heads of faulty servers that pass for responses: hertz accepts each of them (issue 40, MIXED).
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000":         "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"status 999":         "HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n",
+		"blank in name":      "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 0\r\n\r\n",
+		"blank before colon": "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length : 0\r\nContent-Length: 0\r\n\r\n",
+		"control byte":       "HTTP/1.1 200 OK\r\nA\x01: b\r\nContent-Length: 0\r\n\r\n",
+		"folded line":        "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 5\r\nContent-Length: 0\r\n\r\n",
+	} {
+		response, err := sendToCutting(t, answer, -1)
+		var failure *Error
+		if !errors.As(err, &failure) || failure.Outcome != retry.Unknown {
+			t.Errorf("%s: response %+v, error %v; want an attempt that may have run", name, response, err)
+		}
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/bodybuffer"
@@ -214,7 +213,7 @@
 	header := &protocol.ResponseHeader{}
 	header.SetNoDefaultContentType(true)
 	for range maxInterimResponses + 1 {
-		if err := resp.ReadHeader(header, e.conn); err != nil {
+		if err := e.conn.readHeader(header); err != nil {
 			return nil, err
 		}
 		if header.StatusCode() >= 200 || header.StatusCode() == 101 {
--- a/internal/forward/probe.go
+++ b/internal/forward/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 )
 
@@ -18,7 +17,7 @@
 		return errors.Wrap(err, "write probe")
 	}
 	response := &protocol.ResponseHeader{}
-	if err := resp.ReadHeader(response, c); err != nil {
+	if err := c.readHeader(response); err != nil {
 		return errors.Wrap(err, "read probe response")
 	}
 	if response.StatusCode() != 200 {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/galenalug/galenalug/internal/bodybuffer"
+	"github.com/galenalug/galenalug/internal/httphead"
 	"github.com/galenalug/galenalug/internal/idle"
 	"github.com/galenalug/galenalug/internal/readlimit"
 )
@@ -34,13 +35,14 @@
 type conn struct {
 	net.Conn
 	reader   *bufio.Reader
-	limit    *readlimit.Reader // below reader
-	written  atomic.Int64      // bytes written of the current request
-	dialTook time.Duration     // how long it took to open; 0 once that was reported
-	maxIdle  time.Duration     // how long the connection may be idle
-	lastUsed time.Time         // end of the last exchange
-	refused  []string          // IDs of the requests that were refused on the connection
-	buffers  *bodybuffer.Pool  // of all connections
+	heads    *httphead.Recorder // below reader
+	limit    *readlimit.Reader  // below heads
+	written  atomic.Int64       // bytes written of the current request
+	dialTook time.Duration      // how long it took to open; 0 once that was reported
+	maxIdle  time.Duration      // how long the connection may be idle
+	lastUsed time.Time          // end of the last exchange
+	refused  []string           // IDs of the requests that were refused on the connection
+	buffers  *bodybuffer.Pool   // of all connections
 }
 
 // Write counts the bytes that were handed to the network.
@@ -68,8 +70,10 @@
 
 func newConn(raw net.Conn, buffers *bodybuffer.Pool) *conn {
 	limit := readlimit.NewReader(raw)
+	heads := httphead.NewRecorder(limit)
 	return &conn{
-		Conn: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), lastUsed: time.Now(), maxIdle: defaultIdleTime, buffers: buffers,
+		Conn: raw, limit: limit, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes),
+		lastUsed: time.Now(), maxIdle: defaultIdleTime, buffers: buffers,
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/bodybuffer"
+	"github.com/galenalug/galenalug/internal/httphead"
 	"github.com/galenalug/galenalug/internal/readlimit"
 )
 
@@ -90,20 +91,20 @@
 	if req.bulk != nil {
 		go req.bulk.watch(c, answered)
 	}
-	sent := make(chan error, 1)
-	go func() { sent <- send(c, req, watch) }()
-	resp, err := read(c, req, dialect)
+	sending := startSending(func() error { return send(c, req, watch) })
+	resp, err := read(c, req, dialect, sending)
 	if err != nil {
 		stop()
 		release(c, false)
-		<-sent //nolint:errcheck // the read error is returned instead
+		<-sending.done // the read error is returned, not that of the write
 		return nil, newExchangeError(ctx, c, watch, err)
 	}
 	keepAlive := resp.finish != nil
 	resp.finish = func(complete bool) {
 		// The server may respond before it has read the whole request body. The connection can be
 		// reused only after the rest was sent.
-		bodySent := <-sent == nil
+		<-sending.done
+		bodySent := sending.err == nil
 		notCanceled := stop()
 		if resp.info.NotExecuted {
 			c.refused = append(c.refused, req.id)
@@ -190,15 +191,21 @@
 // earlier request on the connection.
 var errNoID = errors.New("response without the ID of the request")
 
+// errSwitched is the error of a server that changes the protocol without being asked to.
+var errSwitched = errors.New("server switched protocols")
+
 // read reads the response to the request. It skips interim (1xx) responses and late responses to
 // earlier requests.
-func read(c *conn, req *backendRequest, dialect Dialect) (*backendResponse, error) {
+func read(c *conn, req *backendRequest, dialect Dialect, sending *sending) (*backendResponse, error) {
 	for range maxLateResponses + 1 {
 		c.limit.Limit(maxResponseHead)
-		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: req.method})
+		httpResp, err := httphead.ReadResponse(c.reader, c.heads, &http.Request{Method: req.method})
 		if err != nil {
 			return nil, err
 		}
+		if httpResp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
 		if httpResp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -214,6 +221,9 @@
 			continue
 		}
 		c.limit.Unlimit()
+		if httphead.EndsWithConnection(httpResp) {
+			httpResp.Body = &closeDelimitedBody{ReadCloser: httpResp.Body, sending: sending, deadline: req.deadline}
+		}
 		return readBody(c, httpResp, info)
 	}
 	return nil, errors.New("too many interim responses or responses to earlier requests")
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -92,6 +92,30 @@
 	return s
 }
 
+// listenRaw serves connections with a function that gets the head of the first request.
+func (s *fakeBackend) listenRaw(answer func(net.Conn, *http.Request)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.listener = listener
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn, r)
+				}
+			}()
+		}
+	}()
+}
+
 func (s *fakeBackend) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
