Choose servers by remaining work, among two drawn at random

With balance: work, a gateway takes the nearest distance at which enough servers have a short wait, draws two servers there, weighted by capacity, and sends to the one expected to finish first. Untried servers count with the mean of the service, so gateways that start together no longer send to the same server.

internal/gateway failed once in two runs with -race, at a load average of 19; the name of the test was not kept, and the second run passed.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -24,6 +24,11 @@
 	UntilDeadline time.Duration // time remaining until the deadline
 	UntilTarget   time.Duration // time remaining until the latency target; negative if it has passed
 	Bulk          bool          // has a large body, or a large response
+
+	// The fields below count for ChooseByWork only.
+
+	Work     time.Duration // expected time that the request takes on a server of speed 1
+	HighWork time.Duration // time that only a few of such requests exceed; 0 if not known
 }
 
 // maxRequestsPerSlot returns the number of requests per slot at which a server is full for a
@@ -88,6 +93,16 @@
 	PausedFor       time.Duration // how much longer the server wants no requests
 	Limited         bool          // the server takes only requests with a token (package ratelimit)
 	Tokens          int           // tokens that this gateway has for the server
+
+	// The fields below count for ChooseByWork only.
+
+	Speed    float64       // relative to the mean of the service; 0 counts as 1
+	WorkLeft time.Duration // expected work of this gateway's own requests at the server, at speed 1
+	MeanWork time.Duration // expected work of a request of another gateway, at speed 1
+	Avoid    bool          // gets no request while there is a candidate that need not be avoided
+	Open     bool          // an idle connection to the server is open
+
+	estimate workEstimate // set by ChooseByWork
 }
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -38,6 +38,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// HostPercent is the time that work currently takes on the server's host, in percent of the usual
+	// time; 0 if not known.
+	HostPercent int
 }
 
 // Load is one gateway's estimate of a server's load.
@@ -48,6 +51,7 @@
 	serviceTime time.Duration // average over requests that did not wait
 	samples     int           // number of samples in serviceTime
 	expected    time.Duration // service time assumed before the first response; 0 if not known
+	ownWork     time.Duration // expected work of this gateway's requests; see AddWork
 }
 
 // Start counts a request as in flight.
@@ -56,6 +60,12 @@
 // End removes a request from those in flight.
 func (l *Load) End() { l.inFlight-- }
 
+// AddWork adds the expected work of a request that has started, or subtracts that of one that has ended.
+func (l *Load) AddWork(work time.Duration) { l.ownWork += work }
+
+// OwnWork returns the expected work of this gateway's requests in flight.
+func (l *Load) OwnWork() time.Duration { return l.ownWork }
+
 // Untried reports whether this gateway has not sent the server any request yet.
 func (l *Load) Untried() bool { return l.inFlight == 0 && l.samples == 0 && l.reportedAt == 0 }
 
--- /dev/null
+++ b/dispatch/work.go
@@ -0,0 +1,291 @@
+package dispatch
+
+import "time"
+
+const (
+	// spillServicePart and spillSlackPart bound the wait expected at near servers, as parts of the request's own
+	// work and of its slack until the latency target. Beyond either, farther servers are used as well. The bound
+	// is low because the estimates are uncertain: at a bound near the target, requests miss it.
+	spillServicePart = 0.25
+	spillSlackPart   = 0.125
+	// patience is the factor between the bound and the second bound, which counts if no distance is within the first.
+	patience = 4
+	// enoughCapacity is the part of the capacity at a distance that must be within the bound. With less, all
+	// gateways there would choose the same few servers.
+	enoughCapacity = 0.25
+	// loadWeight is the weight of a server's load in the comparison of two servers that both have free slots.
+	loadWeight = 0.25
+	// equalPart is the difference of expected finish, as a part of the request's work, up to which two servers count
+	// as equal, so that distance and open connections decide.
+	equalPart = 0.1
+)
+
+// Basis states why ChooseByWork chose a server.
+type Basis string
+
+// Reasons of choices.
+const (
+	BasisNear    Basis = "near"    // within the latency target, at the nearest distance
+	BasisSpill   Basis = "spill"   // like BasisNear, but at a farther one, since the wait at near ones is long
+	BasisLate    Basis = "late"    // no server is expected to respond within the latency target
+	BasisSuspect Basis = "suspect" // requests to all servers failed recently
+	BasisAvoided Basis = "avoided" // all servers are to be avoided
+)
+
+// Choice is the result of ChooseByWork.
+type Choice struct {
+	Index  int    // of the candidate; -1 if there is none
+	Reason Reason // why there is none
+	Basis  Basis  // why it was chosen
+}
+
+// workEstimate is what ChooseByWork expects of a candidate. Times are in nanoseconds.
+type workEstimate struct {
+	wait     float64 // until a slot is free
+	finish   float64 // until the response, with the load counted also while slots are free
+	capacity float64 // slots times speed
+	class    uint8   // classNone, or the lower the better
+	level    uint8   // of the wait: 0 within the bound, 1 within the second bound, 2 beyond
+}
+
+// Classes of candidates: a sum of the bits below.
+const (
+	classLate    uint8 = 1
+	classSuspect uint8 = 2
+	classNone    uint8 = 255 // gets no request
+)
+
+const (
+	levels    = 3
+	distances = int(OtherRegion) + 1
+)
+
+// workChoice is the state of one call of ChooseByWork.
+type workChoice struct {
+	now           time.Duration
+	request       Request
+	avoid         bool    // candidates to avoid are left out
+	localOnly     bool    // candidates in other regions are left out
+	othersPerSlot float64 // mean number of other gateways' requests per slot, according to recent reports
+	bound         float64 // of the wait, ns; see spillServicePart
+	reason        Reason  // of the candidates left out
+	best          uint8   // the lowest class
+	// capacity sums up the candidates by class (late or not is enough: only the best class is used), distance and
+	// level of the wait.
+	capacity [distances][levels]float64
+}
+
+// ChooseByWork returns the candidate that runs the request. Like Choose it leaves out candidates that can't take the
+// request, and prefers those expected to meet the latency target. Among these it takes the nearest distance at which
+// enough servers have a short wait, draws two candidates at random, weighted by capacity, and returns the one that is
+// expected to finish first (M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001).
+// A server of which nothing is known counts as one of mean speed and load, so that gateways that have all just
+// started spread their requests evenly. random returns numbers in [0, 1).
+func ChooseByWork(now time.Duration, candidates []Candidate, r Request, random func() float64) Choice {
+	if len(candidates) == 0 {
+		return Choice{Index: -1, Reason: QueueFull}
+	}
+	w := workChoice{now: now, request: r, reason: Paused, best: classNone}
+	w.prepare(candidates)
+	for i := range candidates {
+		w.estimate(&candidates[i])
+	}
+	if w.best == classNone {
+		return Choice{Index: -1, Reason: w.reason}
+	}
+	farthest, level := w.set()
+	first := w.draw(candidates, farthest, level, random, -1)
+	second := w.draw(candidates, farthest, level, random, first)
+	if second >= 0 && w.better(&candidates[second], &candidates[first]) {
+		first = second
+	}
+	return Choice{Index: first, Basis: w.basis(candidates, first)}
+}
+
+// prepare determines what depends on all candidates.
+func (w *workChoice) prepare(candidates []Candidate) {
+	var others, slots float64
+	for i := range candidates {
+		c := &candidates[i]
+		w.avoid = w.avoid || !c.Avoid
+		w.localOnly = w.localOnly || c.Distance != OtherRegion
+		if weight := c.Load.reportWeight(w.now); weight > 0 {
+			others += weight * float64(c.Load.others)
+			slots += weight * float64(c.Slots)
+		}
+	}
+	w.localOnly = w.localOnly && w.request.Bulk
+	w.othersPerSlot = others / max(slots+float64(candidates[0].Slots), 1) // one server without load is added
+	slack := max(float64(w.request.UntilTarget-w.request.Work), 0)
+	w.bound = min(spillServicePart*float64(w.request.Work), spillSlackPart*slack)
+}
+
+// estimate sets the estimate of a candidate and counts its capacity.
+func (w *workChoice) estimate(c *Candidate) {
+	e := &c.estimate
+	e.class = classNone
+	if w.avoid && c.Avoid || w.localOnly && c.Distance == OtherRegion {
+		return
+	}
+	speed := c.Speed
+	if speed <= 0 {
+		speed = 1
+	}
+	slots := float64(c.Slots)
+	e.capacity = slots * speed
+	others := c.Load.othersWith(w.now, w.othersPerSlot*slots)
+	requests := float64(c.Load.inFlight) + others + float64(c.Ahead)
+	work := float64(c.WorkLeft) + (others+float64(c.Ahead))*float64(c.MeanWork)
+	e.wait = 0
+	if ahead := requests - slots + 1; ahead > 0 {
+		e.wait = work * ahead / requests / e.capacity
+	}
+	own := float64(w.request.Work) / speed
+	if reason := w.admit(c, requests, own); reason != Admitted {
+		if reason != Paused && w.reason != RateLimited {
+			w.reason = reason
+		}
+		return
+	}
+	e.class = 0
+	high := max(float64(w.request.HighWork)/speed, own)
+	if e.wait+own > float64(w.request.UntilTarget) || e.wait+high > float64(w.request.UntilDeadline) {
+		e.class |= classLate
+	}
+	if c.Suspect {
+		e.class |= classSuspect
+	}
+	e.finish = e.wait + own + loadWeight*work/e.capacity
+	e.level = 0
+	if e.wait > w.bound {
+		e.level = 1
+		if e.wait > patience*w.bound {
+			e.level = 2
+		}
+	}
+	if e.class < w.best {
+		w.best, w.capacity = e.class, [distances][levels]float64{}
+	}
+	if e.class == w.best {
+		w.capacity[c.Distance][e.level] += e.capacity
+	}
+}
+
+// admit is like Admit, with the estimates of ChooseByWork.
+func (w *workChoice) admit(c *Candidate, requests, own float64) Reason {
+	switch {
+	case c.PausedFor > 0:
+		return Paused
+	case c.estimate.wait+own/2 > float64(w.request.UntilDeadline):
+		return TooLate
+	case c.Load.inFlight+c.Ahead >= c.ConnectionLimit:
+		return NoConnection
+	case requests >= w.request.maxRequestsPerSlot()*float64(c.Slots):
+		return QueueFull
+	case c.Limited && c.Ahead >= c.Tokens:
+		return RateLimited
+	}
+	return Admitted
+}
+
+// set returns the set to draw from: the candidates of the best class up to a distance and a level of the wait.
+func (w *workChoice) set() (farthest Distance, level uint8) {
+	if w.best&classLate != 0 {
+		return OtherRegion, levels - 1
+	}
+	for level := range uint8(levels - 1) {
+		var within float64
+		for d := range distances {
+			there := 0.0
+			for l, capacity := range w.capacity[d] {
+				there += capacity
+				if l <= int(level) {
+					within += capacity
+				}
+			}
+			if within > 0 && within >= enoughCapacity*there {
+				return Distance(d), level
+			}
+		}
+	}
+	return OtherRegion, levels - 1
+}
+
+// in reports whether a candidate is in the set to draw from.
+func (w *workChoice) in(c *Candidate, farthest Distance, level uint8) bool {
+	return c.estimate.class == w.best && c.Distance <= farthest && c.estimate.level <= level
+}
+
+// draw returns a random candidate of the set other than the given one, or -1 if there is none.
+func (w *workChoice) draw(candidates []Candidate, farthest Distance, level uint8, random func() float64, other int) int {
+	total := 0.0
+	for d := range farthest + 1 {
+		for l := range level + 1 {
+			total += w.capacity[d][l]
+		}
+	}
+	if other >= 0 {
+		total -= candidates[other].estimate.capacity
+	}
+	left, last := random()*total, -1
+	for i := range candidates {
+		c := &candidates[i]
+		if i == other || !w.in(c, farthest, level) {
+			continue
+		}
+		last = i
+		if left -= c.estimate.capacity; left < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// better reports whether a is preferred to b.
+func (w *workChoice) better(a, b *Candidate) bool {
+	difference := a.estimate.finish - b.estimate.finish
+	if equal := equalPart * float64(w.request.Work); difference > equal || difference < -equal {
+		return difference < 0
+	}
+	if a.Distance != b.Distance {
+		return a.Distance < b.Distance
+	}
+	if a.Open != b.Open {
+		return a.Open
+	}
+	return difference < 0
+}
+
+func (w *workChoice) basis(candidates []Candidate, chosen int) Basis {
+	c := &candidates[chosen]
+	switch {
+	case c.Avoid:
+		return BasisAvoided
+	case c.estimate.class&classSuspect != 0:
+		return BasisSuspect
+	case c.estimate.class&classLate != 0:
+		return BasisLate
+	}
+	for i := range candidates {
+		if candidates[i].Distance < c.Distance {
+			return BasisSpill
+		}
+	}
+	return BasisNear
+}
+
+// reportWeight returns the weight of the latest load report, which decreases linearly with its age.
+func (l *Load) reportWeight(now time.Duration) float64 {
+	age := now - l.reportedAt
+	if l.reportedAt == 0 || age >= reportLifetime {
+		return 0
+	}
+	return 1 - float64(age)/float64(reportLifetime)
+}
+
+// othersWith returns the estimated number of other gateways' requests at the server, if a server without a report has
+// the given number.
+func (l *Load) othersWith(now time.Duration, unreported float64) float64 {
+	weight := l.reportWeight(now)
+	return weight*float64(l.others) + (1-weight)*unreported
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -43,6 +43,7 @@
 	TableVersion  uint64        // version of the ownership table in that term
 	TableAge      time.Duration // since the latest update of that table
 	ServerLoad    float64       // estimated number of requests at the server
+	Choice        string        // why that server was chosen
 	TimeLeft      time.Duration // until the request's deadline
 	Elapsed       time.Duration // since the request's header was read
 	Phase         string        // how far the request has come on its way to a backend server
@@ -164,6 +165,7 @@
 	b = appendNumber(b, "table", int64(e.TableVersion))
 	b = appendNumber(b, "table_age_ms", e.TableAge.Milliseconds())
 	b = appendNumber(b, "load", int64(e.ServerLoad))
+	b = appendText(b, "choice", e.Choice)
 	b = appendText(b, "phase", e.Phase)
 	b = appendNumber(b, "attempt_ms", e.SinceStart.Milliseconds())
 	b = appendNumber(b, "connect_ms", e.Connect.Milliseconds())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,6 +154,9 @@
 	}
 	c.progress.Store(&req.progress)
 	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
+	if c.host.byWork() {
+		req.work = c.expectedWork()
+	}
 	if c.stream == nil {
 		req.fingerprint = c.fingerprint
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -147,6 +147,7 @@
 	queued := b.load.Requests(now) >= float64(req.slots)
 	hadFreeSlot := b.load.HasFreeSlot(now, req.slots)
 	b.load.Start()
+	b.load.AddWork(req.work)
 	b.mu.Unlock()
 	started := time.Now()
 	resp, err := b.connectAndExchange(ctx, req, dialect)
@@ -154,6 +155,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.load.End()
+	defer b.load.AddWork(-req.work)
 	if err != nil {
 		b.recordFailure(err, time.Since(started), hadFreeSlot)
 		return nil, err
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -76,13 +77,14 @@
 	mayHaveRun       bool   // whether an attempt without a usable response may have run
 	deniedBy         string // ID of the server that responded that it does not own the key
 	deniedAt         time.Duration
-	allowedBy        string        // ID of the owner for which allowedAtOwner has admitted the request
-	chosenLoad       float64       // estimated requests at the chosen server
-	pausedFor        time.Duration // how much longer all servers that may run the request want none
-	bulk             *linkTicket   // on links between regions; nil for a small request
-	linkWait         time.Duration // how long the request would have to wait for the link
-	permitted        bool          // the leader has permitted the run of a suspected request
-	quarantinedFor   time.Duration // how much longer the request is quarantined
+	allowedBy        string         // ID of the owner for which allowedAtOwner has admitted the request
+	chosenLoad       float64        // estimated requests at the chosen server
+	basis            dispatch.Basis // why the server was chosen; empty without balance: work
+	pausedFor        time.Duration  // how much longer all servers that may run the request want none
+	bulk             *linkTicket    // on links between regions; nil for a small request
+	linkWait         time.Duration  // how long the request would have to wait for the link
+	permitted        bool           // the leader has permitted the run of a suspected request
+	quarantinedFor   time.Duration  // how much longer the request is quarantined
 	fingerprintOnce  sync.Once
 	fingerprintValue string
 	progress         atomic.Pointer[progress] // of the latest attempt; nil before the first
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -65,6 +65,6 @@
 		Outcome: outcome, Reason: reason, Status: status, Attempts: c.attempts,
 		ConfigVersion: c.stamp.Config, ConfigAge: c.stamp.ConfigAge,
 		Term: c.stamp.Term, TableVersion: c.stamp.Version, TableAge: c.stamp.Age,
-		ServerLoad: c.chosenLoad, TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: important,
+		ServerLoad: c.chosenLoad, Choice: string(c.basis), TimeLeft: time.Until(c.deadline), Elapsed: time.Since(c.started), Important: important,
 	})
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -176,6 +176,9 @@
 	if len(servers) == 0 {
 		return nil, nil, reason
 	}
+	if c.host.byWork() {
+		return c.chooseByWork(now, service, servers, entry, request)
+	}
 	candidates := make([]dispatch.Candidate, len(servers))
 	for i, s := range servers {
 		b := c.host.backends.get(s)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -306,6 +306,11 @@
 	// TCP port for metrics and the state dump.
 	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
 
+	// How the server of a request is chosen. work: by the expected remaining work,
+	// among two servers drawn at random. Empty: by the number of requests. Default:
+	// empty.
+	Balance GatewaySettingsBalance `json:"balance,omitempty,omitzero" yaml:"balance,omitempty" cbor:"balance,omitempty"`
+
 	// Failure domain of this host.
 	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
 
@@ -361,6 +366,11 @@
 	StopSeconds float64 `json:"stop_seconds,omitempty,omitzero" yaml:"stop_seconds,omitempty" cbor:"stop_seconds,omitempty"`
 }
 
+type GatewaySettingsBalance string
+
+const GatewaySettingsBalanceBlank GatewaySettingsBalance = ""
+const GatewaySettingsBalanceWork GatewaySettingsBalance = "work"
+
 // Region of each failure domain.
 type GatewaySettingsDomains map[string]string
 
