Decide for all gateways which part of the requests for an overloaded service is admitted

Cause: a gateway sees a fiftieth of the requests. When a service has too little capacity, each gateway learns so only from full queues, and requests wait before they are refused.

Change: package admitshare, without network and clock: the leader compares the demand that gateways report with the slots of the servers, most urgent groups first, corrects the plan by the load that servers report, and gateways admit the same part everywhere. Without a leader each follows what servers accept.

--- /dev/null
+++ b/admitshare/planner.go
@@ -0,0 +1,223 @@
+package admitshare
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// demandTime is the time constant of the exponential decay of demand. A limit must end soon after the load
+	// that it answers.
+	demandTime = 400 * time.Millisecond
+	// minPermille is the lowest fraction of a group, thousandths. A few of its requests show when there is capacity.
+	minPermille = 20
+	// usableFraction is the part of the slots that is planned for. Arrivals vary, so that a queue grows without
+	// bound as the utilization approaches one.
+	usableFraction = 0.95
+	// targetLoad is the number of requests per slot, running and waiting, to which a plan is corrected: a short queue
+	// keeps the slots busy.
+	targetLoad = 1.15
+	// correctionGain is the relative change of the planned capacity at one correction, for a deviation of one request
+	// per slot. It is low, since a correction shows in the load only some reports later.
+	correctionGain = 0.15
+	// maxIncrease and maxDecrease bound that change. A queue that is too long harms more than some idle slots.
+	maxIncrease, maxDecrease = 0.08, 0.12
+	// minCorrection and maxCorrection bound the planned capacity, relative to the slots.
+	minCorrection, maxCorrection = 0.6, 1.6
+	// forgetTime is the time without demand after which a group is forgotten.
+	forgetTime = 10 * time.Second
+)
+
+// Capacity is what the servers of a service in one region can run.
+type Capacity struct {
+	Service string
+	Region  string
+	Slots   float64 // requests that run at the same time
+	Load    float64 // requests per slot, running and waiting; negative if that is not known
+}
+
+// Planner is the leader's record of the demand of all gateways. It is not safe for concurrent use.
+type Planner struct {
+	demand      map[Group]*demandRate
+	corrections map[string]*correction // of the planned capacity, by service
+	limited     map[string]bool        // services that the last plan limits
+}
+
+// correction relates the capacity that is planned for a service to its slots.
+type correction struct {
+	factor float64
+	load   float64 // requests per slot at the last correction
+}
+
+// demandRate is work demanded per second, decayed.
+type demandRate struct {
+	work      float64 // slots that the demand keeps busy
+	updatedAt time.Duration
+}
+
+// NewPlanner returns a planner without demand.
+func NewPlanner() *Planner {
+	return &Planner{demand: map[Group]*demandRate{}, corrections: map[string]*correction{}, limited: map[string]bool{}}
+}
+
+// Report adds a gateway's demand since its last report.
+func (p *Planner) Report(now time.Duration, report DemandReport) {
+	for _, d := range report.Groups {
+		rate := p.demand[d.Group]
+		if rate == nil {
+			rate = &demandRate{updatedAt: now}
+			p.demand[d.Group] = rate
+		}
+		rate.decay(now)
+		rate.work += float64(max(d.WorkMicros, 0)) / float64(demandTime.Microseconds())
+	}
+}
+
+func (r *demandRate) decay(now time.Duration) {
+	r.work *= math.Exp(-float64(now-r.updatedAt) / float64(demandTime))
+	r.updatedAt = now
+}
+
+// Plan returns the fractions of the groups that can't all be served. Each server's capacity belongs to the most
+// urgent groups first, and within a priority to those that may be served in the fewest regions.
+func (p *Planner) Plan(now time.Duration, capacities []Capacity) Plan {
+	free := p.plannedCapacity(capacities)
+	plan := Plan{Groups: []Fraction{}}
+	clear(p.limited)
+	for _, group := range p.groups(now) {
+		regions := free[group.Service]
+		if len(regions) == 0 {
+			continue // no server is known, so that there is nothing to share
+		}
+		work := p.demand[group].work
+		served := take(regions, group, work)
+		if served >= work {
+			continue
+		}
+		p.limited[group.Service] = true
+		permille := int64(1000 * served / work)
+		plan.Groups = append(plan.Groups, Fraction{Group: group, Permille: max(permille, minPermille)})
+	}
+	return plan
+}
+
+// groups returns the groups with demand in the order in which capacity is given to them.
+func (p *Planner) groups(now time.Duration) []Group {
+	var groups []Group
+	for group, rate := range p.demand {
+		if now-rate.updatedAt > forgetTime {
+			delete(p.demand, group)
+			continue
+		}
+		rate.decay(now)
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(a, b Group) int {
+		return cmp.Or(
+			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.breadth(), b.breadth()),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Regions, b.Regions),
+		)
+	})
+	return groups
+}
+
+// plannedCapacity returns the slots to plan for by service and region, and corrects them by the measured load.
+func (p *Planner) plannedCapacity(capacities []Capacity) map[string]map[string]float64 {
+	slots, requests, known := map[string]float64{}, map[string]float64{}, map[string]bool{}
+	for _, c := range capacities {
+		if c.Load >= 0 {
+			known[c.Service] = true
+			slots[c.Service] += c.Slots
+			requests[c.Service] += c.Load * c.Slots
+		}
+	}
+	free := map[string]map[string]float64{}
+	for _, c := range capacities {
+		if free[c.Service] == nil {
+			free[c.Service] = map[string]float64{}
+			p.correct(c.Service, known[c.Service], requests[c.Service], slots[c.Service])
+		}
+		free[c.Service][c.Region] += usableFraction * p.corrections[c.Service].factor * c.Slots
+	}
+	return free
+}
+
+// correct changes the planned capacity of a service by one step.
+func (p *Planner) correct(service string, loadKnown bool, requests, slots float64) {
+	c := p.corrections[service]
+	if c == nil {
+		c = &correction{factor: 1}
+		p.corrections[service] = c
+	}
+	if !p.limited[service] || !loadKnown || slots == 0 { // returns to what the slots say
+		c.change(1 - c.factor)
+		return
+	}
+	load := requests / slots
+	draining := load < c.load
+	c.load = load
+	if load > targetLoad && draining { // the queue was built before, and its end needs no further correction
+		return
+	}
+	c.change(correctionGain * (targetLoad - load))
+}
+
+func (c *correction) change(relative float64) {
+	c.factor *= 1 + min(max(relative, -maxDecrease), maxIncrease)
+	c.factor = min(max(c.factor, minCorrection), maxCorrection)
+}
+
+// take takes up to the given work from the regions of a group, from each in proportion to what is free there, and
+// returns how much there was.
+func take(free map[string]float64, group Group, work float64) float64 {
+	total := 0.0
+	for region, slots := range free {
+		if group.Allows(region) {
+			total += slots
+		}
+	}
+	taken := min(total, work)
+	if taken <= 0 {
+		return 0
+	}
+	for region, slots := range free {
+		if group.Allows(region) {
+			free[region] -= taken * slots / total
+		}
+	}
+	return taken
+}
+
+// Allows reports whether the requests of a group may be served in a region.
+func (g Group) Allows(region string) bool {
+	if g.Regions == "" {
+		return true
+	}
+	for allowed := range strings.SplitSeq(g.Regions, regionSeparator) {
+		if allowed == region {
+			return true
+		}
+	}
+	return false
+}
+
+// breadth returns the number of regions of a group.
+func (g Group) breadth() int {
+	if g.Regions == "" {
+		return math.MaxInt
+	}
+	return strings.Count(g.Regions, regionSeparator) + 1
+}
+
+const regionSeparator = ","
+
+// RegionList returns the value of Group.Regions for a list of regions.
+func RegionList(regions []string) string {
+	if len(regions) <= 1 {
+		return strings.Join(regions, "")
+	}
+	return strings.Join(slices.Sorted(slices.Values(regions)), regionSeparator)
+}
--- /dev/null
+++ b/admitshare/throttle.go
@@ -0,0 +1,55 @@
+package admitshare
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// throttleTime is the time constant of the exponential decay of the counts of a Throttle.
+	throttleTime = 2 * time.Second
+	// acceptFactor is the multiple of the accepted requests up to which requests are sent. The surplus shows when
+	// servers accept more again.
+	acceptFactor = 1.5
+)
+
+// Throttle limits the requests of one gateway while there is no plan of the leader. It refuses requests as soon as
+// servers accept less than 1/acceptFactor of them. The zero value has seen no requests. It is not safe for concurrent
+// use.
+type Throttle struct {
+	groups map[Group]*throttleCounts
+}
+
+// throttleCounts are decayed numbers of requests.
+type throttleCounts struct {
+	requests  float64 // that arrived, also those that the Throttle refused
+	accepted  float64 // that a server ran
+	updatedAt time.Duration
+}
+
+// Arrived counts a request, and reports whether it may be sent. random is a uniform number in [0, 1).
+func (t *Throttle) Arrived(now time.Duration, group Group, random float64) bool {
+	counts := t.counts(now, group)
+	refuse := (counts.requests - acceptFactor*counts.accepted) / (counts.requests + 1)
+	counts.requests++
+	return random >= refuse
+}
+
+// Accepted counts a request that a server ran.
+func (t *Throttle) Accepted(now time.Duration, group Group) { t.counts(now, group).accepted++ }
+
+func (t *Throttle) counts(now time.Duration, group Group) *throttleCounts {
+	if t.groups == nil {
+		t.groups = map[Group]*throttleCounts{}
+	}
+	counts := t.groups[group]
+	if counts == nil {
+		counts = &throttleCounts{updatedAt: now}
+		t.groups[group] = counts
+	}
+	decay := math.Exp(-float64(now-counts.updatedAt) / float64(throttleTime))
+	counts.requests *= decay
+	counts.accepted *= decay
+	counts.updatedAt = now
+	return counts
+}
