Plan the admission of requests to overloaded services on the leader

Change: gateways with the setting share_capacity report their demand by service and priority, and refuse at once what the leader's plan does not admit, with a Retry-After that differs from client to client. The leader plans every 300 ms from the slots of the servers. Without a plan, gateways follow what servers accept.

--- /dev/null
+++ b/internal/fleet/admission.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// planInterval is the time between two plans of the admission. It is a part of their lifetime, so that a lost
+// message does not end a limit.
+const planInterval = 300 * time.Millisecond
+
+// admission is a leader's planning of which part of the requests gateways admit.
+type admission struct {
+	planner   *admitshare.Planner
+	plannedAt time.Duration
+	limits    int // groups that the last plan limits
+}
+
+// newAdmission returns the planning of a leader whose term begins, or nil if the settings don't ask for it.
+func (h *Host) newAdmission() *admission {
+	if !h.settings.ShareCapacity {
+		return nil
+	}
+	return &admission{planner: admitshare.NewPlanner()}
+}
+
+// handleDemandReport records what a gateway was asked for.
+func (h *Host) handleDemandReport(body []byte) {
+	var report admitshare.DemandReport
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		log.WithError(err).Warn("invalid demand report dropped")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.leading; l != nil && l.admission != nil {
+		l.admission.planner.Report(clock.Now(), report)
+	}
+}
+
+// publishAdmission sends a new plan to all gateways, as long as it limits any requests and once when it ends to do so.
+// It must be called with Host.mu held.
+func (h *Host) publishAdmission(now time.Duration, l *leadership) {
+	a := l.admission
+	if a == nil || now-a.plannedAt < planInterval {
+		return
+	}
+	a.plannedAt = now
+	plan := a.planner.Plan(now, h.capacities(now, l))
+	if len(plan.Groups) == 0 && a.limits == 0 {
+		return
+	}
+	if len(plan.Groups) != a.limits {
+		log.WithFields(log.Fields{"groups": len(plan.Groups), "before": a.limits, "plan": plan.Groups}).Info("admission of requests planned")
+	}
+	a.limits = len(plan.Groups)
+	h.metrics.limitedGroups.Set(float64(a.limits))
+	body, err := cbor.Marshal(plan)
+	if err != nil {
+		log.WithError(err).Error("encoding the plan of the admission failed")
+		return
+	}
+	for conn := range h.subscribers {
+		if conn.QueuedBytes() < maxQueuedBytes {
+			_ = conn.Notify(wire.KindAdmission, body) // on an error the gateway subscribes again
+		}
+	}
+}
+
+// capacities returns the capacity of the servers by service and region.
+func (h *Host) capacities(now time.Duration, l *leadership) []admitshare.Capacity {
+	var list []admitshare.Capacity
+	for _, c := range l.coordinator.Capacities(now) {
+		list = append(list, admitshare.Capacity{Service: c.Service, Region: c.Domain, Slots: c.Slots, Load: -1})
+	}
+	return list
+}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -112,6 +112,8 @@
 		a.host.handleCrashReport(from.Identity().Name, body)
 	case wire.KindLoadReport:
 		a.host.handleLoadReport(from.Identity().Name, body)
+	case wire.KindDemandReport:
+		a.host.handleDemandReport(body)
 	default:
 		log.WithField("kind", kind).Warn("unknown message from a peer")
 	}
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -23,6 +23,7 @@
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
 	quarantine     *quarantine.Tracker
+	admission      *admission    // nil if this host plans no admission
 	calls          *grantCalls   // nil if this host makes no calls to backend servers
 	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
 	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
@@ -66,6 +67,7 @@
 		rollout:     configs,
 		issuer:      ratelimit.NewIssuer(),
 		quarantine:  quarantine.NewTracker(now),
+		admission:   h.newAdmission(),
 		calls:       h.newGrantCalls(),
 		reported:    make(chan struct{}),
 	}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -29,6 +29,8 @@
 	quarantines  prometheus.Counter
 	suspects     *prometheus.GaugeVec
 	calls        *callMetrics
+
+	limitedGroups prometheus.Gauge
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -89,10 +91,13 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
+	m.limitedGroups = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan.",
+	})
 	m.calls = newCallMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
-		m.quarantines, m.suspects,
+		m.quarantines, m.suspects, m.limitedGroups,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens,
 	}
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -86,6 +86,7 @@
 	h.publishConfig(now, l)
 	h.reportLeaves(now, l)
 	h.publishQuarantine(now, l)
+	h.publishAdmission(now, l)
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	update, changed := l.coordinator.Changes(now)
--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/wire"
+)
+
+// admission decides whether a request that has just arrived may be served, by the leader's plan. A nil admission
+// admits all requests.
+type admission struct {
+	mu       sync.Mutex // guards the fields below; no other lock is acquired while it is held
+	counter  admitshare.Counter
+	limiter  admitshare.Limiter
+	throttle admitshare.Throttle
+}
+
+// admit counts a request with its expected work and reports whether it may be served.
+func (a *admission) admit(now time.Duration, group admitshare.Group, work time.Duration) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counter.Add(group, work)
+	allowed := a.throttle.Arrived(now, group, rand.Float64()) // also counts while there is a plan
+	if a.limiter.Fresh(now) {
+		return a.limiter.Admit(now, group, rand.Float64())
+	}
+	return allowed
+}
+
+// accepted records that a server ran a request.
+func (a *admission) accepted(now time.Duration, group admitshare.Group) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.throttle.Accepted(now, group)
+}
+
+// update replaces the leader's plan.
+func (a *admission) update(now time.Duration, plan admitshare.Plan) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Update(now, plan)
+}
+
+// demand returns the demand since the last call.
+func (a *admission) demand() admitshare.DemandReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.counter.Take()
+}
+
+// admissionGroup returns the group of requests that compete with this one.
+func (c *call) admissionGroup() admitshare.Group {
+	return admitshare.Group{Service: c.service, Priority: c.route.Priority}
+}
+
+// admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run.
+func (c *call) admitted() bool {
+	return c.host.admission.admit(clockNow(), c.admissionGroup(), c.expectedWork())
+}
+
+// expectedWork returns the time for which the request is expected to keep a slot of a server busy.
+func (c *call) expectedWork() time.Duration { return c.host.backends.expectedWork(c.service) }
+
+// reportDemand sends the leader the demand since the last report.
+func (l *leaderLink) reportDemand(client *peer.Client) {
+	if l.admission == nil {
+		return
+	}
+	report := l.admission.demand()
+	if len(report.Groups) == 0 {
+		return
+	}
+	body, err := cbor.Marshal(report)
+	if err != nil {
+		log.WithError(err).Error("cannot encode demand report")
+		return
+	}
+	if err := client.Notify(wire.KindDemandReport, body); err != nil {
+		log.WithError(err).Debug("cannot send demand report")
+	}
+}
+
+func (u *updateHandler) applyAdmission(body []byte) {
+	var plan admitshare.Plan
+	if err := cbor.Unmarshal(body, &plan); err != nil {
+		log.WithError(err).Error("cannot decode the plan of the admission")
+		return
+	}
+	u.admission.update(clockNow(), plan)
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -91,6 +91,20 @@
 	return mean
 }
 
+// defaultExpectedWork is assumed while no request of a service has been answered yet.
+const defaultExpectedWork = 100 * time.Millisecond
+
+// expectedWork returns the time that a request of a service is expected to take at a server.
+func (b *backends) expectedWork(service string) time.Duration {
+	b.mu.Lock()
+	mean := b.meanServiceTime(service)
+	b.mu.Unlock()
+	if took := mean.value(); took > 0 {
+		return took
+	}
+	return defaultExpectedWork
+}
+
 // sweep closes expired idle connections, and removes the servers that are not listed, unless their
 // notices still count.
 func (b *backends) sweep(now time.Duration, listed func(id string) bool) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,6 +46,7 @@
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
 	reasonOverload    = "owner-overloaded"
+	reasonNoCapacity  = "service-overloaded"
 	reasonQuarantined = "crashes-servers"
 	reasonSuspected   = "may-crash-servers"
 	reasonLinkFull    = "link-between-regions-full"
@@ -119,6 +120,10 @@
 		c.respondWithStatus(http.StatusBadRequest, reasonNoKey)
 		return
 	}
+	if !c.admitted() {
+		c.refuse(reasonNoCapacity)
+		return
+	}
 	c.run(service)
 }
 
@@ -204,6 +209,7 @@
 		}
 		if err == nil && !resp.info.NotExecuted {
 			c.recordAnswer()
+			c.host.admission.accepted(clockNow(), c.admissionGroup())
 		}
 		if final {
 			c.host.responseSizes.observe(c.route, resp)
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -65,6 +65,7 @@
 	responseLinks *regionLinks
 	responseSizes *responseSizes
 	evidence      *crashEvidence
+	admission     *admission // nil unless the settings ask for planned admission
 	linkDelay     *linkDelay
 	metrics       *metrics
 	events        *eventlog.Log
@@ -115,6 +116,9 @@
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
 	h.backends.onCrash = h.reportCrash
+	if o.Settings.ShareCapacity {
+		h.admission = &admission{}
+	}
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
 	if err := m.registerGauges(o.Registry, h.view, h.linkDelay); err != nil {
 		return nil, err
@@ -130,6 +134,7 @@
 		backends:     h.backends,
 		tokensWanted: make(chan struct{}, 1),
 		evidence:     h.evidence,
+		admission:    h.admission,
 		delay:        h.linkDelay,
 	}
 	discardLog := stdlog.New(io.Discard, "", 0) // net/http would log errors that clients cause
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -46,6 +46,7 @@
 	backends     *backends
 	tokensWanted chan struct{} // signals that requests wait for tokens
 	evidence     *crashEvidence
+	admission    *admission                  // nil if the gateway takes no part in planned admission
 	current      atomic.Pointer[peer.Client] // of the current subscription; nil for none
 	delay        *linkDelay
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
@@ -171,6 +172,7 @@
 			return
 		case <-time.After(intervalFor(l.view.gateways(), reportInterval)):
 		}
+		l.reportDemand(client)
 		report := l.report()
 		if len(report.Services) == 0 && len(report.Servers) == 0 {
 			continue
@@ -191,6 +193,7 @@
 	view            *view
 	needsFullConfig *atomic.Bool // of leaderLink
 	evidence        *crashEvidence
+	admission       *admission // of leaderLink
 	ended           chan struct{}
 }
 
@@ -206,6 +209,8 @@
 		u.applyConfig(from, body)
 	case wire.KindQuarantine:
 		u.applyQuarantine(body)
+	case wire.KindAdmission:
+		u.applyAdmission(body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/galenalug/galenalug/admitshare"
 	"github.com/galenalug/galenalug/dispatch"
 )
 
@@ -29,6 +31,8 @@
 	switch reason {
 	case reasonQuarantined:
 		return c.quarantinedFor
+	case reasonNoCapacity:
+		return admitshare.RetryAfter(time.Until(c.deadline), rand.Float64())
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
 	case reasonStaleConfig, reasonStopping, reasonSuspected:
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -296,6 +296,10 @@
 	// Interval between a backend server's heartbeats, milliseconds. Default: 1000.
 	ServerHeartbeatMs float64 `json:"server_heartbeat_ms,omitempty,omitzero" yaml:"server_heartbeat_ms,omitempty" cbor:"server_heartbeat_ms,omitempty"`
 
+	// Whether the leader plans which part of the requests for an overloaded service
+	// its gateways admit. Set it on the gateways, too. Default: false.
+	ShareCapacity bool `json:"share_capacity,omitempty,omitzero" yaml:"share_capacity,omitempty" cbor:"share_capacity,omitempty"`
+
 	// Number n of control hosts that may be lost at the same time; the group has 2n +
 	// 1 members. Default: 2.
 	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
@@ -357,6 +361,11 @@
 	// peer_port.
 	Seeds []string `json:"seeds" yaml:"seeds" cbor:"seeds"`
 
+	// Whether the gateway reports what it is asked for to the leader and admits only
+	// the part of the requests for an overloaded service that the leader plans. Set
+	// it on the control hosts, too. Default: false.
+	ShareCapacity bool `json:"share_capacity,omitempty,omitzero" yaml:"share_capacity,omitempty" cbor:"share_capacity,omitempty"`
+
 	// Maximum duration of a shutdown, seconds. Default: 6.
 	StopSeconds float64 `json:"stop_seconds,omitempty,omitzero" yaml:"stop_seconds,omitempty" cbor:"stop_seconds,omitempty"`
 }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -34,6 +34,8 @@
 	KindPermitRequest   = 24 // quarantine.PermitRequest, entry to control; answered by quarantine.PermitReply
 	KindQuarantine      = 23 // quarantine.Update, one-way, control to entry
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
+	KindAdmission       = 27 // admitshare.Plan, one-way, control to entry
+	KindDemandReport    = 28 // admitshare.DemandReport, one-way, entry to control
 )
 
 // GroupGlobal is the name of the replicated-log group that serves all regions and includes every
