Read how servers of a service start from the configuration

Cause: a server that has just started takes only a few requests a second, and the configuration had no place for it.

--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -16,6 +16,10 @@
 	// RetryAfter is how long the server wants no requests from the gateway that it rejected; 0 if it
 	// did not say so.
 	RetryAfter time.Duration
+	// Warmup is how long the server stays cold; 0 means that it is warm.
+	Warmup time.Duration
+	// WarmupKnown tells whether the response states Warmup.
+	WarmupKnown bool
 }
 
 // Notices is what one gateway knows from the notices of one incarnation of a server. The zero value
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -71,7 +71,7 @@
 	for _, s := range file.Services {
 		put.Config.Services = append(put.Config.Services, routes.Service{
 			Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int64(s.MaxConnections), Keyed: s.Keyed, WarmMillis: int64(s.WarmMs),
-			Grants: grantMode(s),
+			Grants: grantMode(s), WarmupMillis: int64(s.WarmupMs), WarmupPerSecond: s.WarmupPerSecond,
 		})
 	}
 	for _, r := range file.Routes {
@@ -117,7 +117,7 @@
 func serviceEntry(s routes.Service) settings.ServiceEntry {
 	return settings.ServiceEntry{
 		Name: s.Name, HealthPath: s.HealthPath, MaxConnections: int(s.MaxConnections), Keyed: s.Keyed, WarmMs: int(s.WarmMillis),
-		GrantsByCall: s.Grants == routes.GrantsByCall,
+		GrantsByCall: s.Grants == routes.GrantsByCall, WarmupMs: int(s.WarmupMillis), WarmupPerSecond: s.WarmupPerSecond,
 	}
 }
 
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -18,7 +18,7 @@
 			{Name: "r3", Host: "b.example", PathPrefix: "/", Kind: routes.Upload, TimeoutMillis: 1200, MaxAttempts: 1, Shares: []routes.Share{{Service: "s2", Weight: 4}}},
 		},
 		Services: []routes.Service{
-			{Name: "s1", HealthPath: "/health", MaxConnections: 110, Keyed: true, WarmMillis: 2000},
+			{Name: "s1", HealthPath: "/health", MaxConnections: 110, Keyed: true, WarmMillis: 2000, WarmupMillis: 3000, WarmupPerSecond: 5.5},
 			{Name: "s2"},
 		},
 		Limits: routes.Limits{HeaderBytes: 16384, BodyBytes: 67108864, HeaderMillis: 3000, IdleMillis: 15000},
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -480,6 +480,13 @@
 	// Warm-up time of a server for keys that it received without a handover,
 	// milliseconds. Default: 0.
 	WarmMs int `json:"warm_ms,omitempty,omitzero" yaml:"warm_ms,omitempty" cbor:"warm_ms,omitempty"`
+
+	// Time after its start during which a server is cold, milliseconds. Default: 0.
+	WarmupMs int `json:"warmup_ms,omitempty,omitzero" yaml:"warmup_ms,omitempty" cbor:"warmup_ms,omitempty"`
+
+	// Requests a second that a cold server takes from all gateways together; 0 for no
+	// limit. Default: 0.
+	WarmupPerSecond float64 `json:"warmup_per_second,omitempty,omitzero" yaml:"warmup_per_second,omitempty" cbor:"warmup_per_second,omitempty"`
 }
 
 // One service of a route and its share of the requests.
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -20,14 +20,11 @@
 // Holder holds a gateway's tokens for one server. The zero value holds none. It is not safe for
 // concurrent use.
 type Holder struct {
-	tokens        int64
-	expireAt      time.Duration
-	credit        float64       // part of a token, while there is no leader
-	creditAt      time.Duration // when credit was last increased; 0 while there is a leader
-	shortageUntil time.Duration
-	waitUntil     time.Duration // when the leader expects to have another token
-	rate          float64       // tokens granted a second, decayed
-	ratedAt       time.Duration
+	tokens   int64
+	expireAt time.Duration
+	credit   float64       // part of a token, while there is no leader
+	creditAt time.Duration // when credit was last increased; 0 while there is a leader
+	shortage Shortage
 }
 
 // Available returns the number of tokens.
@@ -57,13 +54,7 @@
 	h.credit, h.creditAt = 0, 0
 	h.tokens += g.Tokens
 	h.expireAt = max(h.expireAt, askedAt+TokenLifetime)
-	h.rate = h.rate*h.decay(now) + float64(g.Tokens)/grantRateTime.Seconds()
-	h.ratedAt = now
-	h.shortageUntil = 0
-	if g.Tokens < wanted {
-		h.shortageUntil = now + shortageMemory
-		h.waitUntil = now + time.Duration(g.WaitMillis)*time.Millisecond
-	}
+	h.shortage.Granted(now, wanted, g)
 }
 
 // WithoutLeader adds what an equal part of the limit allows for the time since the last call without
@@ -79,14 +70,39 @@
 // Wait returns the expected time until there is a token for a request with the given number of others
 // ahead of it: 0 if the leader has had tokens lately, so that asking costs a round trip only.
 func (h *Holder) Wait(now time.Duration, ahead int) time.Duration {
-	if ahead < h.Available(now) || now >= h.shortageUntil {
+	return h.shortage.Wait(now, ahead+1-h.Available(now))
+}
+
+// Shortage is what a gateway expects of the leader's next grants for one server, according to the earlier
+// ones. The zero value expects no shortage.
+type Shortage struct {
+	until     time.Duration
+	waitUntil time.Duration // when the leader expects to have another token
+	rate      float64       // tokens granted a second, decayed
+	ratedAt   time.Duration
+}
+
+// Granted records a grant for a demand.
+func (s *Shortage) Granted(now time.Duration, wanted int64, g Grant) {
+	s.rate = s.rate*s.decay(now) + float64(g.Tokens)/grantRateTime.Seconds()
+	s.ratedAt = now
+	s.until = 0
+	if g.Tokens < wanted {
+		s.until = now + shortageMemory
+		s.waitUntil = now + time.Duration(g.WaitMillis)*time.Millisecond
+	}
+}
+
+// Wait returns the expected time until as many tokens as are missing have been granted: 0 if none are, or
+// if the leader has had tokens lately, so that asking costs a round trip only.
+func (s *Shortage) Wait(now time.Duration, missing int) time.Duration {
+	if missing <= 0 || now >= s.until {
 		return 0
 	}
-	rate := max(h.rate*h.decay(now), minGrantRate)
-	byRate := time.Duration(float64(ahead+1-h.Available(now)) / rate * float64(time.Second))
-	return max(byRate, h.waitUntil-now)
+	rate := max(s.rate*s.decay(now), minGrantRate)
+	return max(time.Duration(float64(missing)/rate*float64(time.Second)), s.waitUntil-now)
 }
 
-func (h *Holder) decay(now time.Duration) float64 {
-	return math.Exp(-float64(now-h.ratedAt) / float64(grantRateTime))
+func (s *Shortage) decay(now time.Duration) float64 {
+	return math.Exp(-float64(now-s.ratedAt) / float64(grantRateTime))
 }
--- a/ratelimit/messages_gen.go
+++ b/ratelimit/messages_gen.go
@@ -7,17 +7,32 @@
 	// Time since the server last named the limit, milliseconds.
 	AgeMillis int64 `json:"a" yaml:"a" cbor:"a"`
 
+	// Whether the tokens are for a server that is cold, or may be. PerSecond then
+	// follows from the configuration.
+	Cold bool `json:"c" yaml:"c" cbor:"c"`
+
 	// ID of the server's incarnation.
 	ServerID string `json:"i" yaml:"i" cbor:"i"`
 
 	// Requests a second that the server takes from all gateways together.
 	PerSecond float64 `json:"l" yaml:"l" cbor:"l"`
 
+	// Whether the server's host refused a connection then.
+	Refused bool `json:"r" yaml:"r" cbor:"r"`
+
+	// Time since the gateway had reason to assume that the server has become cold,
+	// milliseconds; 0 if only the table says so.
+	SinceMillis int64 `json:"s" yaml:"s" cbor:"s"`
+
 	// How many of them are for urgent requests.
 	Urgent int64 `json:"u" yaml:"u" cbor:"u"`
 
 	// Tokens wanted.
 	Wanted int64 `json:"w" yaml:"w" cbor:"w"`
+
+	// How long the server stays cold according to its latest response, milliseconds;
+	// 0 if none says so.
+	WarmupMillis int64 `json:"x" yaml:"x" cbor:"x"`
 }
 
 // Grant gives tokens for requests to one server.
@@ -28,6 +43,10 @@
 	// ID of the server's incarnation.
 	ServerID string `json:"i" yaml:"i" cbor:"i"`
 
+	// Whether a heartbeat has shown since the time that the demand names that the
+	// server is warm.
+	Warm bool `json:"m" yaml:"m" cbor:"m"`
+
 	// Time until another token is there, milliseconds; 0 if all that were wanted are
 	// granted.
 	WaitMillis int64 `json:"w" yaml:"w" cbor:"w"`
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -182,6 +182,13 @@
 	// Unique name.
 	Name string `json:"n" yaml:"n" cbor:"n"`
 
+	// Time after its start during which a backend server is cold, milliseconds.
+	WarmupMillis int64 `json:"u" yaml:"u" cbor:"u"`
+
+	// Requests a second that a cold backend server takes from all entry hosts
+	// together; 0 for no limit.
+	WarmupPerSecond float64 `json:"v" yaml:"v" cbor:"v"`
+
 	// Time for which a backend server is slow on keys that it took over without a
 	// handover, milliseconds.
 	WarmMillis int64 `json:"w" yaml:"w" cbor:"w"`
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"reflect"
 	"testing"
 
@@ -70,6 +71,10 @@
 	for name, corrupt := range map[string]func(*Config){
 		"unknown service":    func(c *Config) { c.Routes[0].Shares[0].Service = "nobody" },
 		"weights of 0":       func(c *Config) { c.Routes[1].Shares[0].Weight, c.Routes[1].Shares[1].Weight = 0, 0 },
+		"negative warm-up":   func(c *Config) { c.Services[0].WarmupMillis = -1 },
+		"endless warm-up":    func(c *Config) { c.Services[0].WarmupMillis = math.MaxInt64 },
+		"warm-up rate":       func(c *Config) { c.Services[0].WarmupPerSecond = -0.5 },
+		"odd warm-up rate":   func(c *Config) { c.Services[0].WarmupPerSecond = math.NaN() },
 		"negative weight":    func(c *Config) { c.Routes[1].Shares[0].Weight = -1 },
 		"timeout of 0":       func(c *Config) { c.Routes[0].TimeoutMillis = 0 },
 		"objective too high": func(c *Config) { c.Routes[0].TargetMillis = 60_800 },
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -34,6 +34,9 @@
 		if s.MaxConnections < 0 || s.WarmMillis < 0 {
 			return nil, errors.Wrapf(ErrInvalid, "service %q has a negative limit", s.Name)
 		}
+		if err := validateWarmup(s); err != nil {
+			return nil, err
+		}
 		if !s.Grants.valid() {
 			return nil, errors.Wrapf(ErrInvalid, "service %q has the unknown grant mode %q", s.Name, s.Grants)
 		}
@@ -42,6 +45,23 @@
 	return names, nil
 }
 
+// Limits of how a service's servers start. They are far above what a server needs.
+const (
+	maxWarmupMillis    = 3_600_000
+	maxWarmupPerSecond = 1e6
+)
+
+// validateWarmup checks how a service's servers start. The negated comparison also rejects NaN.
+func validateWarmup(s Service) error {
+	switch {
+	case s.WarmupMillis < 0 || s.WarmupMillis > maxWarmupMillis:
+		return errors.Wrapf(ErrInvalid, "service %q has a warm-up time of %d ms", s.Name, s.WarmupMillis)
+	case !(s.WarmupPerSecond >= 0 && s.WarmupPerSecond <= maxWarmupPerSecond):
+		return errors.Wrapf(ErrInvalid, "service %q has %v requests a second for a cold server", s.Name, s.WarmupPerSecond)
+	}
+	return nil
+}
+
 // matchKey is the part of a route that requests are matched against.
 type matchKey struct{ host, prefix string }
 
