Throttle without the leader only, by known results

Cause: the throttle counted requests when they arrived, so that those still running counted as not accepted, and it was in use whenever the leader limited nothing.

Change: requests count when their result is known, and only while the gateway has no leader.

Measured: TestThrottleAdmitsRequestsWithoutResults fails before; under load not measured yet.

--- a/admitshare/load_test.go
+++ b/admitshare/load_test.go
@@ -104,9 +104,10 @@
 	switch {
 	case !g.limiter.Admit(m.now, group, m.rng.Float64()):
 		return
-	case !g.limiter.Fresh(m.now) && !g.throttle.Arrived(m.now, group, m.rng.Float64()):
+	case !m.leader && !g.limiter.Fresh(m.now) && !g.throttle.Admit(m.now, group, m.rng.Float64()):
 		return
 	case len(m.waiting) >= modelQueue*m.slots:
+		g.throttle.Ended(m.now, group, false)
 		return
 	}
 	g.admitted++
@@ -128,7 +129,7 @@
 		r := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		m.longest = max(m.longest, m.now-r.at)
-		r.gateway.throttle.Accepted(m.now, r.group)
+		r.gateway.throttle.Ended(m.now, r.group, true)
 		m.running = append(m.running, m.now+time.Duration(m.rng.ExpFloat64()*float64(m.work)))
 	}
 	m.lastSlots += float64(len(m.running))
@@ -253,6 +254,17 @@
 	}
 }
 
+// A gateway has just started without a leader, or gets its first requests after a pause. That none of them has been
+// answered yet must not count against them.
+func TestThrottleAdmitsRequestsWithoutResults(t *testing.T) {
+	var throttle Throttle
+	for i := range 20 {
+		if !throttle.Admit(time.Second, Group{Service: "s"}, 0) {
+			t.Fatalf("request %d refused before any result is known", i+1)
+		}
+	}
+}
+
 // Guards against returns of refused clients that come all together, or too late to be served.
 func TestReturnsAreSpread(t *testing.T) {
 	left := time.Second
--- a/admitshare/throttle.go
+++ b/admitshare/throttle.go
@@ -13,30 +13,39 @@
 	acceptFactor = 1.5
 )
 
-// Throttle limits the requests of one gateway while there is no plan of the leader. It refuses requests as soon as
-// servers accept less than 1/acceptFactor of them. The zero value has seen no requests. It is not safe for concurrent
-// use.
+// Throttle limits the requests of one gateway that has lost the leader. It refuses requests as soon as servers accept
+// less than 1/acceptFactor of them. The zero value has seen no requests. It is not safe for concurrent use.
 type Throttle struct {
 	groups map[Group]*throttleCounts
 }
 
-// throttleCounts are decayed numbers of requests.
+// throttleCounts are decayed numbers of requests with a known result.
 type throttleCounts struct {
-	requests  float64 // that arrived, also those that the Throttle refused
+	requests  float64
 	accepted  float64 // that a server ran
 	updatedAt time.Duration
 }
 
-// Arrived counts a request, and reports whether it may be sent. random is a uniform number in [0, 1).
-func (t *Throttle) Arrived(now time.Duration, group Group, random float64) bool {
+// Admit reports whether a request may be sent. A request that may not counts as one that no server accepted. random is
+// a uniform number in [0, 1).
+func (t *Throttle) Admit(now time.Duration, group Group, random float64) bool {
 	counts := t.counts(now, group)
-	refuse := (counts.requests - acceptFactor*counts.accepted) / (counts.requests + 1)
-	counts.requests++
-	return random >= refuse
+	admitted := random >= (counts.requests-acceptFactor*counts.accepted)/(counts.requests+1)
+	if !admitted {
+		counts.requests++
+	}
+	return admitted
 }
 
-// Accepted counts a request that a server ran.
-func (t *Throttle) Accepted(now time.Duration, group Group) { t.counts(now, group).accepted++ }
+// Ended counts a request that Admit has let pass. Requests count when their result is known: those that still run say
+// nothing of what servers accept.
+func (t *Throttle) Ended(now time.Duration, group Group, accepted bool) {
+	counts := t.counts(now, group)
+	counts.requests++
+	if accepted {
+		counts.accepted++
+	}
+}
 
 func (t *Throttle) counts(now time.Duration, group Group) *throttleCounts {
 	if t.groups == nil {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -22,29 +22,29 @@
 	throttle admitshare.Throttle
 }
 
-// admit counts a request with its expected work and reports whether it may be served.
-func (a *admission) admit(now time.Duration, group admitshare.Group, work time.Duration) bool {
+// admit counts a request with its expected work and reports whether it may be served. withoutLeader tells that no plan
+// can arrive.
+func (a *admission) admit(now time.Duration, group admitshare.Group, work time.Duration, withoutLeader bool) bool {
 	if a == nil {
 		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.counter.Add(group, work)
-	allowed := a.throttle.Arrived(now, group, rand.Float64()) // also counts while there is a plan
-	if a.limiter.Fresh(now) {
-		return a.limiter.Admit(now, group, rand.Float64())
+	if withoutLeader && !a.limiter.Fresh(now) {
+		return a.throttle.Admit(now, group, rand.Float64())
 	}
-	return allowed
+	return a.limiter.Admit(now, group, rand.Float64())
 }
 
-// accepted records that a server ran a request.
-func (a *admission) accepted(now time.Duration, group admitshare.Group) {
+// ended records whether a server ran a request that was admitted.
+func (a *admission) ended(now time.Duration, group admitshare.Group, accepted bool) {
 	if a == nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.throttle.Accepted(now, group)
+	a.throttle.Ended(now, group, accepted)
 }
 
 // update replaces the leader's plan.
@@ -71,7 +71,9 @@
 
 // admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run.
 func (c *call) admitted() bool {
-	return c.host.admission.admit(clockNow(), c.admissionGroup(), c.expectedWork())
+	now := clockNow()
+	withoutLeader := c.host.leaderLink.disconnectedFor(now) > 0
+	return c.host.admission.admit(now, c.admissionGroup(), c.expectedWork(), withoutLeader)
 }
 
 // reportDemand sends the leader the demand since the last report.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -75,6 +75,7 @@
 	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
 	attempts         int
 	server           string // ID of the server of the last attempt
+	answered         bool   // whether a server ran the request and answered
 	mayHaveRun       bool   // whether an attempt without a usable response may have run
 	deniedBy         string // ID of the server that responded that it does not own the key
 	deniedAt         time.Duration
@@ -127,6 +128,7 @@
 		return
 	}
 	c.run(service)
+	c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
 }
 
 // setDeadline sets the deadline to the earlier of the client's and the given timeout.
@@ -211,7 +213,7 @@
 		}
 		if err == nil && !resp.info.NotExecuted {
 			c.recordAnswer()
-			c.host.admission.accepted(clockNow(), c.admissionGroup())
+			c.answered = true
 		}
 		if final {
 			c.host.responseSizes.observe(c.route, resp)
