Restrict the requests of a route to allowed regions

Routes had no way to keep requests, and the bodies they carry, within a region: the gateway sent them to any region once the nearer servers were full.

A route may list allowedRegions. The gateway filters servers by region before every choice, so that retries, hedged requests and owners of keys are covered, and refuses at once if the allowed regions have no server (reason no-server-in-allowed-regions) or no free capacity. An unknown or partial table still waits. Keys of a service go only to servers in the regions that all of its routes allow; control hosts know the regions from the new setting domains. Configurations without the list are encoded as before.

--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -91,6 +91,9 @@
 		Priority:      int64(entry.Priority),
 		MaxAttempts:   int64(entry.MaxAttempts),
 	}
+	if len(entry.AllowedRegions) > 0 {
+		r.AllowedRegions = entry.AllowedRegions
+	}
 	for _, share := range entry.Shares {
 		r.Shares = append(r.Shares, routes.Share{Service: share.Service, Weight: int64(share.Weight)})
 	}
@@ -106,7 +109,7 @@
 		TimeoutMs:   int(r.TimeoutMillis),
 		TargetMs:    int(r.TargetMillis),
 		Priority:    int(r.Priority),
-		MaxAttempts: int(r.MaxAttempts),
+		MaxAttempts: int(r.MaxAttempts), AllowedRegions: r.AllowedRegions,
 	}
 	for _, share := range r.Shares {
 		entry.Shares = append(entry.Shares, settings.ShareEntry{Service: share.Service, Weight: int(share.Weight)})
--- a/internal/config/routes_test.go
+++ b/internal/config/routes_test.go
@@ -15,7 +15,7 @@
 		Routes: []routes.Route{
 			{Name: "r1", Host: "a.example", PathPrefix: "/x/", Kind: routes.Once, TimeoutMillis: 800, TargetMillis: 400, Priority: 1, MaxAttempts: 2, Shares: []routes.Share{{Service: "s1", Weight: 1}}},
 			{Name: "r2", Host: "a.example", PathPrefix: "/y/", Kind: routes.Idempotent, TimeoutMillis: 1200, MaxAttempts: 1, Shares: []routes.Share{{Service: "s1", Weight: 0}, {Service: "s2", Weight: 10}}},
-			{Name: "r3", Host: "b.example", PathPrefix: "/", Kind: routes.Upload, TimeoutMillis: 1200, MaxAttempts: 1, Shares: []routes.Share{{Service: "s2", Weight: 4}}},
+			{Name: "r3", Host: "b.example", PathPrefix: "/", Kind: routes.Upload, TimeoutMillis: 1200, MaxAttempts: 1, AllowedRegions: []string{"sudo", "dar"}, Shares: []routes.Share{{Service: "s2", Weight: 4}}},
 		},
 		Services: []routes.Service{
 			{Name: "s1", HealthPath: "/health", MaxConnections: 110, Keyed: true, WarmMillis: 2000},
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -85,6 +85,7 @@
 		Lease:              lease,
 		InheritedLeasesEnd: inheritedLeasesEnd,
 		RecordedGrants:     h.state.grants(),
+		Regions:            h.settings.Domains,
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatTimeout:   2 * lease,
 	})
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -205,7 +205,10 @@
 	var keyless []string
 	for _, s := range config.Services {
 		if s.Keyed {
-			keyed = append(keyed, keyrange.KeyedService{Name: s.Name, ByCall: s.Grants == routes.GrantsByCall})
+			regions, restricted := config.RegionsOfService(s.Name)
+			keyed = append(keyed, keyrange.KeyedService{
+				Name: s.Name, ByCall: s.Grants == routes.GrantsByCall, Regions: regions, Restricted: restricted,
+			})
 		} else {
 			keyless = append(keyless, s.Name)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -477,12 +477,12 @@
 	leaving := keyrange.Server{ID: "a", Service: "photos", Address: "a:80", Slots: 6, Draining: true}
 	now := clockNow()
 	v.apply(now, keyrange.TableUpdate{Term: 1, Version: 1, Full: true, Servers: []keyrange.Server{leaving}})
-	if len(v.serversOf(now+time.Second, "photos")) != 1 {
+	if len(v.serversOf(now+time.Second, "photos", nil)) != 1 {
 		t.Error("the only server gets no requests within its drain time")
 	}
 	// A new leader reports it as draining again: its drain time does not restart.
 	v.apply(now+time.Second, keyrange.TableUpdate{Term: 2, Version: 1, Full: true, Servers: []keyrange.Server{leaving}})
-	if len(v.serversOf(now+1500*time.Millisecond, "photos")) != 0 {
+	if len(v.serversOf(now+1500*time.Millisecond, "photos", nil)) != 0 {
 		t.Error("the server still gets requests at the end of its drain time")
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,6 +45,7 @@
 	reasonNoRoute     = "no-route"
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
+	reasonRegion      = "no-server-in-allowed-regions"
 	reasonOverload    = "owner-overloaded"
 	reasonQuarantined = "crashes-servers"
 	reasonSuspected   = "may-crash-servers"
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -50,7 +50,7 @@
 			target, full, reason = c.claim(now, target)
 		}
 		left := time.Until(until)
-		if target != nil || left <= 0 || !isTransient(reason) || reason == reasonLinkFull && c.linkWait > left {
+		if target != nil || left <= 0 || !isTransient(reason) || c.regionsFull(reason) || reason == reasonLinkFull && c.linkWait > left {
 			return target, reason
 		}
 		if full != nil && !entry.enqueue(now, left, full, dispatch.Reason(reason)) {
@@ -221,10 +221,16 @@
 
 // servers returns the servers that may run the request, or the reason why there are none.
 func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
+	if c.excludedByRegion(service) {
+		return nil, reasonRegion
+	}
 	if !service.Keyed {
-		return c.host.available(now, c.host.view.serversOf(c.host.arrivalTime(now), service.Name)), reasonNoServer
+		return c.host.available(now, c.host.view.serversOf(c.host.arrivalTime(now), service.Name, c.admits)), reasonNoServer
 	}
 	owner, learnedAt, found := c.host.view.owner(c.host.arrivalTime(now), service.Name, c.info.Key)
+	if found && !c.admits(owner.Domain) {
+		return nil, reasonRegion
+	}
 	if !found || c.host.unavailable(now, owner) || c.knownNotOwner(now, owner.ID, learnedAt) {
 		return nil, reasonNoOwner
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -54,6 +54,7 @@
 	owners       map[string][]ownerRange // by service; ascending and without overlaps
 	controlHosts []string
 	gatewayCount int64 // gateways connected to the leader
+	partial      bool  // the table of a new leader may lack servers and owners
 	term         uint64
 	version      uint64
 	updatedAt    time.Duration // time of the latest update
@@ -89,7 +90,7 @@
 		v.owners = map[string][]ownerRange{}
 	}
 	v.term, v.version, v.updatedAt = u.Term, u.Version, now
-	v.controlHosts = u.ControlHosts
+	v.controlHosts, v.partial = u.ControlHosts, u.Partial
 	v.applyGatewayCount(u)
 	v.applyServers(now, u)
 	for _, o := range u.Owners {
@@ -213,14 +214,14 @@
 )
 
 // serversOf returns the servers of a service that may get new requests at the given time. Draining servers are
-// included only if there are no others.
-func (v *view) serversOf(at time.Duration, service string) []keyrange.Server {
+// included only if there are no others. Only servers in failure domains that admits accepts are returned; nil accepts all.
+func (v *view) serversOf(at time.Duration, service string, admits func(domain string) bool) []keyrange.Server {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var active, draining []keyrange.Server
 	for _, s := range v.servers {
 		switch {
-		case s.Service != service || v.drained(at, s):
+		case s.Service != service || v.drained(at, s) || admits != nil && !admits(s.Domain):
 		case s.Draining:
 			draining = append(draining, s.Server)
 		default:
--- a/internal/gateway/view_test.go
+++ b/internal/gateway/view_test.go
@@ -37,10 +37,10 @@
 		v.apply(learned, keyrange.TableUpdate{Term: 1, Version: 1, Full: true, Servers: []keyrange.Server{
 			{ID: "leaving", Service: "photos", Draining: true},
 		}})
-		if c.usedFor > 0 && len(v.serversOf(learned+c.usedFor-time.Millisecond, "photos")) != 1 {
+		if c.usedFor > 0 && len(v.serversOf(learned+c.usedFor-time.Millisecond, "photos", nil)) != 1 {
 			t.Errorf("report delayed by %v: server unused before %v have passed", c.delay, c.usedFor)
 		}
-		if len(v.serversOf(learned+c.usedFor, "photos")) != 0 {
+		if len(v.serversOf(learned+c.usedFor, "photos", nil)) != 0 {
 			t.Errorf("report delayed by %v: server in use after %v", c.delay, c.usedFor)
 		}
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -244,6 +244,10 @@
 	// Failure domain of this host.
 	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
 
+	// Region of each failure domain. Required for keys of services whose routes name
+	// allowed regions. Default: none.
+	Domains FleetSettingsDomains `json:"domains,omitempty,omitzero" yaml:"domains,omitempty" cbor:"domains,omitempty"`
+
 	// Maximum time for which a leaving server still receives requests, milliseconds.
 	// Default: 2500.
 	DrainMs float64 `json:"drain_ms,omitempty,omitzero" yaml:"drain_ms,omitempty" cbor:"drain_ms,omitempty"`
@@ -301,6 +305,10 @@
 	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
 }
 
+// Region of each failure domain. Required for keys of services whose routes name
+// allowed regions. Default: none.
+type FleetSettingsDomains map[string]string
+
 // Settings of galena-entry as a gateway, which routes by host and path.
 type GatewaySettings struct {
 	// TCP port for metrics and the state dump.
@@ -402,6 +410,9 @@
 
 // Route of the requests for one host and path prefix.
 type RouteEntry struct {
+	// Regions whose servers may get the requests, none twice. Default: all regions.
+	AllowedRegions []string `json:"allowed_regions,omitempty,omitzero" yaml:"allowed_regions,omitempty" cbor:"allowed_regions,omitempty"`
+
 	// Host name of the requests.
 	Host string `json:"host" yaml:"host" cbor:"host"`
 
--- a/keyrange/admit.go
+++ b/keyrange/admit.go
@@ -21,6 +21,7 @@
 	}
 	known.sequence, known.lastSeen = hb.Sequence, now
 	c.applyDeparture(known)
+	c.updateBarredServer(now, known)
 	return known
 }
 
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -16,10 +16,11 @@
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
 	granted      int           // number of ranges in the last reply
 	calls        serverCalls   // for services whose servers take grants by calls
+	barred       barred        // set if its failure domain may have no keys of the service
 }
 
 // ready reports whether the server may receive keys.
-func (s *server) ready() bool { return !s.info.Draining && !s.leaving }
+func (s *server) ready() bool { return !s.info.Draining && !s.leaving && !s.barred.set }
 
 // Coordinator assigns key ranges to servers. It is not safe for concurrent use.
 type Coordinator struct {
@@ -134,6 +135,7 @@
 // Tick frees keys whose leases have expired and removes servers that send no heartbeats.
 func (c *Coordinator) Tick(now time.Duration) {
 	c.tickedAt = now
+	c.updateBarred(now)
 	for name, svc := range c.services {
 		c.expire(now, svc)
 		if !svc.active && svc.unheld(now) {
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -49,6 +49,8 @@
 	// RecordedGrants are the newest grants of earlier terms. They are required for safety: a key
 	// without a recorded grant counts as free.
 	RecordedGrants []Assignment
+	// Regions has the region of each failure domain.
+	Regions map[string]string
 	// DrainPeriod is how long a leaving server may still receive requests.
 	DrainPeriod time.Duration
 	// HeartbeatTimeout is the time without heartbeats after which a server is removed.
--- a/keyrange/services.go
+++ b/keyrange/services.go
@@ -19,12 +19,17 @@
 	byCall     bool          // servers take grants by calls
 	active     bool          // the configuration has it; if not, its keys are kept until the leases end
 	assignAt   time.Duration // time of the next assignAll
+	regions    []string      // whose servers may have keys; only if restricted
+	restricted bool
 }
 
 // KeyedService is a service that is partitioned by key.
 type KeyedService struct {
 	Name   string
 	ByCall bool // its servers take grants by calls instead of in the replies to heartbeats
+	// Regions are those whose servers may have keys, if Restricted is set. Otherwise all may.
+	Regions    []string
+	Restricted bool
 }
 
 // SetServices sets the services of the configuration. keyless names those that are not partitioned by key: their
@@ -47,6 +52,7 @@
 		}
 		svc.active = true
 		svc.setMode(s.ByCall)
+		svc.regions, svc.restricted = s.Regions, s.Restricted
 	}
 }
 
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -24,6 +24,7 @@
 	seq         map[string]int64
 	holds       map[string][]Range // last grants of each server
 	record      Record
+	domains     map[string]string // failure domain of each server
 }
 
 // TestSessions runs the scripted sessions in testdata. Commands:
@@ -32,10 +33,12 @@
 //	                                        terms
 //	advance D                               advances the time
 //	heartbeat id=S [born=N] [seq=N] [address=A] [draining] [holds=(f-t:token,...)]
-//	          [released=(f-t,...)] [lost] [unrecorded]
+//	          [released=(f-t,...)] [lost] [unrecorded] [domain=D]
 //	                                        sends a heartbeat; a new value of born (the start time)
 //	                                        starts a new incarnation; the server accepts the grants
 //	                                        unless the reply is lost or they could not be recorded
+//	allow [regions=(R,...)]                 sets the regions whose servers may have keys; without regions, all.
+//	                                        Failure domains d1 and d2 are in region r1, d3 is in r2
 //	leave id=S                              sends a Leave message
 //	left-before id=S                        restores a Leave message that an earlier leader received
 //	says-leaving id=S [born=N]              reports a response of S which says that it is about to stop
@@ -43,7 +46,7 @@
 //	table                                   prints servers and owners
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
-		s := &session{startMillis: map[string]int64{}, seq: map[string]int64{}, holds: map[string][]Range{}}
+		s := &session{domains: map[string]string{}, startMillis: map[string]int64{}, seq: map[string]int64{}, holds: map[string][]Range{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			s.t = t
 			return s.run(d)
@@ -65,6 +68,9 @@
 		return ""
 	case "heartbeat":
 		return s.heartbeat(d)
+	case "allow":
+		s.coord.SetServices([]KeyedService{{Name: testService, Regions: values(d, "regions"), Restricted: d.HasArg("regions")}})
+		return ""
 	case "leave", "left-before":
 		var id string
 		d.ScanArgs(s.t, "id", &id)
@@ -89,6 +95,7 @@
 	var term uint64
 	d.ScanArgs(s.t, "term", &term)
 	o := Options{Term: term, Keys: testKeys, Lease: 4 * time.Second, DrainPeriod: 2500 * time.Millisecond, HeartbeatTimeout: 8 * time.Second}
+	o.Regions = map[string]string{"d1": "r1", "d2": "r1", "d3": "r2"}
 	if d.HasArg("lease") {
 		var text string
 		d.ScanArgs(s.t, "lease", &text)
@@ -119,6 +126,11 @@
 		}
 	}
 	s.seq[id]++
+	if d.HasArg("domain") {
+		var domain string
+		d.ScanArgs(s.t, "domain", &domain)
+		s.domains[id] = domain
+	}
 	if d.HasArg("seq") {
 		var seq int64
 		d.ScanArgs(s.t, "seq", &seq)
@@ -127,7 +139,7 @@
 	hb := Heartbeat{
 		Server: Server{
 			ID: id, StartMillis: s.startMillis[id], Service: testService, Address: address, Slots: 6,
-			Draining: d.HasArg("draining"),
+			Draining: d.HasArg("draining"), Domain: s.domains[id],
 		},
 		Sequence: s.seq[id], Holds: s.holds[id],
 	}
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -135,6 +135,9 @@
 	// Maximum number of backend servers that one client attempt is sent to.
 	MaxAttempts int64 `json:"a" yaml:"a" cbor:"a"`
 
+	// Regions whose servers may get the requests; empty for all.
+	AllowedRegions []string `json:"g,omitempty,omitzero" yaml:"g,omitempty" cbor:"g,omitempty"`
+
 	// Host name of the requests, in lower case.
 	Host string `json:"h" yaml:"h" cbor:"h"`
 
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -71,6 +71,8 @@
 		"unknown service":    func(c *Config) { c.Routes[0].Shares[0].Service = "nobody" },
 		"weights of 0":       func(c *Config) { c.Routes[1].Shares[0].Weight, c.Routes[1].Shares[1].Weight = 0, 0 },
 		"negative weight":    func(c *Config) { c.Routes[1].Shares[0].Weight = -1 },
+		"empty region":       func(c *Config) { c.Routes[1].AllowedRegions = []string{""} },
+		"duplicate region":   func(c *Config) { c.Routes[1].AllowedRegions = []string{"a", "a"} },
 		"timeout of 0":       func(c *Config) { c.Routes[0].TimeoutMillis = 0 },
 		"objective too high": func(c *Config) { c.Routes[0].TargetMillis = 60_800 },
 		"no attempts":        func(c *Config) { c.Routes[0].MaxAttempts = 0 },
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -78,9 +79,21 @@
 	case r.MaxAttempts <= 0:
 		return errors.Wrapf(ErrInvalid, "maximum number of attempts %d must be positive", r.MaxAttempts)
 	}
+	if err := validateRegions(r.AllowedRegions); err != nil {
+		return err
+	}
 	return validateShares(r.Shares, services)
 }
 
+func validateRegions(regions []string) error {
+	for i, region := range regions {
+		if region == "" || slices.Contains(regions[:i], region) {
+			return errors.Wrapf(ErrInvalid, "allowed region %q is empty or a duplicate", region)
+		}
+	}
+	return nil
+}
+
 func validateShares(shares []Share, services map[string]bool) error {
 	var total int64
 	for _, s := range shares {
