--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,6 +46,7 @@
 	reasonNoRoute     = "no-route"
 	reasonNoOwner     = "no-owner"
 	reasonNoServer    = "no-server"
+	reasonRegion      = "no-server-in-allowed-regions"
 	reasonOverload    = "owner-overloaded"
 	reasonNoCapacity  = "service-overloaded"
 	reasonQuarantined = "crashes-servers"
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -76,6 +76,8 @@
 		"warm-up rate":       func(c *Config) { c.Services[0].WarmupPerSecond = -0.5 },
 		"odd warm-up rate":   func(c *Config) { c.Services[0].WarmupPerSecond = math.NaN() },
 		"negative weight":    func(c *Config) { c.Routes[1].Shares[0].Weight = -1 },
+		"empty region":       func(c *Config) { c.Routes[1].AllowedRegions = []string{""} },
+		"duplicate region":   func(c *Config) { c.Routes[1].AllowedRegions = []string{"a", "a"} },
 		"timeout of 0":       func(c *Config) { c.Routes[0].TimeoutMillis = 0 },
 		"objective too high": func(c *Config) { c.Routes[0].TargetMillis = 60_800 },
 		"no attempts":        func(c *Config) { c.Routes[0].MaxAttempts = 0 },
