--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -77,7 +77,7 @@
 func (h *Host) capacities(now time.Duration, l *leadership) []admitshare.Capacity {
 	var list []admitshare.Capacity
 	for _, c := range l.coordinator.Capacities(now) {
-		list = append(list, admitshare.Capacity{Service: c.Service, Region: c.Domain, Slots: c.Slots, Load: -1})
+		list = append(list, admitshare.Capacity{Service: c.Service, Region: h.settings.Domains[c.Domain], Slots: c.Slots, Load: -1})
 	}
 	return list
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -66,7 +66,7 @@
 
 // admissionGroup returns the group of requests that compete with this one.
 func (c *call) admissionGroup() admitshare.Group {
-	return admitshare.Group{Service: c.service, Priority: c.route.Priority}
+	return admitshare.Group{Service: c.service, Regions: admitshare.RegionList(c.route.AllowedRegions), Priority: c.route.Priority}
 }
 
 // admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run.
