Limit the requests to cold servers by tokens of the leader

Cause: a server that has just started takes only a few requests a second from all gateways together, and gateways sent it their usual load. Change: the leader keeps for each server whether it is cold (heartbeats, new or silent servers, reports of gateways) and publishes it; requests to cold servers take tokens (package warmup). Gateways treat a server whose host refused a connection, or that closed one unexpectedly, as cold until a response or the leader proves that it is warm. A warm server is preferred where no token is at hand. Cold servers of services partitioned by key count with their rate as capacity.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -88,10 +88,11 @@
 	PausedFor       time.Duration // how much longer the server wants no requests
 	Limited         bool          // the server takes only requests with a token (package ratelimit)
 	Tokens          int           // tokens that this gateway has for the server
+	Cold            bool          // the server has just started, and is Limited for that (package warmup)
 }
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
-// none. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
+// none. A cold server with a token is preferred to warm ones: tokens are few, and expire. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
 // are paused. Among candidates that meet the latency target it prefers the nearest. A bulk
 // request is sent to another region only if the own region has no server: the link between regions is
 // slow, and is saturated at the times when the servers are.
@@ -127,6 +128,7 @@
 type rank struct {
 	suspect      bool
 	missesTarget bool
+	withoutToken bool // not cold; a cold candidate is ranked only if there is a token
 	distance     Distance
 	finish       time.Duration // expected time until the response
 }
@@ -134,13 +136,14 @@
 // rankOf returns a candidate's rank. A server of the own region to which this gateway has not sent
 // a request yet ranks first, since its speed can be learned only from a request.
 func rankOf(now time.Duration, c Candidate, r Request) rank {
-	if c.Load.Untried() && c.Distance != OtherRegion {
-		return rank{suspect: c.Suspect}
+	if c.Load.Untried() && c.Distance != OtherRegion && !c.Cold {
+		return rank{suspect: c.Suspect, withoutToken: true}
 	}
 	finish := c.Load.ExpectedWait(now, c.Slots) + c.Load.ServiceTime()
 	return rank{
 		suspect:      c.Suspect,
 		missesTarget: finish > r.UntilTarget,
+		withoutToken: !c.Cold || c.Distance == OtherRegion,
 		distance:     c.Distance,
 		finish:       finish,
 	}
@@ -152,6 +155,8 @@
 		return b.suspect
 	case a.missesTarget != b.missesTarget:
 		return b.missesTarget
+	case a.withoutToken != b.withoutToken:
+		return b.withoutToken
 	case a.distance != b.distance && !a.missesTarget:
 		return a.distance < b.distance
 	}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -15,6 +15,7 @@
 	Config      routes.Config         `json:"config"`
 	Subscribers int                   `json:"subscribers"`     // number of connected gateways
 	Table       *keyrange.TableUpdate `json:"table,omitempty"` // only on the leader
+	Cold        []keyrange.ColdServer `json:"cold,omitempty"`  // servers that are cold, or may be; only on the leader
 }
 
 // Dump returns the host's state for the admin endpoint, encodable as JSON.
@@ -33,6 +34,7 @@
 	if h.leading != nil {
 		snapshot := h.leading.coordinator.Snapshot()
 		dump.Table, dump.Owners = &snapshot, tableOwners(snapshot)
+		dump.Cold = h.leading.coordinator.ColdServers()
 		dump.Holdings = holdings(h.leading.coordinator.Holdings(clock.Now()))
 	}
 	return dump
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/rollout"
+	"github.com/galenalug/galenalug/warmup"
 )
 
 // leadership is the state of a leader that is not replicated.
@@ -22,6 +23,7 @@
 	fullTable      fullTable
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
+	coldIssuer     *warmup.Issuer
 	quarantine     *quarantine.Tracker
 	calls          *grantCalls   // nil if this host makes no calls to backend servers
 	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
@@ -37,6 +39,7 @@
 	if !leads {
 		h.metrics.leads.Set(0)
 		h.metrics.calls.ownerless.Set(0)
+		h.metrics.cold.servers.Set(0)
 		if h.leading != nil {
 			close(h.leading.reported) // ends the waiting acknowledgements
 			h.leading.calls.end()
@@ -65,6 +68,7 @@
 		coordinator: h.newCoordinator(now, term),
 		rollout:     configs,
 		issuer:      ratelimit.NewIssuer(),
+		coldIssuer:  warmup.NewIssuer(),
 		quarantine:  quarantine.NewTracker(now),
 		calls:       h.newGrantCalls(),
 		reported:    make(chan struct{}),
@@ -86,6 +90,7 @@
 		InheritedLeasesEnd: inheritedLeasesEnd,
 		RecordedGrants:     h.state.grants(),
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
+		HeartbeatInterval:  clock.Milliseconds(h.settings.ServerHeartbeatMs),
 		HeartbeatTimeout:   2 * lease,
 	})
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -26,6 +26,7 @@
 	logBytes     *prometheus.GaugeVec
 	joinSeconds  prometheus.Histogram
 	tokens       *prometheus.CounterVec
+	cold         *coldMetrics
 	quarantines  prometheus.Counter
 	suspects     *prometheus.GaugeVec
 	calls        *callMetrics
@@ -89,12 +90,13 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
+	m.cold = newColdMetrics()
 	m.calls = newCallMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
-		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens,
+		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens, m.cold.tokens, m.cold.servers,
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -88,6 +88,7 @@
 	h.publishQuarantine(now, l)
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
+	h.recordColdChanges(l)
 	update, changed := l.coordinator.Changes(now)
 	h.metrics.calls.ownerless.Set(float64(l.coordinator.KeysWithoutOwner()))
 	if changed {
@@ -211,6 +212,7 @@
 		}
 	}
 	c.SetServices(keyed, keyless...)
+	c.SetWarmups(warmups(config))
 }
 
 // addHostInfo sets the fields that every update carries.
--- a/internal/fleet/tokens.go
+++ b/internal/fleet/tokens.go
@@ -14,7 +14,7 @@
 
 // checkDemand returns an error if a demand has an invalid value.
 func checkDemand(d ratelimit.Demand) error {
-	if d.PerSecond > 0 && !math.IsInf(d.PerSecond, 0) && d.Wanted >= 0 && d.AgeMillis >= 0 {
+	if d.PerSecond > 0 && !math.IsInf(d.PerSecond, 0) && d.Wanted >= 0 && d.AgeMillis >= 0 && d.SinceMillis >= 0 && d.WarmupMillis >= 0 {
 		return nil
 	}
 	return &peer.Error{
@@ -39,6 +39,10 @@
 	}
 	now := clock.Now()
 	for _, demand := range request.Servers {
+		if demand.Cold {
+			reply.Servers = append(reply.Servers, h.issueColdTokens(now, demand))
+			continue
+		}
 		grant := h.leading.issuer.Issue(now, demand)
 		h.leading.coordinator.SetRateLimit(now, demand.ServerID, h.leading.issuer.Limit(demand.ServerID))
 		reply.Servers = append(reply.Servers, grant)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,6 +152,7 @@
 		deadline: c.deadline, dialTimeout: c.host.linkDelay.dialTimeout(),
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
+	req.claimCold = func() (bool, error) { return to.claimCold(clockNow()) }
 	c.progress.Store(&req.progress)
 	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
 	if c.stream == nil {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -14,6 +14,7 @@
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
+	"github.com/galenalug/galenalug/warmup"
 )
 
 // refusedPeriod is how long a server gets no requests after its host refused a connection.
@@ -23,9 +24,11 @@
 // of its load.
 type backend struct {
 	id, address     string
+	service         string
 	startMillis     int64            // start time of the incarnation, Unix milliseconds; 0 if unknown
 	meanServiceTime *meanServiceTime // of the service
 	noticeCounter   prometheus.Counter
+	warmup          *warmupContext
 	dial            dialFunc
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
 	buffers         *bodybuffer.Pool       // shared with the other servers
@@ -38,6 +41,9 @@
 	notices     dispatch.Notices
 	tokens      ratelimit.Holder    // for the rate limit that the server has named
 	observed    keyrange.ServerLoad // not yet reported to the leader
+	coldTokens  warmup.Holder       // while the server is cold
+	warmth      warmup.Evidence     // that the server is cold
+	nearbyAt    time.Duration       // when the server was last a candidate of the own region
 	failedAt    time.Duration       // time of the last failure; 0 for none
 	refusedAt   time.Duration       // time of the last refused connection; 0 for none
 	replaced    bool                // another incarnation answered at the address
@@ -52,14 +58,15 @@
 	byID             map[string]*backend
 	meanServiceTimes map[string]*meanServiceTime // by service
 	noticeCounter    prometheus.Counter
+	warmup           *warmupContext
 	// dial opens connections to backend servers. Tests simulate slow links with it.
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
 	buffers *bodybuffer.Pool // for the response bodies of all servers
 }
 
-func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes)}
+func newBackends(noticeCounter prometheus.Counter, w *warmupContext) *backends {
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, warmup: w, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes)}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -73,8 +80,8 @@
 			server.close()
 		}
 		server = &backend{
-			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
-			noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
+			id: s.ID, address: s.Address, service: s.Service, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
+			noticeCounter: b.noticeCounter, warmup: b.warmup, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
 		}
 		b.byID[s.ID] = server
 	}
@@ -151,6 +158,7 @@
 	started := time.Now()
 	resp, err := b.connectAndExchange(ctx, req, dialect)
 	b.recordBroken(err, req)
+	b.recordWarmth(now, req, resp, err)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.load.End()
@@ -186,6 +194,10 @@
 		b.returnUnused(c, nil)
 		return nil, &exchangeError{reason: reasonConnect, err: errDrained}
 	}
+	if req.withColdToken, err = req.claimCold(); err != nil {
+		b.returnUnused(c, nil)
+		return nil, &exchangeError{reason: reasonConnect, err: err}
+	}
 	if c.dialTook > 0 && req.onDial != nil {
 		req.onDial(c.dialTook)
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -101,6 +101,11 @@
 // to this one.
 func (c *conn) mayCarry(id string) bool { return id == "" || !slices.Contains(c.refused, id) }
 
+// closedEarly reports whether the server has closed an idle connection before its time.
+func (c *conn) closedEarly() bool {
+	return time.Since(c.lastUsed) < c.maxIdle && idle.Peek(c.Conn) == idle.Closed
+}
+
 // reusable reports whether an idle connection is open and holds no unexpected bytes.
 func (c *conn) reusable() bool {
 	if len(c.refused) >= maxRefusedIDs || c.reader.Buffered() > 0 || time.Since(c.lastUsed) > c.maxIdle {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -58,6 +58,9 @@
 	leaving := b.notices.LeavingFor(clockNow()) > 0
 	b.broken, b.checkingEnd = nil, false
 	b.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		b.suspectRestart(true)
+	}
 	if !errors.Is(err, syscall.ECONNREFUSED) || leaving || b.onCrash == nil {
 		return
 	}
--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -44,7 +44,7 @@
 	if unanswered && hadFreeSlot && took > b.load.ServiceTime() {
 		b.recordServiceTime(took)
 	}
-	if e.reason == reasonCanceled {
+	if e.reason == reasonCanceled || errors.Is(err, errNoColdToken) {
 		return
 	}
 	b.failedAt = clockNow()
@@ -101,10 +101,14 @@
 // expectedWait returns how long a request that is not sent for the given reason would wait for the
 // server, with the given number of others ahead of it.
 func (b *backend) expectedWait(now time.Duration, slots, ahead int, reason dispatch.Reason) time.Duration {
+	cold := b.coldRate(now) > 0
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch reason {
 	case dispatch.RateLimited:
+		if cold {
+			return b.coldTokens.Wait(now, ahead)
+		}
 		return b.tokens.Wait(now, ahead)
 	case dispatch.Paused:
 		return b.notices.PausedFor(now)
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -97,11 +97,12 @@
 	if o.Events == nil {
 		o.Events = os.Stdout
 	}
+	v := newView(clock.Milliseconds(o.Settings.DrainMs))
 	h := &Host{
 		settings:      o.Settings,
 		dialect:       o.Dialect,
-		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
-		backends:      newBackends(m.notices),
+		view:          v,
+		backends:      newBackends(m.notices, &warmupContext{view: v, regions: countRegions(o.Settings), requests: m.coldRequests}),
 		regionLinks:   newRegionLinks(m.links, requestsOut),
 		responseLinks: newRegionLinks(m.links, responsesIn),
 		responseSizes: newResponseSizes(),
@@ -115,8 +116,9 @@
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
 	h.backends.onCrash = h.reportCrash
+	h.backends.warmup.wake = h.wantTokens
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
-	if err := m.registerGauges(o.Registry, h.view, h.linkDelay); err != nil {
+	if err := m.registerGauges(o.Registry, h.view, h.linkDelay, h.backends); err != nil {
 		return nil, err
 	}
 	h.leaderLink = &leaderLink{
@@ -223,6 +225,15 @@
 	return b.unavailable(now) || h.hasLeft(h.arrivalTime(now), b)
 }
 
+// countRegions returns the number of regions with failure domains.
+func countRegions(s *settings.GatewaySettings) int {
+	regions := map[string]bool{}
+	for _, region := range s.Domains {
+		regions[region] = true
+	}
+	return max(len(regions), 1)
+}
+
 // distance returns the distance to a failure domain.
 func (h *Host) distance(domain string) dispatch.Distance {
 	switch {
@@ -239,6 +250,8 @@
 	trace.Dump
 	View     Stamp    `json:"view"`
 	Controls []string `json:"controls"`
+
+	Cold []coldServer `json:"cold,omitempty"` // servers that are cold, or may be
 }
 
 // Dump returns the gateway's state for the admin endpoint.
@@ -251,5 +264,6 @@
 		},
 		View:     stamp,
 		Controls: h.view.controlAddresses(),
+		Cold:     h.backends.coldServers(now),
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	clientsLeft *prometheus.CounterVec
 	links       *linkMetrics
 	crashes     prometheus.Counter
+
+	coldRequests prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -44,8 +46,11 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_server_crashes_total", Help: "Backend servers whose process ended with requests of this gateway.",
 	})
+	m.coldRequests = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_cold_requests_total", Help: "Requests sent to cold servers.",
+	})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.coldRequests}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
@@ -55,7 +60,7 @@
 }
 
 // registerGauges registers gauges that are read at each scrape.
-func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay) error {
+func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay, b *backends) error {
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_table_age_seconds", Help: "Time since the newest update of the ownership table.",
 	}, func() float64 {
@@ -77,7 +82,10 @@
 	queueing := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_link_delay_seconds", Help: "Queueing on this host's own link, both ways, as reports to the leader have met it.",
 	}, func() float64 { return d.queueing().Seconds() })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing} {
+	cold := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_cold_servers", Help: "Servers that are cold, or may be, according to this gateway or the leader.",
+	}, func() float64 { return float64(len(b.coldServers(clockNow()))) })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, cold} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -28,9 +28,13 @@
 // connect returns an open idle connection, or dials a new one. A request that may run only once
 // gets an idle connection only if that was used within maxIdleForOnce.
 func (b *backend) connect(ctx context.Context, once bool, id string) (*conn, error) {
+	closedEarly := false
 	for {
 		c := b.takeIdle(once, id)
 		if c == nil {
+			if closedEarly {
+				b.suspectRestart(false)
+			}
 			started := clockNow()
 			raw, err := b.dial(ctx, "tcp", b.address)
 			if err != nil {
@@ -43,6 +47,7 @@
 		if c.reusable() {
 			return c, nil
 		}
+		closedEarly = closedEarly || c.closedEarly()
 		_ = c.Close() // no request is in flight on it
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,6 +27,8 @@
 	fingerprint          func() string            // nil for a streamed body
 	bulk                 *linkTicket              // nil for a small request, and for one within the region
 	tooLate              func() bool              // whether it would reach the server after its drain time
+	claimCold            func() (bool, error)     // takes a token if the server is cold; an error if there is none
+	withColdToken        bool                     // it was sent with a token for a cold server
 	onDial               func(took time.Duration) // called when a connection was opened; nil within the region
 }
 
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -128,6 +128,8 @@
 	*backend
 	slots       int    // requests that the server runs concurrently
 	otherRegion string // region of the server; empty if it is the gateway's own
+
+	coldToken time.Duration // until when the request's token for a cold server is valid; 0 if it took none
 }
 
 // enqueue adds the request to the queue for a server, and removes it from any other queue. It
@@ -182,9 +184,15 @@
 		c.host.allowWithoutLeader(now, b)
 		candidates[i] = b.candidate(now, s, c.host.view.connectionLimit(s), c.host.distance(s.Domain))
 		candidates[i].Ahead = entry.ahead(b)
+		if service.WarmupPerSecond > 0 {
+			b.addWarmth(now, &candidates[i])
+		}
 	}
 	best, rejection := dispatch.Choose(now, candidates, request)
 	if best < 0 {
+		if rejection == dispatch.RateLimited && !service.Keyed {
+			servers, candidates, rejection = c.awaitCold(now, request, entry, servers, candidates)
+		}
 		if i := c.queueFor(service, candidates, rejection); i >= 0 {
 			full = c.host.target(servers[i])
 		}
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
@@ -18,8 +19,13 @@
 	tokenAskTimeout = ratelimit.TokenLifetime
 )
 
-// takeToken takes a token for a request, or returns false if the server is limited and there is none.
-func (b *backend) takeToken(now time.Duration) bool {
+// takeToken takes a token for a request, or returns false if the server is limited and there is none. A cold
+// server needs another kind of tokens, whose limit is the lower one.
+func (t *target) takeToken(now time.Duration) bool {
+	if t.coldRate(now) > 0 {
+		return t.takeColdToken(now)
+	}
+	b := t.backend
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if limit, _ := b.notices.RateLimit(); limit == 0 {
@@ -30,6 +36,9 @@
 
 // tokenDemand returns the demand for tokens, and whether there is any.
 func (b *backend) tokenDemand(now time.Duration) (ratelimit.Demand, bool) {
+	if b.coldRate(now) > 0 {
+		return ratelimit.Demand{}, false // see coldDemand
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	limit, namedAt := b.notices.RateLimit()
@@ -50,12 +59,18 @@
 }
 
 // tokenDemand returns the demand for tokens of all limited servers.
-func (b *backends) tokenDemand(now time.Duration) ratelimit.TokenRequest {
+//
+// ahead tells whether to ask for tokens for which no request waits yet.
+func (b *backends) tokenDemand(now time.Duration, ahead bool) ratelimit.TokenRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var request ratelimit.TokenRequest
 	for _, server := range b.byID {
-		if demand, any := server.tokenDemand(now); any {
+		demand, any := server.coldDemand(now, ahead)
+		if !any {
+			demand, any = server.tokenDemand(now)
+		}
+		if any {
 			request.Servers = append(request.Servers, demand)
 		}
 	}
@@ -71,6 +86,10 @@
 			return // not the reply to this request
 		}
 		if server := b.byID[grant.ServerID]; server != nil {
+			if request.Servers[i].Cold {
+				server.coldTokensGranted(now, askedAt, request.Servers[i].Wanted, grant)
+				continue
+			}
 			server.tokensGranted(now, askedAt, request.Servers[i].Wanted, grant)
 		}
 	}
@@ -86,8 +105,12 @@
 		return
 	}
 	gateways := h.view.gateways()
+	coldRate := b.coldRate(now)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if coldRate > 0 {
+		b.coldTokens.WithoutLeader(now, coldRate, h.view.mostGateways.Load(), rand.Float64())
+	}
 	if limit, _ := b.notices.RateLimit(); limit > 0 {
 		b.tokens.WithoutLeader(now, limit, gateways)
 	}
@@ -98,14 +121,16 @@
 	ticker := time.NewTicker(tokenAskInterval)
 	defer ticker.Stop()
 	for {
+		ahead := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-l.tokensWanted:
 		case <-ticker.C:
+			ahead = true
 		}
 		askedAt := clockNow()
-		request := l.backends.tokenDemand(askedAt)
+		request := l.backends.tokenDemand(askedAt, ahead)
 		if len(request.Servers) == 0 {
 			continue
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenalug/galenalug/dispatch"
@@ -48,6 +49,10 @@
 type view struct {
 	drainTime time.Duration // how long a leaving server may still receive requests; see drainMargin
 
+	// mostGateways is the highest gatewayCount since the start. The leader does not count gateways that it has
+	// lost.
+	mostGateways atomic.Int64
+
 	mu           sync.RWMutex // guards the fields below
 	routes       *routes.Table
 	servers      map[string]*serverEntry
@@ -102,6 +107,7 @@
 // divided. The gateways subscribe to a new leader one after another, so the count may not decrease
 // while its table is partial.
 func (v *view) applyGatewayCount(u keyrange.TableUpdate) {
+	v.mostGateways.Store(max(v.mostGateways.Load(), u.EntryHosts))
 	if u.Partial {
 		v.gatewayCount = max(v.gatewayCount, u.EntryHosts)
 		return
@@ -263,6 +269,22 @@
 	return dump
 }
 
+// warmup returns the requests a second that a cold server of a service takes, or 0 if there is no limit, and whether
+// the table says that a server is cold.
+func (v *view) warmup(id, service string) (perSecond float64, cold bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.routes == nil {
+		return 0, false
+	}
+	svc := v.routes.Service(service)
+	if svc == nil || svc.WarmupPerSecond == 0 {
+		return 0, false
+	}
+	s := v.servers[id]
+	return svc.WarmupPerSecond, s != nil && s.WarmupMillis > 0
+}
+
 // has reports whether the view contains a server.
 func (v *view) has(id string) bool {
 	v.mu.RLock()
--- a/keyrange/admit.go
+++ b/keyrange/admit.go
@@ -7,6 +7,7 @@
 func (c *Coordinator) acceptHeartbeat(now time.Duration, hb Heartbeat) *server {
 	info := hb.Server
 	known := c.servers[info.ID]
+	earlier := known
 	if known != nil && known.info.StartMillis == info.StartMillis {
 		if !known.continuedBy(hb) {
 			return nil
@@ -21,6 +22,7 @@
 	}
 	known.sequence, known.lastSeen = hb.Sequence, now
 	c.applyDeparture(known)
+	c.heardOf(now, known, known != earlier, known != earlier && earlier != nil)
 	return known
 }
 
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -1,6 +1,10 @@
 package keyrange
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenalug/galenalug/warmup"
+)
 
 // server is the state of one incarnation of a backend server.
 type server struct {
@@ -16,6 +20,8 @@
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
 	granted      int           // number of ranges in the last reply
 	calls        serverCalls   // for services whose servers take grants by calls
+	warmth       warmup.State  // for services with a limit for cold servers
+	cold         bool          // according to warmth, as of the last updateCold
 }
 
 // ready reports whether the server may receive keys.
@@ -31,9 +37,12 @@
 	configured      map[string]bool      // services of the configuration, with and without keys
 	departures      map[string]departure // by server ID
 	published       published
-	overload        map[string]int64 // AdmitPermille by server ID
-	overloadUpdated time.Duration    // time at which overload was computed
-	tickedAt        time.Duration    // time of the last Tick
+	overload        map[string]int64  // AdmitPermille by server ID
+	overloadUpdated time.Duration     // time at which overload was computed
+	tickedAt        time.Duration     // time of the last Tick
+	warmups         map[string]Warmup // by service; see SetWarmups
+	hearing         hearing
+	coldChanges     []ColdChange // since the last call of ColdChanges
 
 	granted       []Assignment // since the last call of TakePendingGrants
 	events        []Event
@@ -48,6 +57,7 @@
 		addresses:  map[string]string{},
 		services:   map[string]*service{},
 		departures: map[string]departure{},
+		hearing:    hearing{gapMinimum: gapIntervals * options.HeartbeatInterval},
 		published:  published{servers: map[string]Server{}, owners: map[string][]Owner{}, departed: map[string]bool{}},
 	}
 }
@@ -141,6 +151,7 @@
 		}
 	}
 	c.expireRateLimits(now)
+	c.updateWarmth(now)
 	for _, s := range c.servers {
 		if now-s.lastSeen > c.options.HeartbeatTimeout {
 			c.removeServer(s)
--- a/keyrange/fleet.go
+++ b/keyrange/fleet.go
@@ -55,7 +55,7 @@
 	capacity := 0.0
 	for id, s := range c.servers {
 		if s.info.Service == svc.name && s.ready() {
-			f.all = append(f.all, member{server: s, capacity: s.capacity(serviceTimeSeconds)})
+			f.all = append(f.all, member{server: s, capacity: s.capacity(serviceTimeSeconds, c.warmups[svc.name].PerSecond)})
 			m := &f.all[len(f.all)-1]
 			f.members[id] = m
 			capacity += m.capacity
@@ -127,13 +127,17 @@
 }
 
 // capacity returns the requests per second that fill the server's slots, or its rate limit if that is
-// lower. serviceAverage is the average service time on all servers of its service, in seconds.
-func (s *server) capacity(serviceAverage float64) float64 {
+// lower. serviceAverage is the average service time on all servers of its service, in seconds, and coldRate the
+// requests per second that a cold server takes, or 0 if there is no limit.
+func (s *server) capacity(serviceAverage, coldRate float64) float64 {
 	serviceTimeSeconds := s.serviceTimes.averageSeconds(serviceAverage)
 	capacity := float64(max(s.info.Slots, 1)) / serviceTimeSeconds
 	if s.info.WarmupMillis > 0 {
 		capacity *= warmupFactor
 	}
+	if s.cold && coldRate > 0 {
+		capacity = min(capacity, coldRate)
+	}
 	if s.rateLimit > 0 {
 		capacity = min(capacity, s.rateLimit)
 	}
@@ -145,7 +149,7 @@
 func (f *fleet) emptyServers(now time.Duration) int {
 	count := 0
 	for _, m := range f.members {
-		if m.segments == 0 && m.server.info.WarmupMillis == 0 && now-m.server.lastSeen < emptyServerTimeout {
+		if m.segments == 0 && m.server.info.WarmupMillis == 0 && !m.server.cold && now-m.server.lastSeen < emptyServerTimeout {
 			count++
 		}
 	}
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -51,6 +51,9 @@
 	RecordedGrants []Assignment
 	// DrainPeriod is how long a leaving server may still receive requests.
 	DrainPeriod time.Duration
+	// HeartbeatInterval is the interval between a server's heartbeats; 0 if it is not known. Then no server
+	// counts as silent.
+	HeartbeatInterval time.Duration
 	// HeartbeatTimeout is the time without heartbeats after which a server is removed.
 	HeartbeatTimeout time.Duration
 }
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -3,7 +3,7 @@
 import "time"
 
 // publishedWarmupMillis is the value of WarmupMillis in the table for each server that is still
-// warming up. The exact remaining time is not published, since it would need frequent updates.
+// warming up.
 const publishedWarmupMillis = 1000
 
 // published is the table as last returned by Changes.
@@ -106,9 +106,7 @@
 			continue
 		}
 		info := s.info
-		if info.WarmupMillis > 0 {
-			info.WarmupMillis = publishedWarmupMillis
-		}
+		info.WarmupMillis = c.warmupMillis(s)
 		info.AdmitPermille = c.overload[id]
 		visible[id] = info
 	}
--- a/warmup/tokens.go
+++ b/warmup/tokens.go
@@ -117,7 +117,9 @@
 	return count
 }
 
-func (h *Holder) inSlot(now time.Duration) bool { return h.slotAt > 0 && now >= h.slotAt }
+func (h *Holder) inSlot(now time.Duration) bool {
+	return h.slotAt > 0 && now >= h.slotAt && now-h.slotAt < min(slotLifetime, h.slotEvery)
+}
 
 // Take takes one token, or returns false if there is none. The request must be sent before the returned time.
 func (h *Holder) Take(now time.Duration) (sendBefore time.Duration, ok bool) {
@@ -154,9 +156,6 @@
 	}
 }
 
-// WithLeader ends the time without a leader.
-func (h *Holder) WithLeader() { h.slotAt = 0 }
-
 // Wait returns the expected time until there is a token for a request with the given number of others ahead of
 // it: without a leader, until the slot for it, else as Holder.Wait of package ratelimit returns it.
 func (h *Holder) Wait(now time.Duration, ahead int) time.Duration {
