Tests of cold servers: state at the leader, evidence of gateways, one limit over five gateways

Cause: nothing showed that gateways together keep the rate of a cold server, nor what makes a server count as cold. Change: the tests, and what they use of the fakes; the leader is told of evidence at most twice a second.

--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -90,8 +90,7 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
-	m.cold = newColdMetrics()
-	m.calls = newCallMetrics()
+	m.cold, m.calls = newColdMetrics(), newCallMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects,
--- a/internal/fleet/warmup.go
+++ b/internal/fleet/warmup.go
@@ -56,9 +56,10 @@
 	}
 	switch {
 	case d.Refused:
-		coordinator.ReportCold(now, d.ServerID, at, warmup.CauseRefused)
+		coordinator.ReportCold(now, d.ServerID, at, maxEvidenceAge, warmup.CauseRefused)
 	case d.WarmupMillis > 0:
-		coordinator.ReportCold(now, d.ServerID, at, warmup.CauseResponse)
+		left := clock.Milliseconds(min(d.WarmupMillis, maxEvidenceAge.Milliseconds()))
+		coordinator.ReportCold(now, d.ServerID, at, now-at+left, warmup.CauseResponse)
 	}
 	if coordinator.WarmSince(now, d.ServerID, at) {
 		return ratelimit.Grant{ServerID: d.ServerID, Warm: true}
--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -134,7 +134,9 @@
 	s.t.Helper()
 	next := s.config
 	next.Version++
-	next.Services = testConfig().Services
+	if next.Services == nil {
+		next.Services = testConfig().Services
+	}
 	next.Routes = append([]routes.Route(nil), s.config.Routes...)
 	for _, path := range paths {
 		next.Routes = append(next.Routes, routes.Route{
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -56,6 +56,9 @@
 	if millis, err := strconv.Atoi(header.Get("Test-Pause")); err == nil && status == http.StatusServiceUnavailable {
 		notice.RetryAfter = time.Duration(millis) * time.Millisecond
 	}
+	if millis, err := strconv.Atoi(header.Get("Test-Warmup")); err == nil {
+		notice.Warmup, notice.WarmupKnown = time.Duration(millis)*time.Millisecond, true
+	}
 	return notice
 }
 
@@ -71,6 +74,7 @@
 	responders []responder // for the next requests; the last one is repeated
 	requests   []*http.Request
 	bodies     [][]byte
+	conns      []net.Conn
 }
 
 func newFakeBackend(t testing.TB, responders ...responder) *fakeBackend {
@@ -80,16 +84,24 @@
 	}
 	s := &fakeBackend{t: t, listener: listener, responders: responders}
 	t.Cleanup(func() { _ = listener.Close() })
+	s.accept(listener)
+	return s
+}
+
+// accept serves connections on a new goroutine until the listener is closed.
+func (s *fakeBackend) accept(listener net.Listener) {
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
 			go s.serve(conn)
 		}
 	}()
-	return s
 }
 
 // listenRaw serves connections with a function that gets the head of the first request.
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -148,6 +148,7 @@
 	if rate == 0 {
 		return ratelimit.Demand{}, false
 	}
+	_, listedCold := b.warmup.view.warmup(b.id, b.service)
 	chance := warmup.AskAhead(rate, b.warmup.view.mostGateways.Load(), tokenAskInterval) * float64(b.warmup.regions)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -156,7 +157,7 @@
 	if mayAskAhead && b.coldTokens.Available(now) == 0 && rand.Float64() < chance {
 		wanted = 1
 	}
-	if tell := b.warmth.TellLeader(now); wanted == 0 && !tell {
+	if tell := b.warmth.TellLeader(now, listedCold); wanted == 0 && !tell {
 		return ratelimit.Demand{}, false
 	}
 	return ratelimit.Demand{
--- /dev/null
+++ b/internal/gateway/warmup_test.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/ratelimit"
+	"github.com/galenalug/galenalug/routes"
+	"github.com/galenalug/galenalug/warmup"
+)
+
+// Guards against a cold server that gets more than one and a half times its rate and 8 requests in a second from
+// several gateways together: with a leader, over the loss of the leader, and for a service that is partitioned by
+// key and one that is not; and against one that stays limited when it is warm.
+func TestGatewaysKeepRateOfColdServer(t *testing.T) {
+	const gateways, perSecond, span = 5, 4, 4 * time.Second
+	for path, service := range map[string]string{"/order/1": "stock", "/photo/1": "photos"} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			server := newLimitedServer(t, "")
+			s := newSystem(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+			s.config.Routes, s.config.Services = testConfig().Routes, coldServices(perSecond)
+			s.put()
+			fixtures := []*fixture{s.gateway}
+			for i := range gateways - 1 {
+				fixtures = append(fixtures, newFixtureWith(t, func(g *settings.GatewaySettings) {
+					g.Name = "gateway-" + string(rune('2'+i))
+					g.PeerPort, g.Seeds = s.gateway.host.settings.PeerPort, s.gateway.host.settings.Seeds
+				}, nil))
+			}
+			var warmupLeft atomic.Int64
+			warmupLeft.Store(30_000)
+			stop := make(chan struct{})
+			var clients sync.WaitGroup
+			clients.Go(func() { s.registerWarming(server.fakeBackend, service, warmupLeft.Load, stop) })
+			for _, f := range fixtures {
+				s.wait("the gateway to know the server", func() bool { return f.host.view.has("s1") })
+				for range 4 {
+					clients.Go(func() { f.requestUntil(stop, path) })
+				}
+			}
+			since := time.Now()
+			time.Sleep(span)
+			s.killLeader()
+			time.Sleep(span)
+			cold := server.mostIn(time.Second, since)
+			if got, least := server.mostIn(span, since), int(leastUse*perSecond*span.Seconds()); got < least {
+				t.Errorf("%d requests in %s, want at least %d", got, span, least)
+			}
+			warmupLeft.Store(0)
+			time.Sleep(2 * time.Second)
+			since = time.Now()
+			time.Sleep(time.Second)
+			warm := server.mostIn(time.Second, since)
+			close(stop)
+			clients.Wait()
+			if allowed := int(1.5*perSecond) + 8; cold > allowed || warm <= allowed {
+				t.Errorf("%d requests in a second while cold and %d while warm, want at most and more than %d", cold, warm, allowed)
+			}
+		})
+	}
+}
+
+// leastUse is the part of a cold server's rate that requests must use while there are more than enough.
+const leastUse = 0.5
+
+// coldServices returns the services of testConfig with a limit for cold servers.
+func coldServices(perSecond float64) []routes.Service {
+	services := testConfig().Services
+	for i := range services {
+		services[i].WarmupMillis, services[i].WarmupPerSecond = 30_000, perSecond
+	}
+	return services
+}
+
+// publishWarm applies a table with a warm server, which owns all keys, of a service that limits cold servers.
+func (f *fixture) publishWarm(server *fakeBackend) *backend {
+	f.publish(server)
+	config := testConfig()
+	config.Version, config.Services = 2, coldServices(100)
+	if err := f.host.view.applyConfig(routes.Update{Full: &config}); err != nil {
+		f.t.Fatal(err)
+	}
+	return f.host.backends.get(keyrange.Server{ID: "s1", Service: "stock", Address: server.listener.Addr().String()})
+}
+
+// Guards against requests that go to a server without tokens although it may have started again: its host refused a
+// connection, it broke one off, closed an idle one, or says itself that it is cold. No leader gives tokens here.
+func TestServerThatMayHaveStartedAgainNeedsTokens(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause warmup.Cause
+		event func(f *fixture, server *fakeBackend)
+	}{
+		"refused": {warmup.CauseRefused, func(f *fixture, server *fakeBackend) {
+			address := server.listener.Addr().String()
+			_ = server.listener.Close()
+			f.host.backends.get(keyrange.Server{ID: "s1", Service: "stock", Address: address}).closeConnections()
+			f.do("GET", "/look/1", nil)
+			server.listenAgain(address)
+			time.Sleep(refusedPeriod)
+		}},
+		"broken": {warmup.CauseBroken, func(f *fixture, server *fakeBackend) {
+			server.mu.Lock()
+			server.responders = []responder{closeConnection, okResponse("yes")}
+			server.mu.Unlock()
+			f.do("POST", "/order/1", nil)
+		}},
+		"idle connection closed": {warmup.CauseBroken, func(_ *fixture, server *fakeBackend) {
+			server.closeIdle()
+			time.Sleep(50 * time.Millisecond)
+		}},
+		"says so": {warmup.CauseResponse, func(f *fixture, server *fakeBackend) {
+			server.mu.Lock()
+			server.responders = []responder{
+				rawResponse("HTTP/1.1 200 OK\r\nTest-Id: ID\r\nTest-Seal: s\r\nTest-Warmup: 60000\r\nContent-Length: 0\r\n\r\n"), okResponse("yes"),
+			}
+			server.mu.Unlock()
+			f.do("GET", "/look/1", nil)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeBackend(t, okResponse("yes"))
+			f := newFixture(t)
+			b := f.publishWarm(server)
+			if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 200 {
+				t.Fatalf("status %d while warm, want 200", response.StatusCode)
+			}
+			c.event(f, server)
+			before := server.count()
+			response, _ := f.do("GET", "/look/1", nil)
+			if response.StatusCode != 503 || response.Header.Get("Retry-After") == "" || server.count() != before {
+				t.Errorf("status %d, %d requests at the server; want 503 with Retry-After and none", response.StatusCode, server.count()-before)
+			}
+			if cold := f.host.backends.coldServers(clockNow()); len(cold) != 1 || cold[0].Cause != c.cause {
+				t.Errorf("cold are %+v, want s1 because of %q", cold, c.cause)
+			}
+			b.mu.Lock()
+			b.warmth.ConfirmWarm(clockNow())
+			b.mu.Unlock()
+			if response, _ := f.do("GET", "/look/1", nil); response.StatusCode != 200 {
+				t.Errorf("status %d after the leader's proof that it is warm, want 200", response.StatusCode)
+			}
+		})
+	}
+}
+
+// closeConnections closes the idle connections to the server.
+func (b *backend) closeConnections() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.idle {
+		_ = c.Close()
+	}
+	b.idle = nil
+}
+
+// closeIdle closes all connections of the server, which goes on to listen.
+func (s *fakeBackend) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+	s.conns = nil
+}
+
+// listenAgain lets the server listen again at its address.
+func (s *fakeBackend) listenAgain(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	s.accept(listener)
+}
+
+// Guards against a cold server that gets no requests while warm ones have capacity, and against one that gets
+// requests without tokens then.
+func TestWarmServerIsPreferredUnlessThereIsAToken(t *testing.T) {
+	cold, warm := newFakeBackend(t, okResponse("cold")), newFakeBackend(t, okResponse("warm"))
+	f := newFixture(t)
+	f.publishWarm(warm)
+	list := []keyrange.Server{
+		{ID: "a", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
+		{ID: "b", Service: "photos", Address: warm.listener.Addr().String(), Domain: "d1", Slots: 6},
+	}
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
+	for range 5 {
+		if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "warm" {
+			t.Fatalf("answered by the %s server, want the warm one", got)
+		}
+	}
+	b := f.host.backends.get(list[0])
+	b.coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{Tokens: 1})
+	if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "cold" {
+		t.Errorf("answered by the %s server, want the cold one, for which there is a token", got)
+	}
+	if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "warm" {
+		t.Errorf("answered by the %s server after the token was used, want the warm one", got)
+	}
+}
--- a/keyrange/warmup.go
+++ b/keyrange/warmup.go
@@ -1,6 +1,7 @@
 package keyrange
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -131,24 +132,25 @@
 func (c *Coordinator) MarkCold(now time.Duration, domain string) {
 	for _, s := range c.servers {
 		if s.info.Domain == domain {
-			c.markCold(now, s, now, warmup.CauseEvacuation)
+			c.markCold(now, s, now, math.MaxInt64, warmup.CauseEvacuation)
 		}
 	}
 }
 
-// ReportCold records what an entry host has seen: a server may have become cold at a time up to now.
-func (c *Coordinator) ReportCold(now time.Duration, serverID string, at time.Duration, cause warmup.Cause) {
+// ReportCold records what an entry host has seen: a server may have become cold at a time up to now, for at most
+// the given time from then on.
+func (c *Coordinator) ReportCold(now time.Duration, serverID string, at, atMost time.Duration, cause warmup.Cause) {
 	if s := c.servers[serverID]; s != nil {
-		c.markCold(now, s, at, cause)
+		c.markCold(now, s, at, atMost, cause)
 	}
 }
 
-func (c *Coordinator) markCold(now time.Duration, s *server, at time.Duration, cause warmup.Cause) {
+func (c *Coordinator) markCold(now time.Duration, s *server, at, atMost time.Duration, cause warmup.Cause) {
 	limit, limited := c.warmups[s.info.Service]
 	if !limited {
 		return
 	}
-	s.warmth.Mark(now, at, limit.Time, cause)
+	s.warmth.Mark(now, at, min(limit.Time, atMost), cause)
 	c.updateCold(now, s)
 }
 
--- /dev/null
+++ b/keyrange/warmup_test.go
@@ -0,0 +1,134 @@
+package keyrange
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/galenalug/galenalug/warmup"
+)
+
+const beatInterval = time.Second
+
+// coldFleet is a leader and servers that send heartbeats.
+type coldFleet struct {
+	coordinator *Coordinator
+	now         time.Duration
+	servers     []Server
+	sequence    int64
+}
+
+func newColdFleet(servers int) *coldFleet {
+	f := &coldFleet{now: time.Second, coordinator: New(Options{
+		Term: 1, Keys: testKeys, Lease: 6 * time.Second, HeartbeatInterval: beatInterval, HeartbeatTimeout: 12 * time.Second,
+	})}
+	f.coordinator.SetServices(nil, "reserva")
+	f.coordinator.SetWarmups(map[string]Warmup{"reserva": {Time: 3 * time.Second, PerSecond: 5.5}})
+	for i := range servers {
+		f.servers = append(f.servers, Server{
+			ID: fmt.Sprint("s", i), Service: "reserva", Address: fmt.Sprint("10.0.0.1:", i+1), Domain: fmt.Sprint("d", i%2), Slots: 4, StartMillis: 1,
+		})
+	}
+	return f
+}
+
+// run lets time pass in which all servers but the silent ones send heartbeats.
+func (f *coldFleet) run(d time.Duration, silent ...string) {
+	const step = 100 * time.Millisecond
+	for end := f.now + d; f.now < end; f.now += step {
+		for i, s := range f.servers {
+			if (f.now/step)%(beatInterval/step) == time.Duration(i)%(beatInterval/step) && !slices.Contains(silent, s.ID) {
+				f.sequence++
+				f.coordinator.Heartbeat(f.now, Heartbeat{Server: s, Sequence: f.sequence})
+			}
+		}
+		f.coordinator.Tick(f.now)
+	}
+}
+
+// cold returns the causes of the cold servers of the table, by ID.
+func (f *coldFleet) cold() map[string]warmup.Cause {
+	causes := map[string]warmup.Cause{}
+	for _, s := range f.coordinator.ColdServers() {
+		causes[s.ServerID] = s.Cause
+	}
+	f.coordinator.Changes(f.now)
+	for _, s := range f.coordinator.Snapshot().Servers {
+		if _, cold := causes[s.ID]; cold != (s.WarmupMillis > 0) {
+			causes[s.ID] = "differs from the table"
+		}
+	}
+	return causes
+}
+
+// Guards against servers that get their usual load after a restart, because no heartbeat has reported it yet, and
+// against warm servers that are limited because the leader itself heard of nobody.
+func TestServersThatMayBeCold(t *testing.T) {
+	all := []string{"s0", "s1", "s2", "s3", "s4", "s5"}
+	for name, c := range map[string]struct {
+		event func(f *coldFleet)
+		want  map[string]warmup.Cause
+	}{
+		"new leader": {func(*coldFleet) {}, nil},
+		"restarted under the same ID": {func(f *coldFleet) {
+			f.servers[2].StartMillis = 2
+			f.run(beatInterval)
+		}, map[string]warmup.Cause{"s2": warmup.CauseRestarted}},
+		"joined": {func(f *coldFleet) {
+			f.servers = append(f.servers, Server{ID: "new", Service: "reserva", Address: "10.0.0.1:77", Slots: 4, StartMillis: 5})
+			f.run(beatInterval)
+		}, map[string]warmup.Cause{"new": warmup.CauseJoined}},
+		"says so": {func(f *coldFleet) {
+			f.servers[1].WarmupMillis = 2500
+			f.run(beatInterval)
+		}, map[string]warmup.Cause{"s1": warmup.CauseHeartbeat}},
+		"domain without power": {func(f *coldFleet) {
+			f.run(4*beatInterval, "s1", "s3", "s5")
+		}, map[string]warmup.Cause{"s1": warmup.CauseSilent, "s3": warmup.CauseSilent, "s5": warmup.CauseSilent}},
+		"domain back with the same processes": {func(f *coldFleet) {
+			f.run(5*beatInterval, "s1", "s3", "s5")
+			f.run(beatInterval)
+		}, map[string]warmup.Cause{"s1": warmup.CauseReturned, "s3": warmup.CauseReturned, "s5": warmup.CauseReturned}},
+		"domain warm again": {func(f *coldFleet) {
+			f.run(5*beatInterval, "s1", "s3", "s5")
+			f.run(2 * beatInterval)
+		}, nil},
+		"leader cut off": {func(f *coldFleet) {
+			f.run(5*beatInterval, all...)
+			f.run(beatInterval)
+		}, nil},
+		"refused a connection": {func(f *coldFleet) {
+			f.coordinator.ReportCold(f.now, "s4", f.now, time.Hour, warmup.CauseRefused)
+		}, map[string]warmup.Cause{"s4": warmup.CauseRefused}},
+		"evacuation ended": {func(f *coldFleet) {
+			f.coordinator.MarkCold(f.now, "d0")
+		}, map[string]warmup.Cause{"s0": warmup.CauseEvacuation, "s2": warmup.CauseEvacuation, "s4": warmup.CauseEvacuation}},
+		"evacuation ended and heartbeats sent since": {func(f *coldFleet) {
+			f.coordinator.MarkCold(f.now, "d0")
+			f.run(2 * beatInterval)
+		}, nil},
+		"no limit any more": {func(f *coldFleet) {
+			f.coordinator.MarkCold(f.now, "d0")
+			f.coordinator.SetWarmups(nil)
+		}, nil},
+	} {
+		f := newColdFleet(len(all))
+		f.run(10 * beatInterval)
+		c.event(f)
+		if got := f.cold(); fmt.Sprint(got) != fmt.Sprint(c.want) {
+			t.Errorf("%s: cold are %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against keys that go to a cold server as if it were warm.
+func TestColdServerCountsWithItsRate(t *testing.T) {
+	s := &server{info: Server{Slots: 4}, cold: true}
+	if got := s.capacity(0.1, 5.5); got != 5.5 {
+		t.Errorf("capacity %g while cold, want 5.5", got)
+	}
+	if s.cold = false; s.capacity(0.1, 5.5) < 39.9 {
+		t.Errorf("capacity %g, want 4 slots of 0.1 s", s.capacity(0.1, 5.5))
+	}
+}
--- a/warmup/evidence.go
+++ b/warmup/evidence.go
@@ -3,7 +3,7 @@
 import "time"
 
 // tellInterval is the least time between two messages to the leader about the same evidence.
-const tellInterval = 250 * time.Millisecond
+const tellInterval = 500 * time.Millisecond
 
 // Response is what a response shows of a server's warmth.
 type Response struct {
@@ -97,10 +97,14 @@
 	return ""
 }
 
-// TellLeader reports whether the leader is to be told now, and records that it is. It is told again until it
-// has proof that the server is warm.
-func (e *Evidence) TellLeader(now time.Duration) bool {
-	if !e.Cold(now) || e.toldAt > 0 && now-e.toldAt < tellInterval {
+// TellLeader reports whether the leader is to be told now, and records that it is. It is told at once what it may
+// not know, and again until it has proof that the server is warm. While its table says that the server is cold, it
+// is not told again: a failure domain without power would cost a message for each of its servers.
+func (e *Evidence) TellLeader(now time.Duration, listedCold bool) bool {
+	switch {
+	case !e.Cold(now), listedCold && (!e.suspected || e.toldAt > 0):
+		return false
+	case e.toldAt > 0 && now-e.toldAt < tellInterval:
 		return false
 	}
 	e.toldAt = max(now, 1)
