--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -26,6 +26,7 @@
 	logBytes     *prometheus.GaugeVec
 	joinSeconds  prometheus.Histogram
 	tokens       *prometheus.CounterVec
+	cold         *coldMetrics
 	quarantines  prometheus.Counter
 	suspects     *prometheus.GaugeVec
 	calls        *callMetrics
@@ -94,12 +95,12 @@
 	m.limitedGroups = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan.",
 	})
-	m.calls = newCallMetrics()
+	m.cold, m.calls = newColdMetrics(), newCallMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects, m.limitedGroups,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
-		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens,
+		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens, m.cold.tokens, m.cold.servers,
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
