--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -5,6 +5,11 @@
 const (
 	// reportLifetime is the age at which a server's load report stops counting.
 	reportLifetime = time.Second
+	// hostLifetime is the age at which the load of a server's host, as reported, stops counting: it changes several
+	// times a second.
+	hostLifetime = 400 * time.Millisecond
+	// maxHostFactor bounds the factor by which a report slows down or speeds up a server.
+	maxHostFactor = 10
 	// defaultServiceTime is assumed for a server while nothing is known of its speed.
 	defaultServiceTime = 100 * time.Millisecond
 	// minSampleWeight is the lowest weight of a new sample in a server's average service time.
@@ -51,6 +56,7 @@
 	serviceTime time.Duration // average over requests that did not wait
 	samples     int           // number of samples in serviceTime
 	expected    time.Duration // service time assumed before the first response; 0 if not known
+	hostPercent int           // of the latest report; 0 if not known
 	ownWork     time.Duration // expected work of this gateway's requests; see AddWork
 }
 
@@ -76,7 +82,18 @@
 // whose response carried the report: the report no longer counts that request.
 func (l *Load) ObserveReport(now time.Duration, r Report) {
 	l.others = max(0, r.Running+r.Waiting-(l.inFlight-1))
-	l.reportedAt = now
+	l.reportedAt, l.hostPercent = now, r.HostPercent
+}
+
+// HostFactor returns by what factor work currently takes longer than usual on the server's host, according to the
+// latest report. The weight of the report decreases linearly with its age.
+func (l *Load) HostFactor(now time.Duration) float64 {
+	age := now - l.reportedAt
+	if l.hostPercent == 0 || age >= hostLifetime {
+		return 1
+	}
+	reported := min(max(float64(l.hostPercent)/100, 1/maxHostFactor), maxHostFactor)
+	return 1 + (reported-1)*(1-float64(age)/float64(hostLifetime))
 }
 
 // ObserveServiceTime adds the time of a request that did not wait.
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -249,6 +249,10 @@
 		if l.HasServiceTime() {
 			c.Speed = float64(mean) / float64(l.ServiceTime())
 		}
+		if c.Speed == 0 {
+			c.Speed = 1
+		}
+		c.Speed /= l.HostFactor(m.now)
 		for _, s := range r.refusedBy {
 			c.Avoid = c.Avoid || s == i
 		}
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// Guards against a slow host that counts for longer than neighbors stay the same.
+func TestHostPercentFadesWithin400Milliseconds(t *testing.T) {
+	var l Load
+	l.ObserveReport(time.Second, Report{HostPercent: 300})
+	for age, want := range map[time.Duration]float64{0: 3, 200 * ms: 2, 400 * ms: 1, time.Second: 1} {
+		if got := l.HostFactor(time.Second + age); got != want {
+			t.Errorf("after %v: factor %v, want %v", age, got, want)
+		}
+	}
+}
+
 func BenchmarkChooseByWork(b *testing.B) {
 	var candidates []Candidate
 	for i := range 126 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,8 @@
 	err  error
 	end  context.CancelFunc // breaks off the exchange, also while its response is being read
 
-	second bool // whether the attempt is the hedged one
+	server string // ID of the server
+	second bool   // whether the attempt is the hedged one
 }
 
 // mayHaveRun reports whether the server may have run the request.
@@ -87,6 +88,7 @@
 	earlier := <-results
 	if earlier.err != nil || c.notFinal(earlier.resp) {
 		c.mayHaveRun = c.mayHaveRun || earlier.mayHaveRun()
+		c.avoid = append(c.avoid, earlier.server)
 		earlier.discard()
 		return (<-results).use()
 	}
@@ -185,7 +187,7 @@
 	second := c.attempts > 1
 	go func() {
 		resp, err := to.send(ctx, req, c.host.dialect)
-		results <- attemptResult{resp: resp, err: err, end: end, second: second}
+		results <- attemptResult{resp: resp, err: err, end: end, server: to.id, second: second}
 	}()
 	return end
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -36,6 +36,7 @@
 	queue       dispatch.WaitQueue // requests that wait for capacity
 	share       dispatch.Share
 	notices     dispatch.Notices
+	backoff     dispatch.Backoff    // after refusals
 	tokens      ratelimit.Holder    // for the rate limit that the server has named
 	observed    keyrange.ServerLoad // not yet reported to the leader
 	failedAt    time.Duration       // time of the last failure; 0 for none
--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -56,6 +56,13 @@
 // recordResponse updates the estimates after a response. The caller holds b.mu. The response time
 // of a request that probably queued at the server is no measure of its service time.
 func (b *backend) recordResponse(resp *backendResponse, took time.Duration, queued bool) {
+	switch {
+	case resp.info.NotExecuted && !resp.info.NotOwner:
+		b.backoff.Refused(clockNow())
+		return
+	case !resp.info.NotExecuted:
+		b.backoff.Answered()
+	}
 	switch {
 	case resp.info.NotOwner && resp.info.ServerID != "" && resp.info.ServerID != b.id:
 		b.observed.Misdirected++
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -79,6 +79,7 @@
 	deniedAt         time.Duration
 	allowedBy        string         // ID of the owner for which allowedAtOwner has admitted the request
 	chosenLoad       float64        // estimated requests at the chosen server
+	avoid            []string       // IDs of servers that refused the request, or to which no connection opened
 	basis            dispatch.Basis // why the server was chosen; empty without balance: work
 	pausedFor        time.Duration  // how much longer all servers that may run the request want none
 	bulk             *linkTicket    // on links between regions; nil for a small request
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 		candidate := &buffer.candidates[i]
 		*candidate = dispatch.Candidate{
 			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: c.host.view.connectionLimit(s), Distance: c.host.distance(s.Domain),
-			Ahead: entry.ahead(b),
+			Ahead: entry.ahead(b), Avoid: slices.Contains(c.avoid, s.ID),
 		}
 		b.fillCandidate(now, candidate, request.Work)
 	}
@@ -88,9 +89,11 @@
 	limit, _ := b.notices.RateLimit()
 	c.Limited, c.Tokens, c.PausedFor = limit > 0, b.tokens.Available(now), b.notices.PausedFor(now)
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
+	c.Avoid = c.Avoid || b.backoff.Active(now)
 	c.Open = len(b.idle) > 0
 	c.WorkLeft, c.MeanWork, c.Speed = b.load.OwnWork(), mean, 1
 	if b.load.HasServiceTime() {
 		c.Speed = float64(mean) / float64(b.load.ServiceTime())
 	}
+	c.Speed /= b.load.HostFactor(now)
 }
