--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -50,8 +50,9 @@
 
 // Classes of candidates: a sum of the bits below.
 const (
-	classLate    uint8 = 1
-	classSuspect uint8 = 2
+	classNoToken uint8 = 1 // not a cold server of the own region for which there is a token
+	classLate    uint8 = 2
+	classSuspect uint8 = 4
 	classNone    uint8 = 255 // gets no request
 )
 
@@ -147,7 +148,10 @@
 		}
 		return
 	}
-	e.class = 0
+	e.class = classNoToken
+	if c.Cold && c.Distance != OtherRegion {
+		e.class = 0 // a token that is not used soon expires
+	}
 	high := max(float64(w.request.HighWork)/speed, own)
 	if e.wait+own > float64(w.request.UntilTarget) || e.wait+high > float64(w.request.UntilDeadline) {
 		e.class |= classLate
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/admitshare"
 	"github.com/galenalug/galenalug/internal/clock"
@@ -22,6 +23,13 @@
 	limits    int // groups that the last plan limits
 }
 
+// newLimitedGroups returns the gauge of what the last plan limits.
+func newLimitedGroups() prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan.",
+	})
+}
+
 // newAdmission returns the planning of a leader whose term begins, or nil if the settings don't ask for it.
 func (h *Host) newAdmission() *admission {
 	if !h.settings.ShareCapacity {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -92,9 +92,7 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
-	m.limitedGroups = prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan.",
-	})
+	m.limitedGroups = newLimitedGroups()
 	m.cold, m.calls = newColdMetrics(), newCallMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -51,13 +51,20 @@
 			Ahead: entry.ahead(b), Avoid: slices.Contains(c.avoid, s.ID),
 		}
 		b.fillCandidate(now, candidate, request.Work)
+		if service.WarmupPerSecond > 0 {
+			b.addWarmth(now, candidate)
+		}
 	}
 	choice := dispatch.ChooseByWork(now, buffer.candidates, request, rand.Float64)
 	if choice.Index < 0 {
-		if i := c.queueFor(service, buffer.candidates, choice.Reason); i >= 0 {
+		candidates, rejection := buffer.candidates, choice.Reason
+		if rejection == dispatch.RateLimited && !service.Keyed {
+			servers, candidates, rejection = c.awaitCold(now, request, entry, servers, candidates)
+		}
+		if i := c.queueFor(service, candidates, rejection); i >= 0 {
 			full = c.host.target(servers[i])
 		}
-		return nil, full, string(choice.Reason)
+		return nil, full, string(rejection)
 	}
 	c.host.metrics.choices.WithLabelValues(string(choice.Basis)).Inc()
 	c.chosenLoad, c.basis = buffer.loads[choice.Index].Requests(now), choice.Basis
