--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -86,12 +86,7 @@
 	m.tokens = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_fleet_tokens_total", Help: "Tokens for requests to rate-limited servers that gateways asked for, by outcome.",
 	}, []string{"outcome"})
-	m.quarantines = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "galenalug_fleet_quarantines_total", Help: "Requests that were quarantined because they crash backend servers.",
-	})
-	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
-	}, []string{"state"})
+	m.quarantines, m.suspects = newQuarantineMetrics()
 	m.limitedGroups = newLimitedGroups()
 	m.cold, m.calls = newColdMetrics(), newCallMetrics()
 	collectors := []prometheus.Collector{
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
@@ -13,6 +14,17 @@
 	"github.com/galenalug/galenalug/quarantine"
 )
 
+// newQuarantineMetrics returns the counter of quarantined requests and the gauge of suspected ones.
+func newQuarantineMetrics() (prometheus.Counter, *prometheus.GaugeVec) {
+	quarantines := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_fleet_quarantines_total", Help: "Requests that were quarantined because they crash backend servers.",
+	})
+	suspects := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
+	}, []string{"state"})
+	return quarantines, suspects
+}
+
 // handleCrashReport records a gateway's evidence of requests that crash backend servers.
 func (h *Host) handleCrashReport(gateway string, body []byte) {
 	var report quarantine.Report
