Run pipelined requests of one connection at the same time

Cause: net/http handles the requests of a connection one after the other. With 310 ms of work and a target of 1 s, the fourth request that a client sends at once is late.

Change: with the new setting pipeline_depth (default 0: as before), the gateway's client connections pass net/http the bytes of one request at a time. While a handler runs, the background read of net/http also takes in further requests, up to 16 KiB, and GET and HEAD requests of idempotent routes start at once in the code path of all others. Their responses wait until net/http has read the very request. If it has read another one, all that was started is canceled. A response that closes the connection and a client that leaves cancel the requests behind. A stopping gateway keeps the connection open until the forwarded requests are answered.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenalug/galenalug/internal/clock"
@@ -23,6 +24,8 @@
 	mu    sync.Mutex // guards the fields below; no other lock is acquired while it is held
 	idle  map[net.Conn]struct{}
 	count int // open connections
+
+	ahead *atomic.Int64 // requests that run before their turn; nil for none
 }
 
 // connKey is the context key of a request's client connection.
@@ -67,12 +70,16 @@
 }
 
 // hasUnread reports whether an idle connection has received bytes that the server has not read. On
-// a host that is short of processor time they may stay unread for long.
+// a host that is short of processor time they may stay unread for long. A request that runs before its turn
+// counts as unread as well: its connection is idle between two responses.
 func (c *clientConns) hasUnread() bool {
+	if c.ahead != nil && c.ahead.Load() > 0 {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.idle {
-		if idle.Unread(conn) {
+		if held, ok := conn.(*clientConn); ok && held.unread() || idle.Unread(conn) {
 			return true
 		}
 	}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -13,7 +13,11 @@
 // transport of net/http may retry a request on its own, which is not safe for a request that may
 // run only once.
 //
-// Lock order: backends.mu, then view.mu, or backend.mu and then meanServiceTime.mu. view.mu may be held
+// net/http handles the requests of a connection one after the other. With the setting pipeline_depth, the
+// connection (clientConn) starts those behind the current one that may run at the same time: see
+// docs/design/pipelining.md.
+//
+// Lock order: backends.mu, then view.mu, or clientConn.mu, then view.mu, or backend.mu and then meanServiceTime.mu. view.mu may be held
 // while the lock of its trace.History is acquired. No other two locks of this package are held
 // together, and no lock is held during a network operation.
 package gateway
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -61,7 +61,9 @@
 type call struct {
 	host             *Host
 	request          *http.Request
-	writer           http.ResponseWriter
+	writer           http.ResponseWriter // nil until the turn of a call that runs ahead
+	ahead            *aheadRequest       // nil unless the call runs before its turn
+	conn             *clientConn         // nil unless requests of the connection may run before their turn
 	info             RequestInfo
 	started          time.Time
 	deadline         time.Time
@@ -90,25 +92,52 @@
 
 // serve handles one client request.
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
-	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header), ctx: r.Context()}
-	c.setDeadline(defaultTimeout)
+	conn := clientConnOf(r)
+	defer conn.endRequest()
+	served, ran := conn.serveAhead(w, r)
+	if served {
+		return
+	}
+	c := h.newCall(w, r, conn.arrivedAt())
+	c.mayHaveRun = ran
 	if h.draining.Load() { // the request might not end before the process does
 		c.refuse(reasonStopping)
 		return
 	}
+	c.serve()
+}
+
+func (h *Host) newCall(w http.ResponseWriter, r *http.Request, started time.Time) *call {
+	c := &call{host: h, request: r, writer: w, started: started, conn: clientConnOf(r), info: h.dialect.ParseRequest(r.Header), ctx: r.Context()}
+	c.setDeadline(defaultTimeout)
+	return c
+}
+
+// serve selects the route and runs the request.
+func (c *call) serve() {
+	h := c.host
 	table, reason := c.waitForRoutes()
 	if table == nil {
-		w.Header().Set("Connection", "close") // another gateway may serve the client
-		c.refuse(reason)
+		if c.awaitTurn(nil) {
+			c.writer.Header().Set("Connection", "close") // another gateway may serve the client
+			c.refuse(reason)
+		}
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	c.route = table.Match(r.Host, path)
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	c.route = table.Match(c.request.Host, path)
 	if c.route == nil {
 		c.respondWithStatus(http.StatusNotFound, reasonNoRoute)
 		return
 	}
+	if c.ahead != nil && !mayRunAhead(c.route) { // the table has changed
+		c.ahead.again = true
+		return
+	}
 	c.setDeadline(time.Duration(c.route.TimeoutMillis) * time.Millisecond)
+	if c.ahead == nil && c.route.Kind.Repeatable() && safeRequest(c.request) {
+		c.conn.allowAhead()
+	}
 	c.service = h.pickService(table.Version(), c.route)
 	h.countRequest(c.service, c.info.Key)
 	if !c.readBody(table.Limits()) {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -71,6 +71,7 @@
 	server        *http.Server
 	listener      net.Listener // of server
 	clientConns   *clientConns
+	pipelining    *pipelining
 	readyServer   *http.Server
 	stopping      atomic.Bool     // the balancer check fails, and clients are asked to leave
 	stopEnd       atomic.Int64    // when requests in flight are given up, on clock.Now; 0 unless stopping
@@ -115,6 +116,8 @@
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
 	h.backends.onCrash = h.reportCrash
+	h.pipelining = newPipelining(h, o.Settings.PipelineDepth)
+	h.clientConns.ahead = &h.pipelining.running
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
 	if err := m.registerGauges(o.Registry, h.view, h.linkDelay); err != nil {
 		return nil, err
@@ -164,7 +167,11 @@
 	h.cancel, h.listener = cancel, listener
 	h.done.Go(func() { h.leaderLink.run(ctx) })
 	h.done.Go(func() { h.sweep(ctx) })
-	h.done.Go(func() { serveUntilClosed(h.server, listener) })
+	clients := listener
+	if h.pipelining.depth > 0 {
+		clients = &pipelineListener{Listener: listener, shared: h.pipelining}
+	}
+	h.done.Go(func() { serveUntilClosed(h.server, clients) })
 	h.done.Go(func() { serveUntilClosed(h.readyServer, readyListener) })
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	clientsLeft *prometheus.CounterVec
 	links       *linkMetrics
 	crashes     prometheus.Counter
+	pipelined   *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -44,8 +45,11 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_server_crashes_total", Help: "Backend servers whose process ended with requests of this gateway.",
 	})
+	m.pipelined = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenalug_gateway_pipelined_total", Help: "Requests that arrived behind an unanswered one of their connection, by whether they ran before their turn and why not, and those of the former that were canceled or not used.",
+	}, []string{"result"})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.pipelined}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -15,6 +15,9 @@
 		c.fail(reason)
 		return
 	}
+	if !c.awaitTurn(nil) {
+		return
+	}
 	c.writer.Header().Set("Retry-After", strconv.FormatFloat(c.retryAfter(reason).Seconds(), 'f', 3, 64))
 	c.respondWithStatus(http.StatusServiceUnavailable, reason)
 }
@@ -52,6 +55,9 @@
 
 // respondWithStatus ends a request with a response of the gateway itself.
 func (c *call) respondWithStatus(status int, reason string) {
+	if !c.awaitTurn(nil) {
+		return
+	}
 	c.log("refused", reason, status, true)
 	c.closeIfStopping()
 	c.writer.Header().Set("Content-Length", "0")
@@ -59,9 +65,9 @@
 }
 
 // closeIfStopping tells the client to send its next request on another connection, if the gateway is
-// stopping.
+// stopping. While further requests of the connection run ahead, it stays open for their responses.
 func (c *call) closeIfStopping() {
-	if c.host.stopping.Load() {
+	if c.host.stopping.Load() && c.conn.mayClose() {
 		c.writer.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,6 +11,9 @@
 
 // respond sends a backend server's response to the client.
 func (c *call) respond(resp *backendResponse) {
+	if !c.awaitTurn(resp) {
+		return
+	}
 	header := c.writer.Header()
 	for name, values := range endToEnd(resp.header) {
 		header[name] = values
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -339,6 +339,11 @@
 	// open_network is set.
 	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
 
+	// Maximum number of pipelined GET and HEAD requests of idempotent routes that run
+	// on a client's connection before their turn. Default: 0; requests of a
+	// connection run one after the other.
+	PipelineDepth int `json:"pipeline_depth,omitempty,omitzero" yaml:"pipeline_depth,omitempty" cbor:"pipeline_depth,omitempty"`
+
 	// Listen address for the load balancer's health check, IP:port.
 	ReadyListen string `json:"ready_listen" yaml:"ready_listen" cbor:"ready_listen"`
 
