--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	choices     *prometheus.CounterVec
 
 	coldRequests prometheus.Counter
+	pipelined    *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -53,8 +54,11 @@
 	m.coldRequests = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_cold_requests_total", Help: "Requests sent to cold servers.",
 	})
+	m.pipelined = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenalug_gateway_pipelined_total", Help: "Requests that arrived behind an unanswered one of their connection, by whether they ran before their turn and why not, and those of the former that were canceled or not used.",
+	}, []string{"result"})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
