--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -187,8 +187,8 @@
 	f := newFixture(t)
 	f.publishWarm(warm)
 	list := []keyrange.Server{
-		{ID: "a", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
 		{ID: "b", Service: "photos", Address: warm.listener.Addr().String(), Domain: "d1", Slots: 6},
+		{ID: "c", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
 	}
 	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
 	for range 5 {
@@ -196,7 +196,7 @@
 			t.Fatalf("answered by the %s server, want the warm one", got)
 		}
 	}
-	b := f.host.backends.get(list[0])
+	b := f.host.backends.get(list[1])
 	b.coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{Tokens: 1})
 	if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "cold" {
 		t.Errorf("answered by the %s server, want the cold one, for which there is a token", got)
