Test that refused connections count for all gateways, and that requests wait for warm servers

Cause: three decisions had no test that fails without them. Change: a leader that is told of a refused connection; a cold server that is slower than a warm one; a warm server that is full while no token can be had. Result: they pass, and fail without the report, without the preference for tokens, and without awaitCold.

--- a/internal/fleet/tokens_test.go
+++ b/internal/fleet/tokens_test.go
@@ -1,13 +1,16 @@
 package fleet
 
 import (
+	"context"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/ratelimit"
 )
 
@@ -23,6 +26,8 @@
 		"infinite":       {ServerID: "s2", PerSecond: math.Inf(1), Wanted: 1},
 		"negative count": {ServerID: "s2", PerSecond: 1, Wanted: -1},
 		"negative age":   {ServerID: "s2", PerSecond: 1, Wanted: 1, AgeMillis: -1},
+		"negative since": {ServerID: "s2", PerSecond: 1, Wanted: 1, Cold: true, SinceMillis: -1},
+		"negative left":  {ServerID: "s2", PerSecond: 1, Wanted: 1, Cold: true, WarmupMillis: -1},
 	} {
 		_, err := c.leader().issueTokens(ratelimit.TokenRequest{Servers: []ratelimit.Demand{valid, invalid}})
 		var rejected *peer.Error
@@ -35,3 +40,42 @@
 		t.Errorf("valid demand: %+v, %v; want one token", reply, err)
 	}
 }
+
+// Guards against a refused connection that only the gateway learns of which saw it, so that all others send the
+// server their usual load, and against a server that stays limited although its heartbeats say that it is warm.
+func TestRefusedConnectionCountsForAllGateways(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	first := put(0, 1)
+	first.Config.Services[0].WarmupMillis, first.Config.Services[0].WarmupPerSecond = 60_000, 5.5
+	c.putUntilAccepted(first)
+	ctx, cancel := context.WithCancel(context.Background())
+	beats := c.beatUntil(ctx, &keyrange.Server{ID: "s1", Service: first.Config.Services[0].Name, Address: "10.0.0.1:80", Domain: "d1", Slots: 4})
+	defer beats.Wait()
+	defer cancel()
+	host := c.leader()
+	listed := func(cold bool) bool {
+		host.mu.Lock()
+		defer host.mu.Unlock()
+		servers := host.leading.coordinator.Snapshot().Servers
+		return len(servers) == 1 && servers[0].WarmupMillis > 0 == cold
+	}
+	ask := func(since time.Time, refused bool) ratelimit.Grant {
+		reply, err := host.issueTokens(ratelimit.TokenRequest{Servers: []ratelimit.Demand{{
+			ServerID: "s1", PerSecond: 5.5, Wanted: 40, Cold: true, SinceMillis: max(1, time.Since(since).Milliseconds()), Refused: refused,
+		}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.Servers[0]
+	}
+	c.wait("the server to be listed as warm", func() bool { return listed(false) })
+	refusedAt := time.Now()
+	if g := ask(refusedAt, true); g.Warm || g.Tokens > 0 || g.WaitMillis == 0 {
+		t.Errorf("grant %+v right after the refusal, want none and a wait", g)
+	}
+	c.wait("the server to be listed as cold", func() bool { return listed(true) })
+	c.wait("the server to be listed as warm again", func() bool { return listed(false) })
+	if g := ask(refusedAt, false); !g.Warm {
+		t.Errorf("grant %+v after heartbeats that say that the server is warm, want a proof", g)
+	}
+}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -191,12 +191,15 @@
 		{ID: "c", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
 	}
 	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
+	b := f.host.backends.get(list[1])
+	b.mu.Lock()
+	b.load.ObserveServiceTime(200 * time.Millisecond) // slower than the warm one
+	b.mu.Unlock()
 	for range 5 {
 		if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "warm" {
 			t.Fatalf("answered by the %s server, want the warm one", got)
 		}
 	}
-	b := f.host.backends.get(list[1])
 	b.coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{Tokens: 1})
 	if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "cold" {
 		t.Errorf("answered by the %s server, want the cold one, for which there is a token", got)
@@ -205,3 +208,38 @@
 		t.Errorf("answered by the %s server after the token was used, want the warm one", got)
 	}
 }
+
+// Guards against requests that are refused at once, since no token for a cold server can be had in time, although
+// the warm servers have capacity a moment later.
+func TestRequestsWaitForWarmServersIfThereIsNoToken(t *testing.T) {
+	const requests = 6
+	cold := newFakeBackend(t, okResponse("cold"))
+	warm := newFakeBackend(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(80 * time.Millisecond)
+		return okResponse("warm")(conn, r, body)
+	})
+	f := newFixture(t)
+	f.publishWarm(warm)
+	list := []keyrange.Server{
+		{ID: "b", Service: "photos", Address: warm.listener.Addr().String(), Domain: "d1", Slots: 1},
+		{ID: "c", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
+	}
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
+	f.host.backends.get(list[1]).coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{WaitMillis: 2000})
+	statuses := make(chan int, requests)
+	for range requests {
+		go func() {
+			response, _ := f.do(http.MethodGet, "/chart/1", nil)
+			statuses <- response.StatusCode
+		}()
+	}
+	served := 0
+	for range requests {
+		if <-statuses == http.StatusOK {
+			served++
+		}
+	}
+	if served < requests || cold.count() > 0 {
+		t.Errorf("%d of %d requests served, %d by the cold server; want all, and none by the cold one", served, requests, cold.count())
+	}
+}
