Take only ends of connections by the server as evidence of a restart

Cause: malformed responses and canceled attempts made a gateway assume a restart, as did servers that close idle connections after a time that they don't name. Change: only EOF, resets and failed openings count; an idle time after which the same process has closed a connection before is no evidence.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -28,12 +28,12 @@
 // connect returns an open idle connection, or dials a new one. A request that may run only once
 // gets an idle connection only if that was used within maxIdleForOnce.
 func (b *backend) connect(ctx context.Context, once bool, id string) (*conn, error) {
-	closedEarly := false
+	closedAfter := time.Duration(-1) // shortest idle time of a connection that the server has closed early
 	for {
 		c := b.takeIdle(once, id)
 		if c == nil {
-			if closedEarly {
-				b.suspectRestart(false)
+			if closedAfter >= 0 {
+				b.suspectClosed(closedAfter)
 			}
 			started := clockNow()
 			raw, err := b.dial(ctx, "tcp", b.address)
@@ -47,7 +47,9 @@
 		if c.reusable() {
 			return c, nil
 		}
-		closedEarly = closedEarly || c.closedEarly()
+		if idleFor := time.Since(c.lastUsed); c.closedEarly() && (closedAfter < 0 || idleFor < closedAfter) {
+			closedAfter = idleFor
+		}
 		_ = c.Close() // no request is in flight on it
 	}
 }
--- a/internal/gateway/tokens_test.go
+++ b/internal/gateway/tokens_test.go
@@ -141,13 +141,13 @@
 
 // register sends heartbeats for the server until stop is closed.
 func (s *system) register(server *fakeBackend, service string, stop <-chan struct{}) {
-	s.registerWarming(server, service, func() int64 { return 0 }, stop)
+	s.registerWarming("s1", server, service, func() int64 { return 0 }, stop)
 }
 
-// registerWarming is register with the milliseconds for which the server says that it stays cold.
-func (s *system) registerWarming(server *fakeBackend, service string, warmupLeft func() int64, stop <-chan struct{}) {
+// registerWarming is register with an ID and the milliseconds for which the server says that it stays cold.
+func (s *system) registerWarming(id string, server *fakeBackend, service string, warmupLeft func() int64, stop <-chan struct{}) {
 	hb := keyrange.Heartbeat{Server: keyrange.Server{
-		ID: "s1", Service: service, Address: server.listener.Addr().String(), Domain: "d1", Slots: 6,
+		ID: id, Service: service, Address: server.listener.Addr().String(), Domain: "d1", Slots: 6,
 	}}
 	for {
 		hb.Server.WarmupMillis = warmupLeft()
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -95,12 +97,23 @@
 	switch {
 	case err == nil:
 		b.recordWarmthOf(startedAt, req, resp.info)
-	case errors.Is(err, errNoColdToken), errors.Is(err, errDrained), !errors.As(err, &e):
-	case e.reason == reasonConnect, e.reason == reasonBroken:
-		b.suspectRestart(e.connRefused || errors.Is(err, syscall.ECONNREFUSED))
+	case errors.Is(err, errNoColdToken), errors.Is(err, errDrained), errors.Is(err, context.Canceled), !errors.As(err, &e):
+	case e.reason == reasonConnect, e.reason == reasonBroken && endedByPeer(err):
+		b.suspectRestart(e.connRefused)
 	}
 }
 
+// endedByPeer reports whether an exchange failed because the server's side ended the connection, as the end of its
+// process does. A malformed response is no reason to assume that.
+func endedByPeer(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *backend) recordWarmthOf(startedAt time.Duration, req *backendRequest, info ResponseInfo) {
 	if perSecond, _ := b.warmup.view.warmup(b.id, b.service); perSecond == 0 {
 		return
@@ -117,15 +130,24 @@
 	}
 }
 
-// suspectRestart records that the server may have started again, if its service limits cold servers. refused tells
-// whether its host refused a connection.
+// suspectClosed records that the server has closed an idle connection, and no other is left.
+func (b *backend) suspectClosed(idleFor time.Duration) {
+	b.suspect(func(now time.Duration) bool { return b.warmth.SuspectClosed(now, idleFor) })
+}
+
+// suspectRestart records that the server may have started again. refused tells whether its host refused a connection.
 func (b *backend) suspectRestart(refused bool) {
+	b.suspect(func(now time.Duration) bool { return b.warmth.Suspect(now, refused) })
+}
+
+// suspect records evidence with b.mu held, if the service limits cold servers.
+func (b *backend) suspect(record func(now time.Duration) (changed bool)) {
 	if perSecond, _ := b.warmup.view.warmup(b.id, b.service); perSecond == 0 {
 		return
 	}
 	now := clockNow()
 	b.mu.Lock()
-	changed := b.warmth.Suspect(now, refused)
+	changed := record(now)
 	cause := b.warmth.Cause(now)
 	b.mu.Unlock()
 	if changed {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -38,7 +38,7 @@
 			warmupLeft.Store(30_000)
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
-			clients.Go(func() { s.registerWarming(server.fakeBackend, service, warmupLeft.Load, stop) })
+			clients.Go(func() { s.registerWarming("s1", server.fakeBackend, service, warmupLeft.Load, stop) })
 			for _, f := range fixtures {
 				s.wait("the gateway to know the server", func() bool { return f.host.view.has("s1") })
 				for range 4 {
@@ -243,3 +243,27 @@
 		t.Errorf("%d of %d requests served, %d by the cold server; want all, and none by the cold one", served, requests, cold.count())
 	}
 }
+
+// Guards against a cold server that gets no requests as long as warm ones have capacity.
+func TestColdServerGetsRequestsWhileWarmOnesHaveCapacity(t *testing.T) {
+	const perSecond, span = 10, 3 * time.Second
+	cold, warm := newLimitedServer(t, ""), newLimitedServer(t, "")
+	s := newSystem(t, "127.0.0.1")
+	s.config.Routes, s.config.Services = testConfig().Routes, coldServices(perSecond)
+	s.put()
+	stop := make(chan struct{})
+	var loops sync.WaitGroup
+	loops.Go(func() { s.registerWarming("s1", cold.fakeBackend, "photos", func() int64 { return 30_000 }, stop) })
+	loops.Go(func() { s.registerWarming("s2", warm.fakeBackend, "photos", func() int64 { return 0 }, stop) })
+	s.wait("the gateway to know the servers", func() bool { return s.gateway.host.view.has("s1") && s.gateway.host.view.has("s2") })
+	since := time.Now()
+	for range 4 {
+		loops.Go(func() { s.gateway.requestUntil(stop, "/photo/1") })
+	}
+	time.Sleep(span)
+	close(stop)
+	loops.Wait()
+	if got, least := cold.mostIn(span, since), int(leastUse*perSecond*span.Seconds()/2); got < least || got >= warm.mostIn(span, since) {
+		t.Errorf("%d requests at the cold server in %s, want at least %d, and fewer than at the warm one", got, span, least)
+	}
+}
--- a/warmup/evidence.go
+++ b/warmup/evidence.go
@@ -22,6 +22,9 @@
 	refused   bool          // its host refused a connection
 	at        time.Duration // of the latest evidence that the server is or may be cold
 	toldAt    time.Duration // when the leader was last told; 0 if it was not
+
+	closedAfter time.Duration // idle time of the connection whose end is the evidence; 0 for none
+	closesIdle  time.Duration // idle time after which the process is known to close connections; 0 for none
 }
 
 // Suspect records that the server may have started again: its host refused a connection, or a connection
@@ -35,6 +38,29 @@
 	return changed
 }
 
+// SuspectClosed records that the server has closed a connection that was idle for a time and had no reason to end.
+// It is no evidence if the same process has closed one that was idle for at most as long before: servers need not
+// say after which time they do so. It reports whether the server counted as warm before.
+func (e *Evidence) SuspectClosed(now, idleFor time.Duration) (changed bool) {
+	if e.closesIdle > 0 && idleFor >= e.closesIdle {
+		return false
+	}
+	changed = e.Suspect(now, false)
+	if changed {
+		e.closedAfter = max(idleFor, 1)
+	}
+	return changed
+}
+
+// clear forgets the evidence: the server is warm, and its process the same.
+func (e *Evidence) clear() {
+	closesIdle := e.closesIdle
+	if e.closedAfter > 0 && (closesIdle == 0 || e.closedAfter < closesIdle) {
+		closesIdle = e.closedAfter
+	}
+	*e = Evidence{closesIdle: closesIdle}
+}
+
 // Respond records a response. The server is no longer suspected if it states that it is warm, or answers a
 // request that took a token and was sent since, as the expected process. It reports whether the server counts
 // as cold now but did not before.
@@ -51,7 +77,7 @@
 		return !wasCold
 	}
 	if (r.Known || r.WithToken && now >= e.coldUntil) && r.SentAt >= e.at {
-		*e = Evidence{}
+		e.clear()
 	}
 	return false
 }
@@ -60,7 +86,7 @@
 // at askedAt.
 func (e *Evidence) ConfirmWarm(askedAt time.Duration) {
 	if e.at <= askedAt {
-		*e = Evidence{}
+		e.clear()
 	}
 }
 
--- a/warmup/state_test.go
+++ b/warmup/state_test.go
@@ -88,4 +88,9 @@
 	if e.ConfirmWarm(18 * second); e.Cold(18 * second) {
 		t.Error("cold after the leader's proof")
 	}
+	e.SuspectClosed(20*second, 5*second)
+	e.ConfirmWarm(21 * second)
+	if e.SuspectClosed(30*second, 5*second) || !e.SuspectClosed(30*second, second) {
+		t.Error("not only connections that are closed sooner than the process does are evidence")
+	}
 }
