--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -38,7 +38,7 @@
 			warmupLeft.Store(30_000)
 			stop := make(chan struct{})
 			var clients sync.WaitGroup
-			clients.Go(func() { s.registerWarming(server.fakeBackend, service, warmupLeft.Load, stop) })
+			clients.Go(func() { s.registerWarming("s1", server.fakeBackend, service, warmupLeft.Load, stop) })
 			for _, f := range fixtures {
 				s.wait("the gateway to know the server", func() bool { return f.host.view.has("s1") })
 				for range 4 {
@@ -187,16 +187,19 @@
 	f := newFixture(t)
 	f.publishWarm(warm)
 	list := []keyrange.Server{
-		{ID: "a", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
 		{ID: "b", Service: "photos", Address: warm.listener.Addr().String(), Domain: "d1", Slots: 6},
+		{ID: "c", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
 	}
 	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
+	b := f.host.backends.get(list[1])
+	b.mu.Lock()
+	b.load.ObserveServiceTime(200 * time.Millisecond) // slower than the warm one
+	b.mu.Unlock()
 	for range 5 {
 		if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "warm" {
 			t.Fatalf("answered by the %s server, want the warm one", got)
 		}
 	}
-	b := f.host.backends.get(list[0])
 	b.coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{Tokens: 1})
 	if _, got := f.do(http.MethodGet, "/chart/1", nil); got != "cold" {
 		t.Errorf("answered by the %s server, want the cold one, for which there is a token", got)
@@ -205,3 +208,62 @@
 		t.Errorf("answered by the %s server after the token was used, want the warm one", got)
 	}
 }
+
+// Guards against requests that are refused at once, since no token for a cold server can be had in time, although
+// the warm servers have capacity a moment later.
+func TestRequestsWaitForWarmServersIfThereIsNoToken(t *testing.T) {
+	const requests = 6
+	cold := newFakeBackend(t, okResponse("cold"))
+	warm := newFakeBackend(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(80 * time.Millisecond)
+		return okResponse("warm")(conn, r, body)
+	})
+	f := newFixture(t)
+	f.publishWarm(warm)
+	list := []keyrange.Server{
+		{ID: "b", Service: "photos", Address: warm.listener.Addr().String(), Domain: "d1", Slots: 1},
+		{ID: "c", Service: "photos", Address: cold.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 1000},
+	}
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: list})
+	f.host.backends.get(list[1]).coldTokensGranted(clockNow(), clockNow(), 1, ratelimit.Grant{WaitMillis: 2000})
+	statuses := make(chan int, requests)
+	for range requests {
+		go func() {
+			response, _ := f.do(http.MethodGet, "/chart/1", nil)
+			statuses <- response.StatusCode
+		}()
+	}
+	served := 0
+	for range requests {
+		if <-statuses == http.StatusOK {
+			served++
+		}
+	}
+	if served < requests || cold.count() > 0 {
+		t.Errorf("%d of %d requests served, %d by the cold server; want all, and none by the cold one", served, requests, cold.count())
+	}
+}
+
+// Guards against a cold server that gets no requests as long as warm ones have capacity.
+func TestColdServerGetsRequestsWhileWarmOnesHaveCapacity(t *testing.T) {
+	const perSecond, span = 10, 3 * time.Second
+	cold, warm := newLimitedServer(t, ""), newLimitedServer(t, "")
+	s := newSystem(t, "127.0.0.1")
+	s.config.Routes, s.config.Services = testConfig().Routes, coldServices(perSecond)
+	s.put()
+	stop := make(chan struct{})
+	var loops sync.WaitGroup
+	loops.Go(func() { s.registerWarming("s1", cold.fakeBackend, "photos", func() int64 { return 30_000 }, stop) })
+	loops.Go(func() { s.registerWarming("s2", warm.fakeBackend, "photos", func() int64 { return 0 }, stop) })
+	s.wait("the gateway to know the servers", func() bool { return s.gateway.host.view.has("s1") && s.gateway.host.view.has("s2") })
+	since := time.Now()
+	for range 4 {
+		loops.Go(func() { s.gateway.requestUntil(stop, "/photo/1") })
+	}
+	time.Sleep(span)
+	close(stop)
+	loops.Wait()
+	if got, least := cold.mostIn(span, since), int(leastUse*perSecond*span.Seconds()/2); got < least || got >= warm.mostIn(span, since) {
+		t.Errorf("%d requests at the cold server in %s, want at least %d, and fewer than at the warm one", got, span, least)
+	}
+}
