Learn the work of requests, and leave room for urgent ones

Package cost learns the expected work by route (method and body size where samples allow) and the speed by server together, with bounded influence of each sample, and a 97% quantile. With balance: work, a gateway counts its own requests with their expected work, hedges at the quantile and to another server, and learns from response times divided by the host percent.

Requests of lower urgency use a part of each server's slots and queue that shrinks with their work relative to the urgent ones seen in the last 3 s, and grows as they wait. The queues in the gateway age. A service whose servers have not answered, and never refused, gets at most 2 requests per slot, fewer where reports are old.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -29,6 +29,10 @@
 
 	Work     time.Duration // expected time that the request takes on a server of speed 1
 	HighWork time.Duration // time that only a few of such requests exceed; 0 if not known
+	Usable   float64       // part of each server's slots and queue that the request may use; 0 counts as 1
+	Ahead    int           // requests of this gateway for the service that wait and are served before this one
+	Silent   bool          // full servers of the service do not answer
+	Gateways int64         // gateways that may send at the same time
 }
 
 // maxRequestsPerSlot returns the number of requests per slot at which a server is full for a
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/galenalug/galenalug/cost"
 )
 
 // The model runs requests of many gateways against servers with slots and queues, in virtual time and without a
@@ -33,6 +35,7 @@
 	ended, counted  bool
 	expected        time.Duration
 	took            time.Duration
+	host            float64 // host factor that the gateway knew at the start
 	refusedBy       []int
 }
 
@@ -40,6 +43,11 @@
 	loads   []Load
 	mean    MeanServiceTime
 	backoff []Backoff
+	costs   cost.Model
+	speeds  []cost.Speed
+	urgency Urgency
+	refused bool // a server refused
+	silent  bool // a server did not answer
 }
 
 type model struct {
@@ -95,7 +103,7 @@
 		}
 	}
 	for g := range m.gws {
-		m.gws[g] = modelGateway{loads: make([]Load, m.servers), backoff: make([]Backoff, m.servers)}
+		m.gws[g] = modelGateway{loads: make([]Load, m.servers), backoff: make([]Backoff, m.servers), speeds: make([]cost.Speed, m.servers)}
 	}
 	for c := range m.classes {
 		m.after(0, func() { m.arrive(c) })
@@ -168,7 +176,7 @@
 		return
 	}
 	r.attempts++
-	r.sent = m.now
+	r.sent, r.host = m.now, m.gws[r.gateway].loads[r.server].HostFactor(m.now)
 	l, h := &m.gws[r.gateway].loads[r.server], &m.hosts[r.server]
 	l.Start()
 	l.AddWork(r.expected)
@@ -181,11 +189,15 @@
 	case m.silent:
 		m.overloaded++
 		m.lost++
-		m.after(left, func() { m.end(r) })
+		m.after(left, func() {
+			m.gws[r.gateway].silent = true
+			m.end(r)
+		})
 	default:
 		m.overloaded++
 		r.refusedBy = append(r.refusedBy, r.server)
 		m.gws[r.gateway].backoff[r.server].Refused(m.now)
+		m.gws[r.gateway].refused = true
 		m.report(r)
 		m.end(r)
 		m.after(2*time.Millisecond, func() { m.try(r) })
@@ -214,6 +226,10 @@
 			g.loads[r.server].SetExpectedServiceTime(g.mean.Value())
 			g.loads[r.server].ObserveServiceTime(r.took)
 			g.mean.Observe(r.took)
+			if len(h.queue) == 0 {
+				factor := (r.host + g.loads[r.server].HostFactor(m.now)) / 2
+				g.costs.Observe(r.class.class(), &g.speeds[r.server], r.class.prior(), time.Duration(float64(r.took)/factor))
+			}
 		}
 		m.end(r)
 		r.ended = true
@@ -231,35 +247,33 @@
 	l.AddWork(-r.expected)
 }
 
+func (c *modelClass) class() cost.Class { return cost.Class{Service: "s", Route: c.work.String()} }
+
+func (c *modelClass) prior() time.Duration { return c.target * 3 / 10 }
+
 func (m *model) choose(r *modelRequest, left time.Duration) int {
 	g := &m.gws[r.gateway]
-	mean := g.mean.Value()
-	if mean == 0 {
-		mean = r.class.target * 3 / 10
-	}
-	r.expected = mean
+	work := g.costs.Work(r.class.class(), r.class.prior())
+	r.expected = work.Expected
+	g.urgency.Seen(m.now, r.class.priority, work.Expected)
+	mean := g.costs.Mean("s", work.Expected)
 	candidates := make([]Candidate, m.servers)
 	for i := range candidates {
 		l := &g.loads[i]
 		l.SetExpectedServiceTime(g.mean.Value())
-		c := Candidate{Load: l, Slots: m.slots, ConnectionLimit: ConnectionLimit(512, int64(m.gateways), m.slots), MeanWork: mean, WorkLeft: l.OwnWork()}
+		c := Candidate{Load: l, Slots: m.slots, ConnectionLimit: ConnectionLimit(512, int64(m.gateways), m.slots), MeanWork: mean, WorkLeft: l.OwnWork(), Speed: g.speeds[i].Factor() / l.HostFactor(m.now)}
 		if m.distance != nil {
 			c.Distance = m.distance(r.gateway, i)
 		}
-		if l.HasServiceTime() {
-			c.Speed = float64(mean) / float64(l.ServiceTime())
-		}
-		if c.Speed == 0 {
-			c.Speed = 1
-		}
-		c.Speed /= l.HostFactor(m.now)
 		for _, s := range r.refusedBy {
 			c.Avoid = c.Avoid || s == i
 		}
 		c.Avoid = c.Avoid || g.backoff[i].Active(m.now)
 		candidates[i] = c
 	}
-	request := Request{Priority: r.class.priority, UntilDeadline: left, UntilTarget: r.arrived + r.class.target - m.now, Work: mean}
+	request := Request{Priority: r.class.priority, UntilDeadline: left, UntilTarget: r.arrived + r.class.target - m.now, Work: work.Expected, HighWork: work.High,
+		Usable: g.urgency.Usable(m.now, r.class.priority, work.Expected, m.now-r.arrived, r.class.target-work.Expected),
+		Silent: g.silent && !g.refused, Gateways: int64(m.gateways)}
 	if !m.byWork {
 		index, _ := Choose(m.now, candidates, request)
 		return index
--- a/dispatch/wait_queue.go
+++ b/dispatch/wait_queue.go
@@ -7,10 +7,15 @@
 
 // Ticket identifies a request in a WaitQueue.
 type Ticket struct {
-	priority int64
+	rank     int64 // the priority, or what EnqueueAging derives from it
 	number   int64 // in order of arrival
+	priority int64
 }
 
+// agingPerPriority is how much earlier a request with a priority value that is lower by one arrives for EnqueueAging:
+// a request that has waited for longer goes before a newer, more urgent one.
+const agingPerPriority = 700 * time.Millisecond
+
 // WaitQueue holds the requests of one gateway that wait for capacity at one server, ordered by
 // priority and then by arrival.
 type WaitQueue struct {
@@ -20,8 +25,22 @@
 
 // Enqueue adds a request.
 func (q *WaitQueue) Enqueue(priority int64) Ticket {
+	return q.enqueue(priority, priority)
+}
+
+// EnqueueAging adds a request that goes, the longer it waits, also before more urgent ones. All requests of a queue
+// must be added by the same method.
+func (q *WaitQueue) EnqueueAging(now time.Duration, priority int64) Ticket {
+	return q.enqueue(agingRank(now, priority), priority)
+}
+
+func agingRank(now time.Duration, priority int64) int64 {
+	return int64(now) + priority*int64(agingPerPriority)
+}
+
+func (q *WaitQueue) enqueue(rank, priority int64) Ticket {
 	q.lastNumber++
-	t := Ticket{priority: priority, number: q.lastNumber}
+	t := Ticket{rank: rank, number: q.lastNumber, priority: priority}
 	index, _ := slices.BinarySearchFunc(q.tickets, t, compareTickets)
 	q.tickets = slices.Insert(q.tickets, index, t)
 	return t
@@ -38,7 +57,15 @@
 func (q *WaitQueue) Len() int { return len(q.tickets) }
 
 // UrgentLen returns the number of urgent requests in the queue.
-func (q *WaitQueue) UrgentLen() int { return q.AheadOfNew(maxUrgentPriority) }
+func (q *WaitQueue) UrgentLen() int {
+	urgent := 0
+	for _, t := range q.tickets {
+		if t.priority <= maxUrgentPriority {
+			urgent++
+		}
+	}
+	return urgent
+}
 
 // Ahead returns the number of requests that are served before the one with the ticket.
 func (q *WaitQueue) Ahead(t Ticket) int {
@@ -48,12 +75,17 @@
 
 // AheadOfNew returns the number of requests that would be served before a new one of the priority.
 func (q *WaitQueue) AheadOfNew(priority int64) int {
-	return q.Ahead(Ticket{priority: priority, number: q.lastNumber + 1})
+	return q.Ahead(Ticket{rank: priority, number: q.lastNumber + 1})
+}
+
+// AheadOfNewAging is AheadOfNew for EnqueueAging.
+func (q *WaitQueue) AheadOfNewAging(now time.Duration, priority int64) int {
+	return q.AheadOfNew(agingRank(now, priority))
 }
 
 func compareTickets(a, b Ticket) int {
-	if a.priority != b.priority {
-		return int(a.priority - b.priority)
+	if a.rank != b.rank {
+		return int(a.rank - b.rank)
 	}
 	return int(a.number - b.number)
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -18,6 +18,12 @@
 	// equalPart is the difference of expected finish, as a part of the request's work, up to which two servers count
 	// as equal, so that distance and open connections decide.
 	equalPart = 0.1
+	// silentRequestsPerSlot limits the requests at a server that does not answer when it is full, if its load is
+	// known. Where nothing is known, up to unknownPart of it is left to requests of other gateways.
+	silentRequestsPerSlot = 2.0
+	unknownPart           = 0.5
+	// gatewaysPerSlot is the number of gateways per slot from which unknownPart counts in full.
+	gatewaysPerSlot = 4.0
 )
 
 // Basis states why ChooseByWork chose a server.
@@ -70,6 +76,7 @@
 	bound         float64 // of the wait, ns; see spillServicePart
 	reason        Reason  // of the candidates left out
 	best          uint8   // the lowest class
+	room          float64 // requests that all candidates can still take
 	// capacity sums up the candidates by class (late or not is enough: only the best class is used), distance and
 	// level of the wait.
 	capacity [distances][levels]float64
@@ -85,13 +92,16 @@
 	if len(candidates) == 0 {
 		return Choice{Index: -1, Reason: QueueFull}
 	}
+	if r.Usable <= 0 {
+		r.Usable = 1
+	}
 	w := workChoice{now: now, request: r, reason: Paused, best: classNone}
 	w.prepare(candidates)
 	for i := range candidates {
 		w.estimate(&candidates[i])
 	}
-	if w.best == classNone {
-		return Choice{Index: -1, Reason: w.reason}
+	if w.best == classNone || w.request.Ahead > 0 && w.room < float64(w.request.Ahead+1) {
+		return Choice{Index: -1, Reason: w.noneReason()}
 	}
 	farthest, level := w.set()
 	first := w.draw(candidates, farthest, level, random, -1)
@@ -102,6 +112,14 @@
 	return Choice{Index: first, Basis: w.basis(candidates, first)}
 }
 
+// noneReason returns why no candidate is chosen.
+func (w *workChoice) noneReason() Reason {
+	if w.best != classNone {
+		return QueueFull // of requests that are served before this one
+	}
+	return w.reason
+}
+
 // prepare determines what depends on all candidates.
 func (w *workChoice) prepare(candidates []Candidate) {
 	var others, slots float64
@@ -141,7 +159,9 @@
 		e.wait = work * ahead / requests / e.capacity
 	}
 	own := float64(w.request.Work) / speed
-	if reason := w.admit(c, requests, own); reason != Admitted {
+	limit := w.requestsPerSlot(c) * slots
+	w.room += max(0, limit-requests)
+	if reason := w.admit(c, requests, limit, own); reason != Admitted {
 		if reason != Paused && w.reason != RateLimited {
 			w.reason = reason
 		}
@@ -172,7 +192,7 @@
 }
 
 // admit is like Admit, with the estimates of ChooseByWork.
-func (w *workChoice) admit(c *Candidate, requests, own float64) Reason {
+func (w *workChoice) admit(c *Candidate, requests, limit, own float64) Reason {
 	switch {
 	case c.PausedFor > 0:
 		return Paused
@@ -180,7 +200,7 @@
 		return TooLate
 	case c.Load.inFlight+c.Ahead >= c.ConnectionLimit:
 		return NoConnection
-	case requests >= w.request.maxRequestsPerSlot()*float64(c.Slots):
+	case requests >= limit:
 		return QueueFull
 	case c.Limited && c.Ahead >= c.Tokens:
 		return RateLimited
@@ -188,6 +208,17 @@
 	return Admitted
 }
 
+// requestsPerSlot returns the number of requests per slot at which the candidate is full for the request.
+func (w *workChoice) requestsPerSlot(c *Candidate) float64 {
+	limit := w.request.maxRequestsPerSlot()
+	if w.request.Silent {
+		unknown := (1 - c.Load.reportWeight(w.now)) * unknownPart
+		unknown *= min(1, float64(w.request.Gateways)/(gatewaysPerSlot*float64(c.Slots)))
+		limit = min(limit, silentRequestsPerSlot*(1-unknown))
+	}
+	return limit * w.request.Usable
+}
+
 // set returns the set to draw from: the candidates of the best class up to a distance and a level of the wait.
 func (w *workChoice) set() (farthest Distance, level uint8) {
 	if w.best&classLate != 0 {
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -37,6 +37,50 @@
 	}
 }
 
+// Guards against short urgent requests that wait behind long ones, and against slots that stay idle when there are no
+// urgent requests.
+func TestWorkKeepsUrgentRequestsFromWaitingBehindLongOnes(t *testing.T) {
+	short := modelClass{rate: 180, work: 210 * ms, target: 800 * ms, deadline: 3 * time.Second}
+	long := modelClass{rate: 60, work: 1200 * ms, target: 4 * time.Second, deadline: 15 * time.Second, priority: 2}
+	m := model{gateways: 30, servers: 24, slots: 6, queue: 24, length: 20 * time.Second, classes: []modelClass{short, long}}
+	before, after := compare(t, "short urgent and long", m)
+	if after.lateByClass[0] > before.lateByClass[0]/4 || after.lateByClass[1] > after.byClass[1]/10 {
+		t.Errorf("late %v of %v, before %v", after.lateByClass, after.byClass, before.lateByClass)
+	}
+	long.rate *= 1.7
+	m.classes = []modelClass{long}
+	before, after = compare(t, "long only", m)
+	if after.late > before.late {
+		t.Errorf("without urgent requests: late %d of %d, before %d", after.late, after.total, before.late)
+	}
+}
+
+// Guards against less urgent requests that never get their turn, and against aging that hides urgent requests from the
+// demand for tokens.
+func TestWaitQueueAges(t *testing.T) {
+	var q WaitQueue
+	old := q.EnqueueAging(0, 2)
+	if newer := q.EnqueueAging(time.Second, 0); q.Ahead(newer) != 0 || q.Ahead(old) != 1 || q.UrgentLen() != 1 {
+		t.Errorf("after 1 s: %d ahead of the urgent request, %d urgent; want 0 and 1", q.Ahead(newer), q.UrgentLen())
+	}
+	if ahead := q.AheadOfNewAging(2*time.Second, 0); ahead != 2 {
+		t.Errorf("after 2 s: %d ahead of a new urgent request, want 2", ahead)
+	}
+}
+
+// Guards against servers that don't answer when they are full and are filled beyond their queue by gateways that don't
+// know of each other's requests, in waves of demand.
+func TestWorkDoesNotOverfillSilentServers(t *testing.T) {
+	before, after := compare(t, "silent", model{
+		gateways: 114, servers: 59, slots: 6, queue: 24, length: 20 * time.Second, wave: 2, silent: true,
+		speeds:  func(i int) float64 { return 0.5 + float64(i%11)/10 },
+		classes: []modelClass{{rate: 560, work: 390 * ms, target: 1500 * ms, deadline: 6 * time.Second, priority: 1}},
+	})
+	if after.lost > before.lost/10 || after.late > before.late/2 {
+		t.Errorf("lost %d, late %d; before %d, %d", after.lost, after.late, before.lost, before.late)
+	}
+}
+
 // Guards against queues at near servers while far ones are idle, and against bytes between failure domains without
 // need.
 func TestWorkSpillsBeforeTheTargetIsMissed(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,9 @@
 // no response time of the service is known yet, half of the route's latency target is left for the
 // second attempt.
 func (c *call) hedgeDelay(to *target) time.Duration {
+	if c.host.byWork() {
+		return c.hedgeDelayByWork(to)
+	}
 	expectedTime, known := to.expectedTime(clockNow(), to.slots)
 	if !known {
 		return max(minHedgeDelay, time.Duration(c.route.TargetMillis)*time.Millisecond/2)
@@ -121,6 +124,10 @@
 	if c.suspicion().Crashes > 0 || c.host.linkDelay.queueing() > maxHedgeQueueing {
 		return nil
 	}
+	if c.host.byWork() { // another server, if there is one
+		c.avoid = append(c.avoid, first.id)
+		defer func() { c.avoid = c.avoid[:len(c.avoid)-1] }()
+	}
 	second, _, _ := c.choose(clockNow(), service, &queueEntry{priority: c.route.Priority})
 	if second == nil || second.backend == first.backend && second.queues(clockNow(), second.slots) {
 		return nil
@@ -157,7 +164,7 @@
 	c.progress.Store(&req.progress)
 	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
 	if c.host.byWork() {
-		req.work = c.expectedWork()
+		req.cost = c.expectedCost()
 	}
 	if c.stream == nil {
 		req.fingerprint = c.fingerprint
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/cost"
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/keyrange"
@@ -29,6 +30,9 @@
 	dial            dialFunc
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
 	buffers         *bodybuffer.Pool       // shared with the other servers
+	byWork          bool                   // balance: work
+	costs           *costs                 // shared with the other servers
+	service         *serviceState
 
 	mu          sync.Mutex // guards the fields below
 	idle        []*conn    // the most recently used last
@@ -36,7 +40,8 @@
 	queue       dispatch.WaitQueue // requests that wait for capacity
 	share       dispatch.Share
 	notices     dispatch.Notices
-	backoff     dispatch.Backoff    // after refusals
+	backoff     dispatch.Backoff // after refusals
+	speed       cost.Speed
 	tokens      ratelimit.Holder    // for the rate limit that the server has named
 	observed    keyrange.ServerLoad // not yet reported to the leader
 	failedAt    time.Duration       // time of the last failure; 0 for none
@@ -57,10 +62,14 @@
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
 	buffers *bodybuffer.Pool // for the response bodies of all servers
+	byWork  bool             // balance: work
+	costs   *costs
+
+	services map[string]*serviceState // guarded by mu
 }
 
 func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes)}
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), costs: &costs{}, services: map[string]*serviceState{}}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -76,6 +85,7 @@
 		server = &backend{
 			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
 			noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
+			byWork: b.byWork, costs: b.costs, service: b.serviceStateLocked(s.Service),
 		}
 		b.byID[s.ID] = server
 	}
@@ -92,6 +102,23 @@
 	return mean
 }
 
+// serviceState returns the state of a service.
+func (b *backends) serviceState(service string) *serviceState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.serviceStateLocked(service)
+}
+
+// serviceStateLocked does the work of serviceState. The caller holds b.mu.
+func (b *backends) serviceStateLocked(service string) *serviceState {
+	state := b.services[service]
+	if state == nil {
+		state = &serviceState{}
+		b.services[service] = state
+	}
+	return state
+}
+
 // sweep closes expired idle connections, and removes the servers that are not listed, unless their
 // notices still count.
 func (b *backends) sweep(now time.Duration, listed func(id string) bool) {
@@ -148,7 +175,10 @@
 	queued := b.load.Requests(now) >= float64(req.slots)
 	hadFreeSlot := b.load.HasFreeSlot(now, req.slots)
 	b.load.Start()
-	b.load.AddWork(req.work)
+	b.load.AddWork(req.cost.expected())
+	if req.cost != nil {
+		req.cost.host = b.load.HostFactor(now)
+	}
 	b.mu.Unlock()
 	started := time.Now()
 	resp, err := b.connectAndExchange(ctx, req, dialect)
@@ -156,8 +186,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.load.End()
-	defer b.load.AddWork(-req.work)
+	defer b.load.AddWork(-req.cost.expected())
 	if err != nil {
+		b.learn(req, nil, err, time.Since(started), queued)
 		b.recordFailure(err, time.Since(started), hadFreeSlot)
 		return nil, err
 	}
@@ -165,6 +196,7 @@
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
 	}
 	b.recordNotice(resp.info.Notice)
+	b.learn(req, resp, nil, time.Since(started), queued)
 	b.recordResponse(resp, time.Since(started), queued)
 	return resp, nil
 }
@@ -220,9 +252,12 @@
 }
 
 // enqueue adds a request to the queue for the server.
-func (b *backend) enqueue(priority int64) dispatch.Ticket {
+func (b *backend) enqueue(now time.Duration, priority int64) dispatch.Ticket {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.byWork {
+		return b.queue.EnqueueAging(now, priority)
+	}
 	return b.queue.Enqueue(priority)
 }
 
@@ -234,11 +269,14 @@
 
 // ahead returns the number of queued requests that are served before the ticket, or before a new
 // request if the ticket is nil.
-func (b *backend) ahead(t *dispatch.Ticket, priority int64) int {
+func (b *backend) ahead(now time.Duration, t *dispatch.Ticket, priority int64) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t != nil {
 		return b.queue.Ahead(*t)
 	}
+	if b.byWork {
+		return b.queue.AheadOfNewAging(now, priority)
+	}
 	return b.queue.AheadOfNew(priority)
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -114,9 +114,9 @@
 		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
-	h.backends.onCrash = h.reportCrash
+	h.backends.onCrash, h.backends.byWork = h.reportCrash, h.byWork()
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
-	if err := m.registerGauges(o.Registry, h.view, h.linkDelay); err != nil {
+	if err := m.registerGauges(o.Registry, h.view, h.linkDelay, h.backends.costs); err != nil {
 		return nil, err
 	}
 	h.leaderLink = &leaderLink{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -59,7 +59,7 @@
 }
 
 // registerGauges registers gauges that are read at each scrape.
-func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay) error {
+func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay, c *costs) error {
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_table_age_seconds", Help: "Time since the newest update of the ownership table.",
 	}, func() float64 {
@@ -81,7 +81,7 @@
 	queueing := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_link_delay_seconds", Help: "Queueing on this host's own link, both ways, as reports to the leader have met it.",
 	}, func() float64 { return d.queueing().Seconds() })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing} {
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, newCostCollector(c)} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,7 +21,7 @@
 	deadline             time.Time
 	dialTimeout          time.Duration   // bounds the opening of a connection
 	slots                int             // requests that the server runs concurrently
-	work                 time.Duration   // expected on a server of mean speed; 0 without balance: work
+	cost                 *requestCost    // nil without balance: work
 	once                 bool            // may run only once
 	client               context.Context // ends when the client leaves
 	progress             progress
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,6 +53,9 @@
 		if target != nil || left <= 0 || !isTransient(reason) || reason == reasonLinkFull && c.linkWait > left {
 			return target, reason
 		}
+		if full == nil && c.host.byWork() {
+			entry.enqueueForService(now, c.host.backends.serviceState(c.service))
+		}
 		if full != nil && !entry.enqueue(now, left, full, dispatch.Reason(reason)) {
 			return nil, reason
 		}
@@ -121,6 +124,11 @@
 	priority int64
 	target   *target // nil if not queued
 	ticket   dispatch.Ticket
+
+	// The fields below count for requests that wait for any server of a service, with balance: work.
+
+	service       *serviceState // nil if not queued
+	serviceTicket dispatch.Ticket
 }
 
 // target is the server selected for a request.
@@ -138,12 +146,12 @@
 	if queued && reason != dispatch.RateLimited && reason != dispatch.Paused {
 		return true
 	}
-	if to.expectedWait(now, to.slots, e.ahead(to.backend), reason) > limit {
+	if to.expectedWait(now, to.slots, e.ahead(now, to.backend), reason) > limit {
 		return false
 	}
 	if !queued {
 		e.remove()
-		e.target, e.ticket = to, to.enqueue(e.priority)
+		e.target, e.ticket = to, to.enqueue(now, e.priority)
 	}
 	return true
 }
@@ -153,14 +161,18 @@
 		e.target.dequeue(e.ticket)
 		e.target = nil
 	}
+	if e.service != nil {
+		e.service.dequeue(e.serviceTicket)
+		e.service = nil
+	}
 }
 
 // ahead returns the number of queued requests that go to a server before this one.
-func (e *queueEntry) ahead(b *backend) int {
+func (e *queueEntry) ahead(now time.Duration, b *backend) int {
 	if e.target != nil && e.target.backend == b {
-		return b.ahead(&e.ticket, e.priority)
+		return b.ahead(now, &e.ticket, e.priority)
 	}
-	return b.ahead(nil, e.priority)
+	return b.ahead(now, nil, e.priority)
 }
 
 // choose returns the server that can take the request now. Otherwise it returns the reason, and the
@@ -184,7 +196,7 @@
 		b := c.host.backends.get(s)
 		c.host.allowWithoutLeader(now, b)
 		candidates[i] = b.candidate(now, s, c.host.view.connectionLimit(s), c.host.distance(s.Domain))
-		candidates[i].Ahead = entry.ahead(b)
+		candidates[i].Ahead = entry.ahead(now, b)
 	}
 	best, rejection := dispatch.Choose(now, candidates, request)
 	if best < 0 {
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -12,9 +12,16 @@
 	"github.com/galenalug/galenalug/routes"
 )
 
-// initialWorkPart is the expected work of a route's requests before the first response, as a part of the route's
-// latency target. Targets are two to six times the work.
-const initialWorkPart = 0.3
+const (
+	// initialWorkPart is the expected work of a route's requests before the first response, as a part of the route's
+	// latency target. Targets are two to six times the work.
+	initialWorkPart = 0.3
+	// defaultWork is the expected work before the first response of a route without a latency target.
+	defaultWork = 100 * time.Millisecond
+	// workHedgeFactor is the multiple of the time that nearly all requests take after which an idempotent request
+	// without a response is sent a second time.
+	workHedgeFactor = 1.2
+)
 
 // byWork reports whether servers are chosen by their remaining work.
 func (h *Host) byWork() bool { return h.settings.Balance == settings.GatewaySettingsBalanceWork }
@@ -38,19 +45,24 @@
 
 // chooseByWork is like choose, among servers that may run the request.
 func (c *call) chooseByWork(now time.Duration, service *routes.Service, servers []keyrange.Server, entry *queueEntry, request dispatch.Request) (chosen, full *target, reason string) {
-	request.Work = c.expectedWork()
+	c.addCost(now, &request, entry)
+	mean := c.host.backends.costs.mean(c.service, request.Work)
 	buffer := choiceBuffers.Get().(*choiceBuffer)
 	defer choiceBuffers.Put(buffer)
 	buffer.resize(len(servers))
+	connections := 0
 	for i, s := range servers {
 		b := c.host.backends.get(s)
 		c.host.allowWithoutLeader(now, b)
+		if i == 0 || s.Slots != servers[i-1].Slots {
+			connections = c.host.view.connectionLimit(s)
+		}
 		candidate := &buffer.candidates[i]
 		*candidate = dispatch.Candidate{
-			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: c.host.view.connectionLimit(s), Distance: c.host.distance(s.Domain),
-			Ahead: entry.ahead(b), Avoid: slices.Contains(c.avoid, s.ID),
+			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: connections, Distance: c.host.distance(s.Domain),
+			Avoid: slices.Contains(c.avoid, s.ID), MeanWork: mean,
 		}
-		b.fillCandidate(now, candidate, request.Work)
+		b.fillCandidate(now, candidate, entry)
 	}
 	choice := dispatch.ChooseByWork(now, buffer.candidates, request, rand.Float64)
 	if choice.Index < 0 {
@@ -64,36 +76,64 @@
 	return c.host.target(servers[choice.Index]), nil, ""
 }
 
-// expectedWork returns the expected work of the request on a server of mean speed.
-func (c *call) expectedWork() time.Duration {
-	if mean := c.host.backends.meanOf(c.service); mean > 0 {
-		return mean
-	}
-	return time.Duration(initialWorkPart * float64(c.route.TargetMillis) * float64(time.Millisecond))
-}
-
-// meanOf returns the mean service time of a service, or 0 if it is not known.
-func (b *backends) meanOf(service string) time.Duration {
-	b.mu.Lock()
-	mean := b.meanServiceTime(service)
-	b.mu.Unlock()
-	return mean.value()
+// addCost adds to a request what dispatch.ChooseByWork needs besides.
+func (c *call) addCost(now time.Duration, request *dispatch.Request, entry *queueEntry) {
+	work := c.expectedCost().work
+	state := c.host.backends.serviceState(c.service)
+	request.Work, request.HighWork = work.Expected, work.High
+	waited := time.Since(c.started)
+	request.Usable = state.usable(now, request.Priority, work.Expected, waited, request.UntilTarget+waited-work.Expected)
+	request.Ahead = entry.aheadOfService(now, state)
+	request.Silent, request.Gateways = state.silent(), c.host.view.gateways()
 }
 
-// fillCandidate sets what the backend knows for dispatch.ChooseByWork. mean is the expected work of a request of
-// the service.
-func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, mean time.Duration) {
+// fillCandidate sets what the backend knows for dispatch.ChooseByWork.
+func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*c.Load = b.load
+	if b.queue.Len() > 0 {
+		if entry.target != nil && entry.target.backend == b {
+			c.Ahead = b.queue.Ahead(entry.ticket)
+		} else {
+			c.Ahead = b.queue.AheadOfNewAging(now, entry.priority)
+		}
+	}
 	limit, _ := b.notices.RateLimit()
-	c.Limited, c.Tokens, c.PausedFor = limit > 0, b.tokens.Available(now), b.notices.PausedFor(now)
+	c.Limited, c.PausedFor = limit > 0, b.notices.PausedFor(now)
+	if c.Limited {
+		c.Tokens = b.tokens.Available(now)
+	}
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
 	c.Avoid = c.Avoid || b.backoff.Active(now)
 	c.Open = len(b.idle) > 0
-	c.WorkLeft, c.MeanWork, c.Speed = b.load.OwnWork(), mean, 1
-	if b.load.HasServiceTime() {
-		c.Speed = float64(mean) / float64(b.load.ServiceTime())
+	c.WorkLeft, c.Speed = b.load.OwnWork(), b.speed.Factor()/b.load.HostFactor(now)
+}
+
+// aheadOfService returns the number of requests for the service that wait for any server and are served before this
+// one.
+func (e *queueEntry) aheadOfService(now time.Duration, state *serviceState) int {
+	if e.service == state {
+		return state.ahead(now, &e.serviceTicket, e.priority)
+	}
+	return state.ahead(now, nil, e.priority)
+}
+
+// enqueueForService adds the request to those that wait for any server of the service.
+func (e *queueEntry) enqueueForService(now time.Duration, state *serviceState) {
+	if e.service != nil {
+		return
 	}
-	c.Speed /= b.load.HostFactor(now)
+	e.service, e.serviceTicket = state, state.enqueue(now, e.priority)
+}
+
+// hedgeDelayByWork returns how long to wait for a response before the request is sent a second time.
+func (c *call) hedgeDelayByWork(to *target) time.Duration {
+	high := c.expectedCost().work.High
+	to.mu.Lock()
+	now := clockNow()
+	wait := to.load.ExpectedWait(now, to.slots)
+	speed := to.speed.Factor() / to.load.HostFactor(now)
+	to.mu.Unlock()
+	return max(minHedgeDelay, wait+time.Duration(workHedgeFactor*float64(high)/speed))
 }
