Make the choice of a server cheap for a gateway with a tenth of a core

Each choice sorted all servers of the service, walked the servers of all services, and read the clock once per server by a system call. The view now keeps the servers by service in order, and the queueing on the link is read at the caller's time.

--- a/internal/gateway/linkdelay.go
+++ b/internal/gateway/linkdelay.go
@@ -25,10 +25,13 @@
 }
 
 // queueing returns the present queueing delay.
-func (d *linkDelay) queueing() time.Duration {
+func (d *linkDelay) queueing() time.Duration { return d.queueingAt(clockNow()) }
+
+// queueingAt is queueing for callers that have read the clock.
+func (d *linkDelay) queueingAt(now time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.trips.Queueing(clockNow())
+	return d.trips.Queueing(now)
 }
 
 // dialTimeout returns how long to wait for a connection to open. On a full link its packets wait in the queue:
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -46,7 +46,7 @@
 }
 
 // arrivalTime returns the time at which a request that is sent now has passed the queue on this host's own link.
-func (h *Host) arrivalTime(now time.Duration) time.Duration { return now + h.linkDelay.queueing() }
+func (h *Host) arrivalTime(now time.Duration) time.Duration { return now + h.linkDelay.queueingAt(now) }
 
 // tooLateFor reports whether a request that is sent now may reach a server after the end of its drain time.
 func (h *Host) tooLateFor(b *backend) bool {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,7 +52,8 @@
 	mu           sync.RWMutex // guards the fields below
 	routes       *routes.Table
 	servers      map[string]*serverEntry
-	owners       map[string][]ownerRange // by service; ascending and without overlaps
+	byService    map[string][]*serverEntry // servers by service, in order of their IDs
+	owners       map[string][]ownerRange   // by service; ascending and without overlaps
 	controlHosts []string
 	gatewayCount int64 // gateways connected to the leader
 	term         uint64
@@ -113,6 +115,12 @@
 // table is no longer partial; until then the servers that the former leader sent are kept. A full
 // table that is not partial lists all servers.
 func (v *view) applyServers(now time.Duration, u keyrange.TableUpdate) {
+	changed := len(u.Servers) > 0 || len(u.RemovedServers) > 0
+	defer func() {
+		if changed {
+			v.indexServers()
+		}
+	}()
 	for _, s := range u.Servers {
 		entry := &serverEntry{Server: s, term: u.Term}
 		if old := v.servers[s.ID]; old != nil && old.StartMillis == s.StartMillis {
@@ -136,10 +144,22 @@
 	for id, s := range v.servers {
 		if s.term != u.Term || u.Full && !listed[id] {
 			delete(v.servers, id)
+			changed = true
 		}
 	}
 }
 
+// indexServers updates byService. The caller holds mu.
+func (v *view) indexServers() {
+	v.byService = map[string][]*serverEntry{}
+	for _, s := range v.servers {
+		v.byService[s.Service] = append(v.byService[s.Service], s)
+	}
+	for _, servers := range v.byService {
+		slices.SortFunc(servers, func(a, b *serverEntry) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
 // overlay replaces the owners of a range of keys in a list, in place.
 func overlay(list []ownerRange, o ownerRange) []ownerRange {
 	first := sort.Search(len(list), func(i int) bool { return list[i].To >= o.From })
@@ -217,10 +237,12 @@
 func (v *view) serversOf(at time.Duration, service string) []keyrange.Server {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	var active, draining []keyrange.Server
-	for _, s := range v.servers {
+	listed := v.byService[service]
+	active := make([]keyrange.Server, 0, len(listed))
+	var draining []keyrange.Server
+	for _, s := range listed {
 		switch {
-		case s.Service != service || v.drained(at, s):
+		case v.drained(at, s):
 		case s.Draining:
 			draining = append(draining, s.Server)
 		default:
@@ -230,12 +252,6 @@
 	if len(active) == 0 {
 		active = draining
 	}
-	slices.SortFunc(active, func(a, b keyrange.Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	return active
 }
 
