--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -73,7 +73,18 @@
 func (c *call) admitted() bool {
 	now := clockNow()
 	withoutLeader := c.host.leaderLink.disconnectedFor(now) > 0
-	return c.host.admission.admit(now, c.admissionGroup(), c.expectedWork(), withoutLeader)
+	return c.host.admission.admit(now, c.admissionGroup(), c.expectedSlotTime(), withoutLeader)
+}
+
+// expectedSlotTime returns the time for which the request is expected to keep a slot busy. It is the expected work of
+// the request, at the pace at which the servers work now.
+func (c *call) expectedSlotTime() time.Duration {
+	work := c.expectedCost().work.Expected
+	measured, learned := c.host.backends.meanOf(c.service), c.host.backends.costs.mean(c.service, work)
+	if measured == 0 || learned == 0 {
+		return work
+	}
+	return time.Duration(float64(work) * float64(measured) / float64(learned))
 }
 
 // reportDemand sends the leader the demand since the last report.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -117,7 +117,7 @@
 		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
-	h.backends.onCrash = h.reportCrash
+	h.backends.onCrash, h.backends.byWork = h.reportCrash, h.byWork()
 	if o.Settings.ShareCapacity {
 		h.admission = &admission{}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -93,7 +93,7 @@
 	cold := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_cold_servers", Help: "Servers that are cold, or may be, according to this gateway or the leader.",
 	}, func() float64 { return float64(len(b.coldServers(clockNow()))) })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing, cold} {
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, cold, newCostCollector(b.costs)} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
