--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -243,6 +243,7 @@
 		_ = client.Close()
 		waitFor(t, "canceled requests", func() bool { return int(canceled.Load()) >= want })
 		waitFor(t, "no requests ahead", func() bool { return f.host.pipelining.running.Load() == 0 })
+		waitFor(t, "released buffers", func() bool { return f.host.pipelining.buffers.TryAcquire(maxAheadBuffers) })
 		close(release)
 	}
 }
