Finish a forwarded request that runs again while the gateway drains

Cause: a response that is too large to wait for its turn is given up, and its request runs again. If the gateway had begun to drain by then, the request was answered with 502 although it had been forwarded before the stop.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -100,7 +100,7 @@
 	}
 	c := h.newCall(w, r, conn.arrivedAt())
 	c.mayHaveRun = ran
-	if h.draining.Load() { // the request might not end before the process does
+	if h.draining.Load() && !ran { // the request might not end before the process does
 		c.refuse(reasonStopping)
 		return
 	}
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -112,7 +112,7 @@
 	c.t.Helper()
 	gotStatus, gotBody, _ := c.next()
 	if gotStatus != status || body != "" && gotBody != body {
-		c.t.Fatalf("got status %d, body %.40q; want %d, %q", gotStatus, gotBody, status, body)
+		c.t.Fatalf("got status %d, body %.40q; want %d, %.40q", gotStatus, gotBody, status, body)
 	}
 }
 
@@ -430,6 +430,27 @@
 	}
 }
 
+// Guards against a draining gateway that does not answer a forwarded request whose response was too large to be held.
+func TestStopAnswersRequestThatRunsAgain(t *testing.T) {
+	large := strings.Repeat("y", 2*maxBufferedResponse)
+	release := make(chan struct{})
+	server := newFakeBackend(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		if r.URL.Path == "/look/0" {
+			<-release
+		}
+		return okResponse(r.URL.Path+large)(conn, r, body)
+	})
+	f := newPipelineFixture(t, testDepth, server)
+	client := f.connect()
+	client.send(getRequests(2))
+	waitFor(t, "dropped response", func() bool { return server.count() == 2 && f.host.pipelining.running.Load() == 0 })
+	f.host.stopping.Store(true)
+	f.host.draining.Store(true)
+	close(release)
+	client.expect(200, "/look/0"+large)
+	client.expect(200, "/look/1"+large)
+}
+
 // Guards against the response to another request, should net/http read the stream in another way.
 func TestOtherRequestGetsNoResponseFromAhead(t *testing.T) {
 	f := newPipelineFixture(t, testDepth, newFakeBackend(t, pathResponder(nil)))
