Design of cold servers; the table's word ends with the warm-up time, also without a leader

Cause: a gateway that had lost the leader limited a server for as long as its last table listed it as cold. Change: the listing ends once the warm-up time has passed since the table was up to date, except for silent servers, which have a value of their own.

--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -270,8 +270,9 @@
 }
 
 // warmup returns the requests a second that a cold server of a service takes, or 0 if there is no limit, and whether
-// the table says that a server is cold.
-func (v *view) warmup(id, service string) (perSecond float64, cold bool) {
+// the table says that a server is cold. What the table says of a server that was heard of ends with its warm-up time,
+// also without a leader that takes it back.
+func (v *view) warmup(now time.Duration, id, service string) (perSecond float64, cold bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if v.routes == nil {
@@ -282,7 +283,12 @@
 		return 0, false
 	}
 	s := v.servers[id]
-	return svc.WarmupPerSecond, s != nil && s.WarmupMillis > 0
+	if s == nil || s.WarmupMillis == 0 {
+		return svc.WarmupPerSecond, false
+	}
+	age := now - max(v.updatedAt, v.tableConfirmedAt)
+	ended := svc.WarmupMillis > 0 && age > time.Duration(svc.WarmupMillis)*time.Millisecond
+	return svc.WarmupPerSecond, !ended || s.WarmupMillis == keyrange.SilentWarmupMillis
 }
 
 // has reports whether the view contains a server.
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -36,7 +36,7 @@
 // coldRate returns the requests a second that the server takes from all gateways together if it is cold or may be,
 // or else 0. b.mu must not be held.
 func (b *backend) coldRate(now time.Duration) float64 {
-	perSecond, listedCold := b.warmup.view.warmup(b.id, b.service)
+	perSecond, listedCold := b.warmup.view.warmup(now, b.id, b.service)
 	if perSecond == 0 {
 		return 0
 	}
@@ -115,10 +115,10 @@
 }
 
 func (b *backend) recordWarmthOf(startedAt time.Duration, req *backendRequest, info ResponseInfo) {
-	if perSecond, _ := b.warmup.view.warmup(b.id, b.service); perSecond == 0 {
+	now := clockNow()
+	if perSecond, _ := b.warmup.view.warmup(now, b.id, b.service); perSecond == 0 {
 		return
 	}
-	now := clockNow()
 	b.mu.Lock()
 	becameCold := b.warmth.Respond(now, warmup.Response{
 		SentAt: startedAt, SameProcess: info.ServerID == "" || info.ServerID == b.id, WithToken: req.withColdToken,
@@ -142,10 +142,10 @@
 
 // suspect records evidence with b.mu held, if the service limits cold servers.
 func (b *backend) suspect(record func(now time.Duration) (changed bool)) {
-	if perSecond, _ := b.warmup.view.warmup(b.id, b.service); perSecond == 0 {
+	now := clockNow()
+	if perSecond, _ := b.warmup.view.warmup(now, b.id, b.service); perSecond == 0 {
 		return
 	}
-	now := clockNow()
 	b.mu.Lock()
 	changed := record(now)
 	cause := b.warmth.Cause(now)
@@ -170,7 +170,7 @@
 	if rate == 0 {
 		return ratelimit.Demand{}, false
 	}
-	_, listedCold := b.warmup.view.warmup(b.id, b.service)
+	_, listedCold := b.warmup.view.warmup(now, b.id, b.service)
 	chance := warmup.AskAhead(rate, b.warmup.view.mostGateways.Load(), tokenAskInterval) * float64(b.warmup.regions)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -1,11 +1,18 @@
 package keyrange
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // publishedWarmupMillis is the value of WarmupMillis in the table for each server that is still
 // warming up.
 const publishedWarmupMillis = 1000
 
+// SilentWarmupMillis is the value of WarmupMillis in the table for a server whose heartbeats have stopped: it is cold
+// when it returns, which may be at any time.
+const SilentWarmupMillis = math.MaxInt32
+
 // published is the table as last returned by Changes.
 type published struct {
 	version uint64
--- a/keyrange/warmup.go
+++ b/keyrange/warmup.go
@@ -204,8 +204,11 @@
 	if _, limited := c.warmups[s.info.Service]; limited {
 		cold = s.cold
 	}
-	if cold {
-		return publishedWarmupMillis
+	switch {
+	case !cold:
+		return 0
+	case s.warmth.Silent():
+		return SilentWarmupMillis
 	}
-	return 0
+	return publishedWarmupMillis
 }
--- a/warmup/state.go
+++ b/warmup/state.go
@@ -81,6 +81,9 @@
 	return s.silent || now < s.reportedUntil || now < s.markedUntil
 }
 
+// Silent reports whether the server's heartbeats have stopped.
+func (s *State) Silent() bool { return s.silent }
+
 // WarmSince reports whether a heartbeat that was sent after the given time has proved that the server is warm,
 // and nothing since suggests otherwise.
 func (s *State) WarmSince(now, at time.Duration) bool {
