Add the replicated set of evacuated failure domains

Nothing recorded which failure domains get no requests, and from when on.

Settings evacuate_ms, messages and the report's revision are generated.

--- /dev/null
+++ b/evacuation/set.go
@@ -0,0 +1,54 @@
+package evacuation
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// TransitTime is the time that a request needs to reach its server, besides the queueing on its entry host's own link.
+// It covers links between regions of 40 ms with a lost packet.
+const TransitTime = 400 * time.Millisecond
+
+// Bound returns the least time from the commit of a start until no request may be sent, if none may arrive a given time
+// after it. It is 0 if that leaves no time.
+func Bound(evacuate time.Duration) time.Duration { return max(0, evacuate-TransitTime) }
+
+// Find returns the entry of a failure domain, and whether it is evacuated.
+func (s Set) Find(domain string) (Domain, bool) {
+	i := slices.IndexFunc(s.Domains, func(d Domain) bool { return d.Name == domain })
+	if i < 0 {
+		return Domain{}, false
+	}
+	return s.Domains[i], true
+}
+
+// InForce reports whether a change asks for what is in force.
+func (s Set) InForce(c Change) bool {
+	_, evacuated := s.Find(c.Domain)
+	return evacuated == c.Start
+}
+
+// Apply returns the set after a change. The set that it is called on stays as it is.
+func (s Set) Apply(c Change) Set {
+	if s.InForce(c) {
+		return s
+	}
+	next := Set{Revision: s.Revision + 1, Domains: slices.Clone(s.Domains)}
+	if !c.Start {
+		next.Domains = slices.DeleteFunc(next.Domains, func(d Domain) bool { return d.Name == c.Domain })
+		return next
+	}
+	next.Domains = append(next.Domains, Domain{Name: c.Domain, Revision: next.Revision, StartMillis: c.Millis, StartedBy: c.By})
+	slices.SortFunc(next.Domains, func(a, b Domain) int { return strings.Compare(a.Name, b.Name) })
+	return next
+}
+
+// Names returns the names of the evacuated failure domains, in order.
+func (s Set) Names() []string {
+	names := make([]string, 0, len(s.Domains))
+	for _, d := range s.Domains {
+		names = append(names, d.Name)
+	}
+	return names
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -244,8 +244,8 @@
 	// Failure domain of this host.
 	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
 
-	// Region of each failure domain. Required for keys of services whose routes name
-	// allowed regions. Default: none.
+	// Region of each failure domain. Required for evacuations, and for keys of
+	// services whose routes name allowed regions. Default: none.
 	Domains FleetSettingsDomains `json:"domains,omitempty,omitzero" yaml:"domains,omitempty" cbor:"domains,omitempty"`
 
 	// Maximum time for which a leaving server still receives requests, milliseconds.
@@ -255,6 +255,11 @@
 	// Minimum Raft election timeout, milliseconds. Default: 400.
 	ElectionMs int `json:"election_ms,omitempty,omitzero" yaml:"election_ms,omitempty" cbor:"election_ms,omitempty"`
 
+	// Time after the acknowledgement of the start of an evacuation from which no
+	// gateway sends requests to the failure domain, milliseconds; at least
+	// config_apply_ms. 0: evacuations are not offered. Default: 0.
+	EvacuateMs float64 `json:"evacuate_ms,omitempty,omitzero" yaml:"evacuate_ms,omitempty" cbor:"evacuate_ms,omitempty"`
+
 	// Whether to bootstrap a new group from the hosts in seeds. Set it only when the
 	// whole system starts for the first time. Default: false.
 	Bootstrap bool `json:"found,omitempty,omitzero" yaml:"found,omitempty" cbor:"found,omitempty"`
@@ -305,8 +310,8 @@
 	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
 }
 
-// Region of each failure domain. Required for keys of services whose routes name
-// allowed regions. Default: none.
+// Region of each failure domain. Required for evacuations, and for keys of
+// services whose routes name allowed regions. Default: none.
 type FleetSettingsDomains map[string]string
 
 // Settings of galena-entry as a gateway, which routes by host and path.
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -42,15 +42,27 @@
 // granted, counted from when it sent the report. The lease is 0 unless the version is the newest
 // committed one. Two replicas must not report under one name at the same time.
 func (t *Tracker) Report(now time.Duration, name string, version, newest uint64) time.Duration {
+	t.Observe(name, version)
+	if version != newest {
+		return 0
+	}
+	return t.Grant(now, name)
+}
+
+// Observe records that a replica uses a version. It gets no lease by that.
+func (t *Tracker) Observe(name string, version uint64) {
 	r := t.replicas[name]
 	r.version = max(r.version, version)
-	granted := time.Duration(0)
-	if version == newest {
-		granted = t.options.Lease
-		r.leaseEnd = now + lease.WithDrift(granted)
-	}
 	t.replicas[name] = r
-	return granted
+}
+
+// Grant records that a replica, whose version is the newest committed one, is granted a lease, and returns its length.
+// Callers that track several versions grant a lease only if all are the newest.
+func (t *Tracker) Grant(now time.Duration, name string) time.Duration {
+	r := t.replicas[name]
+	r.leaseEnd = now + lease.WithDrift(t.options.Lease)
+	t.replicas[name] = r
+	return t.options.Lease
 }
 
 // Remove records that a replica has given up its lease and uses no version any more.
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -52,6 +52,10 @@
 
 // ConfigReport states which configuration an entry host uses.
 type ConfigReport struct {
+	// Revision of the set of evacuated failure domains in force at the entry host; 0
+	// for none.
+	Evacuations uint64 `json:"e,omitempty,omitzero" yaml:"e,omitempty" cbor:"e,omitempty"`
+
 	// Whether the entry host is stopping and uses no configuration any more.
 	Stopped bool `json:"s" yaml:"s" cbor:"s"`
 
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -18,5 +18,6 @@
 generate keyrange keyrange/messages_gen.go schema/keyrange.schema.json
 generate ratelimit ratelimit/messages_gen.go schema/ratelimit.schema.json
 generate quarantine quarantine/messages_gen.go schema/quarantine.schema.json
+generate evacuation evacuation/messages_gen.go schema/evacuation.schema.json
 mkdir -p "$out/docs"
 go run ./scripts/settingsdoc >"$out/docs/SETTINGS.md"
