Move the keys of evacuated failure domains in steps

Keys of servers that may have none were revoked at the next heartbeat, all at once. For a whole failure domain that leaves a quarter of the keys without an owner at the same time.

The coordinator is told the evacuated domains. Their servers receive no keys; those that they hold are revoked over 2 s, a part at each heartbeat, or a quarter each half second if servers take grants by calls. Servers without heartbeats lose the rest at RevokeBy.

--- a/keyrange/callmodel_test.go
+++ b/keyrange/callmodel_test.go
@@ -78,6 +78,7 @@
 	heldAt      [callModelKeys]time.Duration // when it last had a holder
 	highest     [callModelKeys]uint64
 	calm        bool // nothing fails any more
+	evacuations *modelEvacuations
 	fault       callFault
 }
 
@@ -123,7 +124,11 @@
 }
 
 func runCallModel(seed uint64, fault callFault) *callModel {
-	m := &callModel{random: rand.New(rand.NewPCG(seed, 0)), now: time.Second, fault: fault}
+	return (&callModel{fault: fault}).run(seed)
+}
+
+func (m *callModel) run(seed uint64) *callModel {
+	m.random, m.now = rand.New(rand.NewPCG(seed, 0)), time.Second
 	m.elect()
 	for i := range callModelServers {
 		m.start(fmt.Sprint("s", i), fmt.Sprint("a", i))
@@ -189,8 +194,10 @@
 	}
 	m.restart()
 	m.sendHeartbeats()
+	m.evacuations.step(m.now, m.leader)
 	m.sendCalls()
 	m.check()
+	m.evacuations.check(m.now, m.leader, m.fail)
 }
 
 // end ends a process. If another one starts at its address, an entry host may report that, also late.
@@ -247,6 +254,7 @@
 		}
 		m.beats = append(m.beats, modelMessage{at: m.now + delay, hb: Heartbeat{Sequence: p.sequence, Server: Server{
 			ID: p.id, StartMillis: p.startMillis, Service: testService, Address: p.address, Slots: 2, Draining: p.draining,
+			Domain: modelDomain(p.address),
 		}}})
 	}
 }
@@ -478,6 +486,7 @@
 // recover lets everything get through, and checks that all keys are served again in time.
 func (m *callModel) recover() {
 	m.calm = true
+	m.evacuations.end(m.leader)
 	for _, p := range m.processes {
 		p.draining = false
 	}
--- a/keyrange/calls.go
+++ b/keyrange/calls.go
@@ -170,12 +170,20 @@
 
 // revokeFromLeaving revokes the keys of servers that leave. These may send no further heartbeat.
 func (c *Coordinator) revokeFromLeaving(now time.Duration, svc *service) {
+	for _, s := range c.servers {
+		if s.info.Service == svc.name && s.revokesInSteps() {
+			c.revokeStep(now, svc, s)
+		}
+	}
 	for i := range svc.segments {
 		seg := &svc.segments[i]
 		s := c.servers[seg.holder]
 		if s == nil || s.ready() || seg.unconfirmed {
 			continue
 		}
+		if !seg.revoking && s.revokesInSteps() && !seg.neverSent() {
+			continue
+		}
 		if !seg.revoking {
 			seg.revoking = true
 			c.recordEvent(now, EventRevoking, svc, seg)
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -16,7 +16,7 @@
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
 	granted      int           // number of ranges in the last reply
 	calls        serverCalls   // for services whose servers take grants by calls
-	barred       barred        // set if its failure domain may have no keys of the service
+	barred       barred        // whether its failure domain may have no keys of the service
 }
 
 // ready reports whether the server may receive keys.
@@ -32,9 +32,10 @@
 	configured      map[string]bool      // services of the configuration, with and without keys
 	departures      map[string]departure // by server ID
 	published       published
-	overload        map[string]int64 // AdmitPermille by server ID
-	overloadUpdated time.Duration    // time at which overload was computed
-	tickedAt        time.Duration    // time of the last Tick
+	overload        map[string]int64         // AdmitPermille by server ID
+	overloadUpdated time.Duration            // time at which overload was computed
+	tickedAt        time.Duration            // time of the last Tick
+	evacuated       map[string]time.Duration // start of the evacuation, by failure domain
 
 	granted       []Assignment // since the last call of TakePendingGrants
 	events        []Event
--- a/keyrange/model_test.go
+++ b/keyrange/model_test.go
@@ -68,6 +68,7 @@
 	steps        int
 	held         int // keys with a holder, added up over all steps
 	removedGuard modelGuard
+	evacuations  *modelEvacuations
 	withdrawn    time.Duration // until then the configuration lacks the service; 0 if it has it
 }
 
@@ -116,7 +117,11 @@
 // runModel runs one random schedule. If removedGuard is not empty, that safety rule is
 // disabled.
 func runModel(seed uint64, removedGuard modelGuard) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 0)), removedGuard: removedGuard}
+	return (&model{removedGuard: removedGuard}).run(seed)
+}
+
+func (m *model) run(seed uint64) *model {
+	m.random = rand.New(rand.NewPCG(seed, 0))
 	m.elect()
 	for i := range modelServers {
 		m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("a%d", i))
@@ -208,10 +213,12 @@
 		m.configure()
 	}
 	m.refuse()
+	m.evacuations.step(m.now, m.leader)
 	for _, p := range m.processes {
 		m.heartbeat(p)
 	}
 	m.check()
+	m.evacuations.check(m.now, m.leader, m.fail)
 }
 
 // refuse lets the leader take refused connections for the end of a server, which a guard forbids.
@@ -273,6 +280,7 @@
 	hb := Heartbeat{
 		Server: Server{
 			ID: p.id, StartMillis: p.startMillis, Service: testService, Address: p.address, Slots: 2, Draining: p.draining,
+			Domain: modelDomain(p.address),
 		},
 		Sequence: p.sequence, Holds: append([]Range(nil), p.held...), Released: append([]Release(nil), p.released...),
 	}
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -51,6 +51,11 @@
 	RecordedGrants []Assignment
 	// Regions has the region of each failure domain.
 	Regions map[string]string
+	// HeartbeatInterval is the interval between a server's heartbeats.
+	HeartbeatInterval time.Duration
+	// RevokeBy is the time after the start of an evacuation within which the keys of the failure domain are revoked; 0
+	// means defaultRevokeBy.
+	RevokeBy time.Duration
 	// DrainPeriod is how long a leaving server may still receive requests.
 	DrainPeriod time.Duration
 	// HeartbeatTimeout is the time without heartbeats after which a server is removed.
--- a/keyrange/revoke.go
+++ b/keyrange/revoke.go
@@ -5,6 +5,10 @@
 // revokeExcess revokes keys from the server: all of them if it is draining, or some if its load
 // exceeds its target or another server has no keys.
 func (c *Coordinator) revokeExcess(now time.Duration, svc *service, s *server, f *fleet) {
+	if s.revokesInSteps() {
+		c.revokeStep(now, svc, s)
+		return
+	}
 	if !s.ready() {
 		for i := range svc.segments {
 			if seg := &svc.segments[i]; seg.holder == s.info.ID && !seg.revoking && !seg.unconfirmed {
--- a/keyrange/session_test.go
+++ b/keyrange/session_test.go
@@ -25,6 +25,7 @@
 	holds       map[string][]Range // last grants of each server
 	record      Record
 	domains     map[string]string // failure domain of each server
+	evacuated   map[string]time.Duration
 }
 
 // TestSessions runs the scripted sessions in testdata. Commands:
@@ -39,6 +40,7 @@
 //	                                        unless the reply is lost or they could not be recorded
 //	allow [regions=(R,...)]                 sets the regions whose servers may have keys; without regions, all.
 //	                                        Failure domains d1 and d2 are in region r1, d3 is in r2
+//	evacuate [domains=(D,...)]              sets the evacuated failure domains, from now on unless they were before
 //	leave id=S                              sends a Leave message
 //	left-before id=S                        restores a Leave message that an earlier leader received
 //	says-leaving id=S [born=N]              reports a response of S which says that it is about to stop
@@ -68,6 +70,18 @@
 		return ""
 	case "heartbeat":
 		return s.heartbeat(d)
+	case "evacuate":
+		since := map[string]time.Duration{}
+		for _, domain := range values(d, "domains") {
+			since[domain] = s.now
+			if before, evacuated := s.evacuated[domain]; evacuated {
+				since[domain] = before
+			}
+		}
+		s.evacuated = since
+		s.coord.SetEvacuated(since)
+		s.coord.Tick(s.now)
+		return ""
 	case "allow":
 		s.coord.SetServices([]KeyedService{{Name: testService, Regions: values(d, "regions"), Restricted: d.HasArg("regions")}})
 		return ""
@@ -95,6 +109,7 @@
 	var term uint64
 	d.ScanArgs(s.t, "term", &term)
 	o := Options{Term: term, Keys: testKeys, Lease: 4 * time.Second, DrainPeriod: 2500 * time.Millisecond, HeartbeatTimeout: 8 * time.Second}
+	o.HeartbeatInterval = 500 * time.Millisecond
 	o.Regions = map[string]string{"d1": "r1", "d2": "r1", "d3": "r2"}
 	if d.HasArg("lease") {
 		var text string
