Evacuate failure domains on request

Operators had no way to stop all requests to a failure domain.

POST /evacuations/DOMAIN/start and /end, and galenactl evacuations, change the set in the replicated log. The leader sends it to gateways on each subscription and change, and renews a gateway's lease only if its configuration and its set are the newest. A start is acknowledged once each gateway has reported it or has a lease that ends within the bound. Gateways check the set and the lease when they choose a server and when the connection is open. Status, metrics, log lines and a trace show what is left. Without evacuate_ms nothing is sent or waited for.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -46,9 +46,12 @@
 			if err != nil {
 				return err
 			}
+			operatorAPI := host.OperatorAPI(operatorSecret, s.OpenNetwork)
 			adminServer, err := admin.Start(admin.Options{
 				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
-				Handlers: map[string]http.Handler{wire.PathRoutes: host.OperatorAPI(operatorSecret, s.OpenNetwork)},
+				Handlers: map[string]http.Handler{
+					wire.PathRoutes: operatorAPI, wire.PathEvacuations: operatorAPI, wire.PathEvacuations + "/": operatorAPI,
+				},
 			})
 			if err != nil {
 				return err
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -28,6 +28,13 @@
 	if s.RaftHeartbeatMs >= s.ElectionMs {
 		problems = append(problems, Problem{"raft_heartbeat_ms", fmt.Sprintf("is %d; must be below election_ms, %d", s.RaftHeartbeatMs, s.ElectionMs)})
 	}
+	switch {
+	case s.EvacuateMs == 0:
+	case len(s.Domains) == 0:
+		problems = append(problems, Problem{"domains", "must be set, since evacuate_ms is"})
+	case s.EvacuateMs < s.ConfigApplyMs:
+		problems = append(problems, Problem{"evacuate_ms", fmt.Sprintf("is %v; must be 0 or at least config_apply_ms, %v", s.EvacuateMs, s.ConfigApplyMs)})
+	}
 	return problems
 }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -79,6 +79,7 @@
 			p.listCommand("plans", "read or replace the list of customers' plans", pathPlans),
 			p.listCommand("allowances", "read or replace the list of the plans' allowances", pathAllowances),
 			p.routesCommand(),
+			p.evacuationsCommand(),
 			p.traceCommand(),
 			{Name: "status", Usage: "print a control host's status", Action: p.status},
 			{Name: "dump", Usage: "print the state dump of the process at an admin address", ArgsUsage: "ADDRESS", Action: p.dump},
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -19,6 +19,7 @@
 	return &cli.Command{Name: "trace", Usage: "reconstruct the history of the routes or of a key from the state dumps of all hosts", Action: requireSubcommand, Commands: []*cli.Command{
 		{Name: "config", Usage: "print when each version of the route configuration, or only VERSION, came into force on each host", ArgsUsage: "[VERSION]", Action: p.traceConfig},
 		{Name: "key", Usage: "print the changes of a key's owner, and the present owner as known to each host", ArgsUsage: "SERVICE KEY", Action: p.traceKey},
+		{Name: "evacuations", Usage: "print when each revision of the set of evacuated failure domains came into force on each host", Action: p.traceEvacuations},
 	}}
 }
 
@@ -40,6 +41,14 @@
 	return trace.WriteConfigHistory(p.stdout, dumps, version)
 }
 
+func (p *program) traceEvacuations(ctx context.Context, c *cli.Command) error {
+	dumps, err := p.fetchDumps(ctx, c)
+	if err != nil {
+		return err
+	}
+	return trace.WriteEvacuationHistory(p.stdout, dumps)
+}
+
 func (p *program) traceKey(ctx context.Context, c *cli.Command) error {
 	if err := requireArguments(c, 2); err != nil {
 		return err
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/evacuation"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/groupcall"
 	"github.com/galenalug/galenalug/internal/peer"
@@ -39,6 +40,11 @@
 		return encodeReply(decodeAndHandle(body, func(leave keyrange.Leave) (any, error) { return nil, h.Leave(ctx, leave) }))
 	case wire.KindPutConfig:
 		return encodeReply(decodeAndHandle(body, func(put routes.Put) (any, error) { return h.Put(ctx, put) }))
+	case wire.KindEvacuate:
+		return encodeReply(decodeAndHandle(body, func(change evacuation.Change) (any, error) { return nil, h.Evacuate(ctx, change) }))
+	case wire.KindGetEvacuations:
+		status, err := h.Evacuations(ctx)
+		return encodeReply(status, err)
 	case wire.KindGetDocument:
 		document, err := h.Document(ctx)
 		return encodeReply(document, err)
@@ -112,6 +118,8 @@
 		a.host.handleCrashReport(from.Identity().Name, body)
 	case wire.KindLoadReport:
 		a.host.handleLoadReport(from.Identity().Name, body)
+	case wire.KindEvacuationSent:
+		a.host.handleEvacuationTraffic(from.Identity().Name, body)
 	default:
 		log.WithField("kind", kind).Warn("unknown message from a peer")
 	}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -23,7 +23,7 @@
 	defer h.mu.Unlock()
 	dump := stateDump{
 		Dump: trace.Dump{
-			Host: h.name, Leads: h.leading != nil, Versions: h.state.appliedVersions.All(), Keys: h.keyEvents.All(),
+			Host: h.name, Leads: h.leading != nil, Versions: h.state.appliedVersions.All(), Evacuations: h.state.evacuationTrace.All(), Keys: h.keyEvents.All(),
 			Recorded: recordedOwners(h.state.grants()),
 		},
 		Log:         h.runner.Status(),
--- /dev/null
+++ b/internal/fleet/evacuation.go
@@ -0,0 +1,318 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/evacuation"
+	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/peer"
+	"github.com/galenalug/galenalug/internal/trace"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/rollout"
+	"github.com/galenalug/galenalug/routes"
+)
+
+// ErrUnknownDomain means that there is no failure domain of that name, or that evacuations are not offered.
+var ErrUnknownDomain = errors.New("fleet: no such failure domain to evacuate")
+
+// trafficAge is the age up to which a gateway's report of requests to evacuated failure domains counts. Gateways repeat
+// it every 500 ms, or less often if there are hundreds of them, as long as there are such requests.
+const trafficAge = 3 * time.Second
+
+// evacuationState is the part of a leadership that deals with evacuations.
+type evacuationState struct {
+	tracker *rollout.Tracker            // of the revisions that gateways use; nil if evacuations are not offered
+	since   map[string]evacuationStart  // by failure domain
+	traffic map[string]evacuationReport // by gateway
+}
+
+// evacuationStart is when an evacuation was started, on this host's clock.
+type evacuationStart struct {
+	revision uint64
+	at       time.Duration
+}
+
+// evacuationReport is the latest report of a gateway's requests to evacuated failure domains.
+type evacuationReport struct {
+	at   time.Duration
+	sent []evacuation.Sent
+}
+
+// offersEvacuations reports whether failure domains can be evacuated.
+func (h *Host) offersEvacuations() bool { return h.settings.EvacuateMs > 0 }
+
+// evacuationBound returns the least time from the commit of a start until no request may be sent.
+func (h *Host) evacuationBound() time.Duration {
+	return evacuation.Bound(clock.Milliseconds(h.settings.EvacuateMs))
+}
+
+func (h *Host) newEvacuationState() evacuationState {
+	state := evacuationState{since: map[string]evacuationStart{}, traffic: map[string]evacuationReport{}}
+	if h.offersEvacuations() {
+		state.tracker = rollout.NewTracker(rollout.Options{Lease: h.configLease(), Bound: h.evacuationBound()})
+	}
+	return state
+}
+
+func (e *evacuationState) inherit(now time.Duration) {
+	if e.tracker != nil {
+		e.tracker.Inherit(now)
+	}
+}
+
+func evacuationTracker(l *leadership) *rollout.Tracker { return l.evacuations.tracker }
+
+// reportInForce records what a gateway uses, and returns the length of the lease that it is granted: it needs the newest
+// configuration, and the newest set of evacuated failure domains if evacuations are offered.
+func (l *leadership) reportInForce(now time.Duration, name string, report routes.ConfigReport, newest, revision uint64) time.Duration {
+	tracker := l.evacuations.tracker
+	if tracker == nil {
+		return l.rollout.Report(now, name, report.Version, newest)
+	}
+	l.rollout.Observe(name, report.Version)
+	tracker.Observe(name, report.Evacuations)
+	if report.Version != newest || report.Evacuations != revision {
+		return 0
+	}
+	tracker.Grant(now, name)
+	return l.rollout.Grant(now, name)
+}
+
+// removeReplica records that a gateway has given up its lease.
+func (l *leadership) removeReplica(name string) {
+	l.rollout.Remove(name)
+	if l.evacuations.tracker != nil {
+		l.evacuations.tracker.Remove(name)
+	}
+}
+
+// Evacuate starts or ends the evacuation of a failure domain. A start returns once no gateway will send requests to the
+// domain later than evacuate_ms from then on; an end returns once the connected gateways have been told.
+func (h *Host) Evacuate(ctx context.Context, change evacuation.Change) error {
+	if err := h.checkEvacuation(change); err != nil {
+		return err
+	}
+	if !h.Leads() {
+		return h.forwardToLeader(ctx, wire.KindEvacuate, change, nil)
+	}
+	started := clock.Now()
+	revision, err := h.commitEvacuation(ctx, change)
+	if err == nil && change.Start {
+		err = h.awaitRollout(ctx, evacuationTracker, revision)
+	}
+	h.recordEvacuation(change, revision, clock.Now()-started, err)
+	return err
+}
+
+// checkEvacuation returns ErrUnknownDomain if a change can't be made here. A failure domain that is no longer in the
+// settings can still be ended.
+func (h *Host) checkEvacuation(change evacuation.Change) error {
+	_, known := h.settings.Domains[change.Domain]
+	_, evacuated := h.state.evacuationSet().Find(change.Domain)
+	if !h.offersEvacuations() || !known && !evacuated {
+		return errors.Wrapf(ErrUnknownDomain, "%.80q", change.Domain)
+	}
+	return nil
+}
+
+// commitEvacuation commits a change, unless it is in force, and sends it to the gateways. It returns the revision that
+// gateways must use: of the start, or of the set after an end.
+func (h *Host) commitEvacuation(ctx context.Context, change evacuation.Change) (revision uint64, err error) {
+	if err := h.runner.ReadBarrier(ctx); err != nil {
+		return 0, mapLogError(err)
+	}
+	set := h.state.evacuationSet()
+	if set.InForce(change) {
+		revision = revisionOf(set, change.Domain)
+	} else {
+		result, err := h.propose(ctx, command{Evacuation: &change})
+		if err != nil {
+			return 0, err
+		}
+		revision, _ = result.(uint64)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading == nil {
+		return revision, errors.Wrap(ErrUnknownOutcome, "this host is no longer the leader")
+	}
+	h.publishEvacuations(clock.Now(), h.leading)
+	return revision, nil
+}
+
+// revisionOf returns the revision at which a failure domain's evacuation was started, or that of the set if it is not
+// evacuated.
+func revisionOf(set evacuation.Set, domain string) uint64 {
+	if d, evacuated := set.Find(domain); evacuated {
+		return d.Revision
+	}
+	return set.Revision
+}
+
+// recordEvacuation logs and counts a call.
+func (h *Host) recordEvacuation(change evacuation.Change, revision uint64, took time.Duration, err error) {
+	kind, outcome := "end", "acknowledged"
+	if change.Start {
+		kind = "start"
+	}
+	entry := log.WithFields(log.Fields{
+		"domain": change.Domain, "change": kind, "by": change.By, "revision": revision, "took_ms": took.Milliseconds(),
+	})
+	if err != nil {
+		outcome = "failed"
+		entry.WithError(err).Warn("evacuation not acknowledged")
+	} else {
+		entry.Info("evacuation acknowledged")
+		h.metrics.evacuations.acknowledgeSeconds.WithLabelValues(kind).Observe(took.Seconds())
+	}
+	h.metrics.evacuations.calls.WithLabelValues(kind, outcome).Inc()
+}
+
+// publishEvacuations sends the set to the gateways that have not been sent it, and passes it to the coordinator. It must
+// be called with Host.mu held.
+func (h *Host) publishEvacuations(now time.Duration, l *leadership) {
+	if !h.offersEvacuations() {
+		return
+	}
+	set := h.state.evacuationSet()
+	l.evacuations.update(now, set)
+	since := make(map[string]time.Duration, len(set.Domains))
+	keys := int64(0)
+	for domain, start := range l.evacuations.since {
+		since[domain] = start.at
+		keys += l.coordinator.KeysInDomain(domain)
+	}
+	l.coordinator.SetEvacuated(since)
+	h.metrics.evacuations.set(set, keys)
+	for conn, s := range h.subscribers {
+		if s.sentRevision != set.Revision {
+			h.sendEvacuations(conn, s, set)
+		}
+	}
+}
+
+// update brings the times of the starts up to date with the set. They only pace the moves of keys, so the clock of the
+// host that was called may be off.
+func (e *evacuationState) update(now time.Duration, set evacuation.Set) {
+	for domain := range e.since {
+		if _, evacuated := set.Find(domain); !evacuated {
+			delete(e.since, domain)
+		}
+	}
+	for _, d := range set.Domains {
+		if e.since[d.Name].revision != d.Revision {
+			age := max(0, time.Since(time.UnixMilli(d.StartMillis)))
+			e.since[d.Name] = evacuationStart{revision: d.Revision, at: now - age}
+		}
+	}
+}
+
+// sendEvacuations sends the set to a gateway. It must be called with Host.mu held.
+func (h *Host) sendEvacuations(conn *peer.Conn, s *subscriber, set evacuation.Set) {
+	body, err := cbor.Marshal(evacuation.Update{Set: set, BoundMillis: h.evacuationBound().Milliseconds()})
+	if err != nil {
+		log.WithError(err).Error("encoding the evacuated failure domains failed")
+		return
+	}
+	if err := conn.Notify(wire.KindEvacuations, body); err != nil {
+		return // the connection is closed, and the gateway subscribes again
+	}
+	s.sentRevision = set.Revision
+}
+
+func (h *Host) handleEvacuationTraffic(gateway string, body []byte) {
+	var traffic evacuation.Traffic
+	if err := cbor.Unmarshal(body, &traffic); err != nil {
+		log.WithError(err).Warn("invalid report of requests to evacuated failure domains dropped")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading != nil {
+		h.leading.evacuations.traffic[gateway] = evacuationReport{at: clock.Now(), sent: traffic.Domains}
+	}
+}
+
+// Evacuations returns the progress of the evacuations. The read is linearizable.
+func (h *Host) Evacuations(ctx context.Context) (evacuation.Status, error) {
+	var status evacuation.Status
+	if !h.offersEvacuations() {
+		return status, errors.Wrap(ErrUnknownDomain, "evacuations are not offered")
+	}
+	if !h.Leads() {
+		err := h.forwardToLeader(ctx, wire.KindGetEvacuations, struct{}{}, &status)
+		return status, err
+	}
+	if err := h.runner.ReadBarrier(ctx); err != nil {
+		return status, mapLogError(err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading == nil {
+		return status, errors.Wrap(ErrUnavailable, "this host is no longer the leader")
+	}
+	return h.evacuationStatus(clock.Now(), h.leading), nil
+}
+
+// evacuationStatus must be called with Host.mu held.
+func (h *Host) evacuationStatus(now time.Duration, l *leadership) evacuation.Status {
+	set := h.state.evacuationSet()
+	status := evacuation.Status{Revision: set.Revision, Domains: []evacuation.DomainStatus{}, Behind: []string{}}
+	for _, d := range set.Domains {
+		status.Domains = append(status.Domains, evacuation.DomainStatus{
+			Name: d.Name, Revision: d.Revision, StartMillis: d.StartMillis, StartedBy: d.StartedBy,
+			Requests: l.evacuations.requests(now, d.Name), Keys: l.coordinator.KeysInDomain(d.Name),
+		})
+	}
+	for conn, s := range h.subscribers {
+		if s.evacuations != set.Revision {
+			status.Behind = append(status.Behind, conn.Identity().Name)
+		}
+	}
+	slices.Sort(status.Behind)
+	return status
+}
+
+// requests returns the number of requests to a failure domain in the latest reports of the gateways.
+func (e *evacuationState) requests(now time.Duration, domain string) int64 {
+	total := int64(0)
+	for gateway, report := range e.traffic {
+		if now-report.at > trafficAge {
+			delete(e.traffic, gateway)
+			continue
+		}
+		for _, sent := range report.sent {
+			if sent.Domain == domain {
+				total += sent.Requests
+			}
+		}
+	}
+	return total
+}
+
+// applyEvacuation applies a change and returns the revision that gateways must use. It must be called with s.mu held.
+func (s *fleetState) applyEvacuation(change evacuation.Change) uint64 {
+	if !s.evacuations.InForce(change) {
+		s.evacuations = s.evacuations.Apply(change)
+		s.traceEvacuations()
+	}
+	return revisionOf(s.evacuations, change.Domain)
+}
+
+// traceEvacuations records that this host has the set. It must be called with s.mu held.
+func (s *fleetState) traceEvacuations() {
+	s.evacuationTrace.Add(time.Now(), trace.Evacuation{Revision: s.evacuations.Revision, Domains: s.evacuations.Names()})
+}
+
+// evacuationSet returns the evacuated failure domains. They must not be modified.
+func (s *fleetState) evacuationSet() evacuation.Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -33,6 +33,8 @@
 	dirs  map[string]string
 	// newCaller makes the callers of hosts that are started; nil for none.
 	newCaller func() GrantCaller
+	// evacuateMs is the setting of that name.
+	evacuateMs float64
 }
 
 // newCluster starts a cluster whose hosts are all seeds that bootstrap the group.
@@ -40,13 +42,18 @@
 
 // newCallingCluster is newCluster with callers.
 func newCallingCluster(t testing.TB, newCaller func() GrantCaller, ips ...string) *cluster {
+	return startCluster(&cluster{t: t, newCaller: newCaller}, ips...)
+}
+
+// startCluster starts the hosts of a cluster.
+func startCluster(c *cluster, ips ...string) *cluster {
 	port, err := testport.Free(ips...)
 	if err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
-	c := &cluster{t: t, port: port, hosts: map[string]*Host{}, dirs: map[string]string{}, newCaller: newCaller}
+	c.port, c.hosts, c.dirs = port, map[string]*Host{}, map[string]string{}
 	c.startAll(ips)
-	t.Cleanup(c.killAll)
+	c.t.Cleanup(c.killAll)
 	return c
 }
 
@@ -75,7 +82,7 @@
 		Settings: &settings.FleetSettings{
 			Name: ip, Domain: "d1", Ip: ip, PeerPort: c.port, Seeds: c.seeds, ControlListen: ip + ":2",
 			DataDir: c.dirs[ip], Bootstrap: bootstrap, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500, ConfigApplyMs: 2500,
-			ElectionMs: 200, RaftHeartbeatMs: 40,
+			ElectionMs: 200, RaftHeartbeatMs: 40, EvacuateMs: c.evacuateMs, Domains: map[string]string{"d1": "r1", "d2": "r1"},
 		},
 		Registry:       prometheus.NewRegistry(),
 		NewGrantCaller: c.newCaller,
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -21,6 +21,7 @@
 	encodedUpdates encodedUpdates
 	fullTable      fullTable
 	rollout        *rollout.Tracker
+	evacuations    evacuationState
 	issuer         *ratelimit.Issuer
 	quarantine     *quarantine.Tracker
 	calls          *grantCalls   // nil if this host makes no calls to backend servers
@@ -56,14 +57,16 @@
 // newLeadership returns the state of a leader whose term begins.
 func (h *Host) newLeadership(term uint64) *leadership {
 	now := clock.Now()
-	configs := h.newRollout()
+	configs, evacuations := h.newRollout(), h.newEvacuationState()
 	if h.state.config().Version > 0 {
 		configs.Inherit(now)
+		evacuations.inherit(now)
 	}
 	return &leadership{
 		term:        term,
 		coordinator: h.newCoordinator(now, term),
 		rollout:     configs,
+		evacuations: evacuations,
 		issuer:      ratelimit.NewIssuer(),
 		quarantine:  quarantine.NewTracker(now),
 		calls:       h.newGrantCalls(),
@@ -86,6 +89,8 @@
 		InheritedLeasesEnd: inheritedLeasesEnd,
 		RecordedGrants:     h.state.grants(),
 		Regions:            h.settings.Domains,
+		HeartbeatInterval:  clock.Milliseconds(h.settings.ServerHeartbeatMs),
+		RevokeBy:           clock.Milliseconds(h.settings.EvacuateMs) / 2,
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatTimeout:   2 * lease,
 	})
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -29,6 +29,7 @@
 	quarantines  prometheus.Counter
 	suspects     *prometheus.GaugeVec
 	calls        *callMetrics
+	evacuations  *evacuationMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -89,14 +90,14 @@
 	m.suspects = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "galenalug_fleet_suspected_requests", Help: "Requests that were at servers that crashed, by state; at the leader.",
 	}, []string{"state"})
-	m.calls = newCallMetrics()
+	m.calls, m.evacuations = newCallMetrics(), newEvacuationMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens,
 	}
-	for _, c := range collectors {
+	for _, c := range append(collectors, m.evacuations.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/evacuation"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/routes"
@@ -26,12 +27,14 @@
 )
 
 // OperatorAPI returns the HTTP handler of wire.PathRoutes, which reads and replaces the route
-// configuration in the YAML format of package config. Calls must carry the secret as bearer token.
+// configuration in the YAML format of package config, and of wire.PathEvacuations. Calls must carry the secret as bearer token.
 // If the secret is empty, all calls are accepted if openNetwork is true and rejected otherwise.
 func (h *Host) OperatorAPI(secret []byte, openNetwork bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire.PathRoutes, h.getRoutes)
 	mux.HandleFunc("PUT "+wire.PathRoutes, h.putRoutes)
+	mux.HandleFunc("GET "+wire.PathEvacuations, h.getEvacuations)
+	mux.HandleFunc("POST "+wire.PathEvacuations+"/{domain}/{change}", h.postEvacuation)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		credential := []byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
 		authorized := len(secret) > 0 && subtle.ConstantTimeCompare(credential, secret) == 1
@@ -81,6 +84,55 @@
 	writePutReply(w, reply)
 }
 
+func (h *Host) getEvacuations(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	status, err := h.Evacuations(ctx)
+	if err != nil {
+		writeCallError(w, err)
+		return
+	}
+	writeJSON(w, status)
+}
+
+// evacuationResponse is the response body for an acknowledged start or end of an evacuation.
+type evacuationResponse struct {
+	Domain  string `json:"domain"`
+	Outcome string `json:"outcome"`
+}
+
+func (h *Host) postEvacuation(w http.ResponseWriter, r *http.Request) {
+	kind := r.PathValue("change")
+	if kind != "start" && kind != "end" {
+		writeRefusal(w, http.StatusNotFound, wire.OutcomeNotRun, "invalid", "an evacuation has a start and an end")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	change := evacuation.Change{
+		Domain: r.PathValue("domain"), Start: kind == "start", Millis: time.Now().UnixMilli(), By: r.Header.Get(headerOperator),
+	}
+	if change.By == "" {
+		change.By = r.RemoteAddr
+	}
+	if err := h.Evacuate(ctx, change); err != nil {
+		writeCallError(w, err)
+		return
+	}
+	writeJSON(w, evacuationResponse{Domain: change.Domain, Outcome: kind + " acknowledged"})
+}
+
+// headerOperator names the operator.
+const headerOperator = "Galena-Operator"
+
+func writeJSON(w http.ResponseWriter, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		log.WithError(err).Error("encoding the response to an operator failed")
+	}
+	writeBody(w, body)
+}
+
 // putResponse is the response body for an accepted change.
 type putResponse struct {
 	Outcome routes.Outcome `json:"outcome"`
@@ -90,11 +142,7 @@
 func writePutReply(w http.ResponseWriter, reply routes.PutReply) {
 	switch reply.Outcome {
 	case routes.OutcomeAccepted:
-		body, err := json.Marshal(putResponse{Outcome: reply.Outcome, Version: reply.Current})
-		if err != nil {
-			log.WithError(err).Error("encoding the response to an operator failed")
-		}
-		writeBody(w, body)
+		writeJSON(w, putResponse{Outcome: reply.Outcome, Version: reply.Current})
 	case routes.OutcomeConflict:
 		writeRefusal(w, http.StatusConflict, wire.OutcomeNotRun, string(reply.Outcome),
 			fmt.Sprintf("%s: %d", reply.Detail, reply.Current))
@@ -103,9 +151,13 @@
 	}
 }
 
-// writeCallError responds to a failed call with 503 if it had no effect, or with 504 if its outcome
-// is unknown.
+// writeCallError responds to a failed call with 404 if it names no failure domain, 503 if it had no effect, or with 504 if
+// its outcome is unknown.
 func writeCallError(w http.ResponseWriter, err error) {
+	if errors.Is(err, ErrUnknownDomain) {
+		writeRefusal(w, http.StatusNotFound, wire.OutcomeNotRun, "unknown", err.Error())
+		return
+	}
 	if errors.Is(err, ErrUnavailable) {
 		writeRefusal(w, http.StatusServiceUnavailable, wire.OutcomeNotRun, "unavailable", err.Error())
 		return
--- a/internal/fleet/operator_test.go
+++ b/internal/fleet/operator_test.go
@@ -25,6 +25,12 @@
 		t.Fatal(err)
 	}
 	r.Header.Set("Authorization", "Bearer "+credential)
+	return send(t, server, r)
+}
+
+// send sends a request and returns the status and body of the response.
+func send(t *testing.T, server *httptest.Server, r *http.Request) (int, string) {
+	t.Helper()
 	response, err := server.Client().Do(r)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -25,6 +25,8 @@
 type subscriber struct {
 	configVersion uint64 // version in force at the gateway, as it last reported
 	sentVersion   uint64 // version that was last sent on this connection
+	evacuations   uint64 // revision in force at the gateway, as it last reported
+	sentRevision  uint64 // revision of the evacuations that was last sent on this connection
 	missedTable   bool   // the gateway was not sent the latest updates of the table
 }
 
@@ -49,12 +51,12 @@
 	name := conn.Identity().Name
 	newest := h.state.config().Version
 	if report.Stopped {
-		h.leading.rollout.Remove(name)
+		h.leading.removeReplica(name)
 		return routes.ConfigReportReply{Newest: newest}, nil
 	}
-	s.configVersion = report.Version
+	s.configVersion, s.evacuations = report.Version, report.Evacuations
 	now := clock.Now()
-	granted := h.leading.rollout.Report(now, name, report.Version, newest)
+	granted := h.leading.reportInForce(now, name, report, newest, h.state.evacuationSet().Revision)
 	h.checkPropagation(now, h.leading)
 	return routes.ConfigReportReply{Newest: newest, LeaseMillis: granted.Milliseconds(), TableSent: !s.missedTable}, nil
 }
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -84,6 +84,7 @@
 func (h *Host) publishTable(l *leadership) {
 	now := clock.Now()
 	h.publishConfig(now, l)
+	h.publishEvacuations(now, l)
 	h.reportLeaves(now, l)
 	h.publishQuarantine(now, l)
 	l.coordinator.Tick(now)
@@ -234,6 +235,9 @@
 	s := &subscriber{configVersion: report.Version, sentVersion: report.Version}
 	h.subscribers[conn] = s
 	h.sendConfig(l, conn, s)
+	if h.offersEvacuations() {
+		h.sendEvacuations(conn, s, h.state.evacuationSet())
+	}
 	body := h.encodeFullTable(l)
 	if body == nil {
 		return errors.New("encode table")
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/evacuation"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
@@ -26,6 +27,8 @@
 	Leave       *keyrange.Leave `cbor:"x,omitempty"`
 
 	Grants []keyrange.Assignment `cbor:"g,omitempty"`
+
+	Evacuation *evacuation.Change `cbor:"e,omitempty"`
 }
 
 // stateSnapshot is the encoded form of fleetState.
@@ -35,6 +38,8 @@
 	Leaves      []keyrange.Leave `cbor:"x"`
 
 	Grants []keyrange.Assignment `cbor:"g"`
+
+	Evacuations *evacuation.Set `cbor:"e,omitempty"` // nil if there never were any
 }
 
 // fleetState is the replicated state machine. Apply, Snapshot and Restore are called by the
@@ -48,6 +53,8 @@
 	leaves          []keyrange.Leave
 	grantRecord     keyrange.Record
 	appliedVersions trace.History[uint64] // configuration versions applied by this host
+	evacuations     evacuation.Set
+	evacuationTrace trace.History[trace.Evacuation] // revisions applied by this host
 }
 
 // Apply applies one encoded command.
@@ -72,6 +79,8 @@
 		if extra := len(s.leaves) - maxLeaves; extra > 0 {
 			s.leaves = s.leaves[extra:]
 		}
+	case c.Evacuation != nil:
+		return s.applyEvacuation(*c.Evacuation)
 	case len(c.Grants) > 0:
 		s.grantRecord.Apply(c.Grants)
 	case c.LeaseMillis > 0:
@@ -98,7 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
-	data, err := cbor.Marshal(stateSnapshot{Routes: routesImage, LeaseMillis: s.leaseMillis, Leaves: s.leaves, Grants: s.grantRecord.All()})
+	image := stateSnapshot{Routes: routesImage, LeaseMillis: s.leaseMillis, Leaves: s.leaves, Grants: s.grantRecord.All()}
+	if s.evacuations.Revision > 0 {
+		image.Evacuations = &s.evacuations
+	}
+	data, err := cbor.Marshal(image)
 	return data, errors.Wrap(err, "encode snapshot")
 }
 
@@ -113,6 +126,11 @@
 	defer s.mu.Unlock()
 	s.leaseMillis, s.leaves = image.LeaseMillis, image.Leaves
 	s.grantRecord.Restore(image.Grants)
+	s.evacuations = evacuation.Set{}
+	if image.Evacuations != nil {
+		s.evacuations = *image.Evacuations
+		s.traceEvacuations()
+	}
 	return s.routes.Restore(image.Routes)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,7 +153,8 @@
 		slots: to.slots, once: !c.route.Kind.Repeatable(), client: c.request.Context(),
 	}
 	c.progress.Store(&req.progress)
-	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
+	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) || c.evacuatedFor(to) }
+	req.onSend = func() { c.host.countSent(to) }
 	if c.stream == nil {
 		req.fingerprint = c.fingerprint
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -166,8 +166,9 @@
 	return resp, nil
 }
 
-// errDrained is the error of a request for which a connection opened only at the end of its server's drain time.
-var errDrained = errors.New("the server's drain time has passed")
+// errDrained is the error of a request for which a connection opened only at the end of its server's drain time, or after
+// the start of its failure domain's evacuation.
+var errDrained = errors.New("the server's drain time has passed, or its failure domain is evacuated")
 
 func (b *backend) connectAndExchange(ctx context.Context, req *backendRequest, dialect Dialect) (*backendResponse, error) {
 	mark(&req.progress.startedAt)
@@ -190,6 +191,7 @@
 		req.onDial(c.dialTook)
 	}
 	c.dialTook = 0
+	req.onSend()
 	return exchange(ctx, c, req, dialect, b.release)
 }
 
--- a/internal/gateway/configreport.go
+++ b/internal/gateway/configreport.go
@@ -31,6 +31,7 @@
 	defer reports.Wait()
 	for ctx.Err() == nil {
 		reports.Go(func() { l.reportVersion(ctx, client) })
+		l.reportEvacuationTraffic(client)
 		select {
 		case <-ctx.Done():
 		case <-time.After(intervalFor(l.view.gateways(), configReportInterval)):
@@ -44,7 +45,9 @@
 	ctx, cancel := context.WithTimeout(ctx, configReportTimeout)
 	defer cancel()
 	sentAt := clockNow()
-	reply, err := callLeader[routes.ConfigReportReply](ctx, client, wire.KindConfigReport, routes.ConfigReport{Version: l.view.configVersion()})
+	reply, err := callLeader[routes.ConfigReportReply](ctx, client, wire.KindConfigReport, routes.ConfigReport{
+		Version: l.view.configVersion(), Evacuations: l.view.evacuationRevision(),
+	})
 	if err != nil {
 		log.WithError(err).Debug("cannot report the configuration in force")
 		return
--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -33,12 +33,18 @@
 	gateway *fixture
 	link    *slowLink
 	config  routes.Config // the newest one that was put
+	// evacuateMs is the setting of that name of the control hosts.
+	evacuateMs float64
 
 	mu       sync.Mutex             // guards controls
 	controls map[string]*fleet.Host // by IP
 }
 
-func newSystem(t *testing.T, ips ...string) *system {
+func newSystem(t *testing.T, ips ...string) *system { return startSystem(&system{t: t}, ips...) }
+
+// startSystem starts the hosts of a system.
+func startSystem(s *system, ips ...string) *system {
+	t := s.t
 	_, portText, err := net.SplitHostPort(freePort(t))
 	if err != nil {
 		t.Fatal(err)
@@ -47,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &system{t: t, controls: map[string]*fleet.Host{}, link: &slowLink{bytesPerSecond: grownLinkBytes}}
+	s.controls, s.link = map[string]*fleet.Host{}, &slowLink{bytesPerSecond: grownLinkBytes}
 	var seeds []string
 	for _, ip := range ips {
 		seeds = append(seeds, ip+":1")
@@ -64,7 +70,7 @@
 		Settings: &settings.FleetSettings{
 			Name: ip, Domain: "d1", Ip: ip, PeerPort: port, Seeds: seeds, ControlListen: ip + ":2",
 			DataDir: s.t.TempDir(), Bootstrap: true, ToleratedLosses: 1, LeaseMs: 600, DrainMs: 2500, ConfigApplyMs: 2500,
-			ElectionMs: 200, RaftHeartbeatMs: 40,
+			ElectionMs: 200, RaftHeartbeatMs: 40, EvacuateMs: s.evacuateMs, Domains: map[string]string{"d1": "r1"},
 		},
 		Registry: prometheus.NewRegistry(),
 	})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -68,6 +68,7 @@
 	deadline         time.Time
 	route            *routes.Route
 	service          string
+	keyed            bool // the service is partitioned by key
 	stamp            Stamp
 	body             []byte
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
@@ -120,6 +121,7 @@
 		c.respondWithStatus(http.StatusBadRequest, reasonNoKey)
 		return
 	}
+	c.keyed = service.Keyed
 	c.run(service)
 }
 
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -247,7 +247,7 @@
 	_, stamp, _ := h.view.snapshot(now)
 	return stateDump{
 		Dump: trace.Dump{
-			Host: h.settings.Name, Versions: h.view.versions.All(), Owners: h.view.dumpOwners(now),
+			Host: h.settings.Name, Versions: h.view.versions.All(), Evacuations: h.view.evacuationTrace.All(), Owners: h.view.dumpOwners(now),
 		},
 		View:     stamp,
 		Controls: h.view.controlAddresses(),
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -208,6 +208,8 @@
 		u.applyQuarantine(body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
+	case wire.KindEvacuations:
+		u.applyEvacuations(from, body)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	clientsLeft *prometheus.CounterVec
 	links       *linkMetrics
 	crashes     prometheus.Counter
+
+	evacuatedRequests prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -44,8 +46,11 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_server_crashes_total", Help: "Backend servers whose process ended with requests of this gateway.",
 	})
+	m.evacuatedRequests = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_evacuated_requests_total", Help: "Requests sent to servers of evacuated failure domains: to owners of keys that have not moved yet.",
+	})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.evacuatedRequests}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
@@ -77,7 +82,10 @@
 	queueing := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_link_delay_seconds", Help: "Queueing on this host's own link, both ways, as reports to the leader have met it.",
 	}, func() float64 { return d.queueing().Seconds() })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing} {
+	evacuations := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_evacuation_revision", Help: "Revision of the set of evacuated failure domains in force.",
+	}, func() float64 { return float64(v.evacuationRevision()) })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, evacuations} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/routes"
 )
@@ -13,8 +15,8 @@
 
 // excludedByRegion reports whether the service has servers, but none in the regions that the route allows. Waiting
 // would not help then. While the table of a new leader is partial, such servers may not be known yet.
-func (c *call) excludedByRegion(service *routes.Service) bool {
-	return len(c.route.AllowedRegions) > 0 && c.host.view.lacksServers(service.Name, c.admits)
+func (c *call) excludedByRegion(at time.Duration, service *routes.Service) bool {
+	return len(c.route.AllowedRegions) > 0 && c.host.view.lacksServers(at, service, c.admits)
 }
 
 // regionsFull reports whether the request is refused at once because the regions that its route allows have no free
@@ -28,8 +30,8 @@
 }
 
 // lacksServers reports whether the complete table has servers of a service, but none in the failure domains that admits
-// accepts.
-func (v *view) lacksServers(service string, admits func(domain string) bool) bool {
+// accepts and that are not evacuated at the given time.
+func (v *view) lacksServers(at time.Duration, service *routes.Service, admits func(domain string) bool) bool {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if v.partial {
@@ -37,10 +39,10 @@
 	}
 	excluded := false
 	for _, s := range v.servers {
-		if s.Service != service {
+		if s.Service != service.Name {
 			continue
 		}
-		if admits(s.Domain) {
+		if admits(s.Domain) && !v.evacuations.Blocked(at, s.Domain, service.Keyed) {
 			return false
 		}
 		excluded = true
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -99,15 +99,15 @@
 	v := newView(time.Second)
 	admits := func(domain string) bool { return domain == "d2" }
 	servers := []keyrange.Server{{ID: "p1", Service: "photos", Domain: "d1"}}
-	if v.lacksServers("photos", admits) {
+	if v.lacksServers(0, &routes.Service{Name: "photos"}, admits) {
 		t.Error("servers lacking before the first table")
 	}
 	v.apply(0, keyrange.TableUpdate{Term: 1, Full: true, Partial: true, Servers: servers})
-	if v.lacksServers("photos", admits) {
+	if v.lacksServers(0, &routes.Service{Name: "photos"}, admits) {
 		t.Error("servers lacking in a partial table")
 	}
 	v.apply(0, keyrange.TableUpdate{Term: 1, Full: true, Servers: servers})
-	if !v.lacksServers("photos", admits) {
+	if !v.lacksServers(0, &routes.Service{Name: "photos"}, admits) {
 		t.Error("no servers lacking in a complete table")
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -26,7 +26,8 @@
 	progress             progress
 	fingerprint          func() string            // nil for a streamed body
 	bulk                 *linkTicket              // nil for a small request, and for one within the region
-	tooLate              func() bool              // whether it would reach the server after its drain time
+	tooLate              func() bool              // whether it would reach the server after its drain time, or evacuation
+	onSend               func()                   // called when the request begins to be sent
 	onDial               func(took time.Duration) // called when a connection was opened; nil within the region
 }
 
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -128,6 +128,7 @@
 	*backend
 	slots       int    // requests that the server runs concurrently
 	otherRegion string // region of the server; empty if it is the gateway's own
+	domain      string // failure domain of the server
 }
 
 // enqueue adds the request to the queue for a server, and removes it from any other queue. It
@@ -196,7 +197,7 @@
 
 // target returns a server as a target.
 func (h *Host) target(s keyrange.Server) *target {
-	t := &target{backend: h.backends.get(s), slots: int(s.Slots)}
+	t := &target{backend: h.backends.get(s), slots: int(s.Slots), domain: s.Domain}
 	if h.distance(s.Domain) == dispatch.OtherRegion {
 		t.otherRegion = h.settings.Domains[s.Domain]
 	}
@@ -221,13 +222,17 @@
 
 // servers returns the servers that may run the request, or the reason why there are none.
 func (c *call) servers(now time.Duration, service *routes.Service) ([]keyrange.Server, string) {
-	if c.excludedByRegion(service) {
+	arrival := c.host.arrivalTime(now)
+	switch {
+	case c.host.view.leaseOver(arrival):
+		return nil, reasonStaleConfig
+	case c.excludedByRegion(arrival, service):
 		return nil, reasonRegion
 	}
 	if !service.Keyed {
-		return c.host.available(now, c.host.view.serversOf(c.host.arrivalTime(now), service.Name, c.admits)), reasonNoServer
+		return c.host.available(now, c.host.view.serversOf(arrival, service.Name, c.admits)), reasonNoServer
 	}
-	owner, learnedAt, found := c.host.view.owner(c.host.arrivalTime(now), service.Name, c.info.Key)
+	owner, learnedAt, found := c.host.view.owner(arrival, service.Name, c.info.Key)
 	if found && !c.admits(owner.Domain) {
 		return nil, reasonRegion
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/evacuation"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/keyrange"
@@ -67,7 +68,11 @@
 	// tableConfirmedAt is the latest time at which the servers and owners are known to have been up to
 	// date; 0 if there is none.
 	tableConfirmedAt time.Duration
-	configChanged    chan struct{} // signals that a new configuration is in force
+	configChanged    chan struct{} // signals that a new configuration, or new evacuations, are in force
+	evacuations      evacuation.Follower
+
+	evacuationTraffic evacuationTraffic // with a lock of its own
+	evacuationTrace   trace.History[trace.Evacuation]
 
 	versions trace.History[uint64] // versions of the configuration and when they took effect
 }
@@ -179,7 +184,7 @@
 		return keyrange.Server{}, 0, false
 	}
 	s := v.servers[list[i].ServerID]
-	if s == nil || v.drained(at, s) {
+	if s == nil || v.drained(at, s) || v.evacuations.Blocked(at, s.Domain, true) {
 		return keyrange.Server{}, 0, false
 	}
 	return s.Server, list[i].learnedAt, true
@@ -222,6 +227,7 @@
 	for _, s := range v.servers {
 		switch {
 		case s.Service != service || v.drained(at, s) || admits != nil && !admits(s.Domain):
+		case v.evacuations.Blocked(at, s.Domain, false):
 		case s.Draining:
 			draining = append(draining, s.Server)
 		default:
--- a/internal/trace/dump.go
+++ b/internal/trace/dump.go
@@ -36,13 +36,23 @@
 	WhyNotFree  string `json:"why_not_free,omitempty"` // empty if the keys are free, or served as intended
 }
 
+// Evacuation is a set of evacuated failure domains.
+type Evacuation struct {
+	Revision uint64   `json:"revision"`
+	Domains  []string `json:"domains"` // in order
+}
+
 // Dump is the part of a host's state dump that traces use.
 type Dump struct {
 	Host     string                  `json:"host"`
 	Leads    bool                    `json:"leads,omitempty"`
 	Versions []Timestamped[uint64]   `json:"versions"` // of the route configuration, in the order of activation
 	Keys     []Timestamped[KeyEvent] `json:"keys,omitempty"`
-	Owners   []Owner                 `json:"owners,omitempty"`   // as known to the host now
-	Recorded []Owner                 `json:"recorded,omitempty"` // latest grants in the replicated log
-	Holdings []Holding               `json:"holdings,omitempty"` // only on the leader
+
+	// Evacuations are the sets of evacuated failure domains, in the order of activation.
+	Evacuations []Timestamped[Evacuation] `json:"evacuations,omitempty"`
+
+	Owners   []Owner   `json:"owners,omitempty"`   // as known to the host now
+	Recorded []Owner   `json:"recorded,omitempty"` // latest grants in the replicated log
+	Holdings []Holding `json:"holdings,omitempty"` // only on the leader
 }
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -29,6 +29,8 @@
 			var version uint64
 			d.MaybeScanArgs(t, "version", &version)
 			err = WriteConfigHistory(&out, dumps, version)
+		case "evacuations":
+			err = WriteEvacuationHistory(&out, dumps)
 		case "key":
 			var service string
 			var key int64
--- a/internal/trace/writehistory.go
+++ b/internal/trace/writehistory.go
@@ -1,6 +1,7 @@
 package trace
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -43,6 +44,33 @@
 	return writeTable(w, rows)
 }
 
+// WriteEvacuationHistory writes a table of the times at which each revision of the set of evacuated failure domains came
+// into force on each host, sorted by revision and time.
+func WriteEvacuationHistory(w io.Writer, dumps []Dump) error {
+	type line struct {
+		Timestamped[Evacuation]
+		host string
+	}
+	var lines []line
+	for _, d := range dumps {
+		for _, e := range d.Evacuations {
+			lines = append(lines, line{e, d.Host})
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b line) int {
+		return cmp.Or(cmp.Compare(a.Entry.Revision, b.Entry.Revision), a.At.Compare(b.At))
+	})
+	rows := [][]string{{"REVISION", "IN FORCE AT", "HOST", "EVACUATED"}}
+	for _, l := range lines {
+		domains := strings.Join(l.Entry.Domains, ",")
+		if domains == "" {
+			domains = "-"
+		}
+		rows = append(rows, []string{fmt.Sprint(l.Entry.Revision), formatTime(l.At), l.host, domains})
+	}
+	return writeTable(w, rows)
+}
+
 // WriteKeyHistory writes a table of a key's events in order of time, followed by the key's owner as
 // known to each host.
 func WriteKeyHistory(w io.Writer, dumps []Dump, service string, key int64) error {
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -33,6 +33,10 @@
 	KindCrashReport     = 22 // quarantine.Report, one-way, entry to control
 	KindPermitRequest   = 24 // quarantine.PermitRequest, entry to control; answered by quarantine.PermitReply
 	KindQuarantine      = 23 // quarantine.Update, one-way, control to entry
+	KindEvacuations     = 25 // evacuation.Update, one-way, control to entry
+	KindEvacuate        = 27 // evacuation.Change, answered by an empty body
+	KindGetEvacuations  = 28 // empty, answered by evacuation.Status
+	KindEvacuationSent  = 29 // evacuation.Traffic, one-way, entry to control
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
 )
 
@@ -113,6 +117,10 @@
 // replace (PUT) the route configuration, as YAML.
 const PathRoutes = "/galena/v1/routes"
 
+// PathEvacuations is the path on a control host's admin address at which operators read the evacuated failure domains
+// (GET), as JSON. POST to PathEvacuations/DOMAIN/start or PathEvacuations/DOMAIN/end changes them.
+const PathEvacuations = "/galena/v1/evacuations"
+
 // Paths on entry hosts and backend servers.
 const (
 	PathAnnounce = "/galena/v1/servers/announce" // POST Announcement, answered by AnnouncementReply
