Start control hosts without a bound for evacuations, and bound the calls

A platform without bounds.evacuateMs may fill in nothing, and a setting without a value was refused, so that control hosts would not start. A call also waited without a limit for a leader that was cut off.

evacuate_ms without a value counts as absent. A call that starts or ends an evacuation gives up 1.5 s after the longest wait for a lease, so that a caller with 4 s can try a second host. A test of the moves of keys that are granted by calls is added.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -202,6 +202,7 @@
 	if err != nil {
 		return value, []Problem{{Detail: oneLine(err)}}
 	}
+	dropEmpty(document, mayBeEmpty[kind])
 	schema, err := compileSchema(kind)
 	if err != nil {
 		return value, []Problem{{Detail: oneLine(err)}}
@@ -220,6 +221,20 @@
 	return value, nil
 }
 
+// mayBeEmpty lists, by kind, the settings that are absent if they have no value. The users' platform may not have their
+// placeholders in the templates under deploy/, and control hosts must start all the same.
+var mayBeEmpty = map[string][]string{KindFleet: {"evacuate_ms"}}
+
+// dropEmpty removes settings without a value.
+func dropEmpty(document any, names []string) {
+	object, _ := document.(map[string]any)
+	for _, name := range names {
+		if value, present := object[name]; present && value == nil {
+			delete(object, name)
+		}
+	}
+}
+
 // parse decodes YAML into the JSON types that the schema library expects.
 func parse(content []byte) (any, error) {
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -25,6 +25,11 @@
 // it every 500 ms, or less often if there are hundreds of them, as long as there are such requests.
 const trafficAge = 3 * time.Second
 
+// evacuationCallSlack is how long a call may take besides the time for which a gateway that can't be reached delays it.
+// It covers a commit while a link is saturated. Callers give up after 4 s, and can try a second host if the first one has no
+// answer because it waits for a leader that is cut off.
+const evacuationCallSlack = 1500 * time.Millisecond
+
 // evacuationState is the part of a leadership that deals with evacuations.
 type evacuationState struct {
 	tracker *rollout.Tracker            // of the revisions that gateways use; nil if evacuations are not offered
@@ -98,6 +103,8 @@
 	if err := h.checkEvacuation(change); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, max(0, h.configLease()-h.evacuationBound())+evacuationCallSlack)
+	defer cancel()
 	if !h.Leads() {
 		return h.forwardToLeader(ctx, wire.KindEvacuate, change, nil)
 	}
--- a/keyrange/evacuation_test.go
+++ b/keyrange/evacuation_test.go
@@ -75,3 +75,41 @@
 		}
 	}
 }
+
+// Guards against keys that are all without an owner at once although their servers take grants by calls, and against keys that go to
+// servers of the evacuated domain.
+func TestKeysThatAreGrantedByCallsMoveInSteps(t *testing.T) {
+	c := New(Options{Term: 1, Keys: 16, Lease: 4 * time.Second, HeartbeatTimeout: 8 * time.Second})
+	c.SetServices([]KeyedService{{Name: testService, ByCall: true}})
+	now, sequence := time.Second, int64(0)
+	run := func(until time.Duration, domains ...string) {
+		for ; now < until; now += 50 * time.Millisecond {
+			sequence++
+			for _, domain := range domains {
+				info := Server{ID: "s-" + domain, StartMillis: 2, Service: testService, Address: domain + ":1", Domain: domain, Slots: 1}
+				c.Heartbeat(now, Heartbeat{Sequence: sequence, Server: info})
+			}
+			calls := c.Calls(now, 8)
+			c.ResolveGrants(now, c.TakePendingGrants(), true)
+			for _, call := range append(calls, c.Calls(now, 8)...) {
+				c.CallEnded(now, call, CallResult{Outcome: CallDone})
+			}
+		}
+	}
+	run(4*time.Second, "d1")
+	if held := c.KeysInDomain("d1"); held != 16 {
+		t.Fatalf("%d keys in d1 before the evacuation, want all 16", held)
+	}
+	run(5*time.Second, "d1", "d2")
+	started, held := now, c.KeysInDomain("d1")
+	c.SetEvacuated(map[string]time.Duration{"d1": started})
+	for step := range int64(revokeSteps) {
+		run(started+time.Duration(step)*revokeSpread/revokeSteps+200*time.Millisecond, "d1", "d2")
+		if left, most := c.KeysInDomain("d1"), held-(step+1)*held/revokeSteps; left > most || step+1 < revokeSteps && left == 0 {
+			t.Errorf("step %d: %d of %d keys left in d1, want at most %d, and some before the last step", step, left, held, most)
+		}
+	}
+	if owned := c.KeysInDomain("d2"); owned != 16 {
+		t.Errorf("%d keys in d2 after the evacuation, want all 16", owned)
+	}
+}
