--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -22,6 +22,7 @@
 	encodedUpdates encodedUpdates
 	fullTable      fullTable
 	rollout        *rollout.Tracker
+	evacuations    evacuationState
 	issuer         *ratelimit.Issuer
 	coldIssuer     *warmup.Issuer
 	quarantine     *quarantine.Tracker
@@ -60,14 +61,16 @@
 // newLeadership returns the state of a leader whose term begins.
 func (h *Host) newLeadership(term uint64) *leadership {
 	now := clock.Now()
-	configs := h.newRollout()
+	configs, evacuations := h.newRollout(), h.newEvacuationState()
 	if h.state.config().Version > 0 {
 		configs.Inherit(now)
+		evacuations.inherit(now)
 	}
 	return &leadership{
 		term:        term,
 		coordinator: h.newCoordinator(now, term),
 		rollout:     configs,
+		evacuations: evacuations,
 		issuer:      ratelimit.NewIssuer(),
 		coldIssuer:  warmup.NewIssuer(),
 		quarantine:  quarantine.NewTracker(now),
@@ -92,6 +95,7 @@
 		InheritedLeasesEnd: inheritedLeasesEnd,
 		RecordedGrants:     h.state.grants(),
 		Regions:            h.settings.Domains,
+		RevokeBy:           clock.Milliseconds(h.settings.EvacuateMs) / 2,
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatInterval:  clock.Milliseconds(h.settings.ServerHeartbeatMs),
 		HeartbeatTimeout:   2 * lease,
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -32,6 +32,7 @@
 	calls        *callMetrics
 
 	limitedGroups prometheus.Gauge
+	evacuations   *evacuationMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -88,14 +89,14 @@
 	}, []string{"outcome"})
 	m.quarantines, m.suspects = newQuarantineMetrics()
 	m.limitedGroups = newLimitedGroups()
-	m.cold, m.calls = newColdMetrics(), newCallMetrics()
+	m.cold, m.calls, m.evacuations = newColdMetrics(), newCallMetrics(), newEvacuationMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
 		m.quarantines, m.suspects, m.limitedGroups,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens, m.cold.tokens, m.cold.servers,
 	}
-	for _, c := range collectors {
+	for _, c := range append(collectors, m.evacuations.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -163,7 +163,8 @@
 	}
 	req.claimCold = func() (bool, error) { return to.claimCold(clockNow()) }
 	c.progress.Store(&req.progress)
-	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) }
+	req.tooLate = func() bool { return c.host.tooLateFor(to.backend) || c.evacuatedFor(to) }
+	req.onSend = func() { c.host.countSent(to) }
 	if c.host.byWork() {
 		req.cost = c.expectedCost()
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -72,6 +72,7 @@
 	deadline         time.Time
 	route            *routes.Route
 	service          string
+	keyed            bool // the service is partitioned by key
 	stamp            Stamp
 	body             []byte
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
@@ -158,6 +159,7 @@
 		c.refuse(reasonNoCapacity)
 		return
 	}
+	c.keyed = service.Keyed
 	c.run(service)
 	c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
 }
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -213,6 +213,8 @@
 		u.applyAdmission(body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
+	case wire.KindEvacuations:
+		u.applyEvacuations(from, body)
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 
 	coldRequests prometheus.Counter
 	pipelined    *prometheus.CounterVec
+
+	evacuatedRequests prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -57,8 +59,13 @@
 	m.pipelined = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_pipelined_total", Help: "Requests that arrived behind an unanswered one of their connection, by whether they ran before their turn and why not, and those of the former that were canceled or not used.",
 	}, []string{"result"})
+	m.evacuatedRequests = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_evacuated_requests_total", Help: "Requests sent to servers of evacuated failure domains: to owners of keys that have not moved yet.",
+	})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined}
+	collectors := []prometheus.Collector{
+		m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined, m.evacuatedRequests,
+	}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
@@ -93,7 +100,10 @@
 	cold := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_cold_servers", Help: "Servers that are cold, or may be, according to this gateway or the leader.",
 	}, func() float64 { return float64(len(b.coldServers(clockNow()))) })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing, cold, newCostCollector(b.costs)} {
+	evacuations := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_evacuation_revision", Help: "Revision of the set of evacuated failure domains in force.",
+	}, func() float64 { return float64(v.evacuationRevision()) })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, evacuations, cold, newCostCollector(b.costs)} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/keyrange/coordinator.go
+++ b/keyrange/coordinator.go
@@ -20,7 +20,7 @@
 	rateLimitAt  time.Duration // when rateLimit was last confirmed
 	granted      int           // number of ranges in the last reply
 	calls        serverCalls   // for services whose servers take grants by calls
-	barred       barred        // set if its failure domain may have no keys of the service
+	barred       barred        // whether its failure domain may have no keys of the service
 	warmth       warmup.State  // for services with a limit for cold servers
 	cold         bool          // according to warmth, as of the last updateCold
 }
@@ -38,10 +38,11 @@
 	configured      map[string]bool      // services of the configuration, with and without keys
 	departures      map[string]departure // by server ID
 	published       published
-	overload        map[string]int64  // AdmitPermille by server ID
-	overloadUpdated time.Duration     // time at which overload was computed
-	tickedAt        time.Duration     // time of the last Tick
-	warmups         map[string]Warmup // by service; see SetWarmups
+	overload        map[string]int64         // AdmitPermille by server ID
+	overloadUpdated time.Duration            // time at which overload was computed
+	tickedAt        time.Duration            // time of the last Tick
+	evacuated       map[string]time.Duration // start of the evacuation, by failure domain
+	warmups         map[string]Warmup        // by service; see SetWarmups
 	hearing         hearing
 	coldChanges     []ColdChange // since the last call of ColdChanges
 
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -51,6 +51,9 @@
 	RecordedGrants []Assignment
 	// Regions has the region of each failure domain.
 	Regions map[string]string
+	// RevokeBy is the time after the start of an evacuation within which the keys of the failure domain are revoked; 0
+	// means defaultRevokeBy.
+	RevokeBy time.Duration
 	// DrainPeriod is how long a leaving server may still receive requests.
 	DrainPeriod time.Duration
 	// HeartbeatInterval is the interval between a server's heartbeats; 0 if it is not known. Then no server
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -19,5 +19,6 @@
 generate ratelimit ratelimit/messages_gen.go schema/ratelimit.schema.json
 generate quarantine quarantine/messages_gen.go schema/quarantine.schema.json
 generate admitshare admitshare/messages_gen.go schema/admitshare.schema.json
+generate evacuation evacuation/messages_gen.go schema/evacuation.schema.json
 mkdir -p "$out/docs"
 go run ./scripts/settingsdoc >"$out/docs/SETTINGS.md"
