--- a/internal/gateway/evacuations.go
+++ b/internal/gateway/evacuations.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/trace"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
 )
 
 // applyEvacuations puts a set of evacuated failure domains into force. An older one than that in force is ignored.
@@ -119,5 +121,28 @@
 		from.Close()
 		return
 	}
+	u.suspectCold(update.Set)
 	u.view.applyEvacuations(update)
 }
+
+// suspectCold treats the servers of the failure domains whose evacuation a set ends as cold until the leader has proof
+// that they are not: they may have started again meanwhile, and the table that says so may arrive later than the set.
+func (u *updateHandler) suspectCold(set evacuation.Set) {
+	for _, s := range u.view.serversOfEnded(set) {
+		u.backends.get(s).suspectRestart(false)
+	}
+}
+
+// serversOfEnded returns the servers of the failure domains whose evacuation a set ends.
+func (v *view) serversOfEnded(set evacuation.Set) []keyrange.Server {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	ended := v.evacuations.EndedBy(set)
+	var servers []keyrange.Server
+	for _, s := range v.servers {
+		if slices.Contains(ended, s.Domain) {
+			servers = append(servers, s.Server)
+		}
+	}
+	return servers
+}
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -191,6 +191,7 @@
 // updateHandler handles the leader's notifications.
 type updateHandler struct {
 	view            *view
+	backends        *backends
 	needsFullConfig *atomic.Bool // of leaderLink
 	evidence        *crashEvidence
 	admission       *admission // of leaderLink
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -38,7 +38,7 @@
 	KindGetEvacuations  = 28 // empty, answered by evacuation.Status
 	KindEvacuationSent  = 29 // evacuation.Traffic, one-way, entry to control
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
-	KindAdmission       = 27 // admitshare.Plan, one-way, control to entry
+	KindAdmission       = 30 // admitshare.Plan, one-way, control to entry
 	KindDemandReport    = 28 // admitshare.DemandReport, one-way, entry to control
 )
 
