Close the connection of a client that has left instead of sending an empty 200

Cause: a handler that returns without a response makes net/http send an empty one with status 200. A client that has closed only its sending side takes it for the answer.

Change: such a request ends by closing its connection.

--- a/internal/gateway/broken_response_test.go
+++ b/internal/gateway/broken_response_test.go
@@ -103,3 +103,26 @@
 	content, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(content), err
 }
+
+// Guards against an empty 200 for a client that has closed only its sending side: its request was dropped, but it still
+// reads (issue 40, MIXED).
+func TestHalfClosedClientGetsNoEmptyResponse(t *testing.T) {
+	server := newFakeBackend(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+		time.Sleep(200 * time.Millisecond)
+		return okResponse("yes")(conn, r, body)
+	})
+	f := newFixture(t)
+	f.publish(server)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /look/1 HTTP/1.1\r\nHost: depot.example\r\nTest-Id: a1\r\nTest-Key: 7\r\nTest-Left: 900\r\n\r\n")
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	answer, _ := io.ReadAll(conn)
+	if text := string(answer); strings.HasPrefix(text, "HTTP/1.1 200") && !strings.HasSuffix(text, "yes") {
+		t.Errorf("the client got %q, want the whole response or none", text)
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -222,8 +222,7 @@
 			return
 		}
 		if c.clientLeft() {
-			c.log("client left", reasonCanceled, 0, true)
-			return
+			c.drop()
 		}
 		target, reason := c.awaitServer(service)
 		if target == nil {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -68,8 +68,7 @@
 		c.refuse(reason)
 		return false, reason
 	case reason == reasonCanceled:
-		c.log("client left", reason, 0, true)
-		return false, reason
+		c.drop()
 	case c.mayHaveRun && !c.route.Kind.Repeatable():
 		c.fail(reason)
 		return false, reason
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// drop ends a request whose client has left, without a response: it closes the connection. If the handler returned
+// instead, net/http would send an empty response with status 200, which a client that has only closed its sending side
+// would take for the answer.
+func (c *call) drop() {
+	c.log("client left", reasonCanceled, 0, true)
+	panic(http.ErrAbortHandler)
+}
+
 // logClientLeft records that the client has closed its connection, and how far the request has come.
 func (c *call) logClientLeft() {
 	p := c.progress.Load()
