--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -199,6 +200,27 @@
 	}
 }
 
+// Guards against a set that is lost once the log is replaced by a snapshot.
+func TestSnapshotHasTheSet(t *testing.T) {
+	state, restored := &fleetState{onChange: func() {}}, &fleetState{onChange: func() {}}
+	change := startOf("d1")
+	entry, err := cbor.Marshal(command{Evacuation: &change})
+	if err != nil {
+		t.Fatal(err)
+	}
+	state.Apply(1, entry)
+	snapshot, err := state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(1, snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := restored.evacuationSet(), state.evacuationSet(); want.Revision != 1 || !reflect.DeepEqual(got, want) {
+		t.Errorf("restored %+v, want %+v at revision 1", got, want)
+	}
+}
+
 // Guards against an end that gateways do not hear of, and against calls about domains that do not exist.
 func TestEndReachesGatewaysAndUnknownDomainsAreRefused(t *testing.T) {
 	c := evacuatingCluster(t, "127.0.0.1")
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -60,6 +60,25 @@
 	f.expect("owner of the key, after the bound", "/look/1", http.StatusServiceUnavailable, "")
 }
 
+// Guards against servers that are chosen although a request to them may not be sent: a connection would be opened for nothing.
+func TestViewLeavesOutEvacuatedDomains(t *testing.T) {
+	v := newView(time.Second)
+	v.apply(time.Second, keyrange.TableUpdate{Term: 1, Full: true,
+		Servers: []keyrange.Server{{ID: "p1", Service: "photos", Domain: "d1"}, {ID: "s1", Service: "stock", Domain: "d1"}},
+		Owners:  []keyrange.Owner{{Service: "stock", From: 0, To: 9, ServerID: "s1"}},
+	})
+	v.renewConfigLease(time.Second, time.Hour)
+	v.applyEvacuations(evacuation.Update{BoundMillis: testBound.Milliseconds(), Set: evacuation.Set{}.Apply(evacuation.Change{Domain: "d1", Start: true})})
+	if servers := v.serversOf(time.Second, "photos", nil); len(servers) != 0 {
+		t.Errorf("servers of an evacuated domain: %+v, want none", servers)
+	}
+	for at, want := range map[time.Duration]bool{time.Second: true, time.Second + testBound: false} {
+		if _, _, found := v.owner(at, "stock", 7); found != want {
+			t.Errorf("owner of a key found %v at %v, want %v", found, at, want)
+		}
+	}
+}
+
 // Guards against a request on a connection that opens only after the start of an evacuation, and against one that counts as sent
 // although it was not.
 func TestEvacuationIsCheckedAgainWhenTheConnectionIsOpen(t *testing.T) {
@@ -88,9 +107,10 @@
 		f.host.view.configLease.Drop()
 		return conn, err
 	}
+	started := time.Now()
 	f.expect("lease over while the connection opens", "/photo/1", http.StatusServiceUnavailable, "")
-	if server.count() != 0 {
-		t.Errorf("%d requests sent without a lease, want none", server.count())
+	if took := time.Since(started); server.count() != 0 || took > 500*time.Millisecond {
+		t.Errorf("%d requests sent without a lease, refused after %v; want none, and at once", server.count(), took)
 	}
 }
 
