--- a/cost/cost.go
+++ b/cost/cost.go
@@ -30,6 +30,8 @@
 	// speedReturn is the part by which each sample moves a speed towards the mean. It keeps the two factors apart:
 	// only their product is measured.
 	speedReturn = 0.005
+	// maxLogSpeed bounds the speed that one sample shows to a factor of three.
+	maxLogSpeed = 1.1
 	// minSamples is the number of samples from which a class is told apart from others of its route.
 	minSamples = 12
 	// highQuantile is the part of the requests that take no longer than Work.High.
@@ -100,8 +102,17 @@
 	return s.factor
 }
 
-// Samples returns the number of samples.
-func (s *Speed) Samples() int { return s.samples }
+// sharedWeight is the weight, in samples, of what others know of a server's speed.
+const sharedWeight = 10
+
+// FactorWith returns the speed, also according to what others know of it; 0 if that is nothing.
+func (s *Speed) FactorWith(shared float64) float64 {
+	if shared <= 0 {
+		return s.Factor()
+	}
+	own := float64(s.samples) / float64(s.samples+sharedWeight)
+	return math.Exp(own*s.log + (1-own)*math.Log(shared))
+}
 
 // Model holds the work of all classes. The zero value is empty.
 type Model struct {
@@ -109,10 +120,11 @@
 }
 
 // Observe adds the time of a request that did not queue, on a server of the given speed, which it updates. prior is
-// the work to assume for a route without samples.
-func (m *Model) Observe(c Class, s *Speed, prior, took time.Duration) {
+// the work to assume for a route without samples. It returns the logarithm of the speed that this sample alone shows,
+// bounded.
+func (m *Model) Observe(c Class, s *Speed, prior, took time.Duration) (logSpeed float64) {
 	if took <= 0 || prior <= 0 {
-		return
+		return 0
 	}
 	sample := math.Log(took.Seconds())
 	residual := m.observe(c.route(), prior, sample+s.log)
@@ -127,6 +139,18 @@
 	weight := max(minSpeedWeight, 1/float64(s.samples+speedPrior))
 	s.log = (s.log - weight*residual) * (1 - speedReturn)
 	s.factor = math.Exp(s.log)
+	return min(max(m.typical(c, prior)-sample, -maxLogSpeed), maxLogSpeed)
+}
+
+// typical returns the logarithm of the typical time of a class.
+func (m *Model) typical(c Class, prior time.Duration) float64 {
+	if e := m.classes[c]; e != nil && e.samples > minSamples {
+		return e.log
+	}
+	if e := m.classes[c.route()]; e != nil {
+		return e.log
+	}
+	return math.Log(prior.Seconds())
 }
 
 // observe adds a sample to one class, and returns its bounded residual.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -31,8 +31,10 @@
 	HighWork time.Duration // time that only a few of such requests exceed; 0 if not known
 	Usable   float64       // part of each server's slots and queue that the request may use; 0 counts as 1
 	Ahead    int           // requests of this gateway for the service that wait and are served before this one
-	Silent   bool          // full servers of the service do not answer
 	Gateways int64         // gateways that may send at the same time
+	// MayBeSilent tells that full servers of the service may not answer: none has refused a request so far. To wait for
+	// the first time-outs would cost many requests at the first overload.
+	MayBeSilent bool
 }
 
 // maxRequestsPerSlot returns the number of requests per slot at which a server is full for a
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -51,12 +51,14 @@
 // Load is one gateway's estimate of a server's load.
 type Load struct {
 	inFlight    int           // requests of this gateway
-	others      int           // requests of other gateways according to the latest report
+	others      float64       // requests of other gateways according to the latest report
 	reportedAt  time.Duration // 0 if there was no report
 	serviceTime time.Duration // average over requests that did not wait
 	samples     int           // number of samples in serviceTime
 	expected    time.Duration // service time assumed before the first response; 0 if not known
-	hostPercent int           // of the latest report; 0 if not known
+	shared      bool          // others is what another host knew
+	hostPercent int           // of the latest report of the server itself; 0 if not known
+	hostAt      time.Duration // time of that report
 	ownWork     time.Duration // expected work of this gateway's requests; see AddWork
 }
 
@@ -81,14 +83,23 @@
 // ObserveReport updates the load of other gateways. It must be called before End for the request
 // whose response carried the report: the report no longer counts that request.
 func (l *Load) ObserveReport(now time.Duration, r Report) {
-	l.others = max(0, r.Running+r.Waiting-(l.inFlight-1))
-	l.reportedAt, l.hostPercent = now, r.HostPercent
+	l.others = float64(max(0, r.Running+r.Waiting-(l.inFlight-1)))
+	l.reportedAt, l.hostPercent, l.hostAt, l.shared = now, r.HostPercent, now, false
+}
+
+// ObserveShared updates the load of other gateways from what another host knew at a time, unless this gateway has a
+// newer report.
+func (l *Load) ObserveShared(at time.Duration, requests float64) {
+	if at <= l.reportedAt {
+		return
+	}
+	l.others, l.reportedAt, l.shared = max(0, requests-float64(l.inFlight)), at, true
 }
 
 // HostFactor returns by what factor work currently takes longer than usual on the server's host, according to the
 // latest report. The weight of the report decreases linearly with its age.
 func (l *Load) HostFactor(now time.Duration) float64 {
-	age := now - l.reportedAt
+	age := now - l.hostAt
 	if l.hostPercent == 0 || age >= hostLifetime {
 		return 1
 	}
@@ -128,7 +139,7 @@
 	if l.reportedAt == 0 || age >= reportLifetime {
 		return float64(l.inFlight)
 	}
-	return float64(l.inFlight) + float64(l.others)*(1-float64(age)/float64(reportLifetime))
+	return float64(l.inFlight) + l.others*(1-float64(age)/float64(reportLifetime))
 }
 
 // HasFreeSlot reports whether a recent load report shows a free slot, so that a request sent now
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,7 +48,6 @@
 	speeds  []cost.Speed
 	urgency Urgency
 	refused bool // a server refused
-	silent  bool // a server did not answer
 }
 
 type model struct {
@@ -57,8 +57,10 @@
 	speeds                          func(server int) float64
 	neighbors                       bool // a fifth of the servers take three times as long, in turns
 	wave                            float64
+	skew                            bool // a third of the gateways has two thirds of the clients
 	length                          time.Duration
 	byWork                          bool
+	digests                         bool // gateways tell each other the newest reports, twice a second
 	distance                        func(gateway, server int) Distance
 
 	random *rand.Rand
@@ -66,6 +68,10 @@
 	events modelEvents
 	hosts  []modelServer
 	gws    []modelGateway
+	newest []struct {
+		at       time.Duration
+		requests float64
+	}
 
 	total, late, refused, lost int     // requests; late includes refused and lost ones
 	lateByClass, byClass       []int   // the same by class
@@ -105,6 +111,13 @@
 	for g := range m.gws {
 		m.gws[g] = modelGateway{loads: make([]Load, m.servers), backoff: make([]Backoff, m.servers), speeds: make([]cost.Speed, m.servers)}
 	}
+	m.newest = append(m.newest, make([]struct {
+		at       time.Duration
+		requests float64
+	}, m.servers)...)
+	if m.digests && m.byWork {
+		m.after(0, m.share)
+	}
 	for c := range m.classes {
 		m.after(0, func() { m.arrive(c) })
 	}
@@ -138,6 +151,23 @@
 	}
 }
 
+// share tells all gateways the newest report of each server, 100 ms late.
+func (m *model) share() {
+	news := slices.Clone(m.newest)
+	m.after(100*time.Millisecond, func() {
+		for _, g := range m.gws {
+			for i, n := range news {
+				if n.at > 0 && m.now-n.at < 3*time.Second {
+					g.loads[i].ObserveShared(max(n.at, m.now-500*time.Millisecond), n.requests)
+				}
+			}
+		}
+	})
+	if m.now < m.length {
+		m.after(500*time.Millisecond, m.share)
+	}
+}
+
 // arrive lets one request of a class arrive, and plans the next.
 func (m *model) arrive(class int) {
 	c := &m.classes[class]
@@ -150,6 +180,9 @@
 	}
 	m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), func() { m.arrive(class) })
 	r := &modelRequest{class: c, gateway: m.random.IntN(m.gateways), arrived: m.now}
+	if m.skew && m.random.IntN(2) == 0 {
+		r.gateway /= 3
+	}
 	m.total++
 	m.byClass[class]++
 	m.after(c.target, func() {
@@ -189,10 +222,7 @@
 	case m.silent:
 		m.overloaded++
 		m.lost++
-		m.after(left, func() {
-			m.gws[r.gateway].silent = true
-			m.end(r)
-		})
+		m.after(left, func() { m.end(r) })
 	default:
 		m.overloaded++
 		r.refusedBy = append(r.refusedBy, r.server)
@@ -238,6 +268,7 @@
 
 func (m *model) report(r *modelRequest) {
 	h := &m.hosts[r.server]
+	m.newest[r.server].at, m.newest[r.server].requests = m.now, float64(h.running+len(h.queue))
 	m.gws[r.gateway].loads[r.server].ObserveReport(m.now, Report{Running: h.running, Waiting: len(h.queue), Slots: m.slots, HostPercent: int(100 * h.host)})
 }
 
@@ -272,8 +303,8 @@
 		candidates[i] = c
 	}
 	request := Request{Priority: r.class.priority, UntilDeadline: left, UntilTarget: r.arrived + r.class.target - m.now, Work: work.Expected, HighWork: work.High,
-		Usable: g.urgency.Usable(m.now, r.class.priority, work.Expected, m.now-r.arrived, r.class.target-work.Expected),
-		Silent: g.silent && !g.refused, Gateways: int64(m.gateways)}
+		Usable:      g.urgency.Usable(m.now, r.class.priority, work.Expected, m.now-r.arrived, r.class.target-work.Expected),
+		MayBeSilent: !g.refused, Gateways: int64(m.gateways)}
 	if !m.byWork {
 		index, _ := Choose(m.now, candidates, request)
 		return index
@@ -285,7 +316,7 @@
 func compare(t *testing.T, name string, m model) (before, after *model) {
 	t.Helper()
 	old, work := m, m
-	work.byWork = true
+	work.byWork, work.digests = true, true
 	before, after = old.run(), work.run()
 	for _, m := range []*model{before, after} {
 		t.Logf("%s, by work %v: %d requests, late %d %v, refused %d, lost %d, full %d, busiest %.2f of the mean",
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -10,7 +10,7 @@
 	spillSlackPart   = 0.125
 	// patience is the factor between the bound and the second bound, which counts if no distance is within the first.
 	patience = 4
-	// enoughCapacity is the part of the capacity at a distance that must be within the bound. With less, all
+	// enoughCapacity is the part of all capacity at a distance that must be within the bound. With less, all
 	// gateways there would choose the same few servers.
 	enoughCapacity = 0.25
 	// loadWeight is the weight of a server's load in the comparison of two servers that both have free slots.
@@ -18,6 +18,18 @@
 	// equalPart is the difference of expected finish, as a part of the request's work, up to which two servers count
 	// as equal, so that distance and open connections decide.
 	equalPart = 0.1
+	// reportWorks is the age at which a load report says nothing of one server any more, as a multiple of the mean
+	// work: by then other requests run there.
+	reportWorks = 3
+	// sharedWeight is the weight of a load that another host reported, relative to one that this gateway got itself:
+	// all gateways learn it at the same time, and would all choose the servers that it shows as idle.
+	sharedWeight = 0.5
+	// ownFactor and ownOffset bound the load that this gateway's own requests show, if the other gateways have as many,
+	// in terms of the reported load: it counts at once, but gateways may have more or fewer clients than others.
+	// knownPart is the part of the slots that reports must cover for that.
+	ownFactor = 1.25
+	ownOffset = 0.2
+	knownPart = 0.125
 	// silentRequestsPerSlot limits the requests at a server that does not answer when it is full, if its load is
 	// known. Where nothing is known, up to unknownPart of it is left to requests of other gateways.
 	silentRequestsPerSlot = 2.0
@@ -70,16 +82,19 @@
 type workChoice struct {
 	now           time.Duration
 	request       Request
-	avoid         bool    // candidates to avoid are left out
-	localOnly     bool    // candidates in other regions are left out
-	othersPerSlot float64 // mean number of other gateways' requests per slot, according to recent reports
-	bound         float64 // of the wait, ns; see spillServicePart
-	reason        Reason  // of the candidates left out
-	best          uint8   // the lowest class
-	room          float64 // requests that all candidates can still take
-	// capacity sums up the candidates by class (late or not is enough: only the best class is used), distance and
-	// level of the wait.
+	avoid         bool          // candidates to avoid are left out
+	localOnly     bool          // candidates in other regions are left out
+	othersPerSlot float64       // mean number of other gateways' requests per slot, according to recent reports
+	bound         float64       // of the wait, ns; see spillServicePart
+	reason        Reason        // of the candidates left out
+	best          uint8         // the lowest class
+	room          float64       // requests that all candidates can still take
+	meanWork      time.Duration // of the candidate estimated last
+	fading        float64       // of a report's weight per nanosecond, at that meanWork
+	highRatio     float64       // of the request's HighWork to its Work
+	// capacity sums up the candidates of the best class by distance and level of the wait.
 	capacity [distances][levels]float64
+	total    [distances]float64 // of all candidates at a distance, also those that are full
 }
 
 // ChooseByWork returns the candidate that runs the request. Like Choose it leaves out candidates that can't take the
@@ -122,18 +137,29 @@
 
 // prepare determines what depends on all candidates.
 func (w *workChoice) prepare(candidates []Candidate) {
-	var others, slots float64
+	var others, slots, own, allSlots float64
 	for i := range candidates {
 		c := &candidates[i]
 		w.avoid = w.avoid || !c.Avoid
 		w.localOnly = w.localOnly || c.Distance != OtherRegion
-		if weight := c.Load.reportWeight(w.now); weight > 0 {
-			others += weight * float64(c.Load.others)
+		own += float64(c.Load.inFlight)
+		allSlots += float64(c.Slots)
+		if age := w.now - c.Load.reportedAt; age < reportLifetime && c.Load.reportedAt != 0 {
+			weight := 1 - float64(age)*(1/float64(reportLifetime))
+			others += weight * c.Load.others
 			slots += weight * float64(c.Slots)
 		}
 	}
 	w.localOnly = w.localOnly && w.request.Bulk
 	w.othersPerSlot = others / max(slots+float64(candidates[0].Slots), 1) // one server without load is added
+	if w.request.MayBeSilent && len(candidates) > 1 {
+		shown := own * float64(w.request.Gateways-1) / max(allSlots, 1)
+		if slots > knownPart*allSlots {
+			shown = min(shown, ownFactor*w.othersPerSlot+ownOffset)
+		}
+		w.othersPerSlot = max(w.othersPerSlot, shown)
+	}
+	w.highRatio = max(float64(w.request.HighWork)/max(float64(w.request.Work), 1), 1)
 	slack := max(float64(w.request.UntilTarget-w.request.Work), 0)
 	w.bound = min(spillServicePart*float64(w.request.Work), spillSlackPart*slack)
 }
@@ -149,33 +175,52 @@
 	if speed <= 0 {
 		speed = 1
 	}
-	slots := float64(c.Slots)
+	slots := float64(max(c.Slots, 1))
 	e.capacity = slots * speed
-	others := c.Load.othersWith(w.now, w.othersPerSlot*slots)
+	w.total[c.Distance] += e.capacity
+	others := w.othersPerSlot * slots
+	weight := w.reportWeight(c)
+	if c.Load.shared {
+		others += sharedWeight * weight * (c.Load.others - others)
+		weight = 0 // all gateways know it at the same time
+	} else {
+		others += weight * (c.Load.others - others)
+	}
+	if w.request.MayBeSilent && c.Load.shared {
+		others = max(others, w.othersPerSlot*slots) // never filled since all gateways were told that it has room
+	}
 	requests := float64(c.Load.inFlight) + others + float64(c.Ahead)
 	work := float64(c.WorkLeft) + (others+float64(c.Ahead))*float64(c.MeanWork)
+	drain := work / e.capacity // time in which the server would do all of it
 	e.wait = 0
 	if ahead := requests - slots + 1; ahead > 0 {
-		e.wait = work * ahead / requests / e.capacity
+		e.wait = drain * ahead / requests
 	}
 	own := float64(w.request.Work) / speed
-	limit := w.requestsPerSlot(c) * slots
-	w.room += max(0, limit-requests)
+	limit := w.requestsPerSlot(slots, weight) * slots
+	if limit > requests {
+		w.room += limit - requests
+	}
 	if reason := w.admit(c, requests, limit, own); reason != Admitted {
 		if reason != Paused && w.reason != RateLimited {
 			w.reason = reason
 		}
 		return
 	}
+	w.rank(c, own, drain)
+}
+
+// rank sets the class and the level of a candidate that can take the request.
+func (w *workChoice) rank(c *Candidate, own, drain float64) {
+	e := &c.estimate
 	e.class = 0
-	high := max(float64(w.request.HighWork)/speed, own)
-	if e.wait+own > float64(w.request.UntilTarget) || e.wait+high > float64(w.request.UntilDeadline) {
+	if e.wait+own > float64(w.request.UntilTarget) || e.wait+own*w.highRatio > float64(w.request.UntilDeadline) {
 		e.class |= classLate
 	}
 	if c.Suspect {
 		e.class |= classSuspect
 	}
-	e.finish = e.wait + own + loadWeight*work/e.capacity
+	e.finish = e.wait + own + loadWeight*drain
 	e.level = 0
 	if e.wait > w.bound {
 		e.level = 1
@@ -208,12 +253,15 @@
 	return Admitted
 }
 
-// requestsPerSlot returns the number of requests per slot at which the candidate is full for the request.
-func (w *workChoice) requestsPerSlot(c *Candidate) float64 {
+// requestsPerSlot returns the number of requests per slot at which a candidate is full for the request, if it is one
+// whose load is known with a weight.
+func (w *workChoice) requestsPerSlot(slots, weight float64) float64 {
 	limit := w.request.maxRequestsPerSlot()
-	if w.request.Silent {
-		unknown := (1 - c.Load.reportWeight(w.now)) * unknownPart
-		unknown *= min(1, float64(w.request.Gateways)/(gatewaysPerSlot*float64(c.Slots)))
+	if w.request.MayBeSilent {
+		unknown := unknownPart * (1 - weight)
+		if few := gatewaysPerSlot * slots; float64(w.request.Gateways) < few {
+			unknown *= float64(w.request.Gateways) / few
+		}
 		limit = min(limit, silentRequestsPerSlot*(1-unknown))
 	}
 	return limit * w.request.Usable
@@ -222,19 +270,15 @@
 // set returns the set to draw from: the candidates of the best class up to a distance and a level of the wait.
 func (w *workChoice) set() (farthest Distance, level uint8) {
 	if w.best&classLate != 0 {
-		return OtherRegion, levels - 1
+		return w.nearestLate(), levels - 1
 	}
 	for level := range uint8(levels - 1) {
 		var within float64
 		for d := range distances {
-			there := 0.0
-			for l, capacity := range w.capacity[d] {
-				there += capacity
-				if l <= int(level) {
-					within += capacity
-				}
+			for l := range level + 1 {
+				within += w.capacity[d][l]
 			}
-			if within > 0 && within >= enoughCapacity*there {
+			if within > 0 && within >= enoughCapacity*w.total[d] {
 				return Distance(d), level
 			}
 		}
@@ -242,6 +286,18 @@
 	return OtherRegion, levels - 1
 }
 
+// nearestLate returns the distance up to which late requests go: not to another region, if the own one has a server.
+func (w *workChoice) nearestLate() Distance {
+	for d := range OtherRegion {
+		for _, capacity := range w.capacity[d] {
+			if capacity > 0 {
+				return SameRegion
+			}
+		}
+	}
+	return OtherRegion
+}
+
 // in reports whether a candidate is in the set to draw from.
 func (w *workChoice) in(c *Candidate, farthest Distance, level uint8) bool {
 	return c.estimate.class == w.best && c.Distance <= farthest && c.estimate.level <= level
@@ -297,26 +353,22 @@
 	case c.estimate.class&classLate != 0:
 		return BasisLate
 	}
-	for i := range candidates {
-		if candidates[i].Distance < c.Distance {
+	for d := range c.Distance {
+		if w.total[d] > 0 {
 			return BasisSpill
 		}
 	}
 	return BasisNear
 }
 
-// reportWeight returns the weight of the latest load report, which decreases linearly with its age.
-func (l *Load) reportWeight(now time.Duration) float64 {
-	age := now - l.reportedAt
-	if l.reportedAt == 0 || age >= reportLifetime {
+// reportWeight returns the weight of a server's latest load report, which decreases linearly with its age.
+func (w *workChoice) reportWeight(c *Candidate) float64 {
+	age := w.now - c.Load.reportedAt
+	if c.Load.reportedAt == 0 || age >= reportWorks*c.MeanWork {
 		return 0
 	}
-	return 1 - float64(age)/float64(reportLifetime)
-}
-
-// othersWith returns the estimated number of other gateways' requests at the server, if a server without a report has
-// the given number.
-func (l *Load) othersWith(now time.Duration, unreported float64) float64 {
-	weight := l.reportWeight(now)
-	return weight*float64(l.others) + (1-weight)*unreported
+	if c.MeanWork != w.meanWork {
+		w.meanWork, w.fading = c.MeanWork, 1/float64(reportWorks*c.MeanWork)
+	}
+	return 1 - float64(age)*w.fading
 }
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -76,9 +76,16 @@
 		speeds:  func(i int) float64 { return 0.5 + float64(i%11)/10 },
 		classes: []modelClass{{rate: 560, work: 390 * ms, target: 1500 * ms, deadline: 6 * time.Second, priority: 1}},
 	})
-	if after.lost > before.lost/10 || after.late > before.late/2 {
+	if after.lost > before.lost/100 || after.late > before.late/2 {
 		t.Errorf("lost %d, late %d; before %d, %d", after.lost, after.late, before.lost, before.late)
 	}
+	before, after = compare(t, "silent, few and many clients", model{
+		gateways: 114, servers: 59, slots: 6, queue: 24, length: 12 * time.Second, skew: true, silent: true,
+		classes: []modelClass{{rate: 630, work: 390 * ms, target: 1500 * ms, deadline: 6 * time.Second, priority: 1}},
+	})
+	if after.lost > before.lost/100 || after.late > after.total/20 {
+		t.Errorf("three quarters of the capacity in use: lost %d, late %d; before %d, %d", after.lost, after.late, before.lost, before.late)
+	}
 }
 
 // Guards against queues at near servers while far ones are idle, and against bytes between failure domains without
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -148,5 +148,6 @@
 	defer h.mu.Unlock()
 	if h.leading != nil {
 		h.leading.coordinator.Report(clock.Now(), gateway, report)
+		h.leading.observeLoads(clock.Now(), report)
 	}
 }
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/rollout"
+	"github.com/galenalug/galenalug/serverload"
 )
 
 // leadership is the state of a leader that is not replicated.
@@ -23,9 +24,10 @@
 	rollout        *rollout.Tracker
 	issuer         *ratelimit.Issuer
 	quarantine     *quarantine.Tracker
-	calls          *grantCalls   // nil if this host makes no calls to backend servers
-	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
-	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
+	loads          *serverload.Tracker // nil without balance: work
+	calls          *grantCalls         // nil if this host makes no calls to backend servers
+	reported       chan struct{}       // closed at the next configuration report of a gateway, or when the leadership ends
+	leavesRestored bool                // the coordinator has the leaves recorded under earlier leaders
 }
 
 // onLeader handles a change of this host's leadership. It is called by the goroutine of the
@@ -61,6 +63,7 @@
 		configs.Inherit(now)
 	}
 	return &leadership{
+		loads:       h.newLoads(),
 		term:        term,
 		coordinator: h.newCoordinator(now, term),
 		rollout:     configs,
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -26,6 +26,7 @@
 	configVersion uint64 // version in force at the gateway, as it last reported
 	sentVersion   uint64 // version that was last sent on this connection
 	missedTable   bool   // the gateway was not sent the latest updates of the table
+	missedDigest  bool   // the gateway was not sent the latest digests of servers
 }
 
 // propagation is the way of one configuration version to all connected gateways.
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -94,6 +94,7 @@
 		h.sendTable(update)
 	}
 	h.sendMissedTables(l)
+	h.publishDigest(now, l)
 }
 
 // sendTable sends an update of the table to the gateways that have all earlier ones. A gateway whose
@@ -239,5 +240,8 @@
 	if err := h.sendQuarantine(conn, l.quarantine.Snapshot(clock.Now())); err != nil {
 		return err
 	}
-	return conn.Notify(wire.KindFleetTable, body)
+	if err := conn.Notify(wire.KindFleetTable, body); err != nil {
+		return err
+	}
+	return h.sendFullDigest(l, conn)
 }
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -15,6 +15,7 @@
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
+	"github.com/galenalug/galenalug/serverload"
 )
 
 // refusedPeriod is how long a server gets no requests after its host refused a connection.
@@ -31,7 +32,9 @@
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
 	buffers         *bodybuffer.Pool       // shared with the other servers
 	byWork          bool                   // balance: work
-	costs           *costs                 // shared with the other servers
+	hash            uint32                 // stands for the server in digests
+	slots           int64
+	costs           *costs // shared with the other servers
 	service         *serviceState
 
 	mu          sync.Mutex // guards the fields below
@@ -42,6 +45,9 @@
 	notices     dispatch.Notices
 	backoff     dispatch.Backoff // after refusals
 	speed       cost.Speed
+	factor      float64             // speed, also according to shared
+	shared      serverload.Estimate // what the leader says of the server
+	observedAt  time.Duration       // time of the load report in observed
 	tokens      ratelimit.Holder    // for the rate limit that the server has named
 	observed    keyrange.ServerLoad // not yet reported to the leader
 	failedAt    time.Duration       // time of the last failure; 0 for none
@@ -65,11 +71,14 @@
 	byWork  bool             // balance: work
 	costs   *costs
 
+	digestBytes prometheus.Counter
+
 	services map[string]*serviceState // guarded by mu
+	digests  serverload.View          // guarded by mu
 }
 
-func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), costs: &costs{}, services: map[string]*serviceState{}}
+func newBackends(noticeCounter, digestBytes prometheus.Counter) *backends {
+	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), costs: &costs{}, digestBytes: digestBytes, services: map[string]*serviceState{}}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -85,8 +94,9 @@
 		server = &backend{
 			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
 			noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
-			byWork: b.byWork, costs: b.costs, service: b.serviceStateLocked(s.Service),
+			byWork: b.byWork, hash: serverload.Hash(s.ID), slots: s.Slots, costs: b.costs, service: b.serviceStateLocked(s.Service),
 		}
+		server.useShared(b.digests.Server(server.hash))
 		b.byID[s.ID] = server
 	}
 	return server
@@ -154,6 +164,9 @@
 	defer b.mu.Unlock()
 	observed := b.observed
 	observed.Leaving = b.notices.LeavingFor(now) > 0
+	if b.observedAt != 0 {
+		observed.ReportAge, b.observedAt = (now-b.observedAt).Milliseconds()+1, 0
+	}
 	b.observed = keyrange.ServerLoad{}
 	return observed
 }
@@ -194,6 +207,7 @@
 	}
 	if resp.info.Load != nil {
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
+		b.observeReport(clockNow(), *resp.info.Load)
 	}
 	b.recordNotice(resp.info.Notice)
 	b.learn(req, resp, nil, time.Since(started), queued)
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -29,10 +29,10 @@
 	return c.model.Mean(service, prior)
 }
 
-func (c *costs) observe(class cost.Class, speed *cost.Speed, prior, took time.Duration) {
+func (c *costs) observe(class cost.Class, speed *cost.Speed, prior, took time.Duration) (logSpeed float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.model.Observe(class, speed, prior, took)
+	return c.model.Observe(class, speed, prior, took)
 }
 
 // each calls visit for each route of which the work is known.
@@ -44,18 +44,17 @@
 
 // serviceState is what the gateway knows of a service as a whole.
 type serviceState struct {
-	mu         sync.Mutex // guards the fields below; no other lock is acquired while it is held
-	urgency    dispatch.Urgency
-	queue      dispatch.WaitQueue // requests that wait for capacity at any server
-	refused    bool               // a server refused a request
-	unanswered bool               // a server did not answer a request
+	mu      sync.Mutex // guards the fields below; no other lock is acquired while it is held
+	urgency dispatch.Urgency
+	queue   dispatch.WaitQueue // requests that wait for capacity at any server
+	refused bool               // a server refused a request
 }
 
-// silent reports whether full servers of the service do not answer, as far as is known.
-func (s *serviceState) silent() bool {
+// mayBeSilent reports whether full servers of the service may not answer: none has refused a request so far.
+func (s *serviceState) mayBeSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unanswered && !s.refused
+	return !s.refused
 }
 
 func (s *serviceState) noteRefused() {
@@ -64,12 +63,6 @@
 	s.refused = true
 }
 
-func (s *serviceState) noteUnanswered() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unanswered = true
-}
-
 // usable returns the part of each server that a request may use; see dispatch.Urgency.
 func (s *serviceState) usable(now time.Duration, priority int64, work, waited, slack time.Duration) float64 {
 	s.mu.Lock()
@@ -132,7 +125,6 @@
 		var e *exchangeError
 		silent := errors.As(err, &e) && e.mayHaveRun && took > silentFactor*req.cost.work.High
 		if silent && (e.reason == reasonTimeout || e.reason == reasonCanceled) {
-			b.service.noteUnanswered()
 			b.failedAt = clockNow()
 		}
 	case resp.info.NotExecuted:
@@ -141,7 +133,9 @@
 		}
 	case !queued && (resp.info.Load == nil || resp.info.Load.Waiting == 0):
 		host := (req.cost.host + b.load.HostFactor(clockNow())) / 2
-		b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(took)/host))
+		logSpeed := b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(took)/host))
+		b.factor = b.speed.FactorWith(b.shared.Speed)
+		b.observed.SpeedSum += int64(1000 * logSpeed)
 	}
 }
 
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -101,7 +101,7 @@
 		settings:      o.Settings,
 		dialect:       o.Dialect,
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
-		backends:      newBackends(m.notices),
+		backends:      newBackends(m.notices, m.digestBytes),
 		regionLinks:   newRegionLinks(m.links, requestsOut),
 		responseLinks: newRegionLinks(m.links, responsesIn),
 		responseSizes: newResponseSizes(),
@@ -116,7 +116,7 @@
 	}
 	h.backends.onCrash, h.backends.byWork = h.reportCrash, h.byWork()
 	h.givingUp, h.giveUp = context.WithCancel(context.Background())
-	if err := m.registerGauges(o.Registry, h.view, h.linkDelay, h.backends.costs); err != nil {
+	if err := m.registerGauges(o.Registry, h.view, h.linkDelay, h.backends); err != nil {
 		return nil, err
 	}
 	h.leaderLink = &leaderLink{
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -192,6 +192,7 @@
 	needsFullConfig *atomic.Bool // of leaderLink
 	evidence        *crashEvidence
 	ended           chan struct{}
+	backends        *backends
 }
 
 // Call implements peer.Handler. Control hosts make no calls to gateways.
@@ -206,6 +207,8 @@
 		u.applyConfig(from, body)
 	case wire.KindQuarantine:
 		u.applyQuarantine(body)
+	case wire.KindServerDigest:
+		u.backends.applyDigest(clockNow(), body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	links       *linkMetrics
 	crashes     prometheus.Counter
 	choices     *prometheus.CounterVec
+	digestBytes prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -48,8 +49,11 @@
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_choices_total", Help: "Choices of a server by remaining work, by why it was chosen.",
 	}, []string{"basis"})
+	m.digestBytes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_digest_bytes_total", Help: "Bytes of the digests of servers from the leader.",
+	})
 	m.links = newLinkMetrics()
-	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices}
+	collectors := []prometheus.Collector{m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.digestBytes}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
 			return nil, errors.Wrap(err, "register metrics")
@@ -59,7 +63,7 @@
 }
 
 // registerGauges registers gauges that are read at each scrape.
-func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay, c *costs) error {
+func (m *metrics) registerGauges(registry prometheus.Registerer, v *view, d *linkDelay, b *backends) error {
 	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_table_age_seconds", Help: "Time since the newest update of the ownership table.",
 	}, func() float64 {
@@ -81,7 +85,10 @@
 	queueing := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_link_delay_seconds", Help: "Queueing on this host's own link, both ways, as reports to the leader have met it.",
 	}, func() float64 { return d.queueing().Seconds() })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing, newCostCollector(c)} {
+	digestAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_digest_age_seconds", Help: "Time since the latest digest of servers from the leader; 0 if there was none.",
+	}, func() float64 { return b.digestAge(clockNow()).Seconds() })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, newCostCollector(b.costs), digestAge} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -84,7 +84,7 @@
 	waited := time.Since(c.started)
 	request.Usable = state.usable(now, request.Priority, work.Expected, waited, request.UntilTarget+waited-work.Expected)
 	request.Ahead = entry.aheadOfService(now, state)
-	request.Silent, request.Gateways = state.silent(), c.host.view.gateways()
+	request.MayBeSilent, request.Gateways = state.mayBeSilent(), c.host.view.gateways()
 }
 
 // fillCandidate sets what the backend knows for dispatch.ChooseByWork.
@@ -107,7 +107,7 @@
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
 	c.Avoid = c.Avoid || b.backoff.Active(now)
 	c.Open = len(b.idle) > 0
-	c.WorkLeft, c.Speed = b.load.OwnWork(), b.speed.Factor()/b.load.HostFactor(now)
+	c.WorkLeft, c.Speed = b.load.OwnWork(), b.factor/b.load.HostFactor(now)
 }
 
 // aheadOfService returns the number of requests for the service that wait for any server and are served before this
@@ -133,7 +133,7 @@
 	to.mu.Lock()
 	now := clockNow()
 	wait := to.load.ExpectedWait(now, to.slots)
-	speed := to.speed.Factor() / to.load.HostFactor(now)
+	speed := to.factor / to.load.HostFactor(now)
 	to.mu.Unlock()
 	return max(minHedgeDelay, wait+time.Duration(workHedgeFactor*float64(high)/speed))
 }
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -37,6 +37,7 @@
 	wire.KindSubscribe:       "subscribe",
 	wire.KindFleetTable:      "fleet_table",
 	wire.KindLoadReport:      "load_report",
+	wire.KindServerDigest:    "server_digest",
 }
 
 func kindName(kind int) string {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -231,6 +231,10 @@
 	// TCP port for metrics and the state dump.
 	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
 
+	// Whether the leader tells gateways the load and speed of backend servers. work:
+	// yes, for gateways with the same setting. Empty: no. Default: empty.
+	Balance FleetSettingsBalance `json:"balance,omitempty,omitzero" yaml:"balance,omitempty" cbor:"balance,omitempty"`
+
 	// Time after the acknowledgement of a configuration from which no gateway uses an
 	// older one, milliseconds. Default: 2500.
 	ConfigApplyMs float64 `json:"config_apply_ms,omitempty,omitzero" yaml:"config_apply_ms,omitempty" cbor:"config_apply_ms,omitempty"`
@@ -301,6 +305,11 @@
 	ToleratedLosses int `json:"tolerated_losses,omitempty,omitzero" yaml:"tolerated_losses,omitempty" cbor:"tolerated_losses,omitempty"`
 }
 
+type FleetSettingsBalance string
+
+const FleetSettingsBalanceBlank FleetSettingsBalance = ""
+const FleetSettingsBalanceWork FleetSettingsBalance = "work"
+
 // Settings of galena-entry as a gateway, which routes by host and path.
 type GatewaySettings struct {
 	// TCP port for metrics and the state dump.
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -33,6 +33,7 @@
 	KindCrashReport     = 22 // quarantine.Report, one-way, entry to control
 	KindPermitRequest   = 24 // quarantine.PermitRequest, entry to control; answered by quarantine.PermitReply
 	KindQuarantine      = 23 // quarantine.Update, one-way, control to entry
+	KindServerDigest    = 26 // serverload.Digest, one-way, control to entry
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
 )
 
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -176,9 +176,17 @@
 
 // ServerLoad is what an entry host observed of one backend server.
 type ServerLoad struct {
+	// Age of the latest load report, milliseconds, plus 1; 0 if there is none since
+	// the last report.
+	ReportAge int64 `json:"a,omitempty,omitzero" yaml:"a,omitempty" cbor:"a,omitempty"`
+
 	// Start time of the incarnation, Unix milliseconds; 0 if unknown.
 	StartMillis int64 `json:"b" yaml:"b" cbor:"b"`
 
+	// Time that work takes on the host, percent of the usual, according to the latest
+	// load report; 0 if not known.
+	HostPercent int64 `json:"h,omitempty,omitzero" yaml:"h,omitempty" cbor:"h,omitempty"`
+
 	// ID of the server.
 	ServerID string `json:"i" yaml:"i" cbor:"i"`
 
@@ -191,6 +199,16 @@
 	// Requests that ran without waiting in the server's queue.
 	Count int64 `json:"n" yaml:"n" cbor:"n"`
 
+	// Waiting requests according to the latest load report.
+	Waiting int64 `json:"q,omitempty,omitzero" yaml:"q,omitempty" cbor:"q,omitempty"`
+
+	// Running requests according to the latest load report.
+	Running int64 `json:"r,omitempty,omitzero" yaml:"r,omitempty" cbor:"r,omitempty"`
+
+	// Sum, over the requests that ran without waiting, of the logarithm of the speed
+	// that each shows, thousandths.
+	SpeedSum int64 `json:"s,omitempty,omitzero" yaml:"s,omitempty" cbor:"s,omitempty"`
+
 	// Total service time of these requests, microseconds.
 	ServiceTimeMicros int64 `json:"w" yaml:"w" cbor:"w"`
 }
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -17,6 +17,7 @@
 generate routes routes/messages_gen.go schema/routes.schema.json
 generate keyrange keyrange/messages_gen.go schema/keyrange.schema.json
 generate ratelimit ratelimit/messages_gen.go schema/ratelimit.schema.json
+generate serverload serverload/messages_gen.go schema/serverload.schema.json
 generate quarantine quarantine/messages_gen.go schema/quarantine.schema.json
 mkdir -p "$out/docs"
 go run ./scripts/settingsdoc >"$out/docs/SETTINGS.md"
