--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// hasIdle reports whether an idle connection may carry a request. The caller holds b.mu.
+func (b *backend) hasIdle(once bool) bool {
+	if len(b.idle) == 0 {
+		return false
+	}
+	return !once || time.Since(b.idle[len(b.idle)-1].lastUsed) <= maxIdleForOnce
+}
+
 // takeIdle takes the most recently used idle connection that may carry the request, or returns nil.
 func (b *backend) takeIdle(once bool, id string) *conn {
 	b.mu.Lock()
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -50,7 +50,7 @@
 	buffer := choiceBuffers.Get().(*choiceBuffer)
 	defer choiceBuffers.Put(buffer)
 	buffer.resize(len(servers))
-	connections := 0
+	connections, once := 0, !c.route.Kind.Repeatable()
 	for i, s := range servers {
 		b := c.host.backends.get(s)
 		c.host.allowWithoutLeader(now, b)
@@ -62,7 +62,7 @@
 			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: connections, Distance: c.host.distance(s.Domain),
 			Avoid: slices.Contains(c.avoid, s.ID), MeanWork: mean,
 		}
-		b.fillCandidate(now, candidate, entry)
+		b.fillCandidate(now, candidate, entry, once)
 	}
 	choice := dispatch.ChooseByWork(now, buffer.candidates, request, rand.Float64)
 	if choice.Index < 0 {
@@ -88,7 +88,7 @@
 }
 
 // fillCandidate sets what the backend knows for dispatch.ChooseByWork.
-func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry) {
+func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry, once bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*c.Load = b.load
@@ -106,7 +106,7 @@
 	}
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
 	c.Avoid = c.Avoid || b.backoff.Active(now)
-	c.Open = len(b.idle) > 0
+	c.Open = b.hasIdle(once)
 	c.WorkLeft, c.Speed = b.load.OwnWork(), b.factor/b.load.HostFactor(now)
 }
 
