--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -42,11 +42,14 @@
 // Planner is the leader's record of the demand of all gateways. It is not safe for concurrent use.
 type Planner struct {
 	demand      map[Group]*demandRate
-	corrections map[string]*correction // of the planned capacity, by service
+	corrections map[place]*correction // of the planned capacity
 	limited     map[string]bool        // services that the last plan limits
 }
 
-// correction relates the capacity that is planned for a service to its slots.
+// place is the servers of a service in one region.
+type place struct{ service, region string }
+
+// correction relates the capacity that is planned for a place to its slots.
 type correction struct {
 	factor float64
 	load   float64 // requests per slot at the last correction
@@ -60,7 +63,7 @@
 
 // NewPlanner returns a planner without demand.
 func NewPlanner() *Planner {
-	return &Planner{demand: map[Group]*demandRate{}, corrections: map[string]*correction{}, limited: map[string]bool{}}
+	return &Planner{demand: map[Group]*demandRate{}, corrections: map[place]*correction{}, limited: map[string]bool{}}
 }
 
 // Report adds a gateway's demand since its last report.
@@ -126,43 +129,44 @@
 
 // plannedCapacity returns the slots to plan for by service and region, and corrects them by the measured load.
 func (p *Planner) plannedCapacity(capacities []Capacity) map[string]map[string]float64 {
-	slots, requests, known := map[string]float64{}, map[string]float64{}, map[string]bool{}
+	slots, known, requests := map[place]float64{}, map[place]float64{}, map[place]float64{}
 	for _, c := range capacities {
+		at := place{c.Service, c.Region}
+		slots[at] += c.Slots
 		if c.Load >= 0 {
-			known[c.Service] = true
-			slots[c.Service] += c.Slots
-			requests[c.Service] += c.Load * c.Slots
+			known[at] += c.Slots
+			requests[at] += c.Load * c.Slots
 		}
 	}
 	free := map[string]map[string]float64{}
-	for _, c := range capacities {
-		if free[c.Service] == nil {
-			free[c.Service] = map[string]float64{}
-			p.correct(c.Service, known[c.Service], requests[c.Service], slots[c.Service])
+	for at, n := range slots {
+		if free[at.service] == nil {
+			free[at.service] = map[string]float64{}
 		}
-		free[c.Service][c.Region] += usableFraction * p.corrections[c.Service].factor * c.Slots
+		free[at.service][at.region] = usableFraction * p.correct(at, known[at], requests[at]) * n
 	}
 	return free
 }
 
-// correct changes the planned capacity of a service by one step.
-func (p *Planner) correct(service string, loadKnown bool, requests, slots float64) {
-	c := p.corrections[service]
+// correct changes the planned capacity of a place by one step, and returns its factor. slots are those whose requests
+// are known.
+func (p *Planner) correct(at place, slots, requests float64) float64 {
+	c := p.corrections[at]
 	if c == nil {
 		c = &correction{factor: 1}
-		p.corrections[service] = c
+		p.corrections[at] = c
 	}
-	if !p.limited[service] || !loadKnown || slots == 0 { // returns to what the slots say
+	if !p.limited[at.service] || slots == 0 { // returns to what the slots say
 		c.change(1 - c.factor)
-		return
+		return c.factor
 	}
 	load := requests / slots
 	draining := load < c.load
 	c.load = load
-	if load > targetLoad && draining { // the queue was built before, and its end needs no further correction
-		return
+	if load <= targetLoad || !draining { // the end of a queue that was built before needs no correction
+		c.change(correctionGain * (targetLoad - load))
 	}
-	c.change(correctionGain * (targetLoad - load))
+	return c.factor
 }
 
 func (c *correction) change(relative float64) {
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -81,11 +81,15 @@
 	}
 }
 
-// capacities returns the capacity of the servers by service and region.
+// capacities returns the capacity and the load of the servers by service and region.
 func (h *Host) capacities(now time.Duration, l *leadership) []admitshare.Capacity {
+	loadOf := func(string) (float64, bool) { return 0, false }
+	if l.loads != nil {
+		loadOf = func(id string) (float64, bool) { return l.loads.Load(now, id) }
+	}
 	var list []admitshare.Capacity
-	for _, c := range l.coordinator.Capacities(now) {
-		list = append(list, admitshare.Capacity{Service: c.Service, Region: h.settings.Domains[c.Domain], Slots: c.Slots, Load: -1})
+	for _, c := range l.coordinator.Capacities(now, loadOf) {
+		list = append(list, admitshare.Capacity{Service: c.Service, Region: h.settings.Domains[c.Domain], Slots: c.Slots, Load: c.Load})
 	}
 	return list
 }
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/rollout"
+	"github.com/galenalug/galenalug/serverload"
 	"github.com/galenalug/galenalug/warmup"
 )
 
@@ -26,10 +27,11 @@
 	issuer         *ratelimit.Issuer
 	coldIssuer     *warmup.Issuer
 	quarantine     *quarantine.Tracker
-	admission      *admission    // nil if this host plans no admission
-	calls          *grantCalls   // nil if this host makes no calls to backend servers
-	reported       chan struct{} // closed at the next configuration report of a gateway, or when the leadership ends
-	leavesRestored bool          // the coordinator has the leaves recorded under earlier leaders
+	admission      *admission          // nil if this host plans no admission
+	loads          *serverload.Tracker // nil without balance: work
+	calls          *grantCalls         // nil if this host makes no calls to backend servers
+	reported       chan struct{}       // closed at the next configuration report of a gateway, or when the leadership ends
+	leavesRestored bool                // the coordinator has the leaves recorded under earlier leaders
 }
 
 // onLeader handles a change of this host's leadership. It is called by the goroutine of the
@@ -67,6 +69,7 @@
 		evacuations.inherit(now)
 	}
 	return &leadership{
+		loads:       h.newLoads(),
 		term:        term,
 		coordinator: h.newCoordinator(now, term),
 		rollout:     configs,
--- a/internal/fleet/propagation.go
+++ b/internal/fleet/propagation.go
@@ -28,6 +28,7 @@
 	evacuations   uint64 // revision in force at the gateway, as it last reported
 	sentRevision  uint64 // revision of the evacuations that was last sent on this connection
 	missedTable   bool   // the gateway was not sent the latest updates of the table
+	missedDigest  bool   // the gateway was not sent the latest digests of servers
 }
 
 // propagation is the way of one configuration version to all connected gateways.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -104,7 +104,7 @@
 		settings:      o.Settings,
 		dialect:       o.Dialect,
 		view:          v,
-		backends:      newBackends(m.notices, &warmupContext{view: v, regions: countRegions(o.Settings), requests: m.coldRequests}),
+		backends:      newBackends(m.notices, m.digestBytes, &warmupContext{view: v, regions: countRegions(o.Settings), requests: m.coldRequests}),
 		regionLinks:   newRegionLinks(m.links, requestsOut),
 		responseLinks: newRegionLinks(m.links, responsesIn),
 		responseSizes: newResponseSizes(),
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -212,6 +212,8 @@
 		u.applyQuarantine(body)
 	case wire.KindAdmission:
 		u.applyAdmission(body)
+	case wire.KindServerDigest:
+		u.backends.applyDigest(clockNow(), body)
 	case wire.KindFleetTable:
 		u.applyTable(from, body)
 	case wire.KindEvacuations:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	pipelined    *prometheus.CounterVec
 
 	evacuatedRequests prometheus.Counter
+	digestBytes       prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) (*metrics, error) {
@@ -53,6 +54,9 @@
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_choices_total", Help: "Choices of a server by remaining work, by why it was chosen.",
 	}, []string{"basis"})
+	m.digestBytes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "galenalug_gateway_digest_bytes_total", Help: "Bytes of the digests of servers from the leader.",
+	})
 	m.coldRequests = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_cold_requests_total", Help: "Requests sent to cold servers.",
 	})
@@ -65,6 +69,7 @@
 	m.links = newLinkMetrics()
 	collectors := []prometheus.Collector{
 		m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined, m.evacuatedRequests,
+		m.digestBytes,
 	}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
@@ -103,7 +108,10 @@
 	evacuations := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "galenalug_gateway_evacuation_revision", Help: "Revision of the set of evacuated failure domains in force.",
 	}, func() float64 { return float64(v.evacuationRevision()) })
-	for _, c := range []prometheus.Collector{age, config, configAge, queueing, evacuations, cold, newCostCollector(b.costs)} {
+	digestAge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "galenalug_gateway_digest_age_seconds", Help: "Time since the latest digest of servers from the leader; 0 if there was none.",
+	}, func() float64 { return b.digestAge(clockNow()).Seconds() })
+	for _, c := range []prometheus.Collector{age, config, configAge, queueing, evacuations, cold, newCostCollector(b.costs), digestAge} {
 		if err := registry.Register(c); err != nil {
 			return errors.Wrap(err, "register metrics")
 		}
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -50,7 +50,7 @@
 	buffer := choiceBuffers.Get().(*choiceBuffer)
 	defer choiceBuffers.Put(buffer)
 	buffer.resize(len(servers))
-	connections := 0
+	connections, once := 0, !c.route.Kind.Repeatable()
 	for i, s := range servers {
 		b := c.host.backends.get(s)
 		c.host.allowWithoutLeader(now, b)
@@ -62,7 +62,7 @@
 			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: connections, Distance: c.host.distance(s.Domain),
 			Avoid: slices.Contains(c.avoid, s.ID), MeanWork: mean,
 		}
-		b.fillCandidate(now, candidate, entry)
+		b.fillCandidate(now, candidate, entry, once)
 		if service.WarmupPerSecond > 0 {
 			b.addWarmth(now, candidate)
 		}
@@ -91,11 +91,11 @@
 	waited := time.Since(c.started)
 	request.Usable = state.usable(now, request.Priority, work.Expected, waited, request.UntilTarget+waited-work.Expected)
 	request.Ahead = entry.aheadOfService(now, state)
-	request.Silent, request.Gateways = state.silent(), c.host.view.gateways()
+	request.MayBeSilent, request.Gateways = state.mayBeSilent(), c.host.view.gateways()
 }
 
 // fillCandidate sets what the backend knows for dispatch.ChooseByWork.
-func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry) {
+func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry, once bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*c.Load = b.load
@@ -113,8 +113,8 @@
 	}
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
 	c.Avoid = c.Avoid || b.backoff.Active(now)
-	c.Open = len(b.idle) > 0
-	c.WorkLeft, c.Speed = b.load.OwnWork(), b.speed.Factor()/b.load.HostFactor(now)
+	c.Open = b.hasIdle(once)
+	c.WorkLeft, c.Speed = b.load.OwnWork(), b.factor/b.load.HostFactor(now)
 }
 
 // aheadOfService returns the number of requests for the service that wait for any server and are served before this
@@ -140,7 +140,7 @@
 	to.mu.Lock()
 	now := clockNow()
 	wait := to.load.ExpectedWait(now, to.slots)
-	speed := to.speed.Factor() / to.load.HostFactor(now)
+	speed := to.factor / to.load.HostFactor(now)
 	to.mu.Unlock()
 	return max(minHedgeDelay, wait+time.Duration(workHedgeFactor*float64(high)/speed))
 }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -37,9 +37,10 @@
 	KindEvacuate        = 27 // evacuation.Change, answered by an empty body
 	KindGetEvacuations  = 28 // empty, answered by evacuation.Status
 	KindEvacuationSent  = 29 // evacuation.Traffic, one-way, entry to control
+	KindServerDigest    = 26 // serverload.Digest, one-way, control to entry
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
 	KindAdmission       = 30 // admitshare.Plan, one-way, control to entry
-	KindDemandReport    = 28 // admitshare.DemandReport, one-way, entry to control
+	KindDemandReport    = 31 // admitshare.DemandReport, one-way, entry to control
 )
 
 // GroupGlobal is the name of the replicated-log group that serves all regions and includes every
--- a/keyrange/capacity.go
+++ b/keyrange/capacity.go
@@ -2,37 +2,59 @@
 
 import "time"
 
-// DomainCapacity is what the servers of a service in one failure domain can run.
+// DomainCapacity is what the servers of a service in one failure domain can run, and what they do.
 type DomainCapacity struct {
 	Service string
 	Domain  string
 	Slots   float64 // requests that run at the same time
+	// Load is the mean number of requests per slot, running and waiting; negative if that is not known.
+	Load float64
 }
 
+// unknownLoad is the DomainCapacity.Load of servers whose load is not known.
+const unknownLoad = -1
+
 // Capacities returns the capacity of the servers that may get new requests. A server without recent heartbeats has
-// none, and one with a rate limit what its limit keeps busy.
-func (c *Coordinator) Capacities(now time.Duration) []DomainCapacity {
+// none, and one with a limit of its rate what that limit keeps busy. loadOf returns a server's requests per slot, and
+// whether they are known.
+func (c *Coordinator) Capacities(now time.Duration, loadOf func(serverID string) (perSlot float64, known bool)) []DomainCapacity {
 	type place struct{ service, domain string }
-	slots := map[place]float64{}
+	type sum struct{ slots, known, requests float64 }
+	sums := map[place]sum{}
 	for id, s := range c.servers {
-		if !s.ready() || c.drained(now, id) || now-s.lastSeen > emptyServerTimeout {
+		if !s.ready() || s.barred.set || c.drained(now, id) || now-s.lastSeen > emptyServerTimeout {
 			continue
 		}
-		slots[place{s.info.Service, s.info.Domain}] += s.usableSlots(c.averageServiceTimeSeconds)
+		at := place{s.info.Service, s.info.Domain}
+		total := sums[at]
+		slots := c.usableSlots(s)
+		total.slots += slots
+		if perSlot, known := loadOf(id); known {
+			total.known += slots
+			total.requests += slots * perSlot
+		}
+		sums[at] = total
 	}
-	capacities := make([]DomainCapacity, 0, len(slots))
-	for at, n := range slots {
-		capacities = append(capacities, DomainCapacity{Service: at.service, Domain: at.domain, Slots: n})
+	capacities := make([]DomainCapacity, 0, len(sums))
+	for at, total := range sums {
+		capacity := DomainCapacity{Service: at.service, Domain: at.domain, Slots: total.slots, Load: unknownLoad}
+		if total.known > 0 {
+			capacity.Load = total.requests / total.known
+		}
+		capacities = append(capacities, capacity)
 	}
 	return capacities
 }
 
-// usableSlots returns the slots that a server can keep busy. serviceAverage returns the average service time on all
-// servers of a service, in seconds.
-func (s *server) usableSlots(serviceAverage func(service string) float64) float64 {
+// usableSlots returns the slots that a server can keep busy.
+func (c *Coordinator) usableSlots(s *server) float64 {
 	slots := float64(max(s.info.Slots, 1))
-	if s.rateLimit > 0 {
-		slots = min(slots, s.rateLimit*s.serviceTimes.averageSeconds(serviceAverage(s.info.Service)))
+	rate := s.rateLimit
+	if s.cold {
+		rate = c.warmups[s.info.Service].PerSecond
+	}
+	if rate == 0 {
+		return slots
 	}
-	return slots
+	return min(slots, rate*s.serviceTimes.averageSeconds(c.averageServiceTimeSeconds(s.info.Service)))
 }
