--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -43,7 +43,7 @@
 type Planner struct {
 	demand      map[Group]*demandRate
 	corrections map[place]*correction // of the planned capacity
-	limited     map[string]bool        // services that the last plan limits
+	limited     map[string]bool       // services that the last plan limits
 }
 
 // place is the servers of a service in one region.
