--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -187,9 +187,18 @@
 	// the control hosts' setting.
 	MaxDeadlineMs int `json:"max_deadline_ms,omitempty,omitzero" yaml:"max_deadline_ms,omitempty" cbor:"max_deadline_ms,omitempty"`
 
+	// Descriptors that the process may open; 0 means the limit of open files of the
+	// process. It bounds the open connections of clients. Default: 0.
+	MaxDescriptors float64 `json:"max_descriptors,omitempty,omitzero" yaml:"max_descriptors,omitempty" cbor:"max_descriptors,omitempty"`
+
 	// Maximum body size of an upload, bytes. Default: 268435456.
 	MaxUploadBytes int `json:"max_upload_bytes,omitempty,omitzero" yaml:"max_upload_bytes,omitempty" cbor:"max_upload_bytes,omitempty"`
 
+	// Memory of the host, MiB; 0 means that of the system. A quarter of it bounds
+	// what clients' heads and bodies take together; the Go runtime's soft memory
+	// limit is three quarters. Default: 0.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero" yaml:"memory_mb,omitempty" cbor:"memory_mb,omitempty"`
+
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
 
@@ -265,9 +274,18 @@
 	// Structured logging.
 	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
 
+	// Descriptors that the process may open; 0 means the limit of open files of the
+	// process. It bounds the open connections of clients. Default: 0.
+	MaxDescriptors float64 `json:"max_descriptors,omitempty,omitzero" yaml:"max_descriptors,omitempty" cbor:"max_descriptors,omitempty"`
+
 	// Maximum lease that backend servers accept, milliseconds. Default: 10000.
 	MaxLeaseMs float64 `json:"max_lease_ms,omitempty,omitzero" yaml:"max_lease_ms,omitempty" cbor:"max_lease_ms,omitempty"`
 
+	// Memory of the host, MiB; 0 means that of the system. A quarter of it bounds
+	// what clients' heads and bodies take together; the Go runtime's soft memory
+	// limit is three quarters. Default: 0.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero" yaml:"memory_mb,omitempty" cbor:"memory_mb,omitempty"`
+
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
 
@@ -325,6 +343,15 @@
 	// Structured logging.
 	Log *LogSettings `json:"log,omitempty,omitzero" yaml:"log,omitempty" cbor:"log,omitempty"`
 
+	// Descriptors that the process may open; 0 means the limit of open files of the
+	// process. It bounds the open connections of clients. Default: 0.
+	MaxDescriptors float64 `json:"max_descriptors,omitempty,omitzero" yaml:"max_descriptors,omitempty" cbor:"max_descriptors,omitempty"`
+
+	// Memory of the host, MiB; 0 means that of the system. A quarter of it bounds
+	// what clients' heads and bodies take together; the Go runtime's soft memory
+	// limit is three quarters. Default: 0.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero" yaml:"memory_mb,omitempty" cbor:"memory_mb,omitempty"`
+
 	// Unique host name.
 	Name string `json:"name" yaml:"name" cbor:"name"`
 
