Bound what clients hold of a gateway

200 clients that stop just short of the end of a body of 1 MiB took 252 MB of a gateway, 400 connections of any kind 400 descriptors and more.

- Each request has an account in the memory budget: its head, its body as bytes arrive, the buffer of a streamed response.
The buffers of response bodies (bodybuffer) are a part of the same budget.
A request that gets no memory, or gives way, is refused with 503 and Retry-After, and its connection closed, if it has not been sent to a server.
- Connections of clients are bounded, also those of the readiness check, and clients below the least rate are cut off: 408 while a body arrives.
- Connections to servers are bounded; requests that run are bounded so that there is always an idle one to close.
Requests of stalled clients give way.
- Heads beyond maxHeaderBytes get 431, chunked bodies beyond maxBodyBytes 413 before they are sent.
While they are streamed, the exchange is broken off.
A body that nobody reads no longer holds the connection.
- The Go runtime gets a soft memory limit, and a configuration whose limits the host can't bear gets a warning.

--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -15,6 +15,7 @@
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/gateway"
+	"github.com/galenalug/galenalug/internal/hostlimits"
 	"github.com/galenalug/galenalug/platform"
 )
 
@@ -32,7 +33,7 @@
 			if err != nil {
 				return err
 			}
-			logWriter, err := daemon.SetUpSmallHost(s.Log)
+			logWriter, err := daemon.SetUpSmallHost(s.Log, hostlimits.Read(s.MemoryMb, s.MaxDescriptors))
 			if err != nil {
 				return err
 			}
--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -2,6 +2,7 @@
 //
 // A Pool is shared by all bodies of a process. The first bytes of each body are always read; what follows only as long
 // as the pool has memory for it. The rest of a body that was not read completely is to be passed on as it arrives.
+// A pool may be a part of the memory budget of the process (internal/membudget).
 package bodybuffer
 
 import (
@@ -9,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/galenalug/galenalug/internal/membudget"
 )
 
 const (
@@ -20,13 +23,48 @@
 
 // Pool is the memory for bodies. It is safe for concurrent use.
 type Pool struct {
-	size  int64 // bytes
-	bytes *semaphore.Weighted
+	size   int64 // bytes
+	bytes  *semaphore.Weighted
+	budget *membudget.Budget // nil if the pool is no part of one
 }
 
 // NewPool returns a pool of a number of bytes.
 func NewPool(size int64) *Pool { return &Pool{size: size, bytes: semaphore.NewWeighted(size)} }
 
+// budgetShare is the part of a budget that a pool may take, as a divisor.
+const budgetShare = 2
+
+// NewPoolOf returns a pool that is a part of a budget, and has at most DefaultBytes.
+func NewPoolOf(budget *membudget.Budget) *Pool {
+	p := NewPool(min(budget.Size()/budgetShare, DefaultBytes))
+	p.budget = budget
+	return p
+}
+
+// tryTake takes memory, and reports whether there was enough.
+func (p *Pool) tryTake(bytes int64) bool {
+	if !p.bytes.TryAcquire(bytes) {
+		return false
+	}
+	if p.budget != nil && !p.budget.TryTake(membudget.ResponseBodies, bytes) {
+		p.bytes.Release(bytes)
+		return false
+	}
+	return true
+}
+
+func (p *Pool) giveBack(bytes int64) {
+	p.charge(-bytes)
+	p.bytes.Release(bytes)
+}
+
+// charge counts the first part of a body, which is read even if there is no memory for it.
+func (p *Pool) charge(bytes int64) {
+	if p.budget != nil {
+		p.budget.Charge(membudget.ResponseBodies, bytes)
+	}
+}
+
 // Idle reports whether no body takes memory of the pool.
 func (p *Pool) Idle() bool {
 	idle := p.bytes.TryAcquire(p.size)
@@ -47,14 +85,18 @@
 // needs to be released.
 func (p *Pool) Read(body io.Reader, length, limit int64) (Start, error) {
 	limit = partOf(length, limit)
-	first := Start{Release: func() {}}
-	if err := first.extend(body, length, min(limit, MinBytes)); err != nil || first.Complete || limit <= MinBytes {
-		return first, err
+	firstBytes := min(limit, MinBytes)
+	p.charge(firstBytes)
+	first := Start{Release: func() { p.charge(-firstBytes) }}
+	if err := first.extend(body, length, firstBytes); err != nil {
+		first.Release()
+		return Start{}, err
 	}
-	if !p.bytes.TryAcquire(limit) {
+	if first.Complete || limit <= MinBytes || !p.tryTake(limit) {
 		return first, nil
 	}
-	start := Start{Data: first.Data, Release: func() { p.bytes.Release(limit) }}
+	first.Release()
+	start := Start{Data: first.Data, Release: func() { p.giveBack(limit) }}
 	if err := start.extend(body, length, limit); err != nil {
 		start.Release()
 		return Start{}, err
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -56,6 +56,7 @@
 	reading      atomic.Bool  // a read is in progress
 	writing      atomic.Bool  // a write is in progress
 	serving      atomic.Bool
+	atServer     atomic.Bool
 	stopped      atomic.Bool // reads fail
 	slow         atomic.Bool // reads fail because the client sends too slowly
 	closed       atomic.Bool
@@ -140,6 +141,13 @@
 	}
 }
 
+// SetAtServer states whether a request of the client holds a connection to a server, for Relieve.
+func (c *Conn) SetAtServer(atServer bool) {
+	if c != nil {
+		c.atServer.Store(atServer)
+	}
+}
+
 // StopReading makes reads fail, also one in progress. A response can still be written.
 func (c *Conn) StopReading() {
 	if c == nil {
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -123,7 +123,32 @@
 	if now.Before(g.noneUntil) {
 		return nil
 	}
-	var idling, stalled []*Conn
+	idling, stalled := g.stalled(now)
+	if len(idling) == 0 && len(stalled) == 0 {
+		g.noneUntil = now.Add(searchInterval)
+	}
+	found := slices.Concat(idling, stalled)
+	return found[:min(len(found), g.maxVictims())]
+}
+
+// maxVictims returns how many connections give way at once.
+func (g *Guard) maxVictims() int { return max(g.options.Max/victimShare, 1) }
+
+// Relieve cuts off clients whose requests hold connections to servers though the clients make no progress. Those without
+// progress for longest are the first.
+func (g *Guard) Relieve() {
+	g.mu.Lock()
+	_, victims := g.stalled(time.Now())
+	g.mu.Unlock()
+	victims = slices.DeleteFunc(victims, func(c *Conn) bool { return !c.atServer.Load() })
+	for _, victim := range victims[:min(len(victims), g.maxVictims())] {
+		victim.Cut(GaveWay)
+	}
+}
+
+// stalled returns the connections without progress for the stall time, those without for longest first. The caller
+// holds mu.
+func (g *Guard) stalled(now time.Time) (idling, stalled []*Conn) {
 	for c := range g.conns {
 		c.measure()
 		c.noteProgress(now)
@@ -136,15 +161,10 @@
 			stalled = append(stalled, c)
 		}
 	}
-	if len(idling) == 0 && len(stalled) == 0 {
-		g.noneUntil = now.Add(searchInterval)
-		return nil
-	}
 	for _, group := range [][]*Conn{idling, stalled} {
 		slices.SortFunc(group, func(a, b *Conn) int { return a.movedAt.Compare(b.movedAt) })
 	}
-	found := append(idling, stalled...)
-	return found[:min(len(found), max(g.options.Max/victimShare, 1))]
+	return idling, stalled
 }
 
 // noteProgress updates when the client has made progress. The caller holds Guard.mu.
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -29,6 +29,8 @@
 	dial            dialFunc
 	onCrash         func(quarantine.Crash) // called when the process has ended with requests
 	buffers         *bodybuffer.Pool       // shared with the other servers
+	conns           *connCount             // shared with the other servers
+	closeOldest     func()                 // closes the oldest idle connection of any server
 
 	mu          sync.Mutex // guards the fields below
 	idle        []*conn    // the most recently used last
@@ -56,10 +58,14 @@
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
 	buffers *bodybuffer.Pool // for the response bodies of all servers
+	conns   *connCount       // of all servers
 }
 
-func newBackends(noticeCounter prometheus.Counter) *backends {
-	return &backends{byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, dial: dialTCP, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes)}
+func newBackends(noticeCounter prometheus.Counter, buffers *bodybuffer.Pool, maxConns int) *backends {
+	return &backends{
+		byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter,
+		dial: dialTCP, buffers: buffers, conns: &connCount{max: int64(maxConns)},
+	}
 }
 
 // get returns the backend of a server. It creates the backend if there is none, or if the server has
@@ -75,6 +81,7 @@
 		server = &backend{
 			id: s.ID, address: s.Address, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
 			noticeCounter: b.noticeCounter, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
+			conns: b.conns, closeOldest: b.closeOldest,
 		}
 		b.byID[s.ID] = server
 	}
--- /dev/null
+++ b/internal/gateway/clientlimits.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/galenalug/galenalug/internal/clientconn"
+	"github.com/galenalug/galenalug/internal/hostlimits"
+	"github.com/galenalug/galenalug/internal/membudget"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/routes"
+)
+
+const (
+	// maxReadyConns is the number of connections to the readiness check. A balancer has one or a few.
+	maxReadyConns = 16
+	// readyStall is how long a connection to the readiness check may be idle or stalled before it gives way. A check
+	// takes a round trip, and must get through a crowd.
+	readyStall = 250 * time.Millisecond
+	// readyHeadBytes bounds the head of a readiness check, bytes. net/http adds 4 KiB to it.
+	readyHeadBytes = 2 << 10
+	// readyTimeout bounds each phase of a readiness check.
+	readyTimeout = 3 * time.Second
+	// attemptsPerRequest is the number of connections that a request may use at the same time: it may be hedged.
+	attemptsPerRequest = 2
+	// turnTimeout is how long a request waits for others to end, if there are too many.
+	turnTimeout = 100 * time.Millisecond
+)
+
+// clientLimits bounds what clients may take of the host.
+type clientLimits struct {
+	host       hostlimits.Host
+	budget     *membudget.Budget
+	guard      *clientconn.Guard
+	readyGuard *clientconn.Guard
+	running    chan struct{} // as many elements as requests that may have a connection to a server
+	checked    uint64        // version of the configuration that was checked; used by the sweep only
+}
+
+func newClientLimits(s *settings.GatewaySettings, registry *prometheus.Registry) (*clientLimits, error) {
+	host := hostlimits.Read(s.MemoryMb, s.MaxDescriptors)
+	budget := membudget.New(host.Budget())
+	metrics, err := clientconn.NewMetrics(registry, budget)
+	if err != nil {
+		return nil, err
+	}
+	return &clientLimits{
+		host: host, budget: budget, running: make(chan struct{}, host.Servers()/attemptsPerRequest),
+		guard: clientconn.New(clientconn.Options{
+			Name: "clients", Max: host.Clients(), Rate: clientconn.DefaultRate, Metrics: metrics,
+		}),
+		readyGuard: clientconn.New(clientconn.Options{
+			Name: "ready", Max: maxReadyConns, Rate: clientconn.DefaultRate, Stall: readyStall, Metrics: metrics,
+		}),
+	}, nil
+}
+
+// startRequest reports whether another request may be sent to servers. If there are too many, those of stalled clients
+// give way. endRequest ends it.
+func (l *clientLimits) startRequest(ctx context.Context) bool {
+	select {
+	case l.running <- struct{}{}:
+		return true
+	default:
+	}
+	l.guard.Relieve()
+	timer := time.NewTimer(turnTimeout)
+	defer timer.Stop()
+	select {
+	case l.running <- struct{}{}:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (l *clientLimits) endRequest() { <-l.running }
+
+// newReadyServer returns the server of the readiness check.
+func newReadyServer(serve http.HandlerFunc, errorLog *stdlog.Logger) *http.Server {
+	return &http.Server{
+		Handler: serve, ErrorLog: errorLog, ConnContext: clientconn.WithConn,
+		ReadHeaderTimeout: readyTimeout, ReadTimeout: readyTimeout, WriteTimeout: readyTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: readyHeadBytes,
+	}
+}
+
+// refuseBody closes the connection of a request with a body after the response. The body is not read.
+func refuseBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+		clientconn.From(r.Context()).StopReading()
+	}
+}
+
+// checkLimits logs a warning for each limit of a new configuration that this host can't bear.
+func (h *Host) checkLimits() {
+	table, _, _ := h.view.snapshot(clockNow())
+	if table == nil || table.Version() == h.clients.checked {
+		return
+	}
+	h.clients.checked = table.Version()
+	for _, warning := range h.clients.host.Check(configLimits(table.Limits())...) {
+		log.WithField("version", table.Version()).Warn(warning)
+	}
+}
+
+// configLimits returns the limits of a configuration, and the memory of one request at each.
+func configLimits(l routes.Limits) []hostlimits.Limit {
+	buffered := min(l.BodyBytes, maxBufferedBody) // the rest of a body is streamed
+	return []hostlimits.Limit{
+		{Name: "maxHeaderBytes", Value: l.HeaderBytes, Bytes: headMemory(l.HeaderBytes, l.HeaderBytes/minFieldBytes)},
+		{Name: "maxBodyBytes", Value: l.BodyBytes, Bytes: buffered},
+	}
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/idle"
 )
@@ -30,7 +31,7 @@
 
 // withClientConn is the ConnContext hook of the HTTP server.
 func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return clientconn.WithConn(context.WithValue(ctx, connKey{}, conn), conn)
 }
 
 // hungUp reports whether the client has closed the connection of a request. Unlike the request's context
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -43,6 +43,8 @@
 	lastUsed time.Time          // end of the last exchange
 	refused  []string           // IDs of the requests that were refused on the connection
 	buffers  *bodybuffer.Pool   // of all connections
+	count    *connCount         // of all connections; nil if they are not counted
+	closed   atomic.Bool
 }
 
 // Write counts the bytes that were handed to the network.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,6 +33,10 @@
 	maxBufferedResponse = 256 << 10
 )
 
+// maxJoinedBody is the size up to which a request body is copied behind the head, so that both are written at once,
+// bytes. A copy of a larger one would double its memory.
+const maxJoinedBody = 16 << 10
+
 // exchangeError is the error of an exchange that yielded no response.
 type exchangeError struct {
 	reason      string
@@ -159,13 +163,22 @@
 		return err
 	}
 	head.WriteString("\r\n")
-	if req.stream == nil {
-		head.Write(req.body)
+	rest := req.body
+	if req.stream == nil && len(rest) <= maxJoinedBody {
+		head.Write(rest)
+		rest = nil
 	}
-	if _, err := c.Write(head.Bytes()); err != nil || req.stream == nil {
+	if _, err := c.Write(head.Bytes()); err != nil {
 		return err
 	}
-	return writeStream(c, req)
+	if req.stream != nil {
+		return writeStream(c, req)
+	}
+	if len(rest) == 0 {
+		return nil
+	}
+	_, err := c.Write(rest)
+	return err
 }
 
 func writeStream(c *conn, req *backendRequest) error {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -51,6 +51,10 @@
 	reasonLinkFull    = "link-between-regions-full"
 	reasonBody        = "request-body"
 	reasonBodyLarge   = "request-body-too-large"
+	reasonBodySlow    = "request-body-too-slow"
+	reasonHeadLarge   = "request-head-too-large"
+	reasonMemory      = "memory-short"
+	reasonBusy        = "too-many-requests-in-progress"
 	reasonNoKey       = "no-key"
 	reasonNotExecuted = "server-did-not-run-it"
 	reasonNotOwner    = "server-does-not-hold-the-key"
@@ -68,6 +72,7 @@
 	route            *routes.Route
 	service          string
 	stamp            Stamp
+	hold             hold // of the client's connection and memory
 	body             []byte
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
 	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
@@ -92,6 +97,11 @@
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{host: h, request: r, writer: w, started: time.Now(), info: h.dialect.ParseRequest(r.Header), ctx: r.Context()}
 	c.setDeadline(defaultTimeout)
+	c.openHold()
+	defer c.closeHold()
+	if !c.takeHead() {
+		return
+	}
 	if h.draining.Load() { // the request might not end before the process does
 		c.refuse(reasonStopping)
 		return
@@ -111,7 +121,7 @@
 	c.setDeadline(time.Duration(c.route.TimeoutMillis) * time.Millisecond)
 	c.service = h.pickService(table.Version(), c.route)
 	h.countRequest(c.service, c.info.Key)
-	if !c.readBody(table.Limits()) {
+	if !c.checkHead(table.Limits()) || !c.readBody(table.Limits()) {
 		return
 	}
 	service := table.Service(c.service)
@@ -119,6 +129,13 @@
 		c.respondWithStatus(http.StatusBadRequest, reasonNoKey)
 		return
 	}
+	if !h.clients.startRequest(r.Context()) {
+		c.refuse(reasonBusy)
+		return
+	}
+	defer h.clients.endRequest()
+	c.hold.conn.SetAtServer(true)
+	defer c.hold.conn.SetAtServer(false)
 	c.run(service)
 }
 
@@ -150,14 +167,16 @@
 		c.respondWithStatus(http.StatusRequestEntityTooLarge, reasonBodyLarge)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBufferedBody))
+	body, ended, err := c.readStart(limit)
 	if err != nil {
-		c.respondWithStatus(http.StatusBadRequest, reasonBody)
+		c.refuseBody(err)
 		return false
 	}
 	c.body = body
-	if len(body) == maxBufferedBody {
-		c.stream = &clientBody{reader: io.MultiReader(bytes.NewReader(body), c.request.Body), request: c.request}
+	c.hold.unread = !ended
+	c.hold.awaitServer()
+	if !ended {
+		c.stream = &clientBody{reader: io.MultiReader(bytes.NewReader(body), c.request.Body), request: c.request, limit: limit, hold: &c.hold}
 		// Only HTTP/1 needs this, which is half duplex by default.
 		_ = http.NewResponseController(c.writer).EnableFullDuplex()
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/eventlog"
 	"github.com/galenalug/galenalug/internal/fleet"
@@ -72,6 +73,7 @@
 	listener      net.Listener // of server
 	clientConns   *clientConns
 	readyServer   *http.Server
+	clients       *clientLimits
 	stopping      atomic.Bool     // the balancer check fails, and clients are asked to leave
 	stopEnd       atomic.Int64    // when requests in flight are given up, on clock.Now; 0 unless stopping
 	givingUp      context.Context // ends at stopEnd
@@ -97,11 +99,16 @@
 	if o.Events == nil {
 		o.Events = os.Stdout
 	}
+	clients, err := newClientLimits(o.Settings, o.Registry)
+	if err != nil {
+		return nil, err
+	}
 	h := &Host{
 		settings:      o.Settings,
+		clients:       clients,
 		dialect:       o.Dialect,
 		view:          newView(clock.Milliseconds(o.Settings.DrainMs)),
-		backends:      newBackends(m.notices),
+		backends:      newBackends(m.notices, bodybuffer.NewPoolOf(clients.budget), clients.host.Servers()),
 		regionLinks:   newRegionLinks(m.links, requestsOut),
 		responseLinks: newRegionLinks(m.links, responsesIn),
 		responseSizes: newResponseSizes(),
@@ -142,9 +149,7 @@
 		ConnContext:       withClientConn,
 		ErrorLog:          discardLog,
 	}
-	h.readyServer = &http.Server{
-		Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog,
-	}
+	h.readyServer = newReadyServer(h.serveReady, discardLog)
 	return h, nil
 }
 
@@ -164,8 +169,10 @@
 	h.cancel, h.listener = cancel, listener
 	h.done.Go(func() { h.leaderLink.run(ctx) })
 	h.done.Go(func() { h.sweep(ctx) })
-	h.done.Go(func() { serveUntilClosed(h.server, listener) })
-	h.done.Go(func() { serveUntilClosed(h.readyServer, readyListener) })
+	h.done.Go(func() { serveUntilClosed(h.server, h.clients.guard.Listen(listener)) })
+	h.done.Go(func() { serveUntilClosed(h.readyServer, h.clients.readyGuard.Listen(readyListener)) })
+	h.done.Go(func() { h.clients.guard.Watch(ctx) })
+	h.done.Go(func() { h.clients.readyGuard.Watch(ctx) })
 	return nil
 }
 
@@ -176,7 +183,8 @@
 }
 
 // serveReady responds to the balancer check.
-func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
+func (h *Host) serveReady(w http.ResponseWriter, r *http.Request) {
+	refuseBody(w, r)
 	now := clockNow()
 	disconnected := h.leaderLink.disconnectedFor(now) > maxDisconnectedTime
 	if h.stopping.Load() || disconnected || !h.view.ready() || !h.view.mayUseConfig(now) {
@@ -188,6 +196,7 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, sweepInterval)
 		h.backends.sweep(clockNow(), h.view.has)
+		h.checkLimits()
 	}
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -32,11 +32,12 @@
 		c := b.takeIdle(once, id)
 		if c == nil {
 			started := clockNow()
-			raw, err := b.dial(ctx, "tcp", b.address)
+			raw, err := b.dialCounted(ctx)
 			if err != nil {
 				return nil, err
 			}
 			c = newConn(raw, b.buffers)
+			c.count = b.conns
 			c.dialTook = clockNow() - started
 			return c, nil
 		}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -31,7 +31,7 @@
 		return c.quarantinedFor
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
-	case reasonStaleConfig, reasonStopping, reasonSuspected:
+	case reasonStaleConfig, reasonStopping, reasonSuspected, reasonMemory, reasonBusy:
 		return min(otherGatewayRetryAfter, latest)
 	case reasonLinkFull:
 		return min(c.linkWait, latest)
@@ -53,6 +53,8 @@
 // respondWithStatus ends a request with a response of the gateway itself.
 func (c *call) respondWithStatus(status int, reason string) {
 	c.log("refused", reason, status, true)
+	c.startResponse()
+	c.closeIfUnread()
 	c.closeIfStopping()
 	c.writer.Header().Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/clientconn"
 )
 
 // backendRequest is a request as it is sent to a backend server.
@@ -40,11 +42,21 @@
 	reader  io.Reader
 	request *http.Request
 	failed  atomic.Bool // a read has failed
+	limit   int64       // largest body, bytes; 0 for no limit
+	read    int64
+	hold    *hold
 }
 
 // Read implements io.Reader.
 func (b *clientBody) Read(p []byte) (int, error) {
+	b.hold.awaitClient()
 	n, err := b.reader.Read(p)
+	b.hold.gotFromClient(n, err)
+	b.read += int64(n)
+	if b.limit > 0 && b.read > b.limit {
+		b.hold.conn.RecordCut(clientconn.BodyTooLarge)
+		n, err = 0, errBodyTooLarge
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.failed.Store(true)
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 
 // respond sends a backend server's response to the client.
 func (c *call) respond(resp *backendResponse) {
+	c.startResponse()
 	header := c.writer.Header()
 	for name, values := range endToEnd(resp.header) {
 		header[name] = values
@@ -23,15 +23,14 @@
 	if resp.rest == nil {
 		header.Set("Content-Length", strconv.Itoa(len(resp.body)))
 		c.writer.WriteHeader(resp.status)
-		_, err := c.writer.Write(resp.body)
-		_ = err // a write fails only if the client has disconnected
+		_ = c.writeTo(resp.body) // a write fails only if the client has disconnected
 		resp.finish(true)
 		return
 	}
 	c.writer.WriteHeader(resp.status)
-	_, err := c.writer.Write(resp.body)
+	err := c.writeTo(resp.body)
 	if err == nil {
-		_, err = io.Copy(c.writer, resp.rest)
+		err = c.copyTo(resp.rest)
 	}
 	resp.finish(err == nil)
 	if err != nil {
