Bound what clients hold of a control host, and of admin addresses

30 clients that send half of a configuration of 15 MiB took 267 MB of a control host, 60 heads of 500 kB of short fields 747 MB, and 400 connections of any kind as many descriptors.

- Connections for calls, for peers and to the admin address are bounded by the descriptors and the memory.
Authenticated peers don't give way.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -9,10 +9,12 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/galenalug/galenalug/internal/admin"
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/fleet"
 	"github.com/galenalug/galenalug/internal/hostlimits"
+	"github.com/galenalug/galenalug/internal/membudget"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/platform"
 )
@@ -41,21 +43,31 @@
 				return err
 			}
 			registry := prometheus.NewRegistry()
+			limits := hostlimits.Read(s.MemoryMb, s.MaxDescriptors)
+			budget := membudget.New(limits.Budget())
+			clients, err := clientconn.NewMetrics(registry, budget)
+			if err != nil {
+				return err
+			}
 			host, err := fleet.New(fleet.Options{
 				Settings: &s, Secret: secret, Registry: registry, NewGrantCaller: platform.NewGrantCaller,
+				PeerGuard: clientconn.New(clientconn.Options{Name: "peers", Max: limits.Peers(), Metrics: clients}),
 			})
 			if err != nil {
 				return err
 			}
 			adminServer, err := admin.Start(admin.Options{
 				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+				Metrics:  clients,
 				Handlers: map[string]http.Handler{wire.PathRoutes: host.OperatorAPI(operatorSecret, s.OpenNetwork)},
 			})
 			if err != nil {
 				return err
 			}
 			defer adminServer.Stop()
-			platformAPI, err := platform.NewControl(s.ControlListen, host)
+			platformAPI, err := platform.NewBoundedControl(s.ControlListen, host, platform.CallLimits{
+				Budget: budget, Connections: limits.Calls(), Metrics: clients,
+			})
 			if err != nil {
 				return err
 			}
--- a/cmd/galena-entry/platform.go
+++ b/cmd/galena-entry/platform.go
@@ -50,7 +50,7 @@
 				return err
 			}
 			adminServer, err := admin.Start(admin.Options{
-				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump, Metrics: host.ClientMetrics(),
 			})
 			if err != nil {
 				return err
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -48,6 +48,7 @@
 type Conn struct {
 	net.Conn
 	guard  *Guard
+	remote string // address, IP:port
 	opened time.Time
 
 	received     atomic.Int64
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -51,8 +51,9 @@
 type Guard struct {
 	options Options
 
-	mu    sync.Mutex // guards conns, and the fields of connections that say so; no other lock is acquired while it is held
-	conns map[*Conn]struct{}
+	mu       sync.Mutex // guards conns, and the fields of connections that say so; no other lock is acquired while it is held
+	conns    map[*Conn]struct{}
+	byRemote map[string]*Conn // by remote address
 	// noneUntil is the time until which no connection gives way, since the last search found none.
 	noneUntil time.Time
 }
@@ -65,7 +66,7 @@
 	if o.Stall == 0 {
 		o.Stall = defaultStall
 	}
-	g := &Guard{options: o, conns: map[*Conn]struct{}{}}
+	g := &Guard{options: o, conns: map[*Conn]struct{}{}, byRemote: map[string]*Conn{}}
 	o.Metrics.add(g)
 	return g
 }
@@ -94,7 +95,7 @@
 // admit adds a connection, or refuses it and returns nil.
 func (g *Guard) admit(raw net.Conn) *Conn {
 	now := time.Now()
-	c := &Conn{Conn: raw, guard: g, opened: now, movedAt: now}
+	c := &Conn{Conn: raw, guard: g, remote: raw.RemoteAddr().String(), opened: now, movedAt: now}
 	g.mu.Lock()
 	var victims []*Conn
 	full := len(g.conns) >= g.options.Max
@@ -110,6 +111,7 @@
 		return nil
 	}
 	g.conns[c] = struct{}{}
+	g.byRemote[c.remote] = c
 	g.mu.Unlock()
 	for _, victim := range victims {
 		victim.Cut(GaveWay)
@@ -179,6 +181,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.conns, c)
+	if g.byRemote[c.remote] == c {
+		delete(g.byRemote, c.remote)
+	}
 }
 
 // Watch cuts off clients that don't keep the least rate, until the context ends.
@@ -239,22 +244,20 @@
 	return counts
 }
 
-// Find returns the connection from a remote address, or nil.
+// Find returns the connection from a remote address, IP:port, or nil.
 func (g *Guard) Find(remote string) *Conn {
+	if g == nil {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for c := range g.conns {
-		if c.RemoteAddr().String() == remote {
-			return c
-		}
-	}
-	return nil
+	return g.byRemote[remote]
 }
 
 func (g *Guard) recordCut(c *Conn, cause Cause) {
 	g.options.Metrics.countCut(cause)
 	g.options.Logger.WithFields(log.Fields{
-		"listener": g.options.Name, "remote": c.RemoteAddr().String(), "cause": string(cause),
+		"listener": g.options.Name, "remote": c.remote, "cause": string(cause),
 		"received": c.received.Load(), "written": c.written.Load(), "open_ms": time.Since(c.opened).Milliseconds(),
 	}).Warn("client cut off")
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/groupcall"
@@ -79,6 +80,8 @@
 	// NewGrantCaller returns what sends the leader's calls to backend servers that take grants by calls. If it
 	// is nil, such servers receive no keys.
 	NewGrantCaller func() GrantCaller
+	// PeerGuard bounds the connections of peers. It may be nil.
+	PeerGuard *clientconn.Guard
 }
 
 // Host is a control host.
@@ -133,6 +136,7 @@
 		Limits:  GatewayLimits(),
 		Workers: callWorkers,
 		Metrics: peerMetrics,
+		Guard:   o.PeerGuard,
 	})
 	return h, errors.Wrap(err, "peer listener")
 }
--- a/internal/gateway/clientlimits.go
+++ b/internal/gateway/clientlimits.go
@@ -36,6 +36,7 @@
 type clientLimits struct {
 	host       hostlimits.Host
 	budget     *membudget.Budget
+	metrics    *clientconn.Metrics
 	guard      *clientconn.Guard
 	readyGuard *clientconn.Guard
 	running    chan struct{} // as many elements as requests that may have a connection to a server
@@ -50,7 +51,7 @@
 		return nil, err
 	}
 	return &clientLimits{
-		host: host, budget: budget, running: make(chan struct{}, host.Servers()/attemptsPerRequest),
+		host: host, budget: budget, metrics: metrics, running: make(chan struct{}, host.Servers()/attemptsPerRequest),
 		guard: clientconn.New(clientconn.Options{
 			Name: "clients", Max: host.Clients(), Rate: clientconn.DefaultRate, Metrics: metrics,
 		}),
@@ -82,6 +83,9 @@
 
 func (l *clientLimits) endRequest() { <-l.running }
 
+// ClientMetrics returns the metrics of the clients' connections, to which those of other listeners are added.
+func (h *Host) ClientMetrics() *clientconn.Metrics { return h.clients.metrics }
+
 // newReadyServer returns the server of the readiness check.
 func newReadyServer(serve http.HandlerFunc, errorLog *stdlog.Logger) *http.Server {
 	return &http.Server{
--- a/internal/hostlimits/hostlimits.go
+++ b/internal/hostlimits/hostlimits.go
@@ -78,6 +78,25 @@
 	return max(h.Descriptors-ownDescriptors-h.Clients(), minClients)
 }
 
+const (
+	// callPercent and peerPercent are the parts of a control host's descriptors for calls of servers and operators, and
+	// for peers: a connection for each gateway and control host, and for each backend server.
+	callPercent = 40
+	peerPercent = 30
+)
+
+// Calls returns the bound of open connections of servers and operators to a control host.
+func (h Host) Calls() int { return h.part(callPercent) }
+
+// Peers returns the bound of open connections of peers to a control host.
+func (h Host) Peers() int { return h.part(peerPercent) }
+
+// part returns a part of the descriptors, unless the memory for connections has room for less.
+func (h Host) part(percent int) int {
+	byMemory := int(min(h.Memory/connectionShare/connectionBytes/2, math.MaxInt32))
+	return max(min(h.Descriptors*percent/100, byMemory), minClients)
+}
+
 // Limit is a limit of the settings or of the configuration, and what is needed to reach it.
 type Limit struct {
 	Name  string
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/galenalug/galenalug/internal/clientconn"
 )
 
 // Default timeouts and limits.
@@ -74,6 +76,8 @@
 	Workers int           // maximum concurrent calls; default: DefaultWorkers
 	Limits  Limits
 	Metrics *Metrics // default: unregistered metrics
+	// Guard bounds the open connections. Those of authenticated peers don't give way. Default: no bound.
+	Guard *clientconn.Guard
 }
 
 // ClientOptions are the options of NewClient.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -52,6 +52,9 @@
 		pool.Release()
 		return nil, errors.Wrap(err, "listen for peers")
 	}
+	if options.Guard != nil {
+		listener = options.Guard.Listen(listener)
+	}
 	s := &Server{
 		options:  options,
 		listener: listener,
@@ -63,6 +66,9 @@
 	return s, nil
 }
 
+// maxUpgradeBytes is the maximum size of the head of a peer's request, bytes.
+const maxUpgradeBytes = 8 << 10
+
 func (s *Server) newEngine() *hertz.Hertz {
 	engine := hertz.New(
 		hertz.WithListener(s.listener),
@@ -72,6 +78,7 @@
 		hertz.WithReadTimeout(s.options.Limits.HandshakeTimeout),
 		hertz.WithIdleTimeout(s.options.Limits.HandshakeTimeout),
 		hertz.WithMaxRequestBodySize(maxHelloBytes),
+		hertz.WithMaxHeaderBytes(maxUpgradeBytes),
 	)
 	// A pooled connection object could be closed by its previous user after it was reused.
 	engine.NoHijackConnPool = true
@@ -142,6 +149,7 @@
 		s.options.Logger.WithFields(log.Fields{"remote": remote, "error": err.Error()}).Warn("peer handshake failed")
 		return
 	}
+	s.options.Guard.Find(remote).SetServing(true)
 	conn := newConn(socket, identity, s.options.Limits, s.options.Metrics, false)
 	conn.onCall = s.call
 	conn.onNotify = s.notify
