Bound what callers hold of an entry host

The transport of hertz that was in use (netpoll) keeps in memory whatever a client sends, whether or not it is asked for, so that no budget can hold.

- The standard transport of hertz, as on control hosts.
It has no signal of a caller's disconnect while a body is streamed, so that the host polls for it every 50 ms.
Its read timeout bounds a whole request; bodies set it again with each read, as upload_idle_ms says.
- Bodies are read within the memory budget, of which the buffers of response bodies (internal/forward) are a part; heads have at most 16 KiB.
- Connections to both addresses are bounded, and clients below the least rate cut off.

--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -17,6 +17,7 @@
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/entry"
+	"github.com/galenalug/galenalug/internal/hostlimits"
 	"github.com/galenalug/galenalug/internal/logging"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/routing"
@@ -72,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	hostlimits.Read(s.MemoryMb, s.MaxDescriptors).Apply()
 	registry := prometheus.NewRegistry()
 	link := routing.New(routing.Options{
 		Settings:    s,
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -11,6 +11,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/pkg/errors"
 
+	"github.com/galenalug/galenalug/internal/bodybuffer"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/retry"
@@ -26,18 +28,27 @@
 		c.SetConnectionClose()
 	}
 	arrived := time.Now()
+	held := h.callers.open(c)
+	defer held.close()
+	if !held.takeHead(c) {
+		h.writeRefusal(c, nil, held.refuseForMemory(c))
+		return
+	}
 	in, failure := parseInput(&c.Request.Header, arrived, h.config)
 	if failure != nil {
 		h.writeRefusal(c, nil, failure)
 		return
 	}
 	in.id = h.nextRequestID()
-	in.callerContext = ctx
-	if failure := h.readBody(c, in); failure != nil {
+	if failure := h.readBody(c, in, held); failure != nil {
 		h.writeRefusal(c, in, failure)
 		return
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	in.callerContext = ctx
+	defer held.senseDisconnect(cancel)()
 	var response *forward.Response
+	defer func() { cancelAfter(response, cancel) }()
 	done := make(chan struct{})
 	err := h.workerPool.Submit(func() {
 		defer close(done)
@@ -54,13 +65,16 @@
 	case response == nil: // the worker panicked; the pool has logged it
 		h.writeRefusal(c, in, refuseUnknown(500, reasonInternal, "the host failed"))
 	default:
+		if response.Stream != nil {
+			response.Stream = &cancelingStream{ReadCloser: response.Stream, cancel: cancel}
+		}
 		h.writeResponse(c, in, response)
 	}
 }
 
 // readBody sets up the body of an upload for streaming, and reads any other body into memory, also
 // that of a commit.
-func (h *Host) readBody(c *app.RequestContext, in *inboundRequest) *refusal {
+func (h *Host) readBody(c *app.RequestContext, in *inboundRequest, held *heldByCaller) *refusal {
 	if in.header.IgnoreBody() || in.contentLength == 0 || c.Request.BodyStream() == nil {
 		return nil
 	}
@@ -71,12 +85,18 @@
 	} else {
 		reader = &chunkedBodyReader{reader: reader, buffered: c.GetConn().Len}
 	}
+	reader = &patientReader{reader: reader, held: held, timeout: h.config.uploadIdleTimeout}
 	if in.streamsBody() {
 		in.stream = &limitedReader{reader: reader, maxBytes: int64(h.config.maxUploadBytes)}
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(reader, int64(h.config.maxBodyBytes)+1))
+	body, _, err := bodybuffer.ReadRequest(reader, max(int64(in.contentLength), -1), int64(h.config.maxBodyBytes)+1, held.account, clock.Now)
 	switch {
+	case errors.Is(err, bodybuffer.ErrMemoryShort), held.account.Evicted():
+		return held.refuseForMemory(c)
+	case held.conn.SendsTooSlowly():
+		c.SetConnectionClose()
+		return refuseNotRun(408, reasonTooSlow, "the body arrives too slowly")
 	case len(body) > h.config.maxBodyBytes:
 		c.SetConnectionClose()
 		return refuseNotRun(413, reasonTooLarge, "the body has more than %d bytes", h.config.maxBodyBytes)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -11,10 +12,12 @@
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/internal/bodybuffer"
 	"github.com/galenalug/galenalug/internal/forward"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -68,6 +71,7 @@
 
 	callerServer, adminServer     *server.Hertz
 	callerListener, adminListener net.Listener
+	callers                       *callerLimits
 }
 
 // New returns a host that listens on its addresses. Run starts serving.
@@ -81,6 +85,12 @@
 	if h.metrics, err = newMetrics(options.Registry, h); err != nil {
 		return nil, errors.Wrap(err, "entry: metrics")
 	}
+	if h.callers, err = newCallerLimits(options.Settings, h.config, options.Registry, h.logger); err != nil {
+		return nil, errors.Wrap(err, "entry: metrics")
+	}
+	if client, ok := h.sender.(*forward.Client); ok {
+		client.UseBuffers(bodybuffer.NewPoolOf(h.callers.budget))
+	}
 	if h.workerPool, err = ants.NewPool(h.config.workers, ants.WithNonblocking(true)); err != nil {
 		return nil, errors.Wrap(err, "entry: worker pool")
 	}
@@ -146,22 +156,25 @@
 		_ = h.callerListener.Close()
 		return errors.Wrap(err, "entry: listen for operators")
 	}
+	h.callerListener = h.callers.guard.Listen(h.callerListener)
+	h.adminListener = h.callers.adminGuard.Listen(h.adminListener)
 	h.callerServer = h.newCallerServer()
 	h.adminServer = h.newAdminServer()
 	return nil
 }
 
-// newCallerServer returns the server for callers and backend servers. It streams bodies, closes
-// connections that make no progress, and cancels a request's context when its caller disconnects.
+// newCallerServer returns the server for callers and backend servers. It streams bodies, and closes
+// connections that make no progress. Its transport reads no more than is asked for, unlike the other one of hertz, which
+// holds in memory all that a client sends.
 func (h *Host) newCallerServer() *server.Hertz {
 	engine := server.New(
 		server.WithListener(h.callerListener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxHeaderBytes(maxHeadBytes),
 		server.WithStreamBody(true),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithMaxRequestBodySize(h.config.maxUploadBytes),
-		server.WithSenseClientDisconnection(true),
 		server.WithReadTimeout(h.config.uploadIdleTimeout),
-		server.WithWriteTimeout(h.config.uploadIdleTimeout),
 		server.WithExitWaitTime(h.config.drainPeriod),
 		server.WithRedirectTrailingSlash(false),
 		server.WithDisablePrintRoute(true),
@@ -177,6 +190,11 @@
 func (h *Host) newAdminServer() *server.Hertz {
 	engine := server.New(
 		server.WithListener(h.adminListener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxHeaderBytes(maxHeadBytes),
+		server.WithMaxRequestBodySize(maxAdminBodyBytes),
+		server.WithReadTimeout(adminReadTimeout),
+		server.WithIdleTimeout(adminIdleTimeout),
 		server.WithExitWaitTime(time.Second),
 		server.WithDisablePrintRoute(true),
 	)
@@ -197,6 +215,10 @@
 	failed := make(chan error, 2)
 	go func() { failed <- h.callerServer.Run() }()
 	go func() { failed <- h.adminServer.Run() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go h.callers.guard.Watch(ctx)
+	go h.callers.adminGuard.Watch(ctx)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -65,6 +65,9 @@
 	return &Client{dial: dial, buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), pools: map[poolKey]*pool{}}
 }
 
+// UseBuffers makes the client keep response bodies in a pool that others use, too. It must be called before Send.
+func (c *Client) UseBuffers(buffers *bodybuffer.Pool) { c.buffers = buffers }
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return dialer.DialContext(ctx, "tcp", address)
