Bound connections and unauthenticated bodies of galena-control

The admin address read bodies of 16 MiB before it checked the operators' credential. Bodies are streamed now, and read after the check. Connections to the admin and peer addresses are bounded, heads have at most 16 KiB, and the Go runtime gets a soft memory limit (settings memory_mb and max_descriptors). The tests with abusive load write these settings always.

--- a/cmd/galena-control/main.go
+++ b/cmd/galena-control/main.go
@@ -13,6 +13,7 @@
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/control"
 	"github.com/galenalug/galenalug/internal/daemon"
+	"github.com/galenalug/galenalug/internal/hostlimits"
 	"github.com/galenalug/galenalug/internal/logging"
 )
 
@@ -38,6 +39,7 @@
 	if err := logging.Setup(s.Log, os.Stderr); err != nil {
 		return nil, err
 	}
+	hostlimits.Read(s.MemoryMb, s.MaxDescriptors).Apply()
 	peerSecret, err := config.ReadSecret(s.PeerSecretFile)
 	if err != nil {
 		return nil, err
--- a/internal/abuse/processes_test.go
+++ b/internal/abuse/processes_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,7 +79,7 @@
 	t.Helper()
 	p := &process{t: t, exited: make(chan struct{}), dir: t.TempDir()}
 	path := filepath.Join(p.dir, "settings.yaml")
-	write(t, path, settings+hostSettings(t, kind))
+	write(t, path, settings+hostSettings)
 	p.command = exec.Command(filepath.Join(binaries, program), "platform")
 	if kind == config.KindEntry {
 		p.command.Args = []string{p.command.Path, "--settings", path}
@@ -126,21 +125,8 @@
 	return log[max(0, len(log)-logEndBytes):]
 }
 
-// hostSettings returns the settings that name the host's memory and descriptors, as far as the program has them.
-func hostSettings(t *testing.T, kind string) string {
-	t.Helper()
-	_, known, err := config.Describe(kind)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text := ""
-	for name, value := range map[string]int{"memory_mb": hostMemoryMB, "max_descriptors": hostDescriptors} {
-		if slices.ContainsFunc(known, func(s config.Setting) bool { return s.Name == name }) {
-			text += fmt.Sprintf("%s: %d\n", name, value)
-		}
-	}
-	return text
-}
+// hostSettings are the settings that name the host's memory and descriptors.
+var hostSettings = fmt.Sprintf("memory_mb: %d\nmax_descriptors: %d\n", hostMemoryMB, hostDescriptors)
 
 func write(t *testing.T, path, text string) {
 	t.Helper()
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -20,6 +20,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/galenalug/galenalug/allowance"
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/wire"
 )
 
@@ -36,6 +37,10 @@
 // Limits and headers of the admin interface.
 const (
 	maxListBytes  = 16 << 20
+	maxHeadBytes  = 16 << 10
+	maxAdminConns = 64          // open connections of operators and scrapers
+	readTimeout   = time.Minute // of a whole request
+	idleTimeout   = 2 * time.Minute
 	changeTimeout = 5 * time.Second
 	headerOp      = "Galena-Operator" // operator name, reported to the loser of a conflict
 )
@@ -52,11 +57,16 @@
 	if err != nil {
 		return errors.Wrap(err, "admin listener")
 	}
-	a := &adminServer{host: h, listener: listener}
+	guard := clientconn.New(clientconn.Options{Name: "admin", Max: maxAdminConns, Rate: clientconn.DefaultRate, Metrics: h.connections})
+	a := &adminServer{host: h, listener: guard.Listen(listener)}
 	a.engine = server.New(
-		server.WithListener(listener),
+		server.WithListener(a.listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(maxListBytes),
+		server.WithStreamBody(true), // a body is read after the credential was checked
+		server.WithMaxHeaderBytes(maxHeadBytes),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(0),
 	)
@@ -72,7 +82,10 @@
 		a.engine.GET(pathMetrics, adaptor.HertzHandler(metrics))
 	}
 	h.admin = a
+	ctx, cancel := context.WithCancel(context.Background())
+	h.done.Go(func() { guard.Watch(ctx) })
 	h.done.Go(func() {
+		defer cancel()
 		if err := a.engine.Run(); err != nil {
 			log.WithError(err).Error("admin server failed")
 		}
--- a/internal/control/host.go
+++ b/internal/control/host.go
@@ -13,8 +13,10 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/groupcall"
+	"github.com/galenalug/galenalug/internal/hostlimits"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -52,9 +54,11 @@
 	regions map[string]*regionGroup
 	runners map[string]*group.Runner
 
-	lock   *dataLock
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	lock *dataLock
+
+	connections *clientconn.Metrics // nil without a registry
+	cancel      context.CancelFunc
+	done        sync.WaitGroup
 }
 
 // New creates a host and opens its peer listener. Call Start to run the host.
@@ -62,6 +66,12 @@
 	h := newHost(options)
 	h.registerMetrics()
 	var err error
+	if options.Registry != nil {
+		if h.connections, err = clientconn.NewMetrics(options.Registry, nil); err != nil {
+			return nil, err
+		}
+	}
+	limits := hostlimits.Read(options.Settings.MemoryMb, options.Settings.MaxDescriptors)
 	h.server, err = peer.NewServer(peer.ServerOptions{
 		Listen:  options.Settings.PeerListen,
 		Self:    h.identity(),
@@ -69,6 +79,7 @@
 		Handler: &handler{host: h},
 		Workers: options.Settings.Workers,
 		Metrics: h.peers,
+		Guard:   clientconn.New(clientconn.Options{Name: "peers", Max: limits.Peers(), Metrics: h.connections}),
 	})
 	return h, errors.Wrap(err, "peer listener")
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -94,6 +94,14 @@
 	// entry hosts' setting.
 	MaxDeadlineMs int `json:"max_deadline_ms,omitempty,omitzero" yaml:"max_deadline_ms,omitempty" cbor:"max_deadline_ms,omitempty"`
 
+	// Descriptors that the process may open; 0 means the limit of open files of the
+	// process. It bounds the open connections. Default: 0.
+	MaxDescriptors float64 `json:"max_descriptors,omitempty,omitzero" yaml:"max_descriptors,omitempty" cbor:"max_descriptors,omitempty"`
+
+	// Memory of the host, MiB; 0 means that of the system. It bounds the open
+	// connections; the Go runtime's soft memory limit is three quarters. Default: 0.
+	MemoryMb float64 `json:"memory_mb,omitempty,omitzero" yaml:"memory_mb,omitempty" cbor:"memory_mb,omitempty"`
+
 	// Unique host name; must be listed in controls.
 	Name string `json:"name" yaml:"name" cbor:"name"`
 
