--- a/internal/abuse/processes_test.go
+++ b/internal/abuse/processes_test.go
@@ -286,10 +286,15 @@
 func ordinary(t *testing.T, send func() error) {
 	t.Helper()
 	var err error
-	for until := time.Now().Add(answerTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+	failed := map[string]int{}
+	started := time.Now()
+	for time.Since(started) < answerTimeout {
 		if err = send(); err == nil {
+			t.Logf("answered after %v; failed before: %v", time.Since(started).Round(time.Millisecond), failed)
 			return
 		}
+		failed[err.Error()]++
+		time.Sleep(50 * time.Millisecond)
 	}
 	t.Fatalf("no response to an ordinary request: %v", err)
 }
