--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -9,9 +9,12 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/galenalug/galenalug/internal/admin"
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/daemon"
 	"github.com/galenalug/galenalug/internal/fleet"
+	"github.com/galenalug/galenalug/internal/hostlimits"
+	"github.com/galenalug/galenalug/internal/membudget"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/platform"
 )
@@ -26,7 +29,7 @@
 			if err != nil {
 				return err
 			}
-			logWriter, err := daemon.SetUpSmallHost(s.Log)
+			logWriter, err := daemon.SetUpSmallHost(s.Log, hostlimits.Read(s.MemoryMb, s.MaxDescriptors))
 			if err != nil {
 				return err
 			}
@@ -40,8 +43,15 @@
 				return err
 			}
 			registry := prometheus.NewRegistry()
+			limits := hostlimits.Read(s.MemoryMb, s.MaxDescriptors)
+			budget := membudget.New(limits.Budget())
+			clients, err := clientconn.NewMetrics(registry, budget)
+			if err != nil {
+				return err
+			}
 			host, err := fleet.New(fleet.Options{
 				Settings: &s, Secret: secret, Registry: registry, NewGrantCaller: platform.NewGrantCaller,
+				PeerGuard: clientconn.New(clientconn.Options{Name: "peers", Max: limits.Peers(), Metrics: clients}),
 			})
 			if err != nil {
 				return err
@@ -49,6 +59,7 @@
 			operatorAPI := host.OperatorAPI(operatorSecret, s.OpenNetwork)
 			adminServer, err := admin.Start(admin.Options{
 				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
+				Metrics: clients,
 				Handlers: map[string]http.Handler{
 					wire.PathRoutes: operatorAPI, wire.PathEvacuations: operatorAPI, wire.PathEvacuations + "/": operatorAPI,
 				},
@@ -57,7 +68,9 @@
 				return err
 			}
 			defer adminServer.Stop()
-			platformAPI, err := platform.NewControl(s.ControlListen, host)
+			platformAPI, err := platform.NewBoundedControl(s.ControlListen, host, platform.CallLimits{
+				Budget: budget, Connections: limits.Calls(), Metrics: clients,
+			})
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/digest_test.go
+++ b/internal/fleet/digest_test.go
@@ -36,11 +36,15 @@
 	leader.mu.Unlock()
 	first := &digestStub{digests: make(chan serverload.Digest, 100)}
 	client := c.subscribeHandler(leader, "gateway-1", first)
-	c.wait("the heartbeat to be taken", func() bool {
+	sequence := int64(0)
+	c.wait("the heartbeat to be taken", func() bool { // the leader drops those that come before it uses the configuration
+		sequence++
 		_, err := leader.Heartbeat(context.Background(), keyrange.Heartbeat{
-			Server: keyrange.Server{ID: "s1", StartMillis: 1, Service: "stock", Address: "s1:80", Slots: 6}, Sequence: 1,
+			Server: keyrange.Server{ID: "s1", StartMillis: 1, Service: "stock", Address: "s1:80", Slots: 6}, Sequence: sequence,
 		})
-		return err == nil
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return err == nil && leader.leading.coordinator.Slots("s1", 1) > 0
 	})
 	body, err := cbor.Marshal(keyrange.LoadReport{Servers: []keyrange.ServerLoad{{ServerID: "s1", StartMillis: 1, Running: 6, Waiting: 3, ReportAge: 41}}})
 	if err != nil {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -39,6 +39,8 @@
 	slots           int64
 	costs           *costs // shared with the other servers
 	state           *serviceState
+	conns           *connCount // shared with the other servers
+	closeOldest     func()     // closes the oldest idle connection of any server
 
 	mu          sync.Mutex // guards the fields below
 	idle        []*conn    // the most recently used last
@@ -77,6 +79,7 @@
 	buffers *bodybuffer.Pool // for the response bodies of all servers
 	byWork  bool             // balance: work
 	costs   *costs
+	conns   *connCount // of all servers
 
 	digestBytes prometheus.Counter
 
@@ -84,10 +87,18 @@
 	digests  serverload.View          // guarded by mu
 }
 
-func newBackends(noticeCounter, digestBytes prometheus.Counter, w *warmupContext) *backends {
+// backendOptions are the parameters of newBackends.
+type backendOptions struct {
+	notices, digestBytes prometheus.Counter
+	warmup               *warmupContext
+	buffers              *bodybuffer.Pool
+	maxConns             int // open connections to all servers
+}
+
+func newBackends(o backendOptions) *backends {
 	return &backends{
-		byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: noticeCounter, warmup: w, dial: dialTCP,
-		buffers: bodybuffer.NewPool(bodybuffer.DefaultBytes), costs: &costs{}, digestBytes: digestBytes, services: map[string]*serviceState{},
+		byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: o.notices, warmup: o.warmup, dial: dialTCP,
+		buffers: o.buffers, conns: &connCount{max: int64(o.maxConns)}, costs: &costs{}, digestBytes: o.digestBytes, services: map[string]*serviceState{},
 	}
 }
 
@@ -105,6 +116,7 @@
 			id: s.ID, address: s.Address, service: s.Service, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
 			noticeCounter: b.noticeCounter, warmup: b.warmup, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
 			byWork: b.byWork, hash: serverload.Hash(s.ID), slots: s.Slots, costs: b.costs, state: b.serviceStateLocked(s.Service),
+			conns: b.conns, closeOldest: b.closeOldest,
 		}
 		server.useShared(b.digests.Server(server.hash))
 		b.byID[s.ID] = server
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/idle"
 )
@@ -33,7 +34,11 @@
 
 // withClientConn is the ConnContext hook of the HTTP server.
 func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	guarded := conn
+	if c, ok := conn.(*clientConn); ok {
+		guarded = c.Conn
+	}
+	return clientconn.WithConn(context.WithValue(ctx, connKey{}, conn), guarded)
 }
 
 // hungUp reports whether the client has closed the connection of a request. Unlike the request's context
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -54,6 +55,10 @@
 	reasonLinkFull    = "link-between-regions-full"
 	reasonBody        = "request-body"
 	reasonBodyLarge   = "request-body-too-large"
+	reasonBodySlow    = "request-body-too-slow"
+	reasonHeadLarge   = "request-head-too-large"
+	reasonMemory      = "memory-short"
+	reasonBusy        = "too-many-requests-in-progress"
 	reasonNoKey       = "no-key"
 	reasonNotExecuted = "server-did-not-run-it"
 	reasonNotOwner    = "server-does-not-hold-the-key"
@@ -74,6 +79,7 @@
 	service          string
 	keyed            bool // the service is partitioned by key
 	stamp            Stamp
+	hold             hold // of the client's connection and memory
 	body             []byte
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
 	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
@@ -99,6 +105,9 @@
 
 // serve handles one client request.
 func (h *Host) serve(w http.ResponseWriter, r *http.Request) {
+	guarded := clientconn.From(r.Context())
+	guarded.SetServing(true) // a request that has run before its turn is served without the rest of this function
+	defer guarded.SetServing(false)
 	conn := clientConnOf(r)
 	defer conn.endRequest()
 	served, ran := conn.serveAhead(w, r)
@@ -107,6 +116,11 @@
 	}
 	c := h.newCall(w, r, conn.arrivedAt())
 	c.mayHaveRun = ran
+	c.openHold(guarded)
+	defer c.closeHold()
+	if !c.takeHead() {
+		return
+	}
 	if h.draining.Load() && !ran { // the request might not end before the process does
 		c.refuse(reasonStopping)
 		return
@@ -147,7 +161,7 @@
 	}
 	c.service = h.pickService(table.Version(), c.route)
 	h.countRequest(c.service, c.info.Key)
-	if !c.readBody(table.Limits()) {
+	if !c.checkHead(table.Limits()) || !c.readBody(table.Limits()) {
 		return
 	}
 	service := table.Service(c.service)
@@ -159,6 +173,13 @@
 		c.refuse(reasonNoCapacity)
 		return
 	}
+	if !h.clients.startRequest(c.request.Context()) {
+		c.refuse(reasonBusy)
+		return
+	}
+	defer h.clients.endRequest()
+	c.hold.client().SetAtServer(true)
+	defer c.hold.client().SetAtServer(false)
 	c.keyed = service.Keyed
 	c.run(service)
 	c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
@@ -192,14 +213,16 @@
 		c.respondWithStatus(http.StatusRequestEntityTooLarge, reasonBodyLarge)
 		return false
 	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBufferedBody))
+	body, ended, err := c.readStart(limit)
 	if err != nil {
-		c.respondWithStatus(http.StatusBadRequest, reasonBody)
+		c.refuseBody(err)
 		return false
 	}
 	c.body = body
-	if len(body) == maxBufferedBody {
-		c.stream = &clientBody{reader: io.MultiReader(bytes.NewReader(body), c.request.Body), request: c.request}
+	c.hold.unread = !ended
+	c.hold.awaitServer()
+	if !ended {
+		c.stream = &clientBody{reader: io.MultiReader(bytes.NewReader(body), c.request.Body), request: c.request, limit: limit, hold: &c.hold}
 		// Only HTTP/1 needs this, which is half duplex by default.
 		_ = http.NewResponseController(c.writer).EnableFullDuplex()
 	}
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -15,6 +15,8 @@
 
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
+
+	"github.com/galenalug/galenalug/internal/clientconn"
 )
 
 const (
@@ -55,8 +57,8 @@
 // Accept implements net.Listener.
 func (l *pipelineListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
-		return &clientConn{TCPConn: tcp, shared: l.shared}, nil
+	if guarded, ok := conn.(*clientconn.Conn); ok && err == nil {
+		return &clientConn{Conn: guarded, shared: l.shared}, nil
 	}
 	return conn, err
 }
@@ -66,7 +68,7 @@
 // leave, during a handler, it reads further requests into a buffer and starts those that may run before
 // their turn.
 type clientConn struct {
-	*net.TCPConn
+	*clientconn.Conn
 	shared *pipelining
 
 	mu       sync.Mutex // guards the fields below; view.mu may be acquired while it is held
@@ -112,7 +114,7 @@
 	if n, err := c.readBuffered(p); n > 0 || err != nil {
 		return n, err
 	}
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fail(err)
@@ -189,7 +191,7 @@
 		if len(into) == 0 {
 			return c.awaitLeave()
 		}
-		n, err := c.TCPConn.Read(into)
+		n, err := c.Conn.Read(into)
 		c.mu.Lock()
 		c.received(into[:n])
 		c.fail(err)
@@ -285,7 +287,7 @@
 	c.cancelAhead()
 	c.releaseBuffer()
 	c.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 // cancelAhead cancels the requests ahead. The caller holds mu.
--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -103,6 +103,8 @@
 func (a *aheadRequest) run(h *Host) {
 	c := h.newCall(nil, a.request, a.arrived)
 	c.ahead = a
+	c.openHold(nil)
+	defer c.closeHold()
 	defer func() {
 		a.panicked = recover() // raised again in the handler
 		if a.canceled = c.writer == nil && !a.again; a.canceled {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -38,7 +38,7 @@
 		return admitshare.RetryAfter(time.Until(c.deadline), rand.Float64())
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
-	case reasonStaleConfig, reasonStopping, reasonSuspected:
+	case reasonStaleConfig, reasonStopping, reasonSuspected, reasonMemory, reasonBusy:
 		return min(otherGatewayRetryAfter, latest)
 	case reasonLinkFull:
 		return min(c.linkWait, latest)
@@ -63,6 +63,8 @@
 		return
 	}
 	c.log("refused", reason, status, true)
+	c.startResponse()
+	c.closeIfUnread()
 	c.closeIfStopping()
 	c.writer.Header().Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
