Take no opening that the request's own deadline cut short as evidence of a restart

Cause: under overload requests near their deadline give up openings after some milliseconds, and made servers suspect. Change: a timeout counts only after the full time for opening a connection. Shorter tests of the evidence.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -92,8 +92,9 @@
 }
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
-// none. A cold server with a token is preferred to warm ones: tokens are few, and expire. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
-// are paused. Among candidates that meet the latency target it prefers the nearest. A bulk
+// none. The reason is RateLimited if at least one candidate lacks only a token, and Paused only if all
+// are paused. Among candidates that meet the latency target it prefers cold ones of the own region, whose
+// tokens are few and expire, and then the nearest. A bulk
 // request is sent to another region only if the own region has no server: the link between regions is
 // slow, and is saturated at the times when the servers are.
 func Choose(now time.Duration, candidates []Candidate, r Request) (int, Reason) {
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -58,9 +58,8 @@
 	b.tokens.Granted(now, askedAt, wanted, g)
 }
 
-// tokenDemand returns the demand for tokens of all limited servers.
-//
-// ahead tells whether to ask for tokens for which no request waits yet.
+// tokenDemand returns the demand for tokens of all limited servers. ahead tells whether to ask also for tokens for
+// which no request waits yet.
 func (b *backends) tokenDemand(now time.Duration, ahead bool) ratelimit.TokenRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"syscall"
 	"time"
@@ -98,11 +99,18 @@
 	case err == nil:
 		b.recordWarmthOf(startedAt, req, resp.info)
 	case errors.Is(err, errNoColdToken), errors.Is(err, errDrained), errors.Is(err, context.Canceled), !errors.As(err, &e):
+	case e.reason == reasonConnect && ranOut(err) && clockNow()-startedAt < req.dialTimeout: // the request's own time
 	case e.reason == reasonConnect, e.reason == reasonBroken && endedByPeer(err):
 		b.suspectRestart(e.connRefused)
 	}
 }
 
+// ranOut reports whether the time for opening a connection has run out.
+func ranOut(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // endedByPeer reports whether an exchange failed because the server's side ended the connection, as the end of its
 // process does. A malformed response is no reason to assume that.
 func endedByPeer(err error) bool {
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -98,11 +98,15 @@
 		event func(f *fixture, server *fakeBackend)
 	}{
 		"refused": {warmup.CauseRefused, func(f *fixture, server *fakeBackend) {
-			address := server.listener.Addr().String()
 			_ = server.listener.Close()
-			f.host.backends.get(keyrange.Server{ID: "s1", Service: "stock", Address: address}).closeConnections()
+			server.closeIdle()
 			f.do("GET", "/look/1", nil)
-			server.listenAgain(address)
+			listener, err := net.Listen("tcp", server.listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			server.accept(listener)
 			time.Sleep(refusedPeriod)
 		}},
 		"broken": {warmup.CauseBroken, func(f *fixture, server *fakeBackend) {
@@ -150,16 +154,6 @@
 	}
 }
 
-// closeConnections closes the idle connections to the server.
-func (b *backend) closeConnections() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, c := range b.idle {
-		_ = c.Close()
-	}
-	b.idle = nil
-}
-
 // closeIdle closes all connections of the server, which goes on to listen.
 func (s *fakeBackend) closeIdle() {
 	s.mu.Lock()
@@ -170,16 +164,6 @@
 	s.conns = nil
 }
 
-// listenAgain lets the server listen again at its address.
-func (s *fakeBackend) listenAgain(address string) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { _ = listener.Close() })
-	s.accept(listener)
-}
-
 // Guards against a cold server that gets no requests while warm ones have capacity, and against one that gets
 // requests without tokens then.
 func TestWarmServerIsPreferredUnlessThereIsAToken(t *testing.T) {
