Settings for the least rate of clients, and warnings at the start

The least rate has settings (client_min_bytes_per_second 512, client_min_rate_seconds 15).

go test of hostlimits, config, cmd and of the tests of calls passes.

--- a/cmd/galena-control/main.go
+++ b/cmd/galena-control/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/urfave/cli/v3"
 
@@ -39,7 +40,11 @@
 	if err := logging.Setup(s.Log, os.Stderr); err != nil {
 		return nil, err
 	}
-	hostlimits.Read(s.MemoryMb, s.MaxDescriptors).Apply()
+	limits := hostlimits.Read(s.MemoryMb, s.MaxDescriptors)
+	limits.Apply()
+	for _, warning := range limits.CheckSystem() {
+		log.Warn(warning)
+	}
 	peerSecret, err := config.ReadSecret(s.PeerSecretFile)
 	if err != nil {
 		return nil, err
--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -67,6 +67,7 @@
 			defer adminServer.Stop()
 			platformAPI, err := platform.NewBoundedControl(s.ControlListen, host, platform.CallLimits{
 				Budget: budget, Connections: limits.Calls(), Metrics: clients,
+				Rate: clientconn.RateOf(s.ClientMinBytesPerSecond, s.ClientMinRateSeconds),
 			})
 			if err != nil {
 				return err
--- a/cmd/galena-entry/main.go
+++ b/cmd/galena-entry/main.go
@@ -73,7 +73,11 @@
 	if err != nil {
 		return nil, err
 	}
-	hostlimits.Read(s.MemoryMb, s.MaxDescriptors).Apply()
+	limits := hostlimits.Read(s.MemoryMb, s.MaxDescriptors)
+	limits.Apply()
+	for _, warning := range limits.CheckSystem() {
+		log.Warn(warning)
+	}
 	registry := prometheus.NewRegistry()
 	link := routing.New(routing.Options{
 		Settings:    s,
--- a/internal/clientconn/rate.go
+++ b/internal/clientconn/rate.go
@@ -1,6 +1,10 @@
 package clientconn
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenalug/galenalug/internal/clock"
+)
 
 // Rate is the least rate at which a client must send or take data while the process waits for it.
 type Rate struct {
@@ -12,6 +16,18 @@
 // DefaultRate is far below what a poor line has: 60 kB arrive at 2 to 4 kB/s.
 var DefaultRate = Rate{BytesPerSecond: 512, Window: 15 * time.Second}
 
+// RateOf returns the rate that settings name, with the values of DefaultRate for those that are 0.
+func RateOf(bytesPerSecond, windowSeconds float64) Rate {
+	rate := DefaultRate
+	if bytesPerSecond > 0 {
+		rate.BytesPerSecond = int64(bytesPerSecond)
+	}
+	if windowSeconds > 0 {
+		rate.Window = clock.Seconds(windowSeconds)
+	}
+	return rate
+}
+
 // bytes returns how many bytes a client must move in each window.
 func (r Rate) bytes() int64 { return r.BytesPerSecond * int64(r.Window) / int64(time.Second) }
 
--- a/internal/daemon/smallhost.go
+++ b/internal/daemon/smallhost.go
@@ -29,5 +29,8 @@
 	log.WithFields(log.Fields{
 		"memory_mb": host.Memory >> 20, "descriptors": host.Descriptors, "client_bytes": host.Budget(), "client_connections": host.Clients(),
 	}).Info("limits of the host")
+	for _, warning := range host.CheckSystem() {
+		log.Warn(warning)
+	}
 	return writer, nil
 }
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rate := clientconn.DefaultRate
+	rate := clientconn.RateOf(s.ClientMinBytesPerSecond, s.ClientMinRateSeconds)
 	return &callerLimits{
 		budget: budget,
 		guard: clientconn.New(clientconn.Options{
--- a/internal/gateway/clientlimits.go
+++ b/internal/gateway/clientlimits.go
@@ -50,13 +50,14 @@
 	if err != nil {
 		return nil, err
 	}
+	rate := clientconn.RateOf(s.ClientMinBytesPerSecond, s.ClientMinRateSeconds)
 	return &clientLimits{
 		host: host, budget: budget, metrics: metrics, running: make(chan struct{}, host.Servers()/attemptsPerRequest),
 		guard: clientconn.New(clientconn.Options{
-			Name: "clients", Max: host.Clients(), Rate: clientconn.DefaultRate, Metrics: metrics,
+			Name: "clients", Max: host.Clients(), Rate: rate, Metrics: metrics,
 		}),
 		readyGuard: clientconn.New(clientconn.Options{
-			Name: "ready", Max: maxReadyConns, Rate: clientconn.DefaultRate, Stall: readyStall, Metrics: metrics,
+			Name: "ready", Max: maxReadyConns, Rate: rate, Stall: readyStall, Metrics: metrics,
 		}),
 	}, nil
 }
--- a/internal/hostlimits/hostlimits.go
+++ b/internal/hostlimits/hostlimits.go
@@ -117,6 +117,18 @@
 	return warnings
 }
 
+// CheckSystem returns a warning for each limit that is above the one of the system.
+func (h Host) CheckSystem() []string {
+	var warnings []string
+	if memory := systemMemory(); h.Memory > memory {
+		warnings = append(warnings, fmt.Sprintf("memory_mb is %d, the host has %d MB of memory", h.Memory>>20, memory>>20))
+	}
+	if descriptors := systemDescriptors(); h.Descriptors > descriptors {
+		warnings = append(warnings, fmt.Sprintf("max_descriptors is %d, the process may open %d", h.Descriptors, descriptors))
+	}
+	return warnings
+}
+
 func systemMemory() int64 {
 	text, err := os.ReadFile("/proc/meminfo")
 	if err != nil {
--- a/internal/hostlimits/hostlimits_test.go
+++ b/internal/hostlimits/hostlimits_test.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// Guards against settings beyond what the system has, which bound nothing.
+func TestCheckSystem(t *testing.T) {
+	if warnings := Read(0, 0).CheckSystem(); len(warnings) != 0 {
+		t.Errorf("the values of the system yield %q", warnings)
+	}
+	if warnings := Read(1<<30, 1<<23).CheckSystem(); len(warnings) != 2 {
+		t.Errorf("got %q, want two warnings", warnings)
+	}
+}
+
 // Guards against a limit that the host can't bear and that nobody is told of.
 func TestCheckNamesLimitAndMemory(t *testing.T) {
 	h := Host{136 << 20, 2870}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -170,6 +170,15 @@
 	// check, IP:port.
 	AdminListen string `json:"admin_listen" yaml:"admin_listen" cbor:"admin_listen"`
 
+	// Least rate at which a client must send a request or take a response while the
+	// process waits for it, bytes per second, on average over
+	// client_min_rate_seconds. Default: 512.
+	ClientMinBytesPerSecond float64 `json:"client_min_bytes_per_second,omitempty,omitzero" yaml:"client_min_bytes_per_second,omitempty" cbor:"client_min_bytes_per_second,omitempty"`
+
+	// Time over which the least rate of clients is measured, which is also the
+	// longest pause, seconds. Default: 15.
+	ClientMinRateSeconds float64 `json:"client_min_rate_seconds,omitempty,omitzero" yaml:"client_min_rate_seconds,omitempty" cbor:"client_min_rate_seconds,omitempty"`
+
 	// All control hosts.
 	Controls []ControlHost `json:"controls" yaml:"controls" cbor:"controls"`
 
@@ -248,6 +257,15 @@
 	// TCP port for metrics and the state dump.
 	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
 
+	// Least rate at which a client must send a request or take a response while the
+	// process waits for it, bytes per second, on average over
+	// client_min_rate_seconds. Default: 512.
+	ClientMinBytesPerSecond float64 `json:"client_min_bytes_per_second,omitempty,omitzero" yaml:"client_min_bytes_per_second,omitempty" cbor:"client_min_bytes_per_second,omitempty"`
+
+	// Time over which the least rate of clients is measured, which is also the
+	// longest pause, seconds. Default: 15.
+	ClientMinRateSeconds float64 `json:"client_min_rate_seconds,omitempty,omitzero" yaml:"client_min_rate_seconds,omitempty" cbor:"client_min_rate_seconds,omitempty"`
+
 	// Time after the acknowledgement of a configuration from which no gateway uses an
 	// older one, milliseconds. Default: 2500.
 	ConfigApplyMs float64 `json:"config_apply_ms,omitempty,omitzero" yaml:"config_apply_ms,omitempty" cbor:"config_apply_ms,omitempty"`
@@ -332,6 +350,15 @@
 	// TCP port for metrics and the state dump.
 	AdminPort int `json:"admin_port" yaml:"admin_port" cbor:"admin_port"`
 
+	// Least rate at which a client must send a request or take a response while the
+	// process waits for it, bytes per second, on average over
+	// client_min_rate_seconds. Default: 512.
+	ClientMinBytesPerSecond float64 `json:"client_min_bytes_per_second,omitempty,omitzero" yaml:"client_min_bytes_per_second,omitempty" cbor:"client_min_bytes_per_second,omitempty"`
+
+	// Time over which the least rate of clients is measured, which is also the
+	// longest pause, seconds. Default: 15.
+	ClientMinRateSeconds float64 `json:"client_min_rate_seconds,omitempty,omitzero" yaml:"client_min_rate_seconds,omitempty" cbor:"client_min_rate_seconds,omitempty"`
+
 	// Failure domain of this host.
 	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
 
