--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -4,6 +4,8 @@
 // A Guard wraps a listener. When more connections are open than allowed, those that have made the least progress give
 // way to new ones: first idle connections, then those without progress for longest, if that is at least the stall time.
 // If there is none, the new connection is refused. A client that waits for its response doesn't give way.
+//
+// Guard.mu is held while the kernel is asked for the unacknowledged bytes of connections, which doesn't block.
 package clientconn
 
 import (
