Learn work without the network's part, and add it to the expected finish

A server in another region counted as slow, because response times include the opening of a connection and a round trip of 40 ms; other gateways were then told so.

The tests of internal/gateway and dispatch pass with -race.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -105,8 +105,10 @@
 	Speed    float64       // relative to the mean of the service; 0 counts as 1
 	WorkLeft time.Duration // expected work of this gateway's own requests at the server, at speed 1
 	MeanWork time.Duration // expected work of a request of another gateway, at speed 1
-	Avoid    bool          // gets no request while there is a candidate that need not be avoided
-	Open     bool          // an idle connection to the server is open
+	// RoundTrip is that of the network to the server; 0 if not known.
+	RoundTrip time.Duration
+	Avoid     bool // gets no request while there is a candidate that need not be avoided
+	Open      bool // an idle connection to the server is open
 
 	estimate workEstimate // set by ChooseByWork
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -187,7 +187,7 @@
 		others += weight * (c.Load.others - others)
 	}
 	if w.request.MayBeSilent && c.Load.shared {
-		others = max(others, w.othersPerSlot*slots) // never filled since all gateways were told that it has room
+		others = max(others, w.othersPerSlot*slots) // all gateways learn at the same time that it has room
 	}
 	requests := float64(c.Load.inFlight) + others + float64(c.Ahead)
 	work := float64(c.WorkLeft) + (others+float64(c.Ahead))*float64(c.MeanWork)
@@ -196,7 +196,7 @@
 	if ahead := requests - slots + 1; ahead > 0 {
 		e.wait = drain * ahead / requests
 	}
-	own := float64(w.request.Work) / speed
+	own := float64(w.request.Work)/speed + float64(c.RoundTrip)
 	limit := w.requestsPerSlot(slots, weight) * slots
 	if limit > requests {
 		w.room += limit - requests
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -46,6 +46,7 @@
 	backoff     dispatch.Backoff // after refusals
 	speed       cost.Speed
 	factor      float64             // speed, also according to shared
+	roundTrip   time.Duration       // of the network, from the opening of connections; 0 if not known
 	shared      serverload.Estimate // what the leader says of the server
 	observedAt  time.Duration       // time of the load report in observed
 	tokens      ratelimit.Holder    // for the rate limit that the server has named
@@ -238,7 +239,7 @@
 	if c.dialTook > 0 && req.onDial != nil {
 		req.onDial(c.dialTook)
 	}
-	c.dialTook = 0
+	req.dialTook, c.dialTook = c.dialTook, 0
 	return exchange(ctx, c, req, dialect, b.release)
 }
 
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -133,12 +133,34 @@
 		}
 	case !queued && (resp.info.Load == nil || resp.info.Load.Waiting == 0):
 		host := (req.cost.host + b.load.HostFactor(clockNow())) / 2
-		logSpeed := b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(took)/host))
+		b.observeDial(req.dialTook)
+		ran := max(took-between(&req.progress.startedAt, &req.progress.connectedAt)-b.roundTrip, took/10)
+		logSpeed := b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(ran)/host))
 		b.factor = b.speed.FactorWith(b.shared.Speed)
 		b.observed.SpeedSum += int64(1000 * logSpeed)
 	}
 }
 
+const (
+	// roundTripWeight is the weight of a connection that took longer to open than earlier ones. Lower values count at
+	// once: they met no queue.
+	roundTripWeight = 0.05
+	// maxRoundTrip bounds what counts as the network's part: a connection that takes longer waits in a queue.
+	maxRoundTrip = 100 * time.Millisecond
+)
+
+// observeDial updates the round trip of the network. The caller holds b.mu.
+func (b *backend) observeDial(took time.Duration) {
+	took = min(took, maxRoundTrip)
+	switch {
+	case took == 0:
+	case b.roundTrip == 0 || took < b.roundTrip:
+		b.roundTrip = took
+	default:
+		b.roundTrip += time.Duration(roundTripWeight * float64(took-b.roundTrip))
+	}
+}
+
 // expectedCost returns what is expected of the request.
 func (c *call) expectedCost() *requestCost {
 	r := &requestCost{
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,7 @@
 	fingerprint          func() string            // nil for a streamed body
 	bulk                 *linkTicket              // nil for a small request, and for one within the region
 	tooLate              func() bool              // whether it would reach the server after its drain time
+	dialTook             time.Duration            // time in which the connection was opened; 0 for an idle one
 	onDial               func(took time.Duration) // called when a connection was opened; nil within the region
 }
 
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -106,7 +106,7 @@
 	}
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
 	c.Avoid = c.Avoid || b.backoff.Active(now)
-	c.Open = b.hasIdle(once)
+	c.Open, c.RoundTrip = b.hasIdle(once), b.roundTrip
 	c.WorkLeft, c.Speed = b.load.OwnWork(), b.factor/b.load.HostFactor(now)
 }
 
