--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -33,6 +33,7 @@
 	onSend               func()                   // called when the request begins to be sent
 	claimCold            func() (bool, error)     // takes a token if the server is cold; an error if there is none
 	withColdToken        bool                     // it was sent with a token for a cold server
+	dialTook             time.Duration            // time in which the connection was opened; 0 for an idle one
 	onDial               func(took time.Duration) // called when a connection was opened; nil within the region
 }
 
