Take back the probes of servers before a request

The lateness there comes from full servers, not from slowed hosts, and the probes cost processor time and 1% of the credit.

--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -87,12 +87,6 @@
 	l.reportedAt, l.hostPercent, l.hostAt, l.shared = now, r.HostPercent, now, false
 }
 
-// ObserveProbe updates the load of other gateways from a report that came with the answer to a probe, not to a request.
-func (l *Load) ObserveProbe(now time.Duration, r Report) {
-	l.others = float64(max(0, r.Running+r.Waiting-l.inFlight))
-	l.reportedAt, l.hostPercent, l.hostAt, l.shared = now, r.HostPercent, now, false
-}
-
 // ObserveShared updates the load of other gateways from what another host knew at a time, unless this gateway has a
 // newer report.
 func (l *Load) ObserveShared(at time.Duration, requests float64) {
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -53,7 +53,6 @@
 // Choice is the result of ChooseByWork.
 type Choice struct {
 	Index  int    // of the candidate; -1 if there is none
-	Second int    // of the other one that was drawn; -1 if there is none
 	Reason Reason // why there is none
 	Basis  Basis  // why it was chosen
 }
@@ -107,7 +106,7 @@
 // started spread their requests evenly. random returns numbers in [0, 1).
 func ChooseByWork(now time.Duration, candidates []Candidate, r Request, random func() float64) Choice {
 	if len(candidates) == 0 {
-		return Choice{Index: -1, Second: -1, Reason: QueueFull}
+		return Choice{Index: -1, Reason: QueueFull}
 	}
 	if r.Usable <= 0 {
 		r.Usable = 1
@@ -118,15 +117,15 @@
 		w.estimate(&candidates[i])
 	}
 	if w.best == classNone || w.request.Ahead > 0 && w.room < float64(w.request.Ahead+1) {
-		return Choice{Index: -1, Second: -1, Reason: w.noneReason()}
+		return Choice{Index: -1, Reason: w.noneReason()}
 	}
 	farthest, level := w.set()
 	first := w.draw(candidates, farthest, level, random, -1)
 	second := w.draw(candidates, farthest, level, random, first)
 	if second >= 0 && w.better(&candidates[second], &candidates[first]) {
-		first, second = second, first
+		first = second
 	}
-	return Choice{Index: first, Second: second, Basis: w.basis(candidates, first)}
+	return Choice{Index: first, Basis: w.basis(candidates, first)}
 }
 
 // noneReason returns why no candidate is chosen.
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -39,7 +39,6 @@
 	slots           int64
 	costs           *costs // shared with the other servers
 	state           *serviceState
-	probes          prometheus.Counter
 	conns           *connCount // shared with the other servers
 	closeOldest     func()     // closes the oldest idle connection of any server
 
@@ -84,7 +83,6 @@
 	conns   *connCount // of all servers
 
 	digestBytes prometheus.Counter
-	probes      prometheus.Counter
 
 	services map[string]*serviceState // guarded by mu
 	digests  serverload.View          // guarded by mu
@@ -93,7 +91,6 @@
 // backendOptions are the parameters of newBackends.
 type backendOptions struct {
 	notices, digestBytes prometheus.Counter
-	probes               prometheus.Counter
 	warmup               *warmupContext
 	buffers              *bodybuffer.Pool
 	maxConns             int // open connections to all servers
@@ -102,7 +99,7 @@
 func newBackends(o backendOptions) *backends {
 	return &backends{
 		byID: map[string]*backend{}, meanServiceTimes: map[string]*meanServiceTime{}, noticeCounter: o.notices, warmup: o.warmup, dial: dialTCP,
-		buffers: o.buffers, conns: &connCount{max: int64(o.maxConns)}, costs: &costs{}, digestBytes: o.digestBytes, probes: o.probes, services: map[string]*serviceState{},
+		buffers: o.buffers, conns: &connCount{max: int64(o.maxConns)}, costs: &costs{}, digestBytes: o.digestBytes, services: map[string]*serviceState{},
 	}
 }
 
@@ -120,7 +117,7 @@
 			id: s.ID, address: s.Address, service: s.Service, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
 			noticeCounter: b.noticeCounter, warmup: b.warmup, dial: b.dial, onCrash: b.onCrash, buffers: b.buffers,
 			byWork: b.byWork, hash: serverload.Hash(s.ID), slots: s.Slots, costs: b.costs, state: b.serviceStateLocked(s.Service),
-			conns: b.conns, closeOldest: b.closeOldest, probes: b.probes,
+			conns: b.conns, closeOldest: b.closeOldest,
 		}
 		server.useShared(b.digests.Server(server.hash))
 		b.byID[s.ID] = server
@@ -242,7 +239,6 @@
 	}
 	if resp.info.Load != nil {
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
-		b.state.observeReport(*resp.info.Load)
 		b.observeReport(clockNow(), *resp.info.Load)
 	}
 	b.recordNotice(resp.info.Notice)
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -44,11 +44,10 @@
 
 // serviceState is what the gateway knows of a service as a whole.
 type serviceState struct {
-	mu        sync.Mutex // guards the fields below; no other lock is acquired while it is held
-	urgency   dispatch.Urgency
-	neighbors dispatch.Neighbors
-	queue     dispatch.WaitQueue // requests that wait for capacity at any server
-	refused   bool               // a server refused a request
+	mu      sync.Mutex // guards the fields below; no other lock is acquired while it is held
+	urgency dispatch.Urgency
+	queue   dispatch.WaitQueue // requests that wait for capacity at any server
+	refused bool               // a server refused a request
 }
 
 // mayBeSilent reports whether full servers of the service may not answer: none has refused a request so far.
@@ -58,20 +57,6 @@
 	return !s.refused
 }
 
-// probePays reports whether a request gains from probes; see dispatch.Neighbors.
-func (s *serviceState) probePays(work, untilTarget time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.neighbors.ProbePays(work, untilTarget)
-}
-
-// observeReport records the load report of a response.
-func (s *serviceState) observeReport(r dispatch.Report) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.neighbors.Observe(r)
-}
-
 func (s *serviceState) noteRefused() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -204,9 +204,6 @@
 // earlier request on the connection.
 var errNoID = errors.New("response without the ID of the request")
 
-// errNoProbeAnswer is the error of a probe whose answer ends its connection.
-var errNoProbeAnswer = errors.New("the answer to a probe ends its connection")
-
 // errSwitched is the error of a server that changes the protocol without being asked to.
 var errSwitched = errors.New("server switched protocols")
 
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -41,11 +41,10 @@
 }
 
 func (testDialect) ParseResponse(status int, header http.Header) ResponseInfo {
-	hostPercent, _ := strconv.Atoi(header.Get("Test-Host")) // 0 if not given
 	return ResponseInfo{
 		ID: header.Get("Test-Id"), NotExecuted: header.Get("Test-Not-Run") != "", Sealed: header.Get("Test-Seal") != "",
 		NotOwner: status == http.StatusMisdirectedRequest, ServerID: header.Get("Test-Server"),
-		Load: &dispatch.Report{Slots: 6, HostPercent: hostPercent}, Notice: testNotice(status, header),
+		Load: &dispatch.Report{Slots: 6}, Notice: testNotice(status, header),
 	}
 }
 
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -112,7 +112,7 @@
 		dialect:  o.Dialect,
 		view:     v,
 		backends: newBackends(backendOptions{
-			notices: m.notices, digestBytes: m.digestBytes, probes: m.probes, buffers: bodybuffer.NewPoolOf(clients.budget), maxConns: clients.host.Servers(),
+			notices: m.notices, digestBytes: m.digestBytes, buffers: bodybuffer.NewPoolOf(clients.budget), maxConns: clients.host.Servers(),
 			warmup: &warmupContext{view: v, regions: countRegions(o.Settings), requests: m.coldRequests},
 		}),
 		regionLinks:   newRegionLinks(m.links, requestsOut),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,7 +23,6 @@
 	pipelined    *prometheus.CounterVec
 
 	evacuatedRequests prometheus.Counter
-	probes            prometheus.Counter
 	digestBytes       prometheus.Counter
 }
 
@@ -67,13 +66,10 @@
 	m.evacuatedRequests = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_evacuated_requests_total", Help: "Requests sent to servers of evacuated failure domains: to owners of keys that have not moved yet.",
 	})
-	m.probes = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "galenalug_gateway_probes_total", Help: "Probes of servers' loads before requests.",
-	})
 	m.links = newLinkMetrics()
 	collectors := []prometheus.Collector{
 		m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined, m.evacuatedRequests,
-		m.digestBytes, m.probes,
+		m.digestBytes,
 	}
 	for _, c := range append(collectors, m.links.collectors()...) {
 		if err := registry.Register(c); err != nil {
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -78,10 +78,9 @@
 		}
 		return nil, full, string(rejection)
 	}
-	index := c.probePair(service, servers, buffer.candidates, choice, request, entry)
 	c.host.metrics.choices.WithLabelValues(string(choice.Basis)).Inc()
-	c.chosenLoad, c.basis = buffer.loads[index].Requests(now), choice.Basis
-	return c.host.target(servers[index]), nil, ""
+	c.chosenLoad, c.basis = buffer.loads[choice.Index].Requests(now), choice.Basis
+	return c.host.target(servers[choice.Index]), nil, ""
 }
 
 // addCost adds to a request what dispatch.ChooseByWork needs besides.
