Measure slow readers by what their hosts acknowledged

While one write of a large response was in progress, the bytes that the client took didn't count, so that a client at any rate was cut off if the write took longer than the window: a configuration of 16 MiB over a line of 1 MB/s. The watch now reads the acknowledged bytes from TCP_INFO. TestSteadyReaderOfLargeWriteStays fails without the change.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -66,8 +66,9 @@
 	in, out    meter
 	lastMoved  int64 // sum of both directions at movedAt
 	movedAt    time.Time
-	unacked    int64 // bytes written that the client's host has not acknowledged
-	lastOutput int64 // bytes written when unacked was measured
+	taken      int64 // bytes that the client's host has acknowledged
+	pending    bool  // whether there are bytes that it has not acknowledged
+	lastOutput int64 // bytes written when these were measured
 }
 
 type contextKey struct{}
@@ -200,7 +201,7 @@
 	switch {
 	case c.serving.Load():
 		return Serving
-	case c.writing.Load() || c.unacked > 0:
+	case c.writing.Load() || c.pending:
 		return Writing
 	case c.sinceWritten.Load() > 0:
 		return Reading
@@ -208,20 +209,22 @@
 	return Idle
 }
 
-// measure updates what the client's host has not acknowledged. The caller holds Guard.mu.
+// measure updates what the client's host has acknowledged: a write that is in progress says nothing of that. The caller
+// holds Guard.mu.
 func (c *Conn) measure() {
 	written := c.written.Load()
-	if c.unacked == 0 && written == c.lastOutput && !c.writing.Load() {
+	if !c.pending && written == c.lastOutput && !c.writing.Load() {
 		return
 	}
-	c.lastOutput, c.unacked = written, 0
+	c.lastOutput, c.pending = written, false
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return
 	}
 	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			c.unacked = int64(n)
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			c.taken = int64(info.Bytes_acked)
+			c.pending = info.Unacked > 0 || info.Notsent_bytes > 0
 		}
 	})
 }
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -173,7 +173,7 @@
 
 // noteProgress updates when the client has made progress. The caller holds Guard.mu.
 func (c *Conn) noteProgress(now time.Time) {
-	moved := c.received.Load() + c.written.Load() - c.unacked
+	moved := c.received.Load() + c.taken
 	if moved-c.lastMoved >= progressBytes || c.serving.Load() {
 		c.lastMoved, c.movedAt = moved, now
 	}
@@ -221,10 +221,10 @@
 // check records for how long the process has waited for the client, and returns the cause to cut it off, if any. The
 // caller holds Guard.mu.
 func (c *Conn) check(rate Rate, waited time.Duration) Cause {
-	received, taken := c.received.Load(), c.written.Load()-c.unacked
-	if c.unacked == 0 && !c.writing.Load() {
-		c.out.reset(taken)
-	} else if !c.out.observe(rate, taken, waited) {
+	received := c.received.Load()
+	if !c.pending && !c.writing.Load() {
+		c.out.reset(c.taken)
+	} else if !c.out.observe(rate, c.taken, waited) {
 		return SlowReader
 	}
 	if c.serving.Load() || !c.reading.Load() || c.sinceWritten.Load() == 0 {
--- a/internal/clientconn/guard_test.go
+++ b/internal/clientconn/guard_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +151,31 @@
 	_ = conn
 }
 
+// Guards against cutting off a client that keeps the rate while one write of a large response is in progress.
+func TestSteadyReaderOfLargeWriteStays(t *testing.T) {
+	f := newFixture(t, Options{Max: 10, Rate: Rate{BytesPerSecond: 20_000, Window: time.Second}})
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10) })
+	}}
+	conn, err := dialer.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, strings.Replace(plainGet, "/ ", "/large ", 1)); err != nil {
+		t.Fatal(err)
+	}
+	for range 80 { // 4 s at 640 kB/s; the response has 32 MiB
+		if _, err := io.ReadFull(conn, make([]byte, 32<<10)); err != nil {
+			t.Fatalf("the client was cut off: %v", err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if n := testutil.ToFloat64(f.metrics.cut.WithLabelValues(string(SlowReader))); n != 0 {
+		t.Error("the client was cut off")
+	}
+}
+
 // Guards against cutting off idle connections.
 func TestIdleConnectionStays(t *testing.T) {
 	f := newFixture(t, Options{Max: 10, Rate: Rate{BytesPerSecond: 1 << 20, Window: 600 * time.Millisecond}})
