Leave room for urgent requests also in the first seconds and in overload

dispatch.Urgency never took over the work of a class whose first request came within 3 s of the clock's origin, so less urgent requests used whole servers. Requests that had waited could use whole servers, too, which in overload are all less urgent ones: that part now ends at 0.4. Servers with an unknown load get up to 1.3 instead of one request per slot where none has refused so far.

--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -8,13 +8,17 @@
 const (
 	// urgencyMemory is how long after a request its class counts as present.
 	urgencyMemory = 3 * time.Second
+	// forgetting is the number of longer requests after which the work of a shorter one is nearly forgotten.
+	forgetting = 20
 	// priorities is the number of priorities told apart; larger values count like the largest.
 	priorities = 4
 	// usableExponent and minUsable determine the part of a server that less urgent requests may use. Requests that
 	// run six times as long as the urgent ones may use a third, which on a server with six slots leaves two free.
 	usableExponent = -0.6
 	minUsable      = 0.3
-	// agingSlackPart is the part of a request's slack until its target after which it may use whole servers.
+	// maxAgedUsable bounds the part that requests may use which have waited. In overload, all less urgent ones wait long.
+	maxAgedUsable = 0.4
+	// agingSlackPart is the part of a request's slack until its target after which it may use that part.
 	agingSlackPart = 0.5
 )
 
@@ -23,7 +27,7 @@
 type Urgency struct {
 	classes [priorities]struct {
 		seenAt time.Duration // 0 if not seen
-		work   time.Duration // expected, of the shortest requests lately
+		work   time.Duration // expected, of the shortest requests lately; see forgetting
 	}
 }
 
@@ -32,8 +36,10 @@
 // Seen records a request.
 func (u *Urgency) Seen(now time.Duration, priority int64, work time.Duration) {
 	c := &u.classes[priorityIndex(priority)]
-	if now-c.seenAt > urgencyMemory || work <= c.work {
+	if c.seenAt == 0 || now-c.seenAt > urgencyMemory || work <= c.work {
 		c.work = work
+	} else {
+		c.work += (work - c.work) / forgetting
 	}
 	c.seenAt = now
 }
@@ -50,9 +56,12 @@
 		}
 	}
 	usable = max(usable, minUsable)
+	if usable >= maxAgedUsable {
+		return usable
+	}
 	patience := agingSlackPart * float64(slack)
 	if patience <= 0 || float64(waited) >= patience {
-		return 1
+		return maxAgedUsable
 	}
-	return usable + (1-usable)*float64(waited)/patience
+	return usable + (maxAgedUsable-usable)*float64(waited)/patience
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -33,7 +33,7 @@
 	// silentRequestsPerSlot limits the requests at a server that does not answer when it is full, if its load is
 	// known. Where nothing is known, up to unknownPart of it is left to requests of other gateways.
 	silentRequestsPerSlot = 2.0
-	unknownPart           = 0.5
+	unknownPart           = 0.35
 	// gatewaysPerSlot is the number of gateways per slot from which unknownPart counts in full.
 	gatewaysPerSlot = 4.0
 )
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -47,6 +47,13 @@
 	if after.lateByClass[0] > before.lateByClass[0]/4 || after.lateByClass[1] > after.byClass[1]/10 {
 		t.Errorf("late %v of %v, before %v", after.lateByClass, after.byClass, before.lateByClass)
 	}
+	m.wave, m.silent = 1.55, true
+	m.classes[0].rate, m.classes[1].rate = 160, 76
+	before, after = compare(t, "1.25 times the capacity in waves", m)
+	if after.lateByClass[0] > after.byClass[0]/8 || after.lost > 0 {
+		t.Errorf("overload: late %v of %v, lost %d; before %v, %d", after.lateByClass, after.byClass, after.lost, before.lateByClass, before.lost)
+	}
+	m.wave, m.silent = 0, false
 	long.rate *= 1.7
 	m.classes = []modelClass{long}
 	before, after = compare(t, "long only", m)
@@ -55,6 +62,30 @@
 	}
 }
 
+// Guards against room that is not left for urgent requests, or that is left without any.
+func TestUsablePartShrinksWithWork(t *testing.T) {
+	var u Urgency
+	if got := u.Usable(time.Second, 2, 1200*ms, 0, time.Second); got != 1 {
+		t.Errorf("without urgent requests: %.2f of each server, want all", got)
+	}
+	u.Seen(time.Second, 0, 200*ms)
+	for _, c := range []struct {
+		now      time.Duration
+		priority int64
+		waited   time.Duration
+		min, max float64
+	}{
+		{time.Second, 2, 0, 0.3, 0.4},
+		{time.Second, 2, time.Second, maxAgedUsable, maxAgedUsable},
+		{time.Second, 0, 0, 1, 1},
+		{5 * time.Second, 2, 0, 1, 1},
+	} {
+		if got := u.Usable(c.now, c.priority, 1200*ms, c.waited, time.Second); got < c.min || got > c.max {
+			t.Errorf("%+v: %.2f of each server", c, got)
+		}
+	}
+}
+
 // Guards against less urgent requests that never get their turn, and against aging that hides urgent requests from the
 // demand for tokens.
 func TestWaitQueueAges(t *testing.T) {
