--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -21,9 +21,10 @@
 
 // regionsFull reports whether the request is refused at once because the regions that its route allows have no free
 // capacity: there are no other servers for it to go to, and the client learns sooner when to come back. A request that
-// may already have run waits, since it can't be refused any more.
+// may already have run waits, since it can't be refused any more. So does one that the leader's plan admits: it knows
+// better than one gateway whether there is capacity.
 func (c *call) regionsFull(reason string) bool {
-	if len(c.route.AllowedRegions) == 0 || c.mayHaveRun {
+	if len(c.route.AllowedRegions) == 0 || c.mayHaveRun || c.host.admission != nil {
 		return false
 	}
 	return reason == string(dispatch.QueueFull) || reason == string(dispatch.NoConnection)
