--- a/internal/gateway/avoid_test.go
+++ b/internal/gateway/avoid_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/serverload"
 )
 
 func byWork(s *settings.GatewaySettings) { s.Balance = settings.GatewaySettingsBalanceWork }
@@ -67,3 +70,22 @@
 		}
 	}
 }
+
+// Guards against digests that are received but not used, before and after the first request to a server.
+func TestDigestCountsForServersWithoutOwnReports(t *testing.T) {
+	f := newFixtureWith(t, byWork, nil)
+	f.publishPhotos(newFakeBackend(t, okResponse("a")), newFakeBackend(t, okResponse("b")))
+	var tracker serverload.Tracker
+	tracker.Observe(time.Second, serverload.Observation{ServerID: "a", Slots: 6, Reported: true, Running: 6, Waiting: 12})
+	digest, _ := tracker.Changes(time.Second, 1)
+	body, err := cbor.Marshal(digest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.host.backends.applyDigest(clockNow(), body)
+	b := f.host.backends.get(keyrange.Server{ID: "a", Service: "photos", Address: "127.0.0.1:1", Slots: 6})
+	if got := b.load.Requests(clockNow()); got < 15 || got > 18 {
+		t.Errorf("%.1f requests at the server of the digest, want about 18", got)
+	}
+	f.host.backends.applyDigest(clockNow(), []byte("no digest"))
+}
