Plan admission by the queues of single servers, and not for requests with keys

Cause: the plan held the load at 1.15 requests per slot. Each server has a queue of its own, so slots of some were idle while the plan refused; and the expected work included the network.

Change: the target is 1.8 requests per slot, the demand counts the work at the servers, and requests with keys are left to the limit of their owner.

--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -17,9 +17,9 @@
 	// usableFraction is the part of the slots that is planned for. Arrivals vary, so that a queue grows without
 	// bound as the utilization approaches one.
 	usableFraction = 0.95
-	// targetLoad is the number of requests per slot, running and waiting, to which a plan is corrected: a short queue
-	// keeps the slots busy.
-	targetLoad = 1.15
+	// targetLoad is the number of requests per slot, running and waiting, to which a plan is corrected. Each server has
+	// a queue of its own: with a shorter one, slots of some servers are idle while requests wait at others.
+	targetLoad = 1.8
 	// correctionGain is the relative change of the planned capacity at one correction, for a deviation of one request
 	// per slot. It is low, since a correction shows in the load only some reports later.
 	correctionGain = 0.15
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -69,22 +69,15 @@
 	return admitshare.Group{Service: c.service, Regions: admitshare.RegionList(c.route.AllowedRegions), Priority: c.route.Priority}
 }
 
-// admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run.
+// admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run. A
+// request with a key has only one server, whose overload the leader limits by itself: see allowedAtOwner.
 func (c *call) admitted() bool {
+	if c.keyed {
+		return true
+	}
 	now := clockNow()
 	withoutLeader := c.host.leaderLink.disconnectedFor(now) > 0
-	return c.host.admission.admit(now, c.admissionGroup(), c.expectedSlotTime(), withoutLeader)
-}
-
-// expectedSlotTime returns the time for which the request is expected to keep a slot busy. It is the expected work of
-// the request, at the pace at which the servers work now.
-func (c *call) expectedSlotTime() time.Duration {
-	work := c.expectedCost().work.Expected
-	measured, learned := c.host.backends.meanOf(c.service), c.host.backends.costs.mean(c.service, work)
-	if measured == 0 || learned == 0 {
-		return work
-	}
-	return time.Duration(float64(work) * float64(measured) / float64(learned))
+	return c.host.admission.admit(now, c.admissionGroup(), c.expectedCost().work.Expected, withoutLeader)
 }
 
 // reportDemand sends the leader the demand since the last report.
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -152,14 +152,6 @@
 	return state
 }
 
-// meanOf returns the mean service time of a service, or 0 if it is not known.
-func (b *backends) meanOf(service string) time.Duration {
-	b.mu.Lock()
-	mean := b.meanServiceTime(service)
-	b.mu.Unlock()
-	return mean.value()
-}
-
 // sweep closes expired idle connections, and removes the servers that are not listed, unless their
 // notices still count.
 func (b *backends) sweep(now time.Duration, listed func(id string) bool) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -169,6 +169,7 @@
 		c.respondWithStatus(http.StatusBadRequest, reasonNoKey)
 		return
 	}
+	c.keyed = service.Keyed
 	if !c.admitted() {
 		c.refuse(reasonNoCapacity)
 		return
@@ -180,7 +181,6 @@
 	defer h.clients.endRequest()
 	c.hold.client().SetAtServer(true)
 	defer c.hold.client().SetAtServer(false)
-	c.keyed = service.Keyed
 	c.run(service)
 	c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
 }
