Avoid servers that fail requests quickly, on all gateways

Cause: a server that fails at once always looks idle, and its quick failures were taken for speed.

Change: failures are no samples of speed; a gateway pauses a server that failed, longer with each failure in a row; the leader lists a server that fails most of its requests as full.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -31,6 +31,7 @@
 		l.loads.Observe(now, serverload.Observation{
 			ServerID: s.ServerID, StartMillis: s.StartMillis, Slots: l.coordinator.Slots(s.ServerID, s.StartMillis),
 			Reported: s.ReportAge > 0, Running: s.Running, Waiting: s.Waiting, Age: time.Duration(s.ReportAge-1) * time.Millisecond,
+			Failures: s.Failures, Answers: s.Answers,
 			Samples: s.Count, SpeedSum: float64(s.SpeedSum) / 1000,
 		})
 	}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -48,7 +48,8 @@
 	queue       dispatch.WaitQueue // requests that wait for capacity
 	share       dispatch.Share
 	notices     dispatch.Notices
-	backoff     dispatch.Backoff // after refusals
+	backoff     dispatch.Backoff  // after refusals
+	failures    dispatch.Failures // of requests that the server ran
 	speed       cost.Speed
 	factor      float64             // speed, also according to shared
 	roundTrip   time.Duration       // of the network, from the opening of connections; 0 if not known
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -131,6 +132,7 @@
 		if !resp.info.NotOwner {
 			b.state.noteRefused()
 		}
+	case resp.status >= http.StatusInternalServerError: // often sent without doing the work
 	case !queued && (resp.info.Load == nil || resp.info.Load.Waiting == 0):
 		host := (req.cost.host + b.load.HostFactor(clockNow())) / 2
 		b.observeDial(req.dialTook)
--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -48,6 +49,9 @@
 		return
 	}
 	b.failedAt = clockNow()
+	if b.byWork && e.mayHaveRun {
+		b.observed.Failures++
+	}
 	if e.connRefused {
 		b.refusedAt = b.failedAt
 	}
@@ -63,6 +67,15 @@
 	case !resp.info.NotExecuted:
 		b.backoff.Answered()
 	}
+	if b.byWork && !resp.info.NotExecuted {
+		if resp.status >= http.StatusInternalServerError {
+			b.observed.Failures++
+			b.failures.Failed(clockNow())
+			return // a failure says nothing of how long requests take
+		}
+		b.observed.Answers++
+		b.failures.Answered()
+	}
 	switch {
 	case resp.info.NotOwner && resp.info.ServerID != "" && resp.info.ServerID != b.id:
 		b.observed.Misdirected++
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -112,7 +112,7 @@
 		c.Tokens = b.tokens.Available(now)
 	}
 	c.Suspect = b.failedAt != 0 && now-b.failedAt < suspectPeriod
-	c.Avoid = c.Avoid || b.backoff.Active(now)
+	c.Avoid = c.Avoid || b.backoff.Active(now) || b.failures.Active(now)
 	c.Open, c.RoundTrip = b.hasIdle(once), b.roundTrip
 	c.WorkLeft, c.Speed = b.load.OwnWork(), b.factor/b.load.HostFactor(now)
 }
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -183,6 +183,9 @@
 	// Start time of the incarnation, Unix milliseconds; 0 if unknown.
 	StartMillis int64 `json:"b" yaml:"b" cbor:"b"`
 
+	// Requests that the server failed, or did not answer.
+	Failures int64 `json:"f,omitempty,omitzero" yaml:"f,omitempty" cbor:"f,omitempty"`
+
 	// Time that work takes on the host, percent of the usual, according to the latest
 	// load report; 0 if not known.
 	HostPercent int64 `json:"h,omitempty,omitzero" yaml:"h,omitempty" cbor:"h,omitempty"`
@@ -199,6 +202,9 @@
 	// Requests that ran without waiting in the server's queue.
 	Count int64 `json:"n" yaml:"n" cbor:"n"`
 
+	// Requests that the server ran without a failure.
+	Answers int64 `json:"o,omitempty,omitzero" yaml:"o,omitempty" cbor:"o,omitempty"`
+
 	// Waiting requests according to the latest load report.
 	Waiting int64 `json:"q,omitempty,omitzero" yaml:"q,omitempty" cbor:"q,omitempty"`
 
--- a/serverload/tracker.go
+++ b/serverload/tracker.go
@@ -30,6 +30,10 @@
 	// requests, of the assumption that a server has mean speed.
 	speedMemory = 15 * time.Second
 	speedPrior  = 4.0
+	// failureMemory is the time constant of the decay of failures and answers.
+	failureMemory = 2 * time.Second
+	// minFailures is the number of failures from which a server may count as failing.
+	minFailures = 1.5
 	// maxObservationAge bounds the age that a report may have.
 	maxObservationAge = 10 * time.Second
 )
@@ -44,6 +48,9 @@
 	Running, Waiting int64
 	Age              time.Duration // of the load report
 
+	Failures int64 // requests that the server failed, or did not answer
+	Answers  int64 // requests that it ran without a failure
+
 	Samples  int64   // requests that show the server's speed
 	SpeedSum float64 // sum of the logarithms of the speed that they show
 }
@@ -60,6 +67,9 @@
 	perSlot     float64
 	at          time.Duration // time that perSlot stands for; 0 if there was no report
 	observedAt  time.Duration
+	failures    float64 // decayed, like answers
+	answers     float64
+	failuresAt  time.Duration // time to which they are decayed
 	speedSum    float64
 	samples     float64
 	speedAt     time.Duration // time to which speedSum and samples are decayed
@@ -85,6 +95,7 @@
 		t.servers[o.ServerID] = s
 	}
 	s.observedAt = now
+	s.observeFailures(now, o)
 	if at := now - o.Age; o.Reported && (s.at == 0 || at > s.at) {
 		s.at, s.perSlot = at, float64(o.Running+o.Waiting)/float64(o.Slots)
 	}
@@ -94,16 +105,33 @@
 	}
 }
 
+func (s *server) observeFailures(now time.Duration, o Observation) {
+	factor := math.Exp(-float64(now-s.failuresAt) / float64(failureMemory))
+	s.failures = s.failures*factor + float64(max(o.Failures, 0))
+	s.answers = s.answers*factor + float64(max(o.Answers, 0))
+	s.failuresAt = now
+}
+
+// failing reports whether the server fails most of its requests. It stands for a full one in the digests: its failures
+// are often quick, so that it would attract all requests.
+func (s *server) failing(now time.Duration) bool {
+	decay := math.Exp(-float64(now-s.failuresAt) / float64(failureMemory))
+	return s.failures*decay >= minFailures && s.failures > s.answers
+}
+
 // Load returns the requests per slot of a server, running and waiting, and whether they are known.
 func (t *Tracker) Load(now time.Duration, serverID string) (perSlot float64, known bool) {
 	s := t.servers[serverID]
-	if s == nil || s.at == 0 || now-s.at > loadMemory {
+	if s == nil || s.at == 0 || now-s.at > loadMemory || s.failing(now) {
 		return 0, false
 	}
 	return s.perSlot, true
 }
 
 func (s *server) loadLevel(now time.Duration) uint8 {
+	if s.failing(now) {
+		return unknownLoad - 1
+	}
 	if s.at == 0 || now-s.at > loadMemory {
 		return unknownLoad
 	}
