--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -22,11 +22,12 @@
 	targetLoad = 1.8
 	// correctionGain is the relative change of the planned capacity at one correction, for a deviation of one request
 	// per slot. It is low, since a correction shows in the load only some reports later.
-	correctionGain = 0.15
+	correctionGain = 0.3
 	// maxIncrease and maxDecrease bound that change. A queue that is too long harms more than some idle slots.
-	maxIncrease, maxDecrease = 0.08, 0.12
-	// minCorrection and maxCorrection bound the planned capacity, relative to the slots.
-	minCorrection, maxCorrection = 0.6, 1.6
+	maxIncrease, maxDecrease = 0.25, 0.15
+	// minCorrection and maxCorrection bound the planned capacity, relative to the slots. Servers that refuse requests
+	// take far more of them than their slots can run.
+	minCorrection, maxCorrection = 0.6, 4
 	// forgetTime is the time without demand after which a group is forgotten.
 	forgetTime = 10 * time.Second
 )
