Answer a request with a long head that runs before its turn

Cause: checkHead set a header on the writer of the call, which is nil until the turn of a request that runs before it. The panic was raised again in the handler, so that the client's connection ended without a response.

Change: checkHead waits for the turn first. The added test got no response before.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -142,8 +142,10 @@
 	if limits.HeaderBytes <= 0 || bytes <= limits.HeaderBytes {
 		return true
 	}
-	c.writer.Header().Set("Connection", "close")
-	c.respondWithStatus(http.StatusRequestHeaderFieldsTooLarge, reasonHeadLarge)
+	if c.awaitTurn(nil) {
+		c.writer.Header().Set("Connection", "close")
+		c.respondWithStatus(http.StatusRequestHeaderFieldsTooLarge, reasonHeadLarge)
+	}
 	return false
 }
 
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Guards against a crash, and a connection that ends without a response, where the head of a request that runs before its
+// turn exceeds the configuration's limit.
+func TestLongHeadBehindRequestIsRefusedInItsTurn(t *testing.T) {
+	server := newFakeBackend(t, pathResponder(func(string) { time.Sleep(50 * time.Millisecond) }))
+	f := newPipelineFixture(t, testDepth, server)
+	config := testConfig()
+	config.Version = 3
+	config.Limits = routes.Limits{HeaderBytes: 2000}
+	if err := f.host.view.applyConfig(routes.Update{Full: &config}); err != nil {
+		t.Fatal(err)
+	}
+	client := f.connect()
+	long := strings.Replace(getRequest("/look/1"), "Host", "X-Long: "+strings.Repeat("h", 2000)+"\r\nHost", 1)
+	client.send(getRequest("/look/0") + long)
+	client.expect(http.StatusOK, "/look/0")
+	if status, _, closes := client.next(); status != http.StatusRequestHeaderFieldsTooLarge || !closes {
+		t.Errorf("status %d, close %v, want 431 and a closed connection", status, closes)
+	}
+	if n := server.count(); n != 1 {
+		t.Errorf("the server received %d requests, want 1", n)
+	}
+}
+
 // Guards against refusals for want of memory that are not truthful or name no time to retry, and against a stalled client
 // that keeps memory from another.
 func TestShortMemoryRefusesAndStalledGivesWay(t *testing.T) {
