Don't report the demand of the time without a leader at once

Cause: the counter of the demand is emptied only by a report. The first report after a time without a leader had the demand of all that time, while the leader adds each report to the demand of the last 400 ms. After ten seconds without a leader it planned for some twenty times the demand, and the gateways refused requests for which there was capacity.

Change: a gateway drops the counted demand when a subscription begins.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -64,6 +64,14 @@
 	return a.counter.Take()
 }
 
+// dropDemand forgets the demand so far. The leader takes each report for the demand of one report interval: that of a
+// longer time without a leader would look like an overload.
+func (a *admission) dropDemand() {
+	if a != nil {
+		a.demand()
+	}
+}
+
 // admissionGroup returns the group of requests that compete with this one.
 func (c *call) admissionGroup() admitshare.Group {
 	return admitshare.Group{Service: c.service, Regions: admitshare.RegionList(c.route.AllowedRegions), Priority: c.route.Priority}
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -164,6 +164,7 @@
 
 // reportLoad sends load reports until the connection or the context ends.
 func (l *leaderLink) reportLoad(ctx context.Context, client *peer.Client, ended <-chan struct{}) {
+	l.admission.dropDemand()
 	for {
 		select {
 		case <-ctx.Done():
