Admit a request that ran before its turn only once

Cause: a request whose response could not be held runs again in its turn, and passed the admission a second time. In an overload most of these were not admitted then. As they had run, they failed with 502 instead of a refusal, and were counted twice in the demand. Requests with a key, which pass no admission, were counted in the throttle's results.

Change: the admission passes a request that may have run, and leaves out the results of requests with a key.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -78,9 +78,10 @@
 }
 
 // admitted reports whether the request may be served. Otherwise more is demanded of its servers than they can run. A
-// request with a key has only one server, whose overload the leader limits by itself: see allowedAtOwner.
+// request with a key has only one server, whose overload the leader limits by itself: see allowedAtOwner. A request that
+// has run before its turn, and runs again because its response could not be held, was admitted then.
 func (c *call) admitted() bool {
-	if c.keyed {
+	if c.keyed || c.mayHaveRun {
 		return true
 	}
 	now := clockNow()
@@ -88,6 +89,13 @@
 	return c.host.admission.admit(now, c.admissionGroup(), c.expectedCost().work.Expected, withoutLeader)
 }
 
+// endAdmitted records whether a server ran a request that was admitted by the plan or the throttle.
+func (c *call) endAdmitted() {
+	if !c.keyed {
+		c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
+	}
+}
+
 // reportDemand sends the leader the demand since the last report.
 func (l *leaderLink) reportDemand(client *peer.Client) {
 	if l.admission == nil {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/routes"
 )
 
 // Guards against a first report to a leader that has the demand of all the time without one: the leader would take it
@@ -25,3 +28,18 @@
 		t.Errorf("report %+v, want only the request since the subscription", report)
 	}
 }
+
+// Guards against a request that has run before its turn, and fails in an overload because it is not admitted a second
+// time.
+func TestRequestThatRanAheadStaysAdmitted(t *testing.T) {
+	f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity = true }, nil)
+	c := f.host.newCall(nil, httptest.NewRequest("GET", "/chart/1", nil), time.Now())
+	c.service, c.route = "photos", &routes.Route{Name: "chart", TargetMillis: 500}
+	f.host.admission.update(clockNow(), admitshare.Plan{Groups: []admitshare.Fraction{{Group: c.admissionGroup()}}})
+	if c.admitted() {
+		t.Fatal("the plan admits none of the requests, but one is admitted")
+	}
+	if c.mayHaveRun = true; !c.admitted() {
+		t.Error("a request that has run is not admitted again")
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -182,7 +182,7 @@
 	c.hold.client().SetAtServer(true)
 	defer c.hold.client().SetAtServer(false)
 	c.run(service)
-	c.host.admission.ended(clockNow(), c.admissionGroup(), c.answered)
+	c.endAdmitted()
 }
 
 // setDeadline sets the deadline to the earlier of the client's and the given timeout.
