State that a request waits for its client before its body is read

A handler may have stated before that the client waits for the response; connections whose client sends no body would then never give way.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -144,6 +144,9 @@
 // readStart reads the body up to maxBufferedBody, and reports whether that is the whole body. limit is the largest body,
 // 0 for no limit.
 func (c *call) readStart(limit int64) (body []byte, ended bool, err error) {
+	if c.hold.unread {
+		c.hold.awaitClient() // whatever was stated of the connection before, the body is its client's turn
+	}
 	most := int64(maxBufferedBody)
 	if limit > 0 && limit <= maxBufferedBody {
 		most = limit + 1 // shows that the body is larger
