Leave requests with keys to the admission by the number of requests

Cause: an owner is the only candidate, so there is nothing to choose, and the estimates of remaining work are made for a set of servers.

Change: owners of keys are asked as before balance: work.

--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -191,7 +191,7 @@
 	if len(servers) == 0 {
 		return nil, nil, reason
 	}
-	if c.host.byWork() {
+	if c.host.byWork() && !service.Keyed {
 		return c.chooseByWork(now, service, servers, entry, request)
 	}
 	candidates := make([]dispatch.Candidate, len(servers))
