Bring the lock order and the comments of the gateway up to date

The fields of backends that mu guards stood between others since merges. clientConn.held is listed under mu but read without it.

Change: comments and the order of fields only.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -73,8 +73,14 @@
 	mu               sync.Mutex // guards the fields below
 	byID             map[string]*backend
 	meanServiceTimes map[string]*meanServiceTime // by service
-	noticeCounter    prometheus.Counter
-	warmup           *warmupContext
+	services         map[string]*serviceState
+	digests          serverload.View
+
+	// The fields below don't change once requests are served.
+
+	noticeCounter prometheus.Counter
+	digestBytes   prometheus.Counter
+	warmup        *warmupContext
 	// dial opens connections to backend servers. Tests simulate slow links with it.
 	dial    dialFunc
 	onCrash func(quarantine.Crash)
@@ -82,11 +88,6 @@
 	byWork  bool             // balance: work
 	costs   *costs
 	conns   *connCount // of all servers
-
-	digestBytes prometheus.Counter
-
-	services map[string]*serviceState // guarded by mu
-	digests  serverload.View          // guarded by mu
 }
 
 // backendOptions are the parameters of newBackends.
--- a/internal/gateway/clientlimits.go
+++ b/internal/gateway/clientlimits.go
@@ -20,7 +20,7 @@
 	// maxReadyConns is the number of connections to the readiness check. A balancer has one or a few.
 	maxReadyConns = 16
 	// readyStall is how long a connection to the readiness check may be idle or stalled before it gives way. A check
-	// takes a round trip, and must get through a crowd.
+	// takes a round trip, and must be answered also when the clients have opened all connections.
 	readyStall = 250 * time.Millisecond
 	// readyHeadBytes bounds the head of a readiness check, bytes. net/http adds 4 KiB to it.
 	readyHeadBytes = 2 << 10
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -17,7 +17,14 @@
 // connection (clientConn) starts those behind the current one that may run at the same time: see
 // docs/design/pipelining.md.
 //
-// Lock order: backends.mu, then view.mu, or clientConn.mu, then view.mu, or backend.mu and then meanServiceTime.mu. view.mu may be held
-// while the lock of its trace.History is acquired. No other two locks of this package are held
-// together, and no lock is held during a network operation.
+// Lock order:
+//
+//   - backends.mu, then view.mu: sweep asks which servers to keep, tokenDemand and coldServers which are cold.
+//   - clientConn.mu, then view.mu: the routes decide which pipelined requests run before their turn.
+//   - backends.mu, then backend.mu, then one of meanServiceTime.mu, costs.mu and serviceState.mu. view.mu is not acquired
+//     while backend.mu is held.
+//
+// view.mu may be held while the lock of one of its trace.Histories is acquired. No other two locks of this package are
+// held together. No lock is held while a network operation may block; backend.mu and clientWatch.mu are held while a
+// connection is closed.
 package gateway
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -35,7 +35,7 @@
 type hold struct {
 	account    *membudget.Account
 	conn       atomic.Pointer[clientconn.Conn] // nil if the connection is not guarded, or serves other requests now
-	unread     bool                            // the body was not read to its end
+	unread     bool                            // the body was not read to its end; set by the attempt that sends a streamed body
 	responding atomic.Bool
 }
 
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -71,14 +71,14 @@
 	*clientconn.Conn
 	shared *pipelining
 
-	mu       sync.Mutex // guards the fields below; view.mu may be acquired while it is held
-	scanner  scanner    // of the bytes passed to net/http
-	buf      []byte     // received, not passed to net/http; only the reader changes it
-	buffer   bool       // whether buf is one of shared.buffers
-	held     atomic.Int64
-	arrivals []arrival
-	arrival  time.Time // of the request passed last; zero if it never was in buf
-	readErr  error     // ends the connection; nil unless a read has failed
+	mu       sync.Mutex   // guards the fields below; view.mu may be acquired while it is held
+	scanner  scanner      // of the bytes passed to net/http
+	buf      []byte       // received, not passed to net/http; only the reader changes it
+	buffer   bool         // whether buf is one of shared.buffers
+	held     atomic.Int64 // length of buf; written with mu held, read also without
+	arrivals []arrival    // in order of end; the last one covers all of buf
+	arrival  time.Time    // of the request passed last; zero if it never was in buf
+	readErr  error        // ends the connection; nil unless a read has failed
 	closed   bool
 	ctx      context.Context // of the requests ahead; nil before the first
 	cancel   context.CancelFunc
