Move and name parts of dispatch by what they are

Cause: Candidate.Cold stood among the fields for ChooseByWork since a merge, but Choose uses it as well. Two things in dispatch and a reader in internal/entry were called patience or patient.

Change: Cold stands with Limited and Tokens; secondBoundFactor, agingTime and bodyReader are named by their use.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -99,19 +99,18 @@
 	PausedFor       time.Duration // how much longer the server wants no requests
 	Limited         bool          // the server takes only requests with a token (package ratelimit)
 	Tokens          int           // tokens that this gateway has for the server
+	Cold            bool          // the server has just started, and is Limited for that (package warmup)
 
 	// The fields below count for ChooseByWork only.
 
-	Speed    float64       // relative to the mean of the service; 0 counts as 1
-	WorkLeft time.Duration // expected work of this gateway's own requests at the server, at speed 1
-	MeanWork time.Duration // expected work of a request of another gateway, at speed 1
-	// RoundTrip is that of the network to the server; 0 if not known.
-	RoundTrip time.Duration
-	Avoid     bool // gets no request while there is a candidate that need not be avoided
-	Open      bool // an idle connection to the server is open
+	Speed     float64       // relative to the mean of the service; 0 counts as 1
+	WorkLeft  time.Duration // expected work of this gateway's own requests at the server, at speed 1
+	MeanWork  time.Duration // expected work of a request of another gateway, at speed 1
+	RoundTrip time.Duration // of the network to the server; 0 if not known
+	Avoid     bool          // gets no request while there is a candidate that need not be avoided
+	Open      bool          // an idle connection to the server is open
 
 	estimate workEstimate // set by ChooseByWork
-	Cold     bool         // the server has just started, and is Limited for that (package warmup)
 }
 
 // Choose returns the index of the candidate that runs the request, or -1 and the reason if there is
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -59,9 +59,9 @@
 	if usable >= maxAgedUsable {
 		return usable
 	}
-	patience := agingSlackPart * float64(slack)
-	if patience <= 0 || float64(waited) >= patience {
+	agingTime := agingSlackPart * float64(slack)
+	if agingTime <= 0 || float64(waited) >= agingTime {
 		return maxAgedUsable
 	}
-	return usable + (maxAgedUsable-usable)*float64(waited)/patience
+	return usable + (maxAgedUsable-usable)*float64(waited)/agingTime
 }
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -8,8 +8,9 @@
 	// is low because the estimates are uncertain: at a bound near the target, requests miss it.
 	spillServicePart = 0.25
 	spillSlackPart   = 0.125
-	// patience is the factor between the bound and the second bound, which counts if no distance is within the first.
-	patience = 4
+	// secondBoundFactor is the factor between the bound and the second bound, which counts if no distance is within the
+	// first.
+	secondBoundFactor = 4
 	// enoughCapacity is the part of all capacity at a distance that must be within the bound. With less, all
 	// gateways there would choose the same few servers.
 	enoughCapacity = 0.25
@@ -228,7 +229,7 @@
 	e.level = 0
 	if e.wait > w.bound {
 		e.level = 1
-		if e.wait > patience*w.bound {
+		if e.wait > secondBoundFactor*w.bound {
 			e.level = 2
 		}
 	}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -85,7 +85,7 @@
 	} else {
 		reader = &chunkedBodyReader{reader: reader, buffered: c.GetConn().Len}
 	}
-	reader = &patientReader{reader: reader, held: held, timeout: h.config.uploadIdleTimeout}
+	reader = &bodyReader{reader: reader, held: held, timeout: h.config.uploadIdleTimeout}
 	if in.streamsBody() {
 		in.stream = &limitedReader{reader: reader, maxBytes: int64(h.config.maxUploadBytes)}
 		return nil
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -143,15 +143,15 @@
 	return func() { close(ended) }
 }
 
-// patientReader reads a body for as long as it makes progress. The timeout of hertz would bound the whole body.
-type patientReader struct {
+// bodyReader reads a body for as long as it makes progress. The timeout of hertz would bound the whole body.
+type bodyReader struct {
 	reader  io.Reader
 	held    *heldByCaller
 	timeout time.Duration
 }
 
 // Read implements io.Reader.
-func (r *patientReader) Read(p []byte) (int, error) {
+func (r *bodyReader) Read(p []byte) (int, error) {
 	if r.held.conn != nil && !r.held.account.Evicted() && !r.held.conn.SendsTooSlowly() {
 		_ = r.held.conn.SetReadDeadline(time.Now().Add(r.timeout)) // fails only if the connection is closed
 	}
