Remove duplicate conditions and comparisons of cold servers

Cause: two lists of cold servers were sorted by a comparison written out twice, which is never 0, and Capacities asked for barred servers although ready excludes them.

Change: strings.Compare, and ready alone.

--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -267,11 +268,6 @@
 		}
 		list = append(list, cold)
 	}
-	slices.SortFunc(list, func(a, b coldServer) int {
-		if a.ServerID < b.ServerID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b coldServer) int { return strings.Compare(a.ServerID, b.ServerID) })
 	return list
 }
--- a/keyrange/capacity.go
+++ b/keyrange/capacity.go
@@ -22,7 +22,7 @@
 	type sum struct{ slots, known, requests float64 }
 	sums := map[place]sum{}
 	for id, s := range c.servers {
-		if !s.ready() || s.barred.set || c.drained(now, id) || now-s.lastSeen > emptyServerTimeout {
+		if !s.ready() || c.drained(now, id) || now-s.lastSeen > emptyServerTimeout {
 			continue
 		}
 		at := place{s.info.Service, s.info.Domain}
--- a/keyrange/warmup.go
+++ b/keyrange/warmup.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenalug/galenalug/warmup"
@@ -188,12 +189,7 @@
 			list = append(list, ColdServer{ServerID: id, Service: s.info.Service, Cause: s.warmth.Cause()})
 		}
 	}
-	slices.SortFunc(list, func(a, b ColdServer) int {
-		if a.ServerID < b.ServerID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b ColdServer) int { return strings.Compare(a.ServerID, b.ServerID) })
 	return list
 }
 
