--- a/admitshare/doc.go
+++ b/admitshare/doc.go
@@ -10,8 +10,9 @@
 // Groups with a more urgent priority are planned first, and less urgent ones share what is left. The plan is
 // corrected by the load that the servers report: estimates of capacity and of work are never exact.
 //
-// A plan counts for PlanLifetime. A gateway that has lost the leader for longer uses its own Throttle, which follows the part of its requests that servers accept (client-side throttling, in Beyer
-// et al., "Site Reliability Engineering", O'Reilly 2016, chapter "Handling Overload").
+// A plan counts for PlanLifetime. A gateway that has lost the leader for longer uses its own Throttle, which
+// follows the part of its requests that servers accept (client-side throttling, in Beyer et al., "Site Reliability
+// Engineering", O'Reilly 2016, chapter "Handling Overload").
 //
 // The package does no I/O and reads no clock: times are durations since an origin of the caller's choice.
 package admitshare
