--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -128,8 +128,12 @@
 	c.serve()
 }
 
+// newCall returns the state of a request. The writer is nil for a request that runs before its turn.
 func (h *Host) newCall(w http.ResponseWriter, r *http.Request, started time.Time) *call {
-	c := &call{host: h, request: r, writer: w, started: started, conn: clientConnOf(r), info: h.dialect.ParseRequest(r.Header), ctx: r.Context()}
+	c := &call{
+		host: h, request: r, writer: w, started: started, conn: clientConnOf(r), info: h.dialect.ParseRequest(r.Header),
+		ctx: r.Context(),
+	}
 	c.setDeadline(defaultTimeout)
 	return c
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -89,7 +89,8 @@
 // isTransient reports whether the cause of a refusal may pass within a short time.
 func isTransient(reason string) bool {
 	switch reason {
-	case reasonNoOwner, reasonNoServer, reasonLinkFull, string(dispatch.QueueFull), string(dispatch.NoConnection), string(dispatch.RateLimited), string(dispatch.Paused):
+	case reasonNoOwner, reasonNoServer, reasonLinkFull, string(dispatch.QueueFull), string(dispatch.NoConnection),
+		string(dispatch.RateLimited), string(dispatch.Paused):
 		return true
 	}
 	return false
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -186,7 +186,10 @@
 func (v *view) snapshot(now time.Duration) (*routes.Table, Stamp, <-chan struct{}) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	stamp := Stamp{Term: v.term, Version: v.version, Age: now - v.updatedAt, ConfigAge: now - v.confirmedAt, ConfigKnown: v.confirmedAt > 0, ConfigUsable: v.configLease.Valid(now)}
+	stamp := Stamp{
+		Term: v.term, Version: v.version, Age: now - v.updatedAt,
+		ConfigAge: now - v.confirmedAt, ConfigKnown: v.confirmedAt > 0, ConfigUsable: v.configLease.Valid(now),
+	}
 	if v.routes != nil {
 		stamp.Config = v.routes.Version()
 	}
