Reset the gauge of limited groups at a host that leads no more

Cause: galenalug_fleet_limited_groups kept the value of the last plan when a host lost the leadership, so that the limits of a former leader seemed to go on.

Change: it is 0 on a follower, as the gauge of cold servers is.

--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -26,7 +26,7 @@
 // newLimitedGroups returns the gauge of what the last plan limits.
 func newLimitedGroups() prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan.",
+		Name: "galenalug_fleet_limited_groups", Help: "Groups of requests of which gateways admit only a part, by the leader's plan; 0 on a follower.",
 	})
 }
 
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -44,6 +44,7 @@
 		h.metrics.leads.Set(0)
 		h.metrics.calls.ownerless.Set(0)
 		h.metrics.cold.servers.Set(0)
+		h.metrics.limitedGroups.Set(0)
 		if h.leading != nil {
 			close(h.leading.reported) // ends the waiting acknowledgements
 			h.leading.calls.end()
