Decide on owners of keys by this gateway's own reports only

Cause: loads that the leader shares are half a second old and more. They made gateways refuse requests for keys whose owner had room again, and hedged requests for keys looked for another server.

--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -57,6 +57,8 @@
 	samples     int           // number of samples in serviceTime
 	expected    time.Duration // service time assumed before the first response; 0 if not known
 	shared      bool          // others is what another host knew
+	ownOthers   float64       // requests of other gateways according to the latest report to this gateway
+	ownReportAt time.Duration // time of that report; 0 if there was none
 	hostPercent int           // of the latest report of the server itself; 0 if not known
 	hostAt      time.Duration // time of that report
 	ownWork     time.Duration // expected work of this gateway's requests; see AddWork
@@ -85,6 +87,7 @@
 func (l *Load) ObserveReport(now time.Duration, r Report) {
 	l.others = float64(max(0, r.Running+r.Waiting-(l.inFlight-1)))
 	l.reportedAt, l.hostPercent, l.hostAt, l.shared = now, r.HostPercent, now, false
+	l.ownOthers, l.ownReportAt = l.others, now
 }
 
 // ObserveShared updates the load of other gateways from what another host knew at a time, unless this gateway has a
@@ -133,20 +136,20 @@
 func (l *Load) HasServiceTime() bool { return l.serviceTime > 0 || l.expected > 0 }
 
 // Requests returns the estimated number of requests at the server. The weight of a report decreases
-// linearly with its age.
+// linearly with its age. What another host knew does not count: it is older than what matters for a single server.
 func (l *Load) Requests(now time.Duration) float64 {
-	age := now - l.reportedAt
-	if l.reportedAt == 0 || age >= reportLifetime {
+	age := now - l.ownReportAt
+	if l.ownReportAt == 0 || age >= reportLifetime {
 		return float64(l.inFlight)
 	}
-	return float64(l.inFlight) + l.others*(1-float64(age)/float64(reportLifetime))
+	return float64(l.inFlight) + l.ownOthers*(1-float64(age)/float64(reportLifetime))
 }
 
 // HasFreeSlot reports whether a recent load report shows a free slot, so that a request sent now
 // would not wait. Without a recent report the result is false: with many gateways, one gateway's own
 // requests say nothing about the server's queue.
 func (l *Load) HasFreeSlot(now time.Duration, slots int) bool {
-	return l.reportedAt != 0 && now-l.reportedAt < reportLifetime && l.Requests(now) < float64(slots)
+	return l.ownReportAt != 0 && now-l.ownReportAt < reportLifetime && l.Requests(now) < float64(slots)
 }
 
 // ExpectedWait returns the expected time that one more request would wait in the server's queue.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 // no response time of the service is known yet, half of the route's latency target is left for the
 // second attempt.
 func (c *call) hedgeDelay(to *target) time.Duration {
-	if c.host.byWork() {
+	if c.byWork() {
 		return c.hedgeDelayByWork(to)
 	}
 	expectedTime, known := to.expectedTime(clockNow(), to.slots)
@@ -124,7 +124,7 @@
 	if c.suspicion().Crashes > 0 || c.host.linkDelay.queueing() > maxHedgeQueueing {
 		return nil
 	}
-	if c.host.byWork() { // another server, if there is one
+	if c.byWork() { // another server, if there is one
 		c.avoid = append(c.avoid, first.id)
 		defer func() { c.avoid = c.avoid[:len(c.avoid)-1] }()
 	}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -53,7 +53,7 @@
 		if target != nil || left <= 0 || !isTransient(reason) || c.regionsFull(reason) || reason == reasonLinkFull && c.linkWait > left {
 			return target, reason
 		}
-		if full == nil && c.host.byWork() {
+		if full == nil && c.byWork() {
 			entry.enqueueForService(now, c.host.backends.serviceState(c.service))
 		}
 		if full != nil && !entry.enqueue(now, left, full, dispatch.Reason(reason)) {
@@ -192,7 +192,7 @@
 	if len(servers) == 0 {
 		return nil, nil, reason
 	}
-	if c.host.byWork() && !service.Keyed {
+	if c.byWork() {
 		return c.chooseByWork(now, service, servers, entry, request)
 	}
 	candidates := make([]dispatch.Candidate, len(servers))
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -26,6 +26,10 @@
 // byWork reports whether servers are chosen by their remaining work.
 func (h *Host) byWork() bool { return h.settings.Balance == settings.GatewaySettingsBalanceWork }
 
+// byWork reports whether the server of the request is chosen by its remaining work. The owner of a key is the only
+// candidate for it.
+func (c *call) byWork() bool { return c.host.byWork() && !c.keyed }
+
 // choiceBuffer holds the candidates of one choice.
 type choiceBuffer struct {
 	candidates []dispatch.Candidate
