--- a/internal/fleet/tokens_test.go
+++ b/internal/fleet/tokens_test.go
@@ -52,10 +52,17 @@
 	beats := c.beatUntil(ctx, &keyrange.Server{ID: "s1", Service: first.Config.Services[0].Name, Address: "10.0.0.1:80", Domain: "d1", Slots: 4})
 	defer beats.Wait()
 	defer cancel()
-	host := c.leader()
+	var host *Host
+	c.wait("a leader", func() bool { // it may lose its quorum for a moment
+		host = c.leader()
+		return host != nil
+	})
 	listed := func(cold bool) bool {
 		host.mu.Lock()
 		defer host.mu.Unlock()
+		if host.leading == nil {
+			return false
+		}
 		servers := host.leading.coordinator.Snapshot().Servers
 		return len(servers) == 1 && servers[0].WarmupMillis > 0 == cold
 	}
