Routes: list all problems of a configuration

Cause: routes.Validate returns the first problem only. Operators who check a file see the next one after they have mended the first.

Change: routes.Problems returns all problems with a stable code, the entry and a detail. A service with an invalid entry counts as known, so that its routes get no error about an unknown service.

Tests of routes and internal/config pass.

--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"math"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 )
 
@@ -98,6 +101,45 @@
 	}
 }
 
+// Guards against reasons for a refusal that are not listed, and against other texts of errors than those that operators know.
+func TestProblemsListsAllReasons(t *testing.T) {
+	c := validConfig(0)
+	c.Services = append(c.Services, Service{Name: "stock", WarmMillis: -1, WarmupMillis: -1, WarmupPerSecond: -1, Grants: "mail"}, Service{})
+	c.Routes[0] = Route{Name: "orders", Host: "DEPOT.example", PathPrefix: "orders", TargetMillis: -1, AllowedRegions: []string{"a", "a"}, Shares: []Share{{Service: "maps", Weight: -1}, {Service: "stock", Weight: 1}}}
+	c.Routes[1].Shares = nil
+	c.Routes = append(c.Routes, Route{Name: "last", Host: "depot.example", PathPrefix: "/orders/", Kind: Once, TimeoutMillis: 1, MaxAttempts: 1, Shares: []Share{{Service: "photos", Weight: 1}}})
+	want := []string{
+		`invalid-version: version is 0`,
+		`invalid-service-name: service name "stock" is empty or a duplicate`,
+		`invalid-service-limit: service "stock" has a negative limit`,
+		`invalid-warmup-time: service "stock" has a warm-up time of -1 ms`,
+		`invalid-warmup-rate: service "stock" has -1 requests a second for a cold server`,
+		`unknown-grant-mode: service "stock" has the unknown grant mode "mail"`,
+		`invalid-service-name: service name "" is empty or a duplicate`,
+		`unknown-kind: route "orders": unknown kind ""`,
+		`invalid-path-prefix: route "orders": prefix "orders" must begin and end with a slash`,
+		`invalid-timeout: route "orders": timeout 0 ms must be positive`,
+		`invalid-target: route "orders": latency objective -1 ms is negative or too far above the timeout 0 ms`,
+		`invalid-attempts: route "orders": maximum number of attempts 0 must be positive`,
+		`invalid-region: route "orders": allowed region "a" is empty or a duplicate`,
+		`unknown-service: route "orders": unknown service "maps"`,
+		`negative-weight: route "orders": service "maps" has a negative weight`,
+		`invalid-route-name: route name "orders" is empty or a duplicate`,
+		`no-weight: route "orders": the weights of all shares add up to 0`,
+		`same-host-and-prefix: route "last" has the same host and path prefix as another route`,
+	}
+	var got []string
+	for _, p := range Problems(c) {
+		got = append(got, strings.TrimSuffix(string(p.Code)+": "+p.Err().Error(), ": "+ErrInvalid.Error()))
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+	if first := Validate(c); !errors.Is(first, ErrInvalid) || first.Error() != Problems(c)[0].Err().Error() {
+		t.Errorf("Validate: %v, want the first problem", first)
+	}
+}
+
 func TestMatchTakesTheLongestPrefix(t *testing.T) {
 	table := NewTable(validConfig(1))
 	for _, c := range []struct{ host, path, want string }{
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -1,6 +1,8 @@
 package routes
 
 import (
+	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -14,36 +16,88 @@
 // ErrInvalid is the cause of all errors returned by Validate.
 var ErrInvalid = errors.New("routes: invalid configuration")
 
+// ProblemCode names a rule that a configuration breaks. The codes are stable.
+type ProblemCode string
+
+// Rules that a configuration may break.
+const (
+	ProblemVersion      ProblemCode = "invalid-version"
+	ProblemServiceName  ProblemCode = "invalid-service-name"
+	ProblemServiceLimit ProblemCode = "invalid-service-limit"
+	ProblemWarmupTime   ProblemCode = "invalid-warmup-time"
+	ProblemWarmupRate   ProblemCode = "invalid-warmup-rate"
+	ProblemGrantMode    ProblemCode = "unknown-grant-mode"
+	ProblemRouteName    ProblemCode = "invalid-route-name"
+	ProblemSameMatch    ProblemCode = "same-host-and-prefix"
+	ProblemKind         ProblemCode = "unknown-kind"
+	ProblemPrefix       ProblemCode = "invalid-path-prefix"
+	ProblemTimeout      ProblemCode = "invalid-timeout"
+	ProblemTarget       ProblemCode = "invalid-target"
+	ProblemAttempts     ProblemCode = "invalid-attempts"
+	ProblemRegion       ProblemCode = "invalid-region"
+	ProblemService      ProblemCode = "unknown-service"
+	ProblemWeight       ProblemCode = "negative-weight"
+	ProblemNoWeight     ProblemCode = "no-weight"
+)
+
+// Problem is one reason for which a configuration is invalid.
+type Problem struct {
+	Code    ProblemCode
+	Service string // name of the service with the problem, if Code is about a service
+	Route   string // name of the route with the problem, if Code is about a route
+	Detail  string
+
+	// inRoute is whether Detail does not name the route itself.
+	inRoute bool
+}
+
+// Err returns the problem as an error with the cause ErrInvalid.
+func (p Problem) Err() error {
+	err := errors.Wrap(ErrInvalid, p.Detail)
+	if p.inRoute {
+		return errors.Wrapf(err, "route %q", p.Route)
+	}
+	return err
+}
+
 // Validate returns an error that describes the first problem of a configuration, or nil.
 func Validate(c Config) error {
+	if problems := Problems(c); len(problems) > 0 {
+		return problems[0].Err()
+	}
+	return nil
+}
+
+// Problems returns all reasons for which a configuration is invalid: first those of the configuration as a whole, then
+// those of its services, then those of its routes, each in the order of the configuration.
+func Problems(c Config) []Problem {
+	var problems []Problem
 	if c.Version == 0 {
-		return errors.Wrap(ErrInvalid, "version is 0")
+		problems = append(problems, Problem{Code: ProblemVersion, Detail: "version is 0"})
 	}
-	services, err := validateServices(c.Services)
-	if err != nil {
-		return err
+	names := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		problems = append(problems, serviceProblems(s, names[s.Name])...)
+		if s.Name != "" {
+			names[s.Name] = true
+		}
 	}
-	return validateRoutes(c.Routes, services)
+	return append(problems, routesProblems(c.Routes, names)...)
 }
 
-func validateServices(list []Service) (map[string]bool, error) {
-	names := make(map[string]bool, len(list))
-	for _, s := range list {
-		if s.Name == "" || names[s.Name] {
-			return nil, errors.Wrapf(ErrInvalid, "service name %q is empty or a duplicate", s.Name)
-		}
-		if s.MaxConnections < 0 || s.WarmMillis < 0 {
-			return nil, errors.Wrapf(ErrInvalid, "service %q has a negative limit", s.Name)
-		}
-		if err := validateWarmup(s); err != nil {
-			return nil, err
-		}
-		if !s.Grants.valid() {
-			return nil, errors.Wrapf(ErrInvalid, "service %q has the unknown grant mode %q", s.Name, s.Grants)
-		}
-		names[s.Name] = true
+// problemList collects the problems of one service or route.
+type problemList struct {
+	problems []Problem
+	entry    Problem // template with the name of the entry
+}
+
+func (l *problemList) addIf(failed bool, code ProblemCode, format string, values ...any) {
+	if !failed {
+		return
 	}
-	return names, nil
+	p := l.entry
+	p.Code, p.Detail = code, fmt.Sprintf(format, values...)
+	l.problems = append(l.problems, p)
 }
 
 // Limits of how a service's servers start. They are far above what a server needs.
@@ -52,81 +106,65 @@
 	maxWarmupPerSecond = 1e6
 )
 
-// validateWarmup checks how a service's servers start. The negated comparison also rejects NaN.
-func validateWarmup(s Service) error {
-	switch {
-	case s.WarmupMillis < 0 || s.WarmupMillis > maxWarmupMillis:
-		return errors.Wrapf(ErrInvalid, "service %q has a warm-up time of %d ms", s.Name, s.WarmupMillis)
-	case !(s.WarmupPerSecond >= 0 && s.WarmupPerSecond <= maxWarmupPerSecond):
-		return errors.Wrapf(ErrInvalid, "service %q has %v requests a second for a cold server", s.Name, s.WarmupPerSecond)
-	}
-	return nil
+func serviceProblems(s Service, duplicate bool) []Problem {
+	l := problemList{entry: Problem{Service: s.Name}}
+	l.addIf(s.Name == "" || duplicate, ProblemServiceName, "service name %q is empty or a duplicate", s.Name)
+	l.addIf(s.MaxConnections < 0 || s.WarmMillis < 0, ProblemServiceLimit, "service %q has a negative limit", s.Name)
+	l.addIf(s.WarmupMillis < 0 || s.WarmupMillis > maxWarmupMillis, ProblemWarmupTime,
+		"service %q has a warm-up time of %d ms", s.Name, s.WarmupMillis)
+	l.addIf(s.WarmupPerSecond < 0 || s.WarmupPerSecond > maxWarmupPerSecond || math.IsNaN(s.WarmupPerSecond), ProblemWarmupRate,
+		"service %q has %v requests a second for a cold server", s.Name, s.WarmupPerSecond)
+	l.addIf(!s.Grants.valid(), ProblemGrantMode, "service %q has the unknown grant mode %q", s.Name, s.Grants)
+	return l.problems
 }
 
 // matchKey is the part of a route that requests are matched against.
 type matchKey struct{ host, prefix string }
 
-func validateRoutes(list []Route, services map[string]bool) error {
+func routesProblems(list []Route, services map[string]bool) []Problem {
+	var problems []Problem
 	names := make(map[string]bool, len(list))
 	matches := make(map[matchKey]bool, len(list))
 	for _, r := range list {
-		if r.Name == "" || names[r.Name] {
-			return errors.Wrapf(ErrInvalid, "route name %q is empty or a duplicate", r.Name)
-		}
+		l := problemList{entry: Problem{Route: r.Name}}
+		l.addIf(r.Name == "" || names[r.Name], ProblemRouteName, "route name %q is empty or a duplicate", r.Name)
 		names[r.Name] = true
 		match := matchKey{strings.ToLower(r.Host), r.PathPrefix}
-		if matches[match] {
-			return errors.Wrapf(ErrInvalid, "route %q has the same host and path prefix as another route", r.Name)
-		}
+		l.addIf(matches[match], ProblemSameMatch, "route %q has the same host and path prefix as another route", r.Name)
 		matches[match] = true
-		if err := validateRoute(r, services); err != nil {
-			return errors.Wrapf(err, "route %q", r.Name)
-		}
+		l.entry.inRoute = true
+		l.addRoute(r)
+		l.addRegions(r.AllowedRegions)
+		l.addShares(r.Shares, services)
+		problems = append(problems, l.problems...)
 	}
-	return nil
+	return problems
 }
 
-func validateRoute(r Route, services map[string]bool) error {
-	switch {
-	case !r.Kind.valid():
-		return errors.Wrapf(ErrInvalid, "unknown kind %q", r.Kind)
-	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
-		return errors.Wrapf(ErrInvalid, "prefix %q must begin and end with a slash", r.PathPrefix)
-	case r.TimeoutMillis <= 0:
-		return errors.Wrapf(ErrInvalid, "timeout %d ms must be positive", r.TimeoutMillis)
-	case r.TargetMillis < 0 || r.TargetMillis >= r.TimeoutMillis+MaxTargetOverTimeoutMillis:
-		return errors.Wrapf(ErrInvalid, "latency objective %d ms is negative or too far above the timeout %d ms", r.TargetMillis, r.TimeoutMillis)
-	case r.MaxAttempts <= 0:
-		return errors.Wrapf(ErrInvalid, "maximum number of attempts %d must be positive", r.MaxAttempts)
-	}
-	if err := validateRegions(r.AllowedRegions); err != nil {
-		return err
-	}
-	return validateShares(r.Shares, services)
+func (l *problemList) addRoute(r Route) {
+	l.addIf(!r.Kind.valid(), ProblemKind, "unknown kind %q", r.Kind)
+	l.addIf(!strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"), ProblemPrefix,
+		"prefix %q must begin and end with a slash", r.PathPrefix)
+	l.addIf(r.TimeoutMillis <= 0, ProblemTimeout, "timeout %d ms must be positive", r.TimeoutMillis)
+	l.addIf(r.TargetMillis < 0 || r.TargetMillis >= r.TimeoutMillis+MaxTargetOverTimeoutMillis, ProblemTarget,
+		"latency objective %d ms is negative or too far above the timeout %d ms", r.TargetMillis, r.TimeoutMillis)
+	l.addIf(r.MaxAttempts <= 0, ProblemAttempts, "maximum number of attempts %d must be positive", r.MaxAttempts)
 }
 
-func validateRegions(regions []string) error {
+func (l *problemList) addRegions(regions []string) {
 	for i, region := range regions {
-		if region == "" || slices.Contains(regions[:i], region) {
-			return errors.Wrapf(ErrInvalid, "allowed region %q is empty or a duplicate", region)
-		}
+		l.addIf(region == "" || slices.Contains(regions[:i], region), ProblemRegion, "allowed region %q is empty or a duplicate", region)
 	}
-	return nil
 }
 
-func validateShares(shares []Share, services map[string]bool) error {
+func (l *problemList) addShares(shares []Share, services map[string]bool) {
 	var total int64
+	negative := false
 	for _, s := range shares {
-		if !services[s.Service] {
-			return errors.Wrapf(ErrInvalid, "unknown service %q", s.Service)
-		}
-		if s.Weight < 0 {
-			return errors.Wrapf(ErrInvalid, "service %q has a negative weight", s.Service)
-		}
+		l.addIf(!services[s.Service], ProblemService, "unknown service %q", s.Service)
+		l.addIf(s.Weight < 0, ProblemWeight, "service %q has a negative weight", s.Service)
+		negative = negative || s.Weight < 0
 		total += s.Weight
 	}
-	if total == 0 {
-		return errors.Wrap(ErrInvalid, "the weights of all shares add up to 0")
-	}
-	return nil
+	l.addIf(total == 0 && !negative, ProblemNoWeight, "the weights of all shares add up to 0")
 }
