Control hosts: list of backend servers for operators

Cause: operators could read the servers that the leader knows only from its state dump, which has no regions and which they have to find at the leader.

Change: GET /galena/v1/fleet/servers at any control host returns the servers of the services in force with region, slots and whether they drain. Followers forward the call to the leader (message kind 32). While leases of an earlier term may be in force, a new leader refuses the call, since it may not have heard all servers yet. Leaders of an earlier release don't know the message; the call fails there.

Measured: tests of internal/fleet (44 s), internal/wire, internal/peer and keyrange pass; TestOperatorsReadServersAtAnyHost covers three hosts.

--- a/cmd/galena-control/platform.go
+++ b/cmd/galena-control/platform.go
@@ -61,7 +61,8 @@
 				Address: fleet.PeerAddress(s.Ip, s.AdminPort), Registry: registry, Dump: host.Dump,
 				Metrics: clients,
 				Handlers: map[string]http.Handler{
-					wire.PathRoutes: operatorAPI, wire.PathEvacuations: operatorAPI, wire.PathEvacuations + "/": operatorAPI,
+					wire.PathRoutes: operatorAPI, wire.PathFleetServers: operatorAPI,
+					wire.PathEvacuations: operatorAPI, wire.PathEvacuations + "/": operatorAPI,
 				},
 			})
 			if err != nil {
--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -197,6 +199,35 @@
 	return h.state.config(), nil
 }
 
+// Servers returns the backend servers that the leader knows. It fails while a new leader may not know all of them.
+func (h *Host) Servers(ctx context.Context) (keyrange.ServerList, error) {
+	list := keyrange.ServerList{Servers: []keyrange.RegionServer{}}
+	if !h.Leads() {
+		err := h.forwardToLeader(ctx, wire.KindGetServers, struct{}{}, &list)
+		return list, err
+	}
+	if err := h.confirmLeadership(ctx); err != nil {
+		return list, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading == nil {
+		return list, errors.Wrap(ErrUnavailable, "this host is no longer the leader")
+	}
+	if h.leading.coordinator.Partial(clock.Now()) {
+		return list, errors.Wrap(ErrUnavailable, "the leader was elected recently and may not know all servers yet")
+	}
+	for _, s := range h.leading.coordinator.Snapshot().Servers {
+		list.Servers = append(list.Servers, keyrange.RegionServer{
+			ID: s.ID, Service: s.Service, Domain: s.Domain, Region: h.settings.Domains[s.Domain], Slots: s.Slots, Draining: s.Draining,
+		})
+	}
+	slices.SortFunc(list.Servers, func(a, b keyrange.RegionServer) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return list, nil
+}
+
 // readBarrier returns nil once reads of the local state reflect every change that was committed
 // before the call. It fails if no configuration was put yet.
 func (h *Host) readBarrier(ctx context.Context) error {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -51,6 +51,9 @@
 	case wire.KindGetConfig:
 		config, err := h.Config(ctx)
 		return encodeReply(config, err)
+	case wire.KindGetServers:
+		servers, err := h.Servers(ctx)
+		return encodeReply(servers, err)
 	case wire.KindConfigReport:
 		return encodeReply(decodeAndHandle(body, func(report routes.ConfigReport) (any, error) {
 			if err := h.confirmLeadership(ctx); err != nil {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -27,12 +27,13 @@
 )
 
 // OperatorAPI returns the HTTP handler of wire.PathRoutes, which reads and replaces the route
-// configuration in the YAML format of package config, and of wire.PathEvacuations. Calls must carry the secret as
+// configuration in the YAML format of package config, of wire.PathFleetServers and of wire.PathEvacuations. Calls must carry the secret as
 // bearer token. If the secret is empty, all calls are accepted if openNetwork is true and rejected otherwise.
 func (h *Host) OperatorAPI(secret []byte, openNetwork bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire.PathRoutes, h.getRoutes)
 	mux.HandleFunc("PUT "+wire.PathRoutes, h.putRoutes)
+	mux.HandleFunc("GET "+wire.PathFleetServers, h.getServers)
 	mux.HandleFunc("GET "+wire.PathEvacuations, h.getEvacuations)
 	mux.HandleFunc("POST "+wire.PathEvacuations+"/{domain}/{change}", h.postEvacuation)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -84,6 +85,17 @@
 	writePutReply(w, reply)
 }
 
+func (h *Host) getServers(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	servers, err := h.Servers(ctx)
+	if err != nil {
+		writeCallError(w, err)
+		return
+	}
+	writeJSON(w, servers)
+}
+
 func (h *Host) getEvacuations(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
--- a/internal/fleet/operator_test.go
+++ b/internal/fleet/operator_test.go
@@ -6,6 +6,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
 )
 
 const routesText = `base: 0
@@ -70,6 +73,40 @@
 	}
 }
 
+// Guards against a list without the servers that only the leader hears, and against servers without their region: the check of a
+// route configuration would report services without servers.
+func TestOperatorsReadServersAtAnyHost(t *testing.T) {
+	c := newCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	c.putUntilAccepted(put(0, 1))
+	leader, sequence := c.leader(), int64(0)
+	want := `{"servers":[` +
+		`{"domain":"d2","draining":false,"id":"s1","region":"r1","service":"stock","slots":4},` +
+		`{"domain":"d9","draining":false,"id":"s2","region":"","service":"stock","slots":6}]}`
+	for _, h := range c.hosts {
+		server := httptest.NewServer(h.OperatorAPI(nil, true))
+		t.Cleanup(server.Close)
+		c.wait("the servers at "+h.name, func() bool {
+			sequence++
+			for _, s := range []keyrange.Server{
+				{ID: "s1", Service: "stock", Domain: "d2", Address: "s1:80", Slots: 4, StartMillis: 1},
+				{ID: "s2", Service: "stock", Domain: "d9", Address: "s2:80", Slots: 6, StartMillis: 1},
+			} {
+				_, _ = leader.Heartbeat(t.Context(), keyrange.Heartbeat{Server: s, Sequence: sequence})
+			}
+			r, err := http.NewRequest(http.MethodGet, server.URL+wire.PathFleetServers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, body := send(t, server, r)
+			if strings.Contains(body, `"s2"`) && body != want {
+				t.Errorf("%s: got %s, want %s", h.name, body, want)
+			}
+			return body == want
+		})
+	}
+}
+
 func TestOperatorAPIRequiresCredential(t *testing.T) {
 	c := newCluster(t, "127.0.0.1")
 	c.wait("a leader", func() bool { return c.leader() != nil })
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -34,6 +34,7 @@
 	wire.KindServerLeave:     "server_leave",
 	wire.KindPutConfig:       "put_config",
 	wire.KindGetConfig:       "get_config",
+	wire.KindGetServers:      "get_servers",
 	wire.KindSubscribe:       "subscribe",
 	wire.KindFleetTable:      "fleet_table",
 	wire.KindLoadReport:      "load_report",
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -41,6 +41,7 @@
 	KindTokenRequest    = 21 // ratelimit.TokenRequest, entry to control; answered by ratelimit.TokenReply
 	KindAdmission       = 30 // admitshare.Plan, one-way, control to entry
 	KindDemandReport    = 31 // admitshare.DemandReport, one-way, entry to control
+	KindGetServers      = 32 // empty, answered by keyrange.ServerList
 )
 
 // GroupGlobal is the name of the replicated-log group that serves all regions and includes every
@@ -124,6 +125,10 @@
 // (GET), as JSON. POST to PathEvacuations/DOMAIN/start or PathEvacuations/DOMAIN/end changes them.
 const PathEvacuations = "/galena/v1/evacuations"
 
+// PathFleetServers is the path on a control host's admin address at which operators read the backend servers that the leader
+// knows (GET), as JSON.
+const PathFleetServers = "/galena/v1/fleet/servers"
+
 // Paths on entry hosts and backend servers.
 const (
 	PathAnnounce = "/galena/v1/servers/announce" // POST Announcement, answered by AnnouncementReply
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -130,6 +130,27 @@
 	To int64 `json:"t" yaml:"t" cbor:"t"`
 }
 
+// RegionServer is what operators are told of a backend server.
+type RegionServer struct {
+	// Failure domain.
+	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
+
+	// Whether the server is draining before it stops.
+	Draining bool `json:"draining" yaml:"draining" cbor:"draining"`
+
+	// ID of the incarnation.
+	ID string `json:"id" yaml:"id" cbor:"id"`
+
+	// Region of the failure domain; empty if not known.
+	Region string `json:"region" yaml:"region" cbor:"region"`
+
+	// Service.
+	Service string `json:"service" yaml:"service" cbor:"service"`
+
+	// Maximum number of concurrent requests.
+	Slots int64 `json:"slots" yaml:"slots" cbor:"slots"`
+}
+
 // Release is a key range that a backend server released.
 type Release struct {
 	// First key.
@@ -174,6 +195,12 @@
 	WarmupMillis int64 `json:"w" yaml:"w" cbor:"w"`
 }
 
+// ServerList lists all backend servers that the leader knows.
+type ServerList struct {
+	// Servers, by service and ID.
+	Servers []RegionServer `json:"servers" yaml:"servers" cbor:"servers"`
+}
+
 // ServerLoad is what an entry host observed of one backend server.
 type ServerLoad struct {
 	// Age of the latest load report, milliseconds, plus 1; 0 if there is none since
