Check of a route configuration before it is sent

Cause: galenactl routes check reported only the first error of a file, and nothing about entries without effect, limits that contradict each other, or what changes.

What control hosts can't tell is the warning not-compared. routes.Problem names its entry.

The session test had the exit code 2 and one of routes check without control hosts; it now has the new output, and covers control hosts that answer, can't be reached, and are not queried.

--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -8,12 +8,23 @@
 	"github.com/galenalug/galenalug/routes"
 )
 
-// LoadRoutes loads a route configuration from a file. It fails with *Error.
-func LoadRoutes(path string) (routes.Put, error) {
-	file, err := load(path, KindRoutes, checkRoutes, noSecrets)
+// ReadRoutes reads a route configuration from a file, for packages that check it further: it does not have to be valid
+// for routes.Validate. It fails with *Error.
+func ReadRoutes(path string) (routes.Put, error) {
+	file, err := load(path, KindRoutes, noRoutesCheck, noSecrets)
 	return putFromFile(file), err
 }
 
+// DecodeRoutes decodes a configuration that FormatRoutes formatted. Unlike the text of an operator, it is not checked
+// against the schema, which a configuration in another format need not follow.
+func DecodeRoutes(content []byte) (routes.Put, error) {
+	var file settings.RoutesFile
+	if err := yaml.Unmarshal(content, &file); err != nil {
+		return routes.Put{}, errors.Wrap(err, "decode route configuration")
+	}
+	return putFromFile(file), nil
+}
+
 // ParseRoutes parses a route configuration in YAML; name stands for the file in error messages. It
 // fails with *Error.
 func ParseRoutes(name string, content []byte) (routes.Put, error) {
@@ -54,6 +65,8 @@
 	return nil
 }
 
+func noRoutesCheck(settings.RoutesFile) []Problem { return nil }
+
 func noSecrets(settings.RoutesFile) []secretFile { return nil }
 
 func putFromFile(file settings.RoutesFile) routes.Put {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/galenalug/galenalug/internal/wire"
 )
 
 var (
@@ -20,7 +22,8 @@
 )
 
 // TestSessions runs galenactl against fake control hosts. The command hosts sets one response per
-// host, as STATUS BODY; "cut" closes the connection after the request, "down" refuses connections.
+// host, as STATUS BODY; "cut" closes the connection after the request, "down" refuses connections. "BODY || SERVERS" sets
+// another body for the list of servers.
 // ADDRESS stands for the address of the first host.
 func TestSessions(t *testing.T) {
 	dir := t.TempDir()
@@ -28,7 +31,7 @@
 	routesFile := filepath.Join(dir, "routes.yaml")
 	write(t, secret, "0123456789abcdef")
 	write(t, list, "version: 2\n")
-	write(t, routesFile, `{version: 2, base: 1, limits: {header_bytes: 1, body_bytes: 1, header_ms: 1, idle_ms: 1},
+	write(t, routesFile, `{version: 2, base: 1, limits: {header_bytes: 1, body_bytes: 2, header_ms: 1, idle_ms: 1},
   services: [{name: s, health_path: /health}],
   routes: [{name: r, host: h, path_prefix: /, kind: once, timeout_ms: 9, shares: [{service: s, weight: 1}]}]}`)
 	settings := filepath.Join(dir, "ctl.yaml")
@@ -77,6 +80,10 @@
 			t.Error(err)
 		}
 		w.WriteHeader(status)
+		body, servers, both := strings.Cut(body, " || ")
+		if both && r.URL.Path == wire.PathFleetServers {
+			body = servers
+		}
 		_, _ = w.Write([]byte(strings.ReplaceAll(body, "OPERATOR", r.Header.Get(headerOperator))))
 	}))
 	if word == "down" {
--- a/routes/validate.go
+++ b/routes/validate.go
@@ -40,22 +40,32 @@
 	ProblemNoWeight     ProblemCode = "no-weight"
 )
 
+// EntryKind is a kind of entry of a configuration.
+type EntryKind string
+
+// Kinds of entries.
+const (
+	EntryConfiguration EntryKind = "configuration" // the configuration as a whole
+	EntryService       EntryKind = "service"
+	EntryRoute         EntryKind = "route"
+)
+
 // Problem is one reason for which a configuration is invalid.
 type Problem struct {
-	Code    ProblemCode
-	Service string // name of the service with the problem, if Code is about a service
-	Route   string // name of the route with the problem, if Code is about a route
-	Detail  string
+	Code   ProblemCode
+	Entry  EntryKind
+	Name   string // of the service or route
+	Detail string
 
-	// inRoute is whether Detail does not name the route itself.
-	inRoute bool
+	// unnamed is whether Detail is about a route that it does not name.
+	unnamed bool
 }
 
 // Err returns the problem as an error with the cause ErrInvalid.
 func (p Problem) Err() error {
 	err := errors.Wrap(ErrInvalid, p.Detail)
-	if p.inRoute {
-		return errors.Wrapf(err, "route %q", p.Route)
+	if p.unnamed {
+		return errors.Wrapf(err, "route %q", p.Name)
 	}
 	return err
 }
@@ -73,7 +83,7 @@
 func Problems(c Config) []Problem {
 	var problems []Problem
 	if c.Version == 0 {
-		problems = append(problems, Problem{Code: ProblemVersion, Detail: "version is 0"})
+		problems = append(problems, Problem{Code: ProblemVersion, Entry: EntryConfiguration, Detail: "version is 0"})
 	}
 	names := make(map[string]bool, len(c.Services))
 	for _, s := range c.Services {
@@ -107,7 +117,7 @@
 )
 
 func serviceProblems(s Service, duplicate bool) []Problem {
-	l := problemList{entry: Problem{Service: s.Name}}
+	l := problemList{entry: Problem{Entry: EntryService, Name: s.Name}}
 	l.addIf(s.Name == "" || duplicate, ProblemServiceName, "service name %q is empty or a duplicate", s.Name)
 	l.addIf(s.MaxConnections < 0 || s.WarmMillis < 0, ProblemServiceLimit, "service %q has a negative limit", s.Name)
 	l.addIf(s.WarmupMillis < 0 || s.WarmupMillis > maxWarmupMillis, ProblemWarmupTime,
@@ -126,13 +136,13 @@
 	names := make(map[string]bool, len(list))
 	matches := make(map[matchKey]bool, len(list))
 	for _, r := range list {
-		l := problemList{entry: Problem{Route: r.Name}}
+		l := problemList{entry: Problem{Entry: EntryRoute, Name: r.Name}}
 		l.addIf(r.Name == "" || names[r.Name], ProblemRouteName, "route name %q is empty or a duplicate", r.Name)
 		names[r.Name] = true
 		match := matchKey{strings.ToLower(r.Host), r.PathPrefix}
 		l.addIf(matches[match], ProblemSameMatch, "route %q has the same host and path prefix as another route", r.Name)
 		matches[match] = true
-		l.entry.inRoute = true
+		l.entry.unnamed = true
 		l.addRoute(r)
 		l.addRegions(r.AllowedRegions)
 		l.addShares(r.Shares, services)
