One queue at the leader for scarce services

Gateways know the load of a server as it was several requests ago, so that bookings waited at some servers beside free slots at others; and clients that were refused returned after up to a third of their time, too late for the latency target.

Change: package slotqueue assigns the requests of a service to its servers' slots, in one queue that the leader holds for all gateways, if a group of requests with restricted regions needs most of the slots there (admitshare, setting queue_slots). Requests that can still meet their target come first. Retry-After lies within the slack until the target.

--- a/admitshare/load_test.go
+++ b/admitshare/load_test.go
@@ -55,7 +55,7 @@
 
 func newModel(gateways, slots int, work time.Duration) *model {
 	m := &model{
-		rng: rand.New(rand.NewPCG(1, uint64(gateways))), now: time.Second, slots: slots, work: work, believed: work, planner: NewPlanner(), leader: true,
+		rng: rand.New(rand.NewPCG(1, uint64(gateways))), now: time.Second, slots: slots, work: work, believed: work, planner: NewPlanner(false), leader: true,
 		admitted: map[int64]int{}, arrived: map[int64]int{},
 	}
 	total := 0.0
@@ -242,7 +242,7 @@
 // Bookings may be served in one of two regions only, lookups of the same priority in both. The region that both may use
 // must not be given to lookups that have room elsewhere.
 func TestGroupWithFewerRegionsGoesFirst(t *testing.T) {
-	p := NewPlanner()
+	p := NewPlanner(false)
 	bookings, lookups := Group{Service: "s", Regions: "r1"}, Group{Service: "s"}
 	p.Report(time.Second, DemandReport{Groups: []Demand{
 		{Group: bookings, WorkMicros: (10 * demandTime).Microseconds()},
@@ -268,11 +268,15 @@
 // Guards against returns of refused clients that come all together, or too late to be served.
 func TestReturnsAreSpread(t *testing.T) {
 	left := time.Second
-	first, last := RetryAfter(left, 0), RetryAfter(left, 0.999)
+	first, last := RetryAfter(left, 0, 0), RetryAfter(left, 0, 0.999)
 	if first < 50*time.Millisecond || last > left/3 || last-first < left/5 {
 		t.Errorf("returns from %v to %v of %v left", first, last, left)
 	}
-	if RetryAfter(-left, 0.5) != 0 {
+	slack := 400 * time.Millisecond
+	if first, last := RetryAfter(left, slack, 0), RetryAfter(left, slack, 0.999); first < slack/20 || last > slack/2 {
+		t.Errorf("returns from %v to %v of %v until the target", first, last, slack)
+	}
+	if RetryAfter(-left, 0, 0.5) != 0 {
 		t.Error("a delay for a client without time")
 	}
 }
--- a/admitshare/messages_gen.go
+++ b/admitshare/messages_gen.go
@@ -46,9 +46,12 @@
 	Service string `json:"s" yaml:"s" cbor:"s"`
 }
 
-// Plan has the groups of which gateways admit only a part. It replaces the plan
-// before it.
+// Plan has the groups of which gateways admit only a part, and the services whose
+// requests wait in the leader's queue. It replaces the plan before it.
 type Plan struct {
 	// Fractions below one.
 	Groups []Fraction `json:"g" yaml:"g" cbor:"g"`
+
+	// Services whose requests get their servers from the leader.
+	Queued []string `json:"q,omitempty,omitzero" yaml:"q,omitempty" cbor:"q,omitempty"`
 }
--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -30,6 +31,12 @@
 	minCorrection, maxCorrection = 0.6, 4
 	// forgetTime is the time without demand after which a group is forgotten.
 	forgetTime = 10 * time.Second
+	// queueFrom and queueUntil are the utilizations of the slots that a group with restricted regions may use from which
+	// its service is queued at the leader, and below which that ends. Below, gateways find free slots by themselves.
+	queueFrom, queueUntil = 0.65, 0.4
+	// maxQueuedPerSecond is the number of requests a second for a service up to which they are queued at the leader: each
+	// costs it two messages.
+	maxQueuedPerSecond = 1000
 )
 
 // Capacity is what the servers of a service in one region can run.
@@ -45,6 +52,8 @@
 	demand      map[Group]*demandRate
 	corrections map[place]*correction // of the planned capacity
 	limited     map[string]bool       // services that the last plan limits
+	queued      map[string]bool       // services that the last plan queues
+	mayQueue    bool
 }
 
 // place is the servers of a service in one region.
@@ -59,12 +68,16 @@
 // demandRate is work demanded per second, decayed.
 type demandRate struct {
 	work      float64 // slots that the demand keeps busy
+	requests  float64 // per second
 	updatedAt time.Duration
 }
 
-// NewPlanner returns a planner without demand.
-func NewPlanner() *Planner {
-	return &Planner{demand: map[Group]*demandRate{}, corrections: map[place]*correction{}, limited: map[string]bool{}}
+// NewPlanner returns a planner without demand. mayQueue tells whether the leader has a queue for scarce services.
+func NewPlanner(mayQueue bool) *Planner {
+	return &Planner{
+		demand: map[Group]*demandRate{}, corrections: map[place]*correction{}, limited: map[string]bool{}, queued: map[string]bool{},
+		mayQueue: mayQueue,
+	}
 }
 
 // Report adds a gateway's demand since its last report.
@@ -77,24 +90,30 @@
 		}
 		rate.decay(now)
 		rate.work += float64(max(d.WorkMicros, 0)) / float64(demandTime.Microseconds())
+		rate.requests += float64(max(d.Requests, 0)) / demandTime.Seconds()
 	}
 }
 
 func (r *demandRate) decay(now time.Duration) {
-	r.work *= math.Exp(-float64(now-r.updatedAt) / float64(demandTime))
+	factor := math.Exp(-float64(now-r.updatedAt) / float64(demandTime))
+	r.work *= factor
+	r.requests *= factor
 	r.updatedAt = now
 }
 
-// Plan returns the fractions of the groups that can't all be served. Each server's capacity belongs to the most
-// urgent groups first, and within a priority to those that may be served in the fewest regions.
+// Plan returns the services that are queued at the leader, and the fractions of the groups of others that can't all be
+// served. Each server's capacity belongs to the most urgent groups first, and within a priority to those that may be served in
+// the fewest regions.
 func (p *Planner) Plan(now time.Duration, capacities []Capacity) Plan {
+	groups := p.groups(now)
+	p.updateQueued(groups, capacities)
 	free := p.plannedCapacity(capacities)
-	plan := Plan{Groups: []Fraction{}}
+	plan := Plan{Groups: []Fraction{}, Queued: slices.Sorted(maps.Keys(p.queued))}
 	clear(p.limited)
-	for _, group := range p.groups(now) {
+	for _, group := range groups {
 		regions := free[group.Service]
-		if len(regions) == 0 {
-			continue // no server is known, so that there is nothing to share
+		if len(regions) == 0 || p.queued[group.Service] {
+			continue // no server is known, so that there is nothing to share, or the queue decides
 		}
 		work := p.demand[group].work
 		served := take(regions, group, work)
--- a/internal/fleet/admission.go
+++ b/internal/fleet/admission.go
@@ -21,6 +21,7 @@
 	planner   *admitshare.Planner
 	plannedAt time.Duration
 	limits    int // groups that the last plan limits
+	queued    int // services that it queues
 }
 
 // newLimitedGroups returns the gauge of what the last plan limits.
@@ -35,7 +36,7 @@
 	if !h.settings.ShareCapacity {
 		return nil
 	}
-	return &admission{planner: admitshare.NewPlanner()}
+	return &admission{planner: admitshare.NewPlanner(h.settings.QueueSlots)}
 }
 
 // handleDemandReport records what a gateway was asked for.
@@ -52,7 +53,7 @@
 	}
 }
 
-// publishAdmission sends a new plan to all gateways, as long as it limits any requests and once when it ends to do so.
+// publishAdmission sends a new plan to all gateways, as long as it limits or queues any requests and once when it ends to do so.
 // It must be called with Host.mu held.
 func (h *Host) publishAdmission(now time.Duration, l *leadership) {
 	a := l.admission
@@ -61,13 +62,16 @@
 	}
 	a.plannedAt = now
 	plan := a.planner.Plan(now, h.capacities(now, l))
-	if len(plan.Groups) == 0 && a.limits == 0 {
+	h.updateSlotQueues(now, l, plan.Queued)
+	if len(plan.Groups)+len(plan.Queued) == 0 && a.limits+a.queued == 0 {
 		return
 	}
-	if len(plan.Groups) != a.limits {
-		log.WithFields(log.Fields{"groups": len(plan.Groups), "before": a.limits, "plan": plan.Groups}).Info("admission of requests planned")
+	if len(plan.Groups) != a.limits || len(plan.Queued) != a.queued {
+		log.WithFields(log.Fields{
+			"groups": len(plan.Groups), "before": a.limits, "plan": plan.Groups, "queued": plan.Queued,
+		}).Info("admission of requests planned")
 	}
-	a.limits = len(plan.Groups)
+	a.limits, a.queued = len(plan.Groups), len(plan.Queued)
 	h.metrics.limitedGroups.Set(float64(a.limits))
 	body, err := cbor.Marshal(plan)
 	if err != nil {
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -123,6 +123,10 @@
 		a.host.handleLoadReport(from.Identity().Name, body)
 	case wire.KindDemandReport:
 		a.host.handleDemandReport(body)
+	case wire.KindSlotRequest:
+		a.host.handleSlotRequest(from, body)
+	case wire.KindSlotRelease:
+		a.host.handleSlotRelease(from, body)
 	case wire.KindEvacuationSent:
 		a.host.handleEvacuationTraffic(from.Identity().Name, body)
 	default:
@@ -136,6 +140,7 @@
 	defer a.host.mu.Unlock()
 	if _, known := a.host.subscribers[conn]; known {
 		delete(a.host.subscribers, conn)
+		a.host.forgetSlots(conn)
 		log.WithField("gateway", conn.Identity().Name).Info("gateway disconnected")
 	}
 }
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -7,11 +7,13 @@
 	"github.com/apex/log"
 
 	"github.com/galenalug/galenalug/internal/clock"
+	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/quarantine"
 	"github.com/galenalug/galenalug/ratelimit"
 	"github.com/galenalug/galenalug/rollout"
 	"github.com/galenalug/galenalug/serverload"
+	"github.com/galenalug/galenalug/slotqueue"
 	"github.com/galenalug/galenalug/warmup"
 )
 
@@ -27,7 +29,8 @@
 	issuer         *ratelimit.Issuer
 	coldIssuer     *warmup.Issuer
 	quarantine     *quarantine.Tracker
-	admission      *admission          // nil if this host plans no admission
+	admission      *admission // nil if this host plans no admission
+	slots          *slotqueue.Queue[*peer.Conn]
 	loads          *serverload.Tracker // nil without balance: work
 	calls          *grantCalls         // nil if this host makes no calls to backend servers
 	reported       chan struct{}       // closed at the next configuration report of a gateway, or when the leadership ends
@@ -45,6 +48,7 @@
 		h.metrics.calls.ownerless.Set(0)
 		h.metrics.cold.servers.Set(0)
 		h.metrics.limitedGroups.Set(0)
+		h.metrics.slots.reset()
 		if h.leading != nil {
 			close(h.leading.reported) // ends the waiting acknowledgements
 			h.leading.calls.end()
@@ -79,6 +83,7 @@
 		coldIssuer:  warmup.NewIssuer(),
 		quarantine:  quarantine.NewTracker(now),
 		admission:   h.newAdmission(),
+		slots:       slotqueue.New[*peer.Conn](),
 		calls:       h.newGrantCalls(),
 		reported:    make(chan struct{}),
 	}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -32,6 +32,7 @@
 	calls        *callMetrics
 
 	limitedGroups prometheus.Gauge
+	slots         *slotMetrics
 	evacuations   *evacuationMetrics
 }
 
@@ -88,11 +89,11 @@
 		Name: "galenalug_fleet_tokens_total", Help: "Tokens for requests to rate-limited servers that gateways asked for, by outcome.",
 	}, []string{"outcome"})
 	m.quarantines, m.suspects = newQuarantineMetrics()
-	m.limitedGroups = newLimitedGroups()
+	m.limitedGroups, m.slots = newLimitedGroups(), newSlotMetrics()
 	m.cold, m.calls, m.evacuations = newColdMetrics(), newCallMetrics(), newEvacuationMetrics()
 	collectors := []prometheus.Collector{
 		m.calls.ended, m.calls.seconds, m.calls.ownerless,
-		m.quarantines, m.suspects, m.limitedGroups,
+		m.quarantines, m.suspects, m.limitedGroups, m.slots.answers, m.slots.waiting, m.slots.granted,
 		m.heartbeats, m.heartbeatSeconds, m.keyEvents, m.configChanges, m.leads, m.propagationSeconds, m.gatewaysBehind, m.acknowledgeSeconds,
 		m.voters, m.liveVoters, m.quorumMargin, m.logFailed, m.logBytes, m.joinSeconds, m.tokens, m.cold.tokens, m.cold.servers,
 	}
--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -88,6 +88,7 @@
 	h.reportLeaves(now, l)
 	h.publishQuarantine(now, l)
 	h.publishAdmission(now, l)
+	h.tickSlots(now, l)
 	l.coordinator.Tick(now)
 	h.recordKeyEvents(l)
 	h.recordColdChanges(l)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -37,6 +37,16 @@
 	return a.limiter.Admit(now, group, rand.Float64())
 }
 
+// queued reports whether the requests of a service get their servers from the leader.
+func (a *admission) queued(now time.Duration, service string) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.Queued(now, service)
+}
+
 // ended records whether a server ran a request that was admitted.
 func (a *admission) ended(now time.Duration, group admitshare.Group, accepted bool) {
 	if a == nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -96,6 +96,7 @@
 	pausedFor        time.Duration  // how much longer all servers that may run the request want none
 	bulk             *linkTicket    // on links between regions; nil for a small request
 	linkWait         time.Duration  // how long the request would have to wait for the link
+	slot             *slot          // at the chosen server, from the leader's queue; nil for none
 	permitted        bool           // the leader has permitted the run of a suspected request
 	quarantinedFor   time.Duration  // how much longer the request is quarantined
 	fingerprintOnce  sync.Once
@@ -242,6 +243,7 @@
 	c.ctx = ctx
 	c.bulk = c.bulkTicket()
 	defer c.bulk.release()
+	defer c.returnSlot()
 	lastReason := reasonNotExecuted
 	for {
 		c.limitToStop()
@@ -265,6 +267,7 @@
 			return
 		}
 		resp, err := c.send(target, service)
+		c.endSlot(target, resp, err)
 		c.endPermit(resp, err)
 		final := err == nil && !c.notFinal(resp)
 		if !final || c.route.Kind != routes.Download {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -67,6 +67,7 @@
 	responseSizes *responseSizes
 	evidence      *crashEvidence
 	admission     *admission // nil unless the settings ask for planned admission
+	slots         slotClient
 	linkDelay     *linkDelay
 	metrics       *metrics
 	events        *eventlog.Log
@@ -152,6 +153,7 @@
 		admission:    h.admission,
 		delay:        h.linkDelay,
 	}
+	h.slots.leader, h.leaderLink.slots = h.leaderLink.notifier, &h.slots
 	discardLog := stdlog.New(io.Discard, "", 0) // net/http would log errors that clients cause
 	h.server = &http.Server{
 		Handler:           http.HandlerFunc(h.serve),
--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -46,7 +46,8 @@
 	backends     *backends
 	tokensWanted chan struct{} // signals that requests wait for tokens
 	evidence     *crashEvidence
-	admission    *admission                  // nil if the gateway takes no part in planned admission
+	admission    *admission // nil if the gateway takes no part in planned admission
+	slots        *slotClient
 	current      atomic.Pointer[peer.Client] // of the current subscription; nil for none
 	delay        *linkDelay
 	// dial opens connections to control hosts; nil for net.Dialer. Tests simulate slow links with it.
@@ -69,6 +70,14 @@
 	return now - since
 }
 
+// notifier returns what sends messages to the leader, or nil while there is no subscription.
+func (l *leaderLink) notifier() notifier {
+	if client := l.current.Load(); client != nil {
+		return client
+	}
+	return nil
+}
+
 // subscription is an established subscription with a control host.
 type subscription struct {
 	address string
@@ -196,6 +205,7 @@
 	needsFullConfig *atomic.Bool // of leaderLink
 	evidence        *crashEvidence
 	admission       *admission // of leaderLink
+	slots           *slotClient
 	ended           chan struct{}
 }
 
@@ -213,6 +223,8 @@
 		u.applyQuarantine(body)
 	case wire.KindAdmission:
 		u.applyAdmission(body)
+	case wire.KindSlotAnswer:
+		u.slots.answered(body)
 	case wire.KindServerDigest:
 		u.backends.applyDigest(clockNow(), body)
 	case wire.KindFleetTable:
--- a/internal/gateway/leadersearch.go
+++ b/internal/gateway/leadersearch.go
@@ -91,7 +91,7 @@
 		Self:         l.self,
 		ExpectedName: address,
 		Secret:       l.secret,
-		Handler:      &updateHandler{view: l.view, backends: l.backends, needsFullConfig: &l.needsFullConfig, evidence: l.evidence, admission: l.admission, ended: s.ended},
+		Handler:      &updateHandler{view: l.view, backends: l.backends, needsFullConfig: &l.needsFullConfig, evidence: l.evidence, admission: l.admission, slots: l.slots, ended: s.ended},
 		OnConnect:    func() { signal(connected) },
 		Seed:         rand.Uint64(),
 		Limits:       fleet.GatewayLimits(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	links       *linkMetrics
 	crashes     prometheus.Counter
 	choices     *prometheus.CounterVec
+	slots       *prometheus.CounterVec
 
 	coldRequests prometheus.Counter
 	pipelined    *prometheus.CounterVec
@@ -54,6 +55,9 @@
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "galenalug_gateway_choices_total", Help: "Choices of a server by remaining work, by why it was chosen.",
 	}, []string{"basis"})
+	m.slots = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "galenalug_gateway_slots_total", Help: "Requests for scarce services that the leader's queue answered, by result.",
+	}, []string{"result"})
 	m.digestBytes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "galenalug_gateway_digest_bytes_total", Help: "Bytes of the digests of servers from the leader.",
 	})
@@ -68,7 +72,7 @@
 	})
 	m.links = newLinkMetrics()
 	collectors := []prometheus.Collector{
-		m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.coldRequests, m.pipelined, m.evacuatedRequests,
+		m.requests, m.latency, m.retries, m.disconnects, m.notices, m.clientsLeft, m.crashes, m.choices, m.slots, m.coldRequests, m.pipelined, m.evacuatedRequests,
 		m.digestBytes,
 	}
 	for _, c := range append(collectors, m.links.collectors()...) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -35,7 +35,7 @@
 	case reasonQuarantined:
 		return c.quarantinedFor
 	case reasonNoCapacity:
-		return admitshare.RetryAfter(time.Until(c.deadline), rand.Float64())
+		return admitshare.RetryAfter(time.Until(c.deadline), c.slack(), rand.Float64())
 	case reasonNotExecuted:
 		return min(shortRetryAfter, latest)
 	case reasonStaleConfig, reasonStopping, reasonSuspected, reasonMemory, reasonBusy:
@@ -48,6 +48,12 @@
 	return latest
 }
 
+// slack returns the time until the request's latency target without its expected work.
+func (c *call) slack() time.Duration {
+	target := time.Duration(c.route.TargetMillis) * time.Millisecond
+	return time.Until(c.started.Add(target)) - c.expectedCost().work.Expected
+}
+
 // fail ends a request whose outcome is unknown.
 func (c *call) fail(reason string) {
 	status := http.StatusBadGateway
--- /dev/null
+++ b/internal/gateway/slots.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
+	"github.com/galenalug/galenalug/slotqueue"
+)
+
+// silentPeriod is how long requests find servers without the leader's queue after one of them got no answer from it.
+const silentPeriod = time.Second
+
+// notifier sends one-way messages to the leader.
+type notifier interface {
+	Notify(kind int, body []byte) error
+}
+
+// slotClient asks the leader for slots of scarce services.
+type slotClient struct {
+	leader func() notifier // returns nil while there is no subscription
+
+	mu          sync.Mutex // guards the fields below; no other lock is acquired while it is held
+	lastID      int64
+	pending     map[int64]chan slotqueue.Answer
+	silentUntil time.Duration // the leader did not answer
+}
+
+// slot is a slot that a request has.
+type slot struct {
+	leader notifier
+	id     int64
+}
+
+// ask asks for a slot. It returns false if the leader doesn't answer in time, or the context ends before.
+func (q *slotClient) ask(ctx context.Context, request slotqueue.Request, wait time.Duration) (slotqueue.Answer, *slot, bool) {
+	leader := q.leader()
+	if leader == nil {
+		return slotqueue.Answer{}, nil, false
+	}
+	answers := q.open(&request)
+	defer q.forget(request.ID)
+	asked := &slot{leader: leader, id: request.ID}
+	if !notifySlots(leader, wire.KindSlotRequest, request) {
+		return slotqueue.Answer{}, nil, false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case answer := <-answers:
+		return answer, asked, true
+	case <-ctx.Done():
+	case <-timer.C:
+		q.noteSilence(clockNow())
+	}
+	asked.release(slotqueue.Unsent, 0)
+	return slotqueue.Answer{}, nil, false
+}
+
+// open numbers a request, and returns the channel of its answer.
+func (q *slotClient) open(request *slotqueue.Request) <-chan slotqueue.Answer {
+	answers := make(chan slotqueue.Answer, 1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lastID++
+	request.ID = q.lastID
+	if q.pending == nil {
+		q.pending = map[int64]chan slotqueue.Answer{}
+	}
+	q.pending[request.ID] = answers
+	return answers
+}
+
+func (q *slotClient) forget(id int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pending, id)
+}
+
+func (q *slotClient) noteSilence(now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.silentUntil = now + silentPeriod
+}
+
+// silent reports whether the leader has not answered a request lately.
+func (q *slotClient) silent(now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now < q.silentUntil
+}
+
+// answered passes an answer of the leader to its request. One that comes too late is dropped: the request has withdrawn.
+func (q *slotClient) answered(body []byte) {
+	var answer slotqueue.Answer
+	if err := cbor.Unmarshal(body, &answer); err != nil {
+		log.WithError(err).Error("cannot decode answer to a request for a slot")
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if answers := q.pending[answer.ID]; answers != nil {
+		delete(q.pending, answer.ID)
+		answers <- answer
+	}
+}
+
+// release gives the slot back. A nil slot stands for none.
+func (s *slot) release(outcome slotqueue.Outcome, atServer time.Duration) {
+	if s != nil {
+		notifySlots(s.leader, wire.KindSlotRelease, slotqueue.Release{ID: s.id, Outcome: outcome, AtServerMicros: atServer.Microseconds()})
+	}
+}
+
+func notifySlots(leader notifier, kind int, message any) bool {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		log.WithError(err).Errorf("cannot encode %T", message)
+		return false
+	}
+	return leader.Notify(kind, body) == nil
+}
+
+// queuedAtLeader reports whether the request gets its server from the leader's queue.
+func (c *call) queuedAtLeader(now time.Duration) bool {
+	return !c.keyed && c.host.admission.queued(now, c.service) && !c.host.slots.silent(now)
+}
+
+// awaitSlot asks the leader for a slot and returns its server, or the reason why there is none. It returns false if
+// the request is to find a server without the queue.
+func (c *call) awaitSlot(service *routes.Service, until time.Time) (to *target, reason string, decided bool) {
+	now := clockNow()
+	if !c.queuedAtLeader(now) {
+		return nil, "", false
+	}
+	servers, reason := c.servers(now, service)
+	if len(servers) == 0 {
+		return nil, reason, false
+	}
+	if to := c.coldTarget(now, servers); to != nil {
+		return to, "", true
+	}
+	answer, granted, answered := c.host.slots.ask(c.request.Context(), c.slotRequest(), time.Until(until))
+	switch {
+	case !answered:
+		return nil, "", false
+	case answer.Refused:
+		c.host.metrics.slots.WithLabelValues("refused").Inc()
+		return nil, reasonNoCapacity, true
+	case answer.ServerID == "":
+		return nil, "", false
+	}
+	if to = c.claimSlot(service, answer); to == nil {
+		granted.release(slotqueue.Unsent, 0)
+		c.host.metrics.slots.WithLabelValues("unusable").Inc()
+		return nil, "", false
+	}
+	c.slot = granted
+	c.host.metrics.slots.WithLabelValues("granted").Inc()
+	return to, "", true
+}
+
+// slotRequest describes the request to the leader.
+func (c *call) slotRequest() slotqueue.Request {
+	return slotqueue.Request{
+		Service: c.service, Regions: admitshare.RegionList(c.route.AllowedRegions), Priority: c.route.Priority, Domain: c.host.settings.Domain,
+		WorkMicros:     c.expectedCost().work.Expected.Microseconds(),
+		TargetMillis:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)).Milliseconds(),
+		DeadlineMillis: time.Until(c.deadline).Milliseconds(),
+		Avoid:          c.avoid,
+	}
+}
+
+// coldTarget returns a cold server for which this gateway has a token, or nil. The leader's queue has only warm servers.
+func (c *call) coldTarget(now time.Duration, servers []keyrange.Server) *target {
+	for _, s := range servers {
+		b := c.host.backends.get(s)
+		if b.coldRate(now) == 0 {
+			continue
+		}
+		b.mu.Lock()
+		tokens := b.coldTokens.Available(now)
+		b.mu.Unlock()
+		if tokens == 0 || slices.Contains(c.avoid, s.ID) {
+			continue
+		}
+		if to, _, _ := c.claim(now, c.host.target(s)); to != nil {
+			return to
+		}
+	}
+	return nil
+}
+
+// claimSlot returns the server of an answer, or nil if this gateway can't use it: it may know that the server is leaving
+// or cold before the leader does.
+func (c *call) claimSlot(service *routes.Service, answer slotqueue.Answer) *target {
+	now := clockNow()
+	servers, _ := c.servers(now, service)
+	for _, s := range servers {
+		if s.ID == answer.ServerID && s.StartMillis == answer.StartMillis {
+			to, _, _ := c.claim(now, c.host.target(s))
+			return to
+		}
+	}
+	return nil
+}
+
+// endSlot gives the request's slot back after an attempt.
+func (c *call) endSlot(to *target, resp *backendResponse, err error) {
+	if c.slot == nil {
+		return
+	}
+	outcome, atServer := slotqueue.Served, time.Duration(0)
+	switch {
+	case err != nil && !attemptResult{err: err}.mayHaveRun(), err == nil && resp.info.NotExecuted:
+		outcome = slotqueue.Refused
+	case err != nil, resp.status >= 500:
+		outcome = slotqueue.Failed
+	default:
+		atServer = c.timeAtServer(to)
+	}
+	c.slot.release(outcome, atServer)
+	c.slot = nil
+}
+
+// returnSlot gives a slot back that no attempt has used.
+func (c *call) returnSlot() {
+	c.slot.release(slotqueue.Unsent, 0)
+	c.slot = nil
+}
+
+// timeAtServer returns the time that the latest attempt has spent at the server, without the network.
+func (c *call) timeAtServer(to *target) time.Duration {
+	sent := time.Duration(c.progress.Load().connectedAt.Load())
+	if sent == 0 {
+		return 0
+	}
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	return max(clockNow()-sent-to.roundTrip, 0)
+}
--- /dev/null
+++ b/internal/gateway/slots_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/internal/settings"
+	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/slotqueue"
+)
+
+// fakeQueue is a leader that answers requests for slots, or does not if answer is nil.
+type fakeQueue struct {
+	slots  *slotClient
+	answer *slotqueue.Answer
+
+	mu       sync.Mutex // guards released
+	released []slotqueue.Outcome
+}
+
+func (q *fakeQueue) Notify(kind int, body []byte) error {
+	if kind == wire.KindSlotRelease {
+		var release slotqueue.Release
+		err := cbor.Unmarshal(body, &release)
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.released = append(q.released, release.Outcome)
+		return err
+	}
+	if q.answer == nil {
+		return nil
+	}
+	var request slotqueue.Request
+	if err := cbor.Unmarshal(body, &request); err != nil {
+		return err
+	}
+	answer := *q.answer
+	answer.ID = request.ID
+	reply, err := cbor.Marshal(answer)
+	q.slots.answered(reply)
+	return err
+}
+
+// Guards against requests of a queued service that go to another server than that of their slot, that are lost with the
+// leader or an unusable slot, or whose refusal is not truthful, and against slots that are not given back.
+func TestQueuedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		answer     *slotqueue.Answer
+		status     int
+		atGranted  int    // requests at the server of the slot
+		refusing   bool   // that server refuses them
+		wantReturn string // what became of the slots, in order
+	}{
+		{name: "granted", answer: &slotqueue.Answer{ServerID: "p2"}, status: 200, atGranted: 1, wantReturn: "served"},
+		{name: "refused by the server", answer: &slotqueue.Answer{ServerID: "p2"}, status: 200, atGranted: 1, refusing: true, wantReturn: "refused served"},
+		{name: "refused by the leader", answer: &slotqueue.Answer{Refused: true}, status: 503},
+		{name: "leader silent", status: 200, wantReturn: "unsent"},
+		{name: "not queued any more", answer: &slotqueue.Answer{}, status: 200},
+		{name: "unknown server", answer: &slotqueue.Answer{ServerID: "p9"}, status: 200, wantReturn: "unsent"},
+		{name: "earlier process", answer: &slotqueue.Answer{ServerID: "p2", StartMillis: 5}, status: 200, wantReturn: "unsent"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity = true }, nil)
+			near, granted := newFakeBackend(t, okResponse("near")), newFakeBackend(t, okResponse("granted"))
+			if c.refusing {
+				granted.responders = []responder{notExecuted, okResponse("granted")}
+			}
+			f.publish(near)
+			f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: []keyrange.Server{
+				{ID: "p1", Service: "photos", Address: near.listener.Addr().String(), Domain: "d1", Slots: 6},
+				{ID: "p2", Service: "photos", Address: granted.listener.Addr().String(), Domain: "d9", Slots: 6},
+			}})
+			leader := &fakeQueue{slots: &f.host.slots, answer: c.answer}
+			f.host.slots.leader = func() notifier { return leader }
+			f.host.admission.update(clockNow(), admitshare.Plan{Queued: []string{"photos"}})
+			response, _ := f.do("POST", "/photo/1", strings.NewReader("x"))
+			if response.StatusCode != c.status {
+				t.Errorf("status %d, want %d", response.StatusCode, c.status)
+			}
+			if response.StatusCode == 503 && (response.Header.Get("Retry-After") == "" || near.count()+granted.count() > 0) {
+				t.Errorf("refusal without Retry-After, or after %d requests to servers", near.count()+granted.count())
+			}
+			if c.atGranted > 0 && granted.count() < c.atGranted {
+				t.Errorf("%d requests at the server of the slot, want %d", granted.count(), c.atGranted)
+			}
+			leader.mu.Lock()
+			defer leader.mu.Unlock()
+			if got := joinOutcomes(leader.released); got != c.wantReturn {
+				t.Errorf("slots given back: %q, want %q", got, c.wantReturn)
+			}
+		})
+	}
+}
+
+func joinOutcomes(outcomes []slotqueue.Outcome) string {
+	words := make([]string, len(outcomes))
+	for i, outcome := range outcomes {
+		if words[i] = string(outcome); outcome == slotqueue.Unsent {
+			words[i] = "unsent"
+		}
+	}
+	return strings.Join(words, " ")
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -41,6 +41,9 @@
 	until := c.waitDeadline()
 	entry := &queueEntry{priority: c.route.Priority}
 	defer entry.remove()
+	if to, reason, decided := c.awaitSlot(service, until); decided {
+		return to, reason
+	}
 	for {
 		now := clockNow()
 		_, stamp, changed := c.host.view.snapshot(now)
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -39,6 +39,9 @@
 	wire.KindFleetTable:      "fleet_table",
 	wire.KindLoadReport:      "load_report",
 	wire.KindServerDigest:    "server_digest",
+	wire.KindSlotRequest:     "slot_request",
+	wire.KindSlotAnswer:      "slot_answer",
+	wire.KindSlotRelease:     "slot_release",
 }
 
 func kindName(kind int) string {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -343,6 +343,12 @@
 	// open_network is set.
 	PeerSecretFile *string `json:"peer_secret_file,omitempty,omitzero" yaml:"peer_secret_file,omitempty" cbor:"peer_secret_file,omitempty"`
 
+	// Whether the leader assigns the requests of scarce services to slots of their
+	// servers in one queue for all gateways: services of which a route with allowed
+	// regions needs most of the slots there. It needs share_capacity, on the
+	// gateways, too. Default: false.
+	QueueSlots bool `json:"queue_slots,omitempty,omitzero" yaml:"queue_slots,omitempty" cbor:"queue_slots,omitempty"`
+
 	// Interval between the Raft leader's heartbeats, milliseconds. Default: 80.
 	RaftHeartbeatMs int `json:"raft_heartbeat_ms,omitempty,omitzero" yaml:"raft_heartbeat_ms,omitempty" cbor:"raft_heartbeat_ms,omitempty"`
 
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -42,6 +42,9 @@
 	KindAdmission       = 30 // admitshare.Plan, one-way, control to entry
 	KindDemandReport    = 31 // admitshare.DemandReport, one-way, entry to control
 	KindGetServers      = 32 // empty, answered by keyrange.ServerList
+	KindSlotRequest     = 33 // slotqueue.Request, one-way, entry to control
+	KindSlotAnswer      = 34 // slotqueue.Answer, one-way, control to entry
+	KindSlotRelease     = 35 // slotqueue.Release, one-way, entry to control
 )
 
 // GroupGlobal is the name of the replicated-log group that serves all regions and includes every
--- a/keyrange/capacity.go
+++ b/keyrange/capacity.go
@@ -22,7 +22,7 @@
 	type sum struct{ slots, known, requests float64 }
 	sums := map[place]sum{}
 	for id, s := range c.servers {
-		if !s.ready() || c.drained(now, id) || now-s.lastSeen > emptyServerTimeout {
+		if !c.available(now, id, s) {
 			continue
 		}
 		at := place{s.info.Service, s.info.Domain}
@@ -46,6 +46,25 @@
 	return capacities
 }
 
+// available reports whether a server may get new requests. One without recent heartbeats may not.
+func (c *Coordinator) available(now time.Duration, id string, s *server) bool {
+	return s.ready() && !c.drained(now, id) && now-s.lastSeen <= emptyServerTimeout
+}
+
+// AvailableServers returns the servers of a service that may get new requests.
+func (c *Coordinator) AvailableServers(now time.Duration, service string) []Server {
+	var servers []Server
+	for id, s := range c.servers {
+		if s.info.Service != service || !c.available(now, id, s) {
+			continue
+		}
+		info := s.info
+		info.WarmupMillis = c.warmupMillis(s)
+		servers = append(servers, info)
+	}
+	return servers
+}
+
 // usableSlots returns the slots that a server can keep busy.
 func (c *Coordinator) usableSlots(s *server) float64 {
 	slots := float64(max(s.info.Slots, 1))
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -21,5 +21,6 @@
 generate quarantine quarantine/messages_gen.go schema/quarantine.schema.json
 generate admitshare admitshare/messages_gen.go schema/admitshare.schema.json
 generate evacuation evacuation/messages_gen.go schema/evacuation.schema.json
+generate slotqueue slotqueue/messages_gen.go schema/slotqueue.schema.json
 mkdir -p "$out/docs"
 go run ./scripts/settingsdoc >"$out/docs/SETTINGS.md"
--- a/serverload/tracker.go
+++ b/serverload/tracker.go
@@ -128,6 +128,15 @@
 	return s.perSlot, true
 }
 
+// Speed returns the speed of a server relative to the mean of its service; 1 if it is not known.
+func (t *Tracker) Speed(serverID string) float64 {
+	s := t.servers[serverID]
+	if s == nil {
+		return 1
+	}
+	return speedOf(s.speedLevel())
+}
+
 func (s *server) loadLevel(now time.Duration) uint8 {
 	if s.failing(now) {
 		return unknownLoad - 1
