Bound what gateways can do to the slot queue, and refuse only what has to wait

Cause: a request number that was used twice leaked a slot; times out of range overflowed, so that slots were never free again; new priorities and regions added groups without end. Requests were refused beside free slots when other regions were overloaded, or when their expected work exceeded their time left. One that avoids the free server blocked those behind it, groups were ordered by the length of their regions' names, and time at the gateway counted twice against the target. Requests of a group for which the leader has no server waited in the queue.

Change: times, texts and groups of requests are bounded, and unused groups are forgotten. A request with a free slot is not refused; the expected wait counts only groups that use the same servers, and these with what their servers can run. Each of the other faults is mended where it was.

--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -35,7 +35,7 @@
 	// its service is queued at the leader, and below which that ends. Below, gateways find free slots by themselves.
 	queueFrom, queueUntil = 0.65, 0.4
 	// maxQueuedPerSecond is the number of requests a second for a service up to which they are queued at the leader: each
-	// costs it two messages.
+	// costs it three messages.
 	maxQueuedPerSecond = 1000
 )
 
@@ -140,7 +140,7 @@
 	}
 	slices.SortFunc(groups, func(a, b Group) int {
 		return cmp.Or(
-			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.breadth(), b.breadth()),
+			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Breadth(), b.Breadth()),
 			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Regions, b.Regions),
 		)
 	})
@@ -228,8 +228,8 @@
 	return false
 }
 
-// breadth returns the number of regions of a group.
-func (g Group) breadth() int {
+// Breadth returns the number of regions of a group.
+func (g Group) Breadth() int {
 	if g.Regions == "" {
 		return math.MaxInt
 	}
--- a/slotqueue/doc.go
+++ b/slotqueue/doc.go
@@ -4,7 +4,7 @@
 // Gateways that choose servers by themselves know the servers' load only as it was some requests ago. Where little room
 // is left, some servers then have free slots while requests wait at others. One queue has no such loss: a request waits
 // only while all slots that it may use are taken, and one that can't get a slot in time is refused when it arrives. Each
-// request costs the leader two messages, so that the queue is for services whose room is scarce, not for all.
+// request costs the leader three messages, so that the queue is for services whose room is scarce, not for all.
 //
 // A gateway sends a Request, gets an Answer with a server, and sends a Release when the server has answered. All state is
 // in the memory of the leader, and what is lost is made up for: a slot that is not given back expires, a request without
--- a/slotqueue/failures_test.go
+++ b/slotqueue/failures_test.go
@@ -1,9 +1,13 @@
 package slotqueue
 
 import (
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/galenalug/galenalug/admitshare"
 )
 
 func request(id, priority int64) Request {
@@ -130,3 +134,128 @@
 		t.Errorf("decisions %+v, want a slot of the new process", d)
 	}
 }
+
+// Guards against slots that leak when a faulty gateway uses the number of a request twice.
+func TestRepeatedNumberTakesOneSlot(t *testing.T) {
+	q := queueOf("a")
+	q.Add(0, 1, request(1, 1))
+	if d := q.Add(0, 1, request(1, 1)); len(d) != 1 || d[0].Answer != (Answer{ID: 1}) {
+		t.Errorf("decisions %+v for a repeated number", d)
+	}
+	q.Release(0, 1, Release{ID: 1, Outcome: Served})
+	if _, taken := q.Waiting("s"); taken != 0 {
+		t.Errorf("%d slots taken after the release", taken)
+	}
+}
+
+// Guards against times and speeds out of range that keep slots forever, and against servers that get no requests for them.
+func TestInvalidValuesDoNoHarm(t *testing.T) {
+	for _, value := range []int64{math.MinInt64, -1, math.MaxInt64, math.MaxInt64 / 1000} {
+		q := New[int]()
+		q.SetServers(0, "s", []Server{{ID: "a", Slots: value / 1000, Speed: math.NaN()}, {ID: "b", Slots: 1, Speed: math.Inf(1)}})
+		bad := Request{ID: 1, Service: "s", TargetMillis: value, DeadlineMillis: value, WorkMicros: value}
+		if d := q.Add(0, 1, bad); len(d) != 1 || d[0].Answer.ServerID == "" {
+			t.Errorf("%d: decisions %+v", value, d)
+		}
+		q.Tick(2 * time.Hour)
+		if _, taken := q.Waiting("s"); taken != 0 {
+			t.Errorf("%d: %d slots taken after 2 h", value, taken)
+		}
+	}
+}
+
+// Guards against unbounded memory for a gateway that sends ever new groups or long texts.
+func TestGroupsAreBounded(t *testing.T) {
+	q := queueOf("a")
+	for priority := range int64(1000) {
+		q.Add(0, 1, request(priority, priority))
+	}
+	if n := len(q.services["s"].groups); n > 512 {
+		t.Errorf("%d groups", n)
+	}
+	long := request(2000, 1)
+	long.Avoid = []string{strings.Repeat("x", 1<<20)}
+	if d := q.Add(0, 1, long); len(d) != 1 || d[0].Answer != (Answer{ID: 2000}) {
+		t.Errorf("decisions %+v for a long text", d)
+	}
+	q.Tick(time.Hour)
+	q.Tick(time.Hour)
+	if s := q.services["s"]; len(s.groups)+len(s.clients) > 0 {
+		t.Errorf("%d groups of %d clients without requests", len(s.groups), len(s.clients))
+	}
+}
+
+// Load: one region is asked for more than it can run. Guards against refusals, for that reason, in regions with free slots,
+// and against requests that wait in the queue although the leader has no server for them.
+func TestOverloadOfOneRegionSparesOthers(t *testing.T) {
+	q := New[int]()
+	q.SetServers(0, "s", []Server{{ID: "n", Region: "north", Slots: 1}, {ID: "s", Region: "south", Slots: 8}})
+	in := func(id int64, regions string) []Decision[int] {
+		r := request(id, 1)
+		r.Regions = regions
+		return q.Add(0, 1, r)
+	}
+	for id := range int64(200) {
+		in(id, "north")
+	}
+	for i, regions := range []string{"south", ""} {
+		if d := in(int64(300+i), regions); len(d) != 1 || d[0].Answer.ServerID != "s" {
+			t.Errorf("regions %q: decisions %+v, want a slot", regions, d)
+		}
+	}
+	for id := int64(400); len(in(id, "south")) > 0; id++ {
+		if id > 420 {
+			t.Fatal("no request waits")
+		}
+	}
+	if d := in(500, "south"); len(d) > 0 {
+		t.Errorf("decisions %+v, want a short wait behind one request", d)
+	}
+	if d := in(600, "west"); len(d) != 1 || d[0].Answer != (Answer{ID: 600}) {
+		t.Errorf("decisions %+v for a region without servers", d)
+	}
+}
+
+// Guards against a request that avoids the free server and blocks those behind it.
+func TestAvoidedServerServesOthers(t *testing.T) {
+	q := queueOf("a", "b")
+	granted := map[string][]int64{}
+	id := int64(0)
+	for {
+		id++
+		d := q.Add(0, 1, request(id, 1))
+		if len(d) == 0 {
+			q.Release(0, 1, Release{ID: id})
+			break
+		}
+		granted[d[0].Answer.ServerID] = append(granted[d[0].Answer.ServerID], id)
+	}
+	avoiding := request(100, 1)
+	avoiding.Avoid = []string{"a"}
+	q.Add(0, 2, avoiding)
+	q.Add(0, 2, request(101, 1))
+	if d := q.Release(0, 1, Release{ID: granted["a"][0], Outcome: Served}); len(d) != 1 || d[0].Answer.ID != 101 {
+		t.Errorf("decisions %+v, want the slot for the request that does not avoid the server", d)
+	}
+}
+
+// Guards against groups of few regions with long names that are taken for groups of many.
+func TestGroupsWithFewerRegionsGoFirst(t *testing.T) {
+	s := &service[int]{}
+	s.group(admitshare.Group{Regions: "a,b"}, false)
+	s.group(admitshare.Group{Regions: "northeast"}, false)
+	if s.groups[0].Regions != "northeast" {
+		t.Error("two regions go before one")
+	}
+}
+
+// Guards against requests whose time at the gateway, as before a second attempt, counts twice.
+func TestTimeAtGatewayCountsOnce(t *testing.T) {
+	s := &service[int]{clients: map[admitshare.Group]*usualTime{}}
+	r := request(1, 1)
+	s.untilTarget(0, r)
+	r.TargetMillis, r.DeadlineMillis = r.TargetMillis-400, r.DeadlineMillis-400
+	if left := s.untilTarget(0, r); left != 600*time.Millisecond {
+		t.Errorf("%v until the target, want 600ms", left)
+	}
+}
--- a/slotqueue/pool.go
+++ b/slotqueue/pool.go
@@ -49,9 +49,9 @@
 	work     time.Duration // mean of a request, at speed 1
 	overhead time.Duration // mean of the time that a request has a slot and is not at the server
 	served   decayed       // requests that were served
-	// busySince is the time since when requests wait without a pause; negative if none wait.
+	busy     bool          // requests wait
+	// busySince is the time since when requests wait without a pause.
 	busySince time.Duration
-	busy      bool
 }
 
 // set lists the given servers. A server that has started again has no requests.
@@ -65,7 +65,7 @@
 	known := p.servers
 	for _, listed := range servers {
 		listed.Slots = max(listed.Slots, 1)
-		if listed.Speed <= 0 {
+		if math.IsNaN(listed.Speed) || math.IsInf(listed.Speed, 0) || listed.Speed <= 0 {
 			listed.Speed = 1
 		}
 		i := slices.IndexFunc(known, func(s *server) bool { return s.ID == listed.ID && s.StartMillis == listed.StartMillis })
@@ -138,6 +138,14 @@
 	return s.listed && group.Allows(s.Region) && !s.backoff.Active(now) && !s.failures.Active(now)
 }
 
+// serves reports whether a listed server may get requests of a group.
+func (p *pool) serves(group admitshare.Group) bool { return p.share(group, group) }
+
+// share reports whether a listed server may get requests of both groups.
+func (p *pool) share(a, b admitshare.Group) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return s.listed && a.Allows(s.Region) && b.Allows(s.Region) })
+}
+
 // rate returns the requests that a server can run per second.
 func (p *pool) rate(s *server) float64 {
 	return float64(s.Slots) * s.Speed / max(p.work, time.Microsecond).Seconds()
--- a/slotqueue/queue.go
+++ b/slotqueue/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,6 +22,11 @@
 	overdueFactor = 2
 	// grantSlack is how long after the deadline of its request a slot that was not given back is free again.
 	grantSlack = time.Second
+	// maxGroups bounds the groups of one service, and maxTextBytes the texts of a request. They bound the memory that a
+	// faulty gateway can take.
+	maxGroups, maxTextBytes = 256, 4096
+	// maxTime bounds the times of a request, so that calculations with them don't overflow.
+	maxTime = time.Hour
 )
 
 // Decision is an answer to a request of a gateway.
@@ -131,22 +137,39 @@
 // Add adds a request. The decisions, here and in the other methods, are to be sent at once.
 func (q *Queue[G]) Add(now time.Duration, gateway G, r Request) []Decision[G] {
 	s := q.services[r.Service]
-	if s == nil || len(s.pool.servers) == 0 {
+	if s == nil || !s.takes(r) {
 		return []Decision[G]{{gateway, Answer{ID: r.ID}}}
 	}
-	r.WorkMicros = max(r.WorkMicros, 1)
+	r = bounded(r)
 	s.pool.observeWork(micros(r.WorkMicros))
 	untilTarget := s.untilTarget(now, r)
 	g := s.group(groupOf(r), untilTarget < s.pool.needed(r))
 	g.arrivals.add(now)
 	patience := s.pool.patience(r, untilTarget)
-	if s.waiting() >= maxWaiting || s.expectedWait(now, g) > patience {
+	if s.waiting() >= maxWaiting || s.pool.choose(now, r) == nil && s.expectedWait(now, g) > patience {
 		return []Decision[G]{{gateway, Answer{ID: r.ID, Refused: true}}}
 	}
 	g.waiting = append(g.waiting, waiter[G]{gateway: gateway, request: r, refuseAt: now + overdueFactor*patience})
 	return q.assign(now, s, nil)
 }
 
+// takes reports whether a request can wait for a slot: a server may run it, and its size and group are within the bounds.
+func (s *service[G]) takes(r Request) bool {
+	group, size := groupOf(r), len(r.Regions)+len(r.Domain)
+	for _, id := range r.Avoid {
+		size += len(id)
+	}
+	return size <= maxTextBytes && (s.clients[group] != nil || len(s.clients) < maxGroups) && s.pool.serves(group)
+}
+
+// bounded returns a request whose times are within maxTime.
+func bounded(r Request) Request {
+	r.WorkMicros = min(max(r.WorkMicros, 1), maxTime.Microseconds())
+	r.TargetMillis = min(max(r.TargetMillis, -maxTime.Milliseconds()), maxTime.Milliseconds())
+	r.DeadlineMillis = min(max(r.DeadlineMillis, 0), maxTime.Milliseconds())
+	return r
+}
+
 // Release gives a slot back, or withdraws a request that waits.
 func (q *Queue[G]) Release(now time.Duration, gateway G, r Release) []Decision[G] {
 	key := requestKey[G]{gateway, r.ID}
@@ -191,25 +214,40 @@
 	var decisions []Decision[G]
 	for _, s := range q.services {
 		decisions = q.assign(now, s, decisions)
+		s.forgetUnused(now)
 	}
 	return decisions
 }
 
+// forgetUnused removes groups without recent requests.
+func (s *service[G]) forgetUnused(now time.Duration) {
+	maps.DeleteFunc(s.clients, func(_ admitshare.Group, u *usualTime) bool { return now-u.at > unusedTime })
+	s.groups = slices.DeleteFunc(s.groups, func(g *group[G]) bool { return len(g.waiting) == 0 && s.clients[g.Group] == nil })
+}
+
 // assign gives free slots to the requests that wait, and appends the decisions.
 func (q *Queue[G]) assign(now time.Duration, s *service[G], decisions []Decision[G]) []Decision[G] {
 	for _, g := range s.groups {
 		decisions = refuseOverdue(now, g, decisions)
-		for len(g.waiting) > 0 {
-			w := g.waiting[0]
+		for i := 0; i < len(g.waiting); {
+			w := g.waiting[i]
 			to := s.pool.choose(now, w.request)
-			if to == nil {
+			if to == nil && len(w.request.Avoid) == 0 {
 				break // the others of the group may use no other servers
 			}
-			g.waiting = g.waiting[1:]
+			if to == nil {
+				i++
+				continue
+			}
+			g.waiting = slices.Delete(g.waiting, i, i+1)
+			key := requestKey[G]{w.gateway, w.request.ID}
+			if q.grants[key] != nil { // a faulty gateway used the number twice
+				decisions = append(decisions, Decision[G]{w.gateway, Answer{ID: w.request.ID}})
+				continue
+			}
 			to.granted++
-			q.grants[requestKey[G]{w.gateway, w.request.ID}] = &grant{
-				service: w.request.Service, server: to, at: now,
-				expiresAt: now + max(millis(w.request.DeadlineMillis), 0) + grantSlack,
+			q.grants[key] = &grant{
+				service: w.request.Service, server: to, at: now, expiresAt: now + millis(w.request.DeadlineMillis) + grantSlack,
 			}
 			decisions = append(decisions, Decision[G]{w.gateway, Answer{ID: w.request.ID, ServerID: to.ID, StartMillis: to.StartMillis}})
 		}
@@ -221,7 +259,7 @@
 // refuseOverdue refuses the requests of a group that have waited for too long.
 func refuseOverdue[G comparable](now time.Duration, g *group[G], decisions []Decision[G]) []Decision[G] {
 	g.waiting = slices.DeleteFunc(g.waiting, func(w waiter[G]) bool {
-		if now < w.refuseAt {
+		if now <= w.refuseAt { // one that can't wait at all may still find a free slot
 			return false
 		}
 		decisions = append(decisions, Decision[G]{w.gateway, Answer{ID: w.request.ID, Refused: true}})
@@ -246,7 +284,7 @@
 	slices.SortFunc(s.groups, func(a, b *group[G]) int {
 		return cmp.Or(
 			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.lateness(), b.lateness()),
-			cmp.Compare(a.breadth(), b.breadth()), cmp.Compare(a.Regions, b.Regions),
+			cmp.Compare(a.Breadth(), b.Breadth()), cmp.Compare(a.Regions, b.Regions),
 		)
 	})
 	return added
@@ -261,22 +299,16 @@
 }
 
 // untilTarget returns the time left until a request's latency target. The gateway counts the target from the arrival of the
-// request, but the client from its first attempt: a client that returns has less time left until its deadline than others.
+// request, but the client from its first attempt: a client that returns has less time left until its deadline than others. The
+// time between target and deadline shows that, without the time that the request has spent at the gateway.
 func (s *service[G]) untilTarget(now time.Duration, r Request) time.Duration {
+	beyondTarget := millis(r.DeadlineMillis - r.TargetMillis)
 	clients := s.clients[groupOf(r)]
 	if clients == nil {
-		clients = &usualTime{}
+		clients = &usualTime{longest: beyondTarget, at: now}
 		s.clients[groupOf(r)] = clients
 	}
-	return millis(r.TargetMillis) - clients.elapsed(now, millis(r.DeadlineMillis))
-}
-
-// breadth orders groups by the number of their regions.
-func (g *group[G]) breadth() int {
-	if g.Regions == "" {
-		return math.MaxInt
-	}
-	return len(g.Regions)
+	return millis(r.TargetMillis) - clients.elapsed(now, beyondTarget)
 }
 
 // waiting returns the number of requests that wait.
@@ -289,15 +321,19 @@
 }
 
 // expectedWait returns how long a new request of a group is expected to wait for a slot: until those that wait and are
-// served before it have one, and those that arrive meanwhile and are served before it, too.
+// served before it have one, and those that arrive meanwhile and are served before it, too. Groups that may use none of its
+// servers don't count, and others only with what their own servers can run.
 func (s *service[G]) expectedWait(now time.Duration, of *group[G]) time.Duration {
 	ahead, arrivals := 0, 0.0
 	for _, g := range s.groups {
+		if !s.pool.share(g.Group, of.Group) {
+			continue
+		}
 		ahead += len(g.waiting)
 		if g == of {
 			break
 		}
-		arrivals += g.arrivals.perSecond(now)
+		arrivals += min(g.arrivals.perSecond(now), s.pool.throughput(now, g.Group))
 	}
 	if ahead == 0 {
 		return 0
