Don't wait for slots of a silent or lost leader, and ask for cold tokens

Cause: the leader counted as silent for all requests when one had hardly any time to wait, as before a second attempt. While it was silent, all requests that came before the next time-out waited, not one in a second. Answers lost with a connection were waited for, and so were those to requests that the gateway gives up. Cold servers got no tokens while all requests of their service were queued, and requests overtook those that wait for a token.

Change: the leader counts as silent only without any answer for 100 ms and a request's wait; then all waits end, and one request in a second asks again. The end of the connection or of the request ends the wait. Cold servers are candidates as without the queue, which lets the gateway ask for tokens.

--- a/internal/gateway/leaderlink.go
+++ b/internal/gateway/leaderlink.go
@@ -119,7 +119,6 @@
 	var loops sync.WaitGroup
 	l.reportKnownCrashes(s.client)
 	l.current.Store(s.client)
-	defer l.current.Store(nil)
 	loops.Go(func() { l.reportConfig(ctx, s.client) })
 	loops.Go(func() { l.askForTokens(ctx, s.client) })
 	loops.Go(func() { l.reportCrashes(ctx, s.client) })
@@ -129,6 +128,8 @@
 		}
 	})
 	l.reportLoad(ctx, s.client, s.ended)
+	l.current.Store(nil)
+	l.slots.disconnected()
 	cancel()
 	loops.Wait()
 	if parent.Err() != nil { // the gateway has stopped serving
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -10,14 +10,20 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/galenalug/galenalug/admitshare"
+	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 	"github.com/galenalug/galenalug/slotqueue"
 )
 
-// silentPeriod is how long requests find servers without the leader's queue after one of them got no answer from it.
-const silentPeriod = time.Second
+const (
+	// silentPeriod is the interval at which one request asks a silent leader again.
+	silentPeriod = time.Second
+	// minSilence is the time without any answer from which the leader counts as silent, some round trips to another region. A
+	// request that may wait for less shows nothing.
+	minSilence = 100 * time.Millisecond
+)
 
 // notifier sends one-way messages to the leader.
 type notifier interface {
@@ -30,8 +36,10 @@
 
 	mu          sync.Mutex // guards the fields below; no other lock is acquired while it is held
 	lastID      int64
-	pending     map[int64]chan slotqueue.Answer
-	silentUntil time.Duration // the leader did not answer
+	pending     map[int64]chan slotqueue.Answer // closed if no answer is to be expected
+	unanswered  time.Duration                   // time of the first request since the latest answer; 0 for none
+	silent      bool                            // the leader does not answer
+	nextAttempt time.Duration                   // when a request may ask a silent leader
 }
 
 // slot is a slot that a request has.
@@ -40,10 +48,10 @@
 	id     int64
 }
 
-// ask asks for a slot. It returns false if the leader doesn't answer in time, or the context ends before.
+// ask asks for a slot. It returns false if the leader is silent, doesn't answer in time, or the context ends before.
 func (q *slotClient) ask(ctx context.Context, request slotqueue.Request, wait time.Duration) (slotqueue.Answer, *slot, bool) {
 	leader := q.leader()
-	if leader == nil {
+	if leader == nil || wait <= 0 || !q.mayAsk(clockNow()) {
 		return slotqueue.Answer{}, nil, false
 	}
 	answers := q.open(&request)
@@ -55,11 +63,14 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case answer := <-answers:
-		return answer, asked, true
+	case answer, ok := <-answers:
+		if ok {
+			return answer, asked, true
+		}
 	case <-ctx.Done():
+		q.noteWithdrawn()
 	case <-timer.C:
-		q.noteSilence(clockNow())
+		q.noteTimeout(clockNow())
 	}
 	asked.release(slotqueue.Unsent, 0)
 	return slotqueue.Answer{}, nil, false
@@ -85,17 +96,57 @@
 	delete(q.pending, id)
 }
 
-func (q *slotClient) noteSilence(now time.Duration) {
+// mayAsk reports whether a request may ask the leader. A silent one is asked by one request in a period.
+func (q *slotClient) mayAsk(now time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.silent && now < q.nextAttempt {
+		return false
+	}
+	q.nextAttempt = now + silentPeriod
+	if q.unanswered == 0 {
+		q.unanswered = now
+	}
+	return true
+}
+
+// noteTimeout records that a request got no answer in time. If the leader has answered no other either, it counts as silent,
+// and all requests stop waiting for it.
+func (q *slotClient) noteTimeout(now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.unanswered == 0 || now-q.unanswered < minSilence {
+		return
+	}
+	if !q.silent {
+		q.silent, q.nextAttempt = true, now+silentPeriod
+	}
+	q.endWaits()
+}
+
+// noteWithdrawn records that a request is given up before it could get an answer. Without others, the leader owes none.
+func (q *slotClient) noteWithdrawn() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.silentUntil = now + silentPeriod
+	if len(q.pending) <= 1 {
+		q.unanswered = 0
+	}
 }
 
-// silent reports whether the leader has not answered a request lately.
-func (q *slotClient) silent(now time.Duration) bool {
+// disconnected ends the waits of all requests, since the leader's answers are lost with the connection.
+func (q *slotClient) disconnected() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return now < q.silentUntil
+	q.unanswered, q.silent = 0, false
+	q.endWaits()
+}
+
+// endWaits must be called with mu held.
+func (q *slotClient) endWaits() {
+	for _, answers := range q.pending {
+		close(answers)
+	}
+	clear(q.pending)
 }
 
 // answered passes an answer of the leader to its request. One that comes too late is dropped: the request has withdrawn.
@@ -107,6 +158,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.unanswered, q.silent = 0, false
 	if answers := q.pending[answer.ID]; answers != nil {
 		delete(q.pending, answer.ID)
 		answers <- answer
@@ -131,7 +183,7 @@
 
 // queuedAtLeader reports whether the request gets its server from the leader's queue.
 func (c *call) queuedAtLeader(now time.Duration) bool {
-	return !c.keyed && c.host.admission.queued(now, c.service) && !c.host.slots.silent(now)
+	return !c.keyed && c.host.admission.queued(now, c.service)
 }
 
 // awaitSlot asks the leader for a slot and returns its server, or the reason why there is none. It returns false if
@@ -148,8 +200,13 @@
 	if to := c.coldTarget(now, servers); to != nil {
 		return to, "", true
 	}
-	answer, granted, answered := c.host.slots.ask(c.request.Context(), c.slotRequest(), time.Until(until))
+	ctx, cancel := context.WithCancel(c.request.Context())
+	defer cancel()
+	defer context.AfterFunc(c.host.givingUp, cancel)()
+	answer, granted, answered := c.host.slots.ask(ctx, c.slotRequest(), time.Until(until))
 	switch {
+	case !answered && ctx.Err() != nil:
+		return nil, c.endReason(), true
 	case !answered:
 		return nil, "", false
 	case answer.Refused:
@@ -183,13 +240,13 @@
 func (c *call) coldTarget(now time.Duration, servers []keyrange.Server) *target {
 	for _, s := range servers {
 		b := c.host.backends.get(s)
-		if b.coldRate(now) == 0 {
+		if slices.Contains(c.avoid, s.ID) || b.coldRate(now) == 0 {
 			continue
 		}
-		b.mu.Lock()
-		tokens := b.coldTokens.Available(now)
-		b.mu.Unlock()
-		if tokens == 0 || slices.Contains(c.avoid, s.ID) {
+		candidate := b.candidate(now, s, c.host.view.connectionLimit(s), c.host.distance(s.Domain))
+		candidate.Ahead = b.ahead(now, nil, c.route.Priority)
+		b.addWarmth(now, &candidate) // also lets the gateway ask for tokens ahead
+		if dispatch.Admit(now, &candidate, c.dispatchRequest()) != dispatch.Admitted {
 			continue
 		}
 		if to, _, _ := c.claim(now, c.host.target(s)); to != nil {
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -107,3 +110,93 @@
 	}
 	return strings.Join(words, " ")
 }
+
+// countingLeader answers no requests for slots.
+type countingLeader struct{ requests atomic.Int64 }
+
+func (l *countingLeader) Notify(kind int, _ []byte) error {
+	if kind == wire.KindSlotRequest {
+		l.requests.Add(1)
+	}
+	return nil
+}
+
+// Guards against a silent leader that delays each request, and against one that counts as silent since a request had hardly any
+// time to wait.
+func TestSilentLeaderIsAskedByOneRequest(t *testing.T) {
+	leader := &countingLeader{}
+	q := &slotClient{leader: func() notifier { return leader }}
+	ask := func(wait time.Duration) { _, _, _ = q.ask(context.Background(), slotqueue.Request{}, wait) }
+	ask(0)
+	ask(time.Millisecond)
+	if q.silent {
+		t.Fatal("the leader counts as silent after 1 ms")
+	}
+	var asking sync.WaitGroup
+	asking.Go(func() { ask(time.Hour) }) // must not wait longer than the next one
+	asking.Go(func() { ask(2 * minSilence) })
+	asking.Wait()
+	before := leader.requests.Load()
+	q.nextAttempt = 0 // the period has passed
+	for range 5 {
+		asking.Go(func() { ask(2 * minSilence) })
+	}
+	asking.Wait()
+	if n := leader.requests.Load() - before; n != 1 {
+		t.Errorf("%d requests asked a silent leader again, want 1", n)
+	}
+	if q.answered([]byte{0xa0}); q.silent {
+		t.Error("the leader counts as silent after an answer")
+	}
+}
+
+// Guards against requests that wait for answers that are lost with the connection.
+func TestLostConnectionEndsWaitsForSlots(t *testing.T) {
+	leader := &countingLeader{}
+	q := &slotClient{leader: func() notifier { return leader }}
+	go func() {
+		for leader.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		q.disconnected()
+	}()
+	started := time.Now()
+	if _, _, answered := q.ask(t.Context(), slotqueue.Request{}, 5*time.Second); answered || time.Since(started) > time.Second {
+		t.Errorf("answered %v after %v", answered, time.Since(started))
+	}
+}
+
+// Guards against requests that are sent or delayed by the queue when the gateway gives them up.
+func TestRequestsAreGivenUpWhileTheyWaitForSlots(t *testing.T) {
+	f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity = true }, nil)
+	server := newFakeBackend(t, okResponse("ok"))
+	f.publish(server)
+	leader := &countingLeader{}
+	f.host.slots.leader = func() notifier { return leader }
+	f.host.admission.update(clockNow(), admitshare.Plan{Queued: []string{"photos"}})
+	time.AfterFunc(50*time.Millisecond, f.host.giveUp)
+	started := time.Now()
+	response, _ := f.do("POST", "/photo/1", strings.NewReader("x"))
+	if elapsed := time.Since(started); response.StatusCode != 503 || server.count() > 0 || elapsed > 250*time.Millisecond {
+		t.Errorf("status %d after %v, %d requests at the server", response.StatusCode, elapsed, server.count())
+	}
+}
+
+// Guards against cold servers that get no tokens, and so no requests, while all requests of their service are queued.
+func TestQueuedRequestsAskForColdTokens(t *testing.T) {
+	f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity = true }, nil)
+	server := newFakeBackend(t, okResponse("ok"))
+	f.publishWarm(server)
+	cold := keyrange.Server{ID: "p1", Service: "photos", Address: server.listener.Addr().String(), Domain: "d1", Slots: 6, WarmupMillis: 30_000}
+	f.host.view.apply(clockNow(), keyrange.TableUpdate{Term: 1, Full: true, EntryHosts: 1, Servers: []keyrange.Server{cold}})
+	leader := &fakeQueue{slots: &f.host.slots, answer: &slotqueue.Answer{Refused: true}}
+	f.host.slots.leader = func() notifier { return leader }
+	f.host.admission.update(clockNow(), admitshare.Plan{Queued: []string{"photos"}})
+	_, _ = f.do("POST", "/photo/1", strings.NewReader("x"))
+	b := f.host.backends.get(cold)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.nearbyAt == 0 {
+		t.Error("the gateway asks for no tokens ahead")
+	}
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -185,12 +185,7 @@
 // choose returns the server that can take the request now. Otherwise it returns the reason, and the
 // server to queue for if the request can go to no other, or waits for a token or the end of a pause.
 func (c *call) choose(now time.Duration, service *routes.Service, entry *queueEntry) (chosen, full *target, reason string) {
-	request := dispatch.Request{
-		Priority:      c.route.Priority,
-		UntilDeadline: time.Until(c.deadline),
-		UntilTarget:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)),
-		Bulk:          c.route.Kind.Bulk(),
-	}
+	request := c.dispatchRequest()
 	servers, reason := c.servers(now, service)
 	if len(servers) == 0 {
 		return nil, nil, reason
@@ -222,6 +217,16 @@
 	return c.host.target(servers[best]), nil, ""
 }
 
+// dispatchRequest describes the request for a choice of a server.
+func (c *call) dispatchRequest() dispatch.Request {
+	return dispatch.Request{
+		Priority:      c.route.Priority,
+		UntilDeadline: time.Until(c.deadline),
+		UntilTarget:   time.Until(c.started.Add(time.Duration(c.route.TargetMillis) * time.Millisecond)),
+		Bulk:          c.route.Kind.Bulk(),
+	}
+}
+
 // target returns a server as a target.
 func (h *Host) target(s keyrange.Server) *target {
 	t := &target{backend: h.backends.get(s), slots: int(s.Slots), domain: s.Domain}
