Don't hold against servers what clients and the gateway caused

Cause: the slot of a request whose client left came back as failed, and that of one that the gateway did not send, since the server was cold or drained, as refused, so that the leader gave healthy servers fewer requests. After a hedged request, the time at the second server counted for the first.

Change: such slots come back as unsent. The time at the server counts only if the slot's server got the latest attempt.

Measured: the new test fails with the code before ("failed refused refused refused ...") and passes now; go test -race of internal/gateway and slotqueue passes. The time of hedged requests has no test.

--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/admitshare"
 	"github.com/galenalug/galenalug/dispatch"
@@ -277,17 +278,27 @@
 	}
 	outcome, atServer := slotqueue.Served, time.Duration(0)
 	switch {
+	case err != nil && !concernsServer(err):
+		outcome = slotqueue.Unsent
 	case err != nil && !attemptResult{err: err}.mayHaveRun(), err == nil && resp.info.NotExecuted:
 		outcome = slotqueue.Refused
 	case err != nil, resp.status >= 500:
 		outcome = slotqueue.Failed
-	default:
+	case c.server == to.id: // otherwise a hedged request was sent to another server, which may have answered
 		atServer = c.timeAtServer(to)
 	}
 	c.slot.release(outcome, atServer)
 	c.slot = nil
 }
 
+// concernsServer reports whether a failed attempt says anything of the server: not if the client left or this gateway did not send
+// the request.
+func concernsServer(err error) bool {
+	var e *exchangeError
+	canceled := errors.As(err, &e) && e.reason == reasonCanceled
+	return !canceled && !errors.Is(err, errNoColdToken) && !errors.Is(err, errDrained)
+}
+
 // returnSlot gives a slot back that no attempt has used.
 func (c *call) returnSlot() {
 	c.slot.release(slotqueue.Unsent, 0)
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,3 +201,19 @@
 		t.Error("the gateway asks for no tokens ahead")
 	}
 }
+
+// Guards against servers that get no requests for a while since clients left, or since the gateway did not send the request.
+func TestSlotOutcomeOfRequestsThatWereGivenUp(t *testing.T) {
+	leader := &fakeQueue{}
+	for _, err := range []error{
+		&exchangeError{reason: reasonCanceled, mayHaveRun: true, err: context.Canceled}, &exchangeError{reason: reasonCanceled, err: context.Canceled},
+		&exchangeError{reason: reasonConnect, err: errDrained}, &exchangeError{reason: reasonConnect, err: errNoColdToken},
+		&exchangeError{reason: reasonConnect, err: io.EOF}, &exchangeError{reason: reasonTimeout, mayHaveRun: true, err: io.EOF},
+	} {
+		c := &call{slot: &slot{leader: leader}}
+		c.endSlot(nil, nil, err)
+	}
+	if got := joinOutcomes(leader.released); got != "unsent unsent unsent unsent refused failed" {
+		t.Errorf("outcomes %q", got)
+	}
+}
--- a/slotqueue/doc.go
+++ b/slotqueue/doc.go
@@ -18,7 +18,7 @@
 
 // Outcomes.
 const (
-	// Unsent requests were not sent to the server, or still waited for a slot.
+	// Unsent requests were not sent to the server or still waited for a slot, or their clients left.
 	Unsent Outcome = ""
 	// Served requests were run by the server.
 	Served Outcome = "served"
