Control hosts: list servers without a copy of the whole table

Cause: GET /galena/v1/fleet/servers copied the full table, with the owners of all key ranges, and built and sorted its result while it held the leader's mutex, which heartbeats need too.

Change: Coordinator.PublishedServers returns the servers only; the result is built and sorted after the mutex is released.

--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -209,15 +209,11 @@
 	if err := h.confirmLeadership(ctx); err != nil {
 		return list, err
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leading == nil {
-		return list, errors.Wrap(ErrUnavailable, "this host is no longer the leader")
-	}
-	if h.leading.coordinator.Partial(clock.Now()) {
-		return list, errors.Wrap(ErrUnavailable, "the leader was elected recently and may not know all servers yet")
+	servers, err := h.publishedServers()
+	if err != nil {
+		return list, err
 	}
-	for _, s := range h.leading.coordinator.Snapshot().Servers {
+	for _, s := range servers {
 		list.Servers = append(list.Servers, keyrange.RegionServer{
 			ID: s.ID, Service: s.Service, Domain: s.Domain, Region: h.settings.Domains[s.Domain], Slots: s.Slots, Draining: s.Draining,
 		})
@@ -228,6 +224,20 @@
 	return list, nil
 }
 
+// publishedServers returns the servers of the table that gateways get. It fails if this host does not lead, or may not
+// know all servers.
+func (h *Host) publishedServers() ([]keyrange.Server, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leading == nil {
+		return nil, errors.Wrap(ErrUnavailable, "this host is no longer the leader")
+	}
+	if h.leading.coordinator.Partial(clock.Now()) {
+		return nil, errors.Wrap(ErrUnavailable, "the leader was elected recently and may not know all servers yet")
+	}
+	return h.leading.coordinator.PublishedServers(), nil
+}
+
 // readBarrier returns nil once reads of the local state reflect every change that was committed
 // before the call. It fails if no configuration was put yet.
 func (h *Host) readBarrier(ctx context.Context) error {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -26,9 +26,9 @@
 	operatorTimeout = 4 * time.Second
 )
 
-// OperatorAPI returns the HTTP handler of wire.PathRoutes, which reads and replaces the route
-// configuration in the YAML format of package config, of wire.PathFleetServers and of wire.PathEvacuations. Calls must carry the secret as
-// bearer token. If the secret is empty, all calls are accepted if openNetwork is true and rejected otherwise.
+// OperatorAPI returns the HTTP handler of wire.PathRoutes, which reads and replaces the route configuration in the YAML
+// format of package config, of wire.PathFleetServers and of wire.PathEvacuations. Calls must carry the secret as bearer
+// token. If the secret is empty, all calls are accepted if openNetwork is true and rejected otherwise.
 func (h *Host) OperatorAPI(secret []byte, openNetwork bool) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire.PathRoutes, h.getRoutes)
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -1,7 +1,9 @@
 package keyrange
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -73,12 +75,15 @@
 // TableVersion returns the version of the table as of the last call of Changes.
 func (c *Coordinator) TableVersion() uint64 { return c.published.version }
 
+// PublishedServers returns the servers of the table as of the last call of Changes, in no particular order.
+func (c *Coordinator) PublishedServers() []Server {
+	return slices.AppendSeq(slices.Grow([]Server(nil), len(c.published.servers)), maps.Values(c.published.servers))
+}
+
 // Snapshot returns the full table as of the last call of Changes.
 func (c *Coordinator) Snapshot() TableUpdate {
 	update := TableUpdate{Term: c.options.Term, Version: c.published.version, Full: true, Partial: c.published.partial}
-	for _, s := range c.published.servers {
-		update.Servers = append(update.Servers, s)
-	}
+	update.Servers = c.PublishedServers()
 	for id := range c.published.departed {
 		update.RemovedServers = append(update.RemovedServers, id)
 	}
