--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -24,8 +24,9 @@
 // TestSessions runs galenactl against fake control hosts. The command hosts sets one response per
 // host, as STATUS BODY; "cut" closes the connection after the request, "down" refuses connections. "BODY || SERVERS" sets
 // another body for the list of servers.
-// ADDRESS stands for the address of the first host.
+// ADDRESS stands for the address of the first host. With the argument no-settings, run leaves out --settings.
 func TestSessions(t *testing.T) {
+	t.Setenv("GALENACTL_SETTINGS", "")
 	dir := t.TempDir()
 	secret, list := filepath.Join(dir, "secret"), filepath.Join(dir, "list.yaml")
 	routesFile := filepath.Join(dir, "routes.yaml")
@@ -46,7 +47,10 @@
 			write(t, settings, fmt.Sprintf("operator_secret_file: %s\ncontrols: [%s]\n", secret, strings.Join(hosts, ", ")))
 			return ""
 		case "run":
-			arguments := []string{"galenactl", "--settings", settings}
+			arguments := []string{"galenactl"}
+			if !d.HasArg("no-settings") {
+				arguments = append(arguments, "--settings", settings)
+			}
 			for _, argument := range strings.Fields(d.Input) {
 				arguments = append(arguments, strings.NewReplacer("LIST", list, "ROUTES", routesFile, "ADDRESS", hosts[0]).Replace(argument))
 			}
