routecheck: correct findings about paths, and effects on routes with a port

Cause: the effects of a change to a route with a port in its host were those of the route without the port, although no request used it. Prefixes with characters outside ASCII or an invalid percent escape were not reported, although gateways compare paths as clients send them. The finding for // and for . and .. segments said that no request has the prefix; gateways do match it for clients that send exactly that. The contract claimed errors exactly where control hosts refuse, but they acknowledge an earlier accepted put again.

Change: no effects for routes whose host no request has; unreachable-prefix covers both kinds of prefix, and says that clients do not normally send it; the contract names the exception.

--- a/routecheck/checks.go
+++ b/routecheck/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/url"
 	"slices"
 	"strings"
 	"unicode"
@@ -120,7 +121,7 @@
 func (c *checker) checkMatch(entry Entry, r *routes.Route) bool {
 	reachable := true
 	if reason := unreachablePrefix(r.PathPrefix); reason != "" {
-		c.add(Warning, CodeUnreachablePrefix, entry, "no request has the path prefix %q: %s", r.PathPrefix, reason)
+		c.add(Warning, CodeUnreachablePrefix, entry, "clients do not normally send the path prefix %q: %s", r.PathPrefix, reason)
 		reachable = false
 	}
 	if reason := unreachableHost(r.Host); reason != "" {
@@ -130,8 +131,8 @@
 	return reachable
 }
 
-// unreachablePrefix returns why no request has a path with the prefix, or "". Clients resolve "." and ".." segments before
-// they send a request (RFC 3986, section 5.2.4).
+// unreachablePrefix returns why clients do not normally send a path with the prefix, or "". Gateways compare paths as clients send them:
+// percent-encoded, and without "." and ".." segments (RFC 3986, sections 2.1 and 5.2.4).
 func unreachablePrefix(prefix string) string {
 	switch {
 	case strings.Contains(prefix, "?"):
@@ -142,6 +143,11 @@
 		return "a path contains no blanks"
 	case strings.Contains(prefix, "//"):
 		return "it has an empty segment"
+	case strings.ContainsFunc(prefix, func(r rune) bool { return r > unicode.MaxASCII }):
+		return "clients percent-encode characters outside ASCII"
+	}
+	if _, err := url.PathUnescape(prefix); err != nil {
+		return "it has a percent sign without two hexadecimal digits"
 	}
 	for segment := range strings.SplitSeq(prefix, "/") {
 		if segment == "." || segment == ".." {
--- a/routecheck/compare.go
+++ b/routecheck/compare.go
@@ -193,10 +193,10 @@
 		if !differs {
 			continue
 		}
-		if a != nil {
+		if a != nil && unreachableHost(a.Host) == "" { // Table.Match would drop a port
 			d.Effects = append(d.Effects, effectsOnOld(newTable, a)...)
 		}
-		if b != nil {
+		if b != nil && unreachableHost(b.Host) == "" {
 			d.Effects = append(d.Effects, effectsOnNew(oldTable, b)...)
 		}
 		list = append(list, d)
--- a/routecheck/doc.go
+++ b/routecheck/doc.go
@@ -8,7 +8,8 @@
 //   - Equal inputs have equal reports. For a valid configuration, the order of its routes, services, shares and regions does
 //     not matter.
 //   - If the configuration in force is known, a report has errors if and only if control hosts would refuse the
-//     configuration. A configuration that is in force already has none: whether a put of it is accepted or refused because
-//     of its base, it changes nothing.
+//     configuration, with two exceptions. A configuration that is in force already has no errors: whether a put of it is
+//     accepted or refused because of its base, it changes nothing. A put that was accepted earlier and has been replaced
+//     since is acknowledged again without effect, but has errors: Check does not know earlier configurations.
 //   - Checks that need something that is not known are left out.
 package routecheck
--- a/routecheck/routecheck.go
+++ b/routecheck/routecheck.go
@@ -223,8 +223,8 @@
 	}
 }
 
-// checkVersions reports a version or base that control hosts refuse. They accept a change again that they have accepted
-// before, so a configuration that is in force already is no error.
+// checkVersions reports a version or base that control hosts refuse. They acknowledge a change again that they have
+// accepted before, so a configuration that is in force already is no error.
 func (c *checker) checkVersions(differs bool) {
 	entry := Entry{Kind: KindConfiguration}
 	version, base := c.Config.Version, c.Base
