Table of servers: state warm-ups without a limit once, counted down

For services without a limit for cold servers the leader published that a server warms up as a constant, with a second entry to all gateways at the end of each warm-up. Gateways did not use it, and the time that was left could not be told from it.

The entry now states the time that is left, and neither its passing nor its end publishes an entry. Servers of services partitioned by key state none, since their requests are not chosen among servers. The kept full table is encoded again after 200 ms while it states such times. Services with a limit publish as before.

Test: no update while a server warms up nor at the end, where the former constant gave one for the end, and one each if the time left counted as a change; a full table for a new gateway has 2.3 of 3 s left after 0.7 s.

--- a/internal/fleet/publish.go
+++ b/internal/fleet/publish.go
@@ -141,8 +141,13 @@
 	version  uint64
 	gateways int    // that it says are connected
 	body     []byte // nil if there is none yet
+	// encodedAt is when it was encoded, if it states times that count down; else 0.
+	encodedAt time.Duration
 }
 
+// maxCountdownAge is the age up to which a full table is sent again that states times that count down.
+const maxCountdownAge = 200 * time.Millisecond
+
 // maxGatewaysOff is by how much, as a part, the number of connected gateways in a full table may be off: their
 // shares of connections and of the retry budget follow from it.
 const maxGatewaysOff = 0.1
@@ -153,10 +158,16 @@
 	return t.body != nil && t.version == version && off <= maxGatewaysOff*float64(gateways)
 }
 
+// outdated reports whether the times in the table are too old.
+func (t fullTable) outdated(now time.Duration) bool {
+	return t.encodedAt != 0 && now-t.encodedAt > maxCountdownAge
+}
+
 // encodeFullTable returns the encoded full table, or nil if that fails. It must be called with Host.mu
 // held.
 func (h *Host) encodeFullTable(l *leadership) []byte {
-	if version := l.coordinator.TableVersion(); !l.fullTable.current(version, len(h.subscribers)) {
+	now := clock.Now()
+	if version := l.coordinator.TableVersion(); !l.fullTable.current(version, len(h.subscribers)) || l.fullTable.outdated(now) {
 		update := l.coordinator.Snapshot()
 		h.addHostInfo(&update)
 		body, err := keyrange.EncodeTable(update)
@@ -165,6 +176,9 @@
 			return nil
 		}
 		l.fullTable = fullTable{version: version, gateways: len(h.subscribers), body: body}
+		if l.coordinator.CountsDown() {
+			l.fullTable.encodedAt = max(now, 1)
+		}
 	}
 	return l.fullTable.body
 }
--- a/keyrange/publish.go
+++ b/keyrange/publish.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// publishedWarmupMillis is the value of WarmupMillis in the table for each server that is still
-// warming up.
+// publishedWarmupMillis is the value of WarmupMillis in the table for each cold server of a service that limits the
+// requests to these.
 const publishedWarmupMillis = 1000
 
 // SilentWarmupMillis is the value of WarmupMillis in the table for a server whose heartbeats have stopped: it is cold
@@ -29,7 +29,7 @@
 	update := TableUpdate{Term: c.options.Term, Partial: c.Partial(now)}
 	servers := c.visibleServers(now)
 	for id, s := range servers {
-		if c.published.servers[id] != s {
+		if !c.sameEntry(c.published.servers[id], s) {
 			update.Servers = append(update.Servers, s)
 		}
 	}
@@ -73,6 +73,17 @@
 // TableVersion returns the version of the table as of the last call of Changes.
 func (c *Coordinator) TableVersion() uint64 { return c.published.version }
 
+// CountsDown reports whether the table as of the last call of Changes states times that are left of a warm-up, so that
+// it is soon out of date although its version does not change.
+func (c *Coordinator) CountsDown() bool {
+	for _, s := range c.published.servers {
+		if s.WarmupMillis > 0 && !c.limitsCold(s.Service) {
+			return true
+		}
+	}
+	return false
+}
+
 // Snapshot returns the full table as of the last call of Changes.
 func (c *Coordinator) Snapshot() TableUpdate {
 	update := TableUpdate{Term: c.options.Term, Version: c.published.version, Full: true, Partial: c.published.partial}
@@ -113,7 +124,7 @@
 			continue
 		}
 		info := s.info
-		info.WarmupMillis = c.warmupMillis(s)
+		info.WarmupMillis = c.warmupMillis(now, s)
 		info.AdmitPermille = c.overload[id]
 		visible[id] = info
 	}
--- a/keyrange/warmup.go
+++ b/keyrange/warmup.go
@@ -193,18 +193,35 @@
 	return list
 }
 
-// warmupMillis returns the server's remaining warm-up time for the table. The exact time is not published, since it
-// would need frequent updates.
-func (c *Coordinator) warmupMillis(s *server) int64 {
-	cold := s.info.WarmupMillis > 0
-	if _, limited := c.warmups[s.info.Service]; limited {
-		cold = s.cold
-	}
-	switch {
-	case !cold:
+// limitsCold reports whether a service limits the requests to its cold servers.
+func (c *Coordinator) limitsCold(service string) bool {
+	_, limited := c.warmups[service]
+	return limited
+}
+
+// warmupMillis returns the server's remaining warm-up time for the table. Where the service limits requests to cold
+// servers, the exact time is not published, since it would need frequent updates. Other servers only count as slower
+// where entry hosts choose among servers, which they don't for keys, and entry hosts count the time down; see sameEntry.
+func (c *Coordinator) warmupMillis(now time.Duration, s *server) int64 {
+	switch svc := c.services[s.info.Service]; {
+	case !c.limitsCold(s.info.Service):
+		if svc != nil && svc.active {
+			return 0
+		}
+		return max(0, s.info.WarmupMillis-(now-s.lastSeen).Milliseconds())
+	case !s.cold:
 		return 0
 	case s.warmth.Silent():
 		return SilentWarmupMillis
 	}
 	return publishedWarmupMillis
 }
+
+// sameEntry reports whether entry hosts that have a server's published entry need no other. The time that is left of a
+// warm-up is no reason for one: many servers often join at the same time, and each entry goes to all entry hosts.
+func (c *Coordinator) sameEntry(published, next Server) bool {
+	if !c.limitsCold(next.Service) && published.WarmupMillis != SilentWarmupMillis {
+		published.WarmupMillis = next.WarmupMillis
+	}
+	return published == next
+}
--- a/keyrange/warmup_test.go
+++ b/keyrange/warmup_test.go
@@ -116,6 +116,47 @@
 	}
 }
 
+// Guards against a message to all gateways for each server without a limit whose warm-up goes on or ends, against a
+// table for new gateways that states it too long, and against such servers that count as cold.
+func TestWarmupWithoutLimitNeedsNoUpdate(t *testing.T) {
+	f := newColdFleet(3)
+	f.coordinator.SetServices([]KeyedService{{Name: "keyed"}}, "reserva", "photos")
+	f.run(2 * beatInterval)
+	for i, service := range []string{"photos", "keyed"} {
+		f.servers = append(f.servers, Server{ID: service, Service: service, Address: fmt.Sprint("10.0.0.2:", i+1), Slots: 4, StartMillis: 9, WarmupMillis: 3000})
+	}
+	f.run(beatInterval) // both send a heartbeat, photos 0.3 s after the start
+	f.coordinator.Changes(f.now)
+	left := func() string {
+		left := map[string]int64{}
+		for _, s := range f.coordinator.Snapshot().Servers {
+			left[s.Service] = s.WarmupMillis
+		}
+		return fmt.Sprint(left["photos"], " ", left["keyed"])
+	}
+	if got := left(); got != "2300 0" || !f.coordinator.CountsDown() {
+		t.Errorf("%s ms left for photos and keyed, want 2300 and 0", got)
+	}
+	f.servers[3].WarmupMillis, f.servers[4].WarmupMillis = 2000, 2000
+	f.run(beatInterval)
+	if update, changed := f.coordinator.Changes(f.now); changed || left() != "1300 0" {
+		t.Errorf("an update of %+v; the full table has %s ms left, want no update, 1300 and 0", update.Servers, left())
+	}
+	f.servers[3].WarmupMillis, f.servers[4].WarmupMillis = 0, 0
+	f.run(beatInterval)
+	if update, _ := f.coordinator.Changes(f.now); len(update.Servers) > 0 { // the other server gets keys
+		t.Errorf("an update of %+v at the end of the warm-up, want none", update.Servers)
+	}
+	f.servers[3].Draining = true
+	f.run(beatInterval)
+	if update, _ := f.coordinator.Changes(f.now); len(update.Servers) != 1 || update.Servers[0].WarmupMillis != 0 || f.coordinator.CountsDown() {
+		t.Errorf("an update of %+v, want the one that drains, as warm", update.Servers)
+	}
+	if len(f.coordinator.ColdServers()) > 0 {
+		t.Errorf("%+v count as cold", f.coordinator.ColdServers())
+	}
+}
+
 // Guards against keys that go to a cold server as if it were warm.
 func TestColdServerCountsWithItsRate(t *testing.T) {
 	s := &server{info: Server{Slots: 4}, cold: true}
