Balance by work: spare servers that join and warm up

A server that joined got its normal part of the requests at once. Servers that need twice the time in their first 3 s were filled up to the end of their queues before gateways learned of it from slow responses, and these responses made them count as slow afterwards.

A candidate that warms up now counts with a fraction of its speed. Package cost learns the fraction for the service, from a half on, and takes it into account where responses during the warm-up show a server's speed. A server of which nothing is known gets one request at a time from a gateway until its first response, if there is another candidate; it is preferred to a known one when drawn first, so that it gets requests soon. A claim covers the time until the request starts, since requests that wait all choose at once when a server joins. Gateways know who warms up from the table, counted down also without a leader, and from X-Warmup-Ms. Digests of a former process under the same ID no longer count.

--- a/cost/cost.go
+++ b/cost/cost.go
@@ -40,6 +40,15 @@
 	minQuantileStep = 0.03
 	// initialHigh is the assumed ratio of the quantile to the typical time.
 	initialHigh = 2.5
+	// initialWarmupSpeed is the assumed speed of a server that is warming up, relative to its usual one. Package keyrange
+	// counts such a server with the same fraction.
+	initialWarmupSpeed = 0.5
+	// minWarmupWeight is the lowest weight of a sample in that fraction, and warmupPrior the weight, in samples, of the
+	// assumed one. Servers rarely warm up, and those that do differ in speed.
+	minWarmupWeight = 0.04
+	warmupPrior     = 4
+	// minWarmupSpeed bounds the fraction: with a lower one, a server would get nearly no requests that show another.
+	minWarmupSpeed = 0.1
 )
 
 // Class is a class of requests. The zero value of Method and Size stands for all requests of the route, and that of
@@ -85,6 +94,11 @@
 	high    float64 // logarithm of High by typical time
 	samples int
 	work    Work // follows from the fields above
+
+	// The fields below count for services: by how much their servers are slower while they warm up.
+
+	warmup        float64 // logarithm of the fraction of their speed, relative to initialWarmupSpeed
+	warmupSamples int
 }
 
 // Speed is the speed of a server relative to the mean of its service. The zero value stands for a server of mean
@@ -135,11 +149,54 @@
 			residual = detailed
 		}
 	}
+	s.add(residual)
+	return min(max(m.typical(c, prior)-sample, -maxLogSpeed), maxLogSpeed)
+}
+
+// add adds a sample, of which the residual is the logarithm of the time that it took by the expected time.
+func (s *Speed) add(residual float64) {
 	s.samples++
 	weight := max(minSpeedWeight, 1/float64(s.samples+speedPrior))
 	s.log = (s.log - weight*residual) * (1 - speedReturn)
 	s.factor = math.Exp(s.log)
-	return min(max(m.typical(c, prior)-sample, -maxLogSpeed), maxLogSpeed)
+}
+
+// WarmupSpeed returns the speed that servers of a service have while they warm up, relative to their usual one.
+func (m *Model) WarmupSpeed(service string) float64 {
+	if e := m.classes[Class{Service: service}]; e != nil {
+		return e.warmupSpeed()
+	}
+	return initialWarmupSpeed
+}
+
+func (e *estimate) warmupSpeed() float64 { return initialWarmupSpeed * math.Exp(e.warmup) }
+
+// ObserveWarmingUp is like Observe for a server that was warming up all the time. The sample counts towards the server's
+// speed and, as long as little is known of the route, towards its work as if the server had been warm. If more is known,
+// the sample shows how fast the servers of the service are while they warm up.
+func (m *Model) ObserveWarmingUp(c Class, s *Speed, prior, took time.Duration) (logSpeed float64) {
+	if took <= 0 || prior <= 0 {
+		return 0
+	}
+	route, service := m.classes[c.route()], m.classes[c.service()]
+	warm := time.Duration(float64(took) * m.WarmupSpeed(c.Service))
+	if route == nil || service == nil || route.samples < minSamples {
+		return m.Observe(c, s, prior, warm)
+	}
+	typical := m.typical(c, prior)
+	service.observeWarmup(typical - s.log - math.Log(took.Seconds()))
+	sample := math.Log(warm.Seconds())
+	s.add(min(max(sample+s.log-typical, -maxResidual), maxResidual))
+	return min(max(typical-sample, -maxLogSpeed), maxLogSpeed)
+}
+
+// observeWarmup adds a sample of the logarithm of the fraction.
+func (e *estimate) observeWarmup(sample float64) {
+	e.warmupSamples++
+	weight := max(minWarmupWeight, 1/float64(e.warmupSamples+warmupPrior))
+	residual := sample - math.Log(initialWarmupSpeed) - e.warmup
+	e.warmup += weight * min(max(residual, -maxResidual), maxResidual)
+	e.warmup = min(max(e.warmup, math.Log(minWarmupSpeed/initialWarmupSpeed)), -math.Log(initialWarmupSpeed))
 }
 
 // typical returns the logarithm of the typical time of a class.
--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// Guards against servers that count as slow after their warm-up, against a work estimate that includes it, and against
+// an assumed fraction that responses don't correct.
+func TestWarmupDoesNotSpoilSpeedAndWork(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	var m Model
+	var warm Speed
+	joining := make([]Speed, 20)
+	c := Class{Service: "s", Route: "r"}
+	if got := m.WarmupSpeed("s"); got != 0.5 {
+		t.Errorf("fraction %.2f before any response, want a half", got)
+	}
+	for i := range 6 * len(joining) {
+		m.Observe(c, &warm, 300*ms, sampleTime(random, 300*ms, 1))
+		m.ObserveWarmingUp(c, &joining[i/6], 300*ms, sampleTime(random, 300*ms, 0.3))
+	}
+	if got := m.WarmupSpeed("s"); got < 0.24 || got > 0.37 {
+		t.Errorf("fraction %.2f, want about 0.3", got)
+	}
+	for i := range joining {
+		if got := joining[i].Factor(); got < 0.65 || got < 0.8 && i >= 10 || got > 1.4 {
+			t.Errorf("server %d: speed %.2f, want about 1", i, got)
+		}
+	}
+	if got := m.Work(c, 0).Expected; got > 420*ms {
+		t.Errorf("expected work %v, want about 330ms", got)
+	}
+}
+
 // Guards against one request in the tail that makes a server count as several times slower.
 func TestOneSampleHasBoundedInfluence(t *testing.T) {
 	var m Model
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -32,6 +32,8 @@
 	Usable   float64       // part of each server's slots and queue that the request may use; 0 counts as 1
 	Ahead    int           // requests of this gateway for the service that wait and are served before this one
 	Gateways int64         // gateways that may send at the same time
+	// WarmupSpeed is the fraction of their speed that the servers of the service have while they warm up; 0 counts as 1.
+	WarmupSpeed float64
 	// MayBeSilent tells that full servers of the service may not answer: none has refused a request so far. To wait for
 	// the first time-outs would cost many requests at the first overload.
 	MayBeSilent bool
@@ -109,6 +111,7 @@
 	RoundTrip time.Duration // of the network to the server; 0 if not known
 	Avoid     bool          // gets no request while there is a candidate that need not be avoided
 	Open      bool          // an idle connection to the server is open
+	WarmingUp bool          // the server is slower than Speed for now; see Request.WarmupSpeed
 
 	estimate workEstimate // set by ChooseByWork
 }
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -10,6 +10,8 @@
 	hostLifetime = 400 * time.Millisecond
 	// maxHostFactor bounds the factor by which a report slows down or speeds up a server.
 	maxHostFactor = 10
+	// claimLifetime is how long a claim holds without a request that starts: a request is usually sent at once.
+	claimLifetime = 100 * time.Millisecond
 	// defaultServiceTime is assumed for a server while nothing is known of its speed.
 	defaultServiceTime = 100 * time.Millisecond
 	// minSampleWeight is the lowest weight of a new sample in a server's average service time.
@@ -57,6 +59,8 @@
 	samples     int           // number of samples in serviceTime
 	expected    time.Duration // service time assumed before the first response; 0 if not known
 	shared      bool          // others is what another host knew
+	known       bool          // see SetKnown
+	claimedTo   time.Duration // until when a claim holds; see Claim
 	ownOthers   float64       // requests of other gateways according to the latest report to this gateway
 	ownReportAt time.Duration // time of that report; 0 if there was none
 	hostPercent int           // of the latest report of the server itself; 0 if not known
@@ -65,7 +69,28 @@
 }
 
 // Start counts a request as in flight.
-func (l *Load) Start() { l.inFlight++ }
+func (l *Load) Start() { l.inFlight, l.claimedTo = l.inFlight+1, 0 }
+
+// SetKnown records that something is known of the server: it has answered a request of this gateway, or another host
+// has told of it.
+func (l *Load) SetKnown() { l.known = true }
+
+// Claim reserves a server of which nothing is known for one request, which is expected to start soon. It returns
+// false if another request has it.
+func (l *Load) Claim(now time.Duration) bool {
+	if l.probed(now) {
+		return false
+	}
+	if !l.known {
+		l.claimedTo = now + claimLifetime
+	}
+	return true
+}
+
+// probed reports whether nothing is known of the server, and a request that will tell is in flight or about to start.
+func (l *Load) probed(now time.Duration) bool {
+	return !l.known && (l.inFlight > 0 || now < l.claimedTo)
+}
 
 // End removes a request from those in flight.
 func (l *Load) End() { l.inFlight-- }
@@ -86,7 +111,7 @@
 // whose response carried the report: the report no longer counts that request.
 func (l *Load) ObserveReport(now time.Duration, r Report) {
 	l.others = float64(max(0, r.Running+r.Waiting-(l.inFlight-1)))
-	l.reportedAt, l.hostPercent, l.hostAt, l.shared = now, r.HostPercent, now, false
+	l.reportedAt, l.hostPercent, l.hostAt, l.shared, l.known = now, r.HostPercent, now, false, true
 	l.ownOthers, l.ownReportAt = l.others, now
 }
 
@@ -96,7 +121,7 @@
 	if at <= l.reportedAt {
 		return
 	}
-	l.others, l.reportedAt, l.shared = max(0, requests-float64(l.inFlight)), at, true
+	l.others, l.reportedAt, l.shared, l.known = max(0, requests-float64(l.inFlight)), at, true, true
 }
 
 // HostFactor returns by what factor work currently takes longer than usual on the server's host, according to the
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/cost"
+	"github.com/galenalug/galenalug/warmup"
 )
 
 // The model runs requests of many gateways against servers with slots and queues, in virtual time and without a
@@ -37,6 +38,7 @@
 	expected        time.Duration
 	took            time.Duration
 	host            float64 // host factor that the gateway knew at the start
+	warmingUp       bool    // that the gateway knew at the start
 	refusedBy       []int
 }
 
@@ -62,6 +64,10 @@
 	byWork                          bool
 	digests                         bool // gateways tell each other the newest reports, twice a second
 	distance                        func(gateway, server int) Distance
+	joiners                         int // the last servers join at joinAt, and take twice the time for joinWarmup
+	joinAt, joinWarmup              time.Duration
+	unaware                         bool // gateways don't tell joined servers from others
+	seed                            uint64
 
 	random *rand.Rand
 	now    time.Duration
@@ -77,6 +83,9 @@
 	lateByClass, byClass       []int   // the same by class
 	overloaded                 int     // attempts that found the queue full
 	busiest                    float64 // most requests of one server, by the mean
+	longest                    int     // longest queue at a server that warms up
+	lateAfterJoin              int     // late requests that arrived within joinWarmup after joinAt
+	soon                       int     // requests at joined servers within the first second
 }
 
 type modelEvent struct {
@@ -99,7 +108,7 @@
 func (m *model) after(d time.Duration, run func()) { heap.Push(&m.events, modelEvent{m.now + d, run}) }
 
 func (m *model) run() *model {
-	m.random = rand.New(rand.NewPCG(7, 7))
+	m.random = rand.New(rand.NewPCG(7, 7+m.seed))
 	m.hosts, m.gws = make([]modelServer, m.servers), make([]modelGateway, m.gateways)
 	m.lateByClass, m.byClass = make([]int, len(m.classes)), make([]int, len(m.classes))
 	for i := range m.hosts {
@@ -191,6 +200,9 @@
 		}
 		m.late++
 		m.lateByClass[class]++
+		if r.arrived >= m.joinAt && r.arrived < m.joinAt+m.joinWarmup {
+			m.lateAfterJoin++
+		}
 	})
 	m.try(r)
 }
@@ -213,12 +225,19 @@
 	l, h := &m.gws[r.gateway].loads[r.server], &m.hosts[r.server]
 	l.Start()
 	l.AddWork(r.expected)
+	r.warmingUp = m.warmingUp(r.server)
 	h.got++
+	if r.server >= m.servers-m.joiners && m.now < m.joinAt+time.Second {
+		m.soon++
+	}
 	switch {
 	case h.running < m.slots:
 		m.start(r)
 	case len(h.queue) < m.queue:
 		h.queue = append(h.queue, r)
+		if m.warmingUp(r.server) {
+			m.longest = max(m.longest, len(h.queue))
+		}
 	case m.silent:
 		m.overloaded++
 		m.lost++
@@ -241,6 +260,9 @@
 	if m.random.IntN(50) == 0 {
 		r.took *= 6
 	}
+	if m.warmingUp(r.server) {
+		r.took *= 2
+	}
 	m.after(r.took, func() {
 		h.running--
 		queued := r.sent+r.took < m.now
@@ -258,7 +280,7 @@
 			g.mean.Observe(r.took)
 			if len(h.queue) == 0 {
 				factor := (r.host + g.loads[r.server].HostFactor(m.now)) / 2
-				g.costs.Observe(r.class.class(), &g.speeds[r.server], r.class.prior(), time.Duration(float64(r.took)/factor))
+				m.learn(r, time.Duration(float64(r.took)/factor))
 			}
 		}
 		m.end(r)
@@ -266,6 +288,21 @@
 	})
 }
 
+func (m *model) warmingUp(server int) bool {
+	return server >= m.servers-m.joiners && m.now < m.joinAt+m.joinWarmup
+}
+
+func (m *model) learn(r *modelRequest, took time.Duration) {
+	g := &m.gws[r.gateway]
+	phase := warmup.PhaseOf(r.warmingUp, m.warmingUp(r.server))
+	switch {
+	case phase == warmup.Warm || m.unaware:
+		g.costs.Observe(r.class.class(), &g.speeds[r.server], r.class.prior(), took)
+	case phase == warmup.WarmingUp:
+		g.costs.ObserveWarmingUp(r.class.class(), &g.speeds[r.server], r.class.prior(), took)
+	}
+}
+
 func (m *model) report(r *modelRequest) {
 	h := &m.hosts[r.server]
 	m.newest[r.server].at, m.newest[r.server].requests = m.now, float64(h.running+len(h.queue))
@@ -289,10 +326,17 @@
 	g.urgency.Seen(m.now, r.class.priority, work.Expected)
 	mean := g.costs.Mean("s", work.Expected)
 	candidates := make([]Candidate, m.servers)
+	if m.now < m.joinAt {
+		candidates = candidates[:m.servers-m.joiners]
+	}
 	for i := range candidates {
 		l := &g.loads[i]
+		if m.unaware {
+			l.SetKnown()
+		}
 		l.SetExpectedServiceTime(g.mean.Value())
-		c := Candidate{Load: l, Slots: m.slots, ConnectionLimit: ConnectionLimit(512, int64(m.gateways), m.slots), MeanWork: mean, WorkLeft: l.OwnWork(), Speed: g.speeds[i].Factor() / l.HostFactor(m.now)}
+		c := Candidate{Load: l, Slots: m.slots, ConnectionLimit: ConnectionLimit(512, int64(m.gateways), m.slots), MeanWork: mean, WorkLeft: l.OwnWork(), Speed: g.speeds[i].Factor() / l.HostFactor(m.now),
+			WarmingUp: !m.unaware && m.warmingUp(i)}
 		if m.distance != nil {
 			c.Distance = m.distance(r.gateway, i)
 		}
@@ -302,7 +346,7 @@
 		c.Avoid = c.Avoid || g.backoff[i].Active(m.now)
 		candidates[i] = c
 	}
-	request := Request{Priority: r.class.priority, UntilDeadline: left, UntilTarget: r.arrived + r.class.target - m.now, Work: work.Expected, HighWork: work.High,
+	request := Request{WarmupSpeed: g.costs.WarmupSpeed("s"), Priority: r.class.priority, UntilDeadline: left, UntilTarget: r.arrived + r.class.target - m.now, Work: work.Expected, HighWork: work.High,
 		Usable:      g.urgency.Usable(m.now, r.class.priority, work.Expected, m.now-r.arrived, r.class.target-work.Expected),
 		MayBeSilent: !g.refused, Gateways: int64(m.gateways)}
 	if !m.byWork {
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -56,6 +56,9 @@
 	Index  int    // of the candidate; -1 if there is none
 	Reason Reason // why there is none
 	Basis  Basis  // why it was chosen
+	// Probe tells that nothing is known of the server, and that there is another candidate. The request is to be sent
+	// only if Load.Claim permits it.
+	Probe bool
 }
 
 // workEstimate is what ChooseByWork expects of a candidate. Times are in nanoseconds.
@@ -86,6 +89,8 @@
 	request       Request
 	avoid         bool          // candidates to avoid are left out
 	localOnly     bool          // candidates in other regions are left out
+	free          int           // candidates that may get the request, up to limits of their load; see mayGet
+	leftOut       bool          // a candidate is left out since a request is probing it
 	othersPerSlot float64       // mean number of other gateways' requests per slot, according to recent reports
 	bound         float64       // of the wait, ns; see spillServicePart
 	reason        Reason        // of the candidates left out
@@ -104,7 +109,8 @@
 // enough servers have a short wait, draws two candidates at random, weighted by capacity, and returns the one that is
 // expected to finish first (M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001).
 // A server of which nothing is known counts as one of mean speed and load, so that gateways that have all just
-// started spread their requests evenly. random returns numbers in [0, 1).
+// started spread their requests evenly. It gets one request until its first response, while there is another
+// candidate: many gateways learn of a new server at the same time. random returns numbers in [0, 1).
 func ChooseByWork(now time.Duration, candidates []Candidate, r Request, random func() float64) Choice {
 	if len(candidates) == 0 {
 		return Choice{Index: -1, Reason: QueueFull}
@@ -112,6 +118,9 @@
 	if r.Usable <= 0 {
 		r.Usable = 1
 	}
+	if r.WarmupSpeed <= 0 {
+		r.WarmupSpeed = 1
+	}
 	w := workChoice{now: now, request: r, reason: Paused, best: classNone}
 	w.prepare(candidates)
 	for i := range candidates {
@@ -123,16 +132,22 @@
 	farthest, level := w.set()
 	first := w.draw(candidates, farthest, level, random, -1)
 	second := w.draw(candidates, farthest, level, random, first)
-	if second >= 0 && w.better(&candidates[second], &candidates[first]) {
+	if second >= 0 && !probes(candidates, first, second) && w.better(&candidates[second], &candidates[first]) {
 		first = second
 	}
-	return Choice{Index: first, Basis: w.basis(candidates, first)}
+	return Choice{Index: first, Basis: w.basis(candidates, first), Probe: w.free > 1 && !candidates[first].Load.known}
+}
+
+// probes reports whether the first server drawn gets the request whatever the second one's finish is: nothing is known
+// of it, and something of the other. Compared by finish, servers that are known to warm up would be tried too rarely.
+func probes(candidates []Candidate, first, second int) bool {
+	return !candidates[first].Load.known && candidates[second].Load.known
 }
 
 // noneReason returns why no candidate is chosen.
 func (w *workChoice) noneReason() Reason {
-	if w.best != classNone {
-		return QueueFull // of requests that are served before this one
+	if w.best != classNone || w.leftOut && w.reason != RateLimited {
+		return QueueFull // of requests that are served before this one, or that probe a server
 	}
 	return w.reason
 }
@@ -140,10 +155,18 @@
 // prepare determines what depends on all candidates.
 func (w *workChoice) prepare(candidates []Candidate) {
 	var others, slots, own, allSlots float64
+	var free, freeFar int
 	for i := range candidates {
 		c := &candidates[i]
 		w.avoid = w.avoid || !c.Avoid
 		w.localOnly = w.localOnly || c.Distance != OtherRegion
+		if free < 2 && w.mayGet(c) {
+			if c.Distance != OtherRegion {
+				free++
+			} else {
+				freeFar++
+			}
+		}
 		own += float64(c.Load.inFlight)
 		allSlots += float64(c.Slots)
 		if age := w.now - c.Load.reportedAt; age < reportLifetime && c.Load.reportedAt != 0 {
@@ -153,6 +176,9 @@
 		}
 	}
 	w.localOnly = w.localOnly && w.request.Bulk
+	if w.free = free; !w.localOnly {
+		w.free += freeFar
+	}
 	w.othersPerSlot = others / max(slots+float64(candidates[0].Slots), 1) // one server without load is added
 	if w.request.MayBeSilent && len(candidates) > 1 {
 		shown := own * float64(w.request.Gateways-1) / max(allSlots, 1)
@@ -166,6 +192,11 @@
 	w.bound = min(spillServicePart*float64(w.request.Work), spillSlackPart*slack)
 }
 
+// mayGet reports whether a candidate may get the request, now or when it is less loaded.
+func (w *workChoice) mayGet(c *Candidate) bool {
+	return !c.Load.probed(w.now) && !c.Avoid && !c.Suspect && c.PausedFor <= 0 && (!c.Limited || c.Ahead < c.Tokens)
+}
+
 // estimate sets the estimate of a candidate and counts its capacity.
 func (w *workChoice) estimate(c *Candidate) {
 	e := &c.estimate
@@ -173,11 +204,18 @@
 	if w.avoid && c.Avoid || w.localOnly && c.Distance == OtherRegion {
 		return
 	}
+	if w.free > 0 && c.Load.probed(w.now) {
+		w.leftOut = true
+		return
+	}
 	speed := c.Speed
 	if speed <= 0 {
 		speed = 1
 	}
 	slots := float64(max(c.Slots, 1))
+	if c.WarmingUp {
+		speed *= w.request.WarmupSpeed
+	}
 	e.capacity = slots * speed
 	w.total[c.Distance] += e.capacity
 	others := w.othersPerSlot * slots
--- a/dispatch/work_test.go
+++ b/dispatch/work_test.go
@@ -149,6 +149,67 @@
 	}
 }
 
+// Guards against servers that join under load and get their normal part of the requests at once while they need twice
+// the time, and against ones that get nearly none.
+func TestWorkSparesServersThatWarmUp(t *testing.T) {
+	late, longest, soon := map[bool]int{}, map[bool]int{}, map[bool]int{}
+	for seed := range uint64(4) {
+		for _, unaware := range []bool{true, false} {
+			m := (&model{
+				gateways: 114, servers: 64, slots: 4, queue: 8, length: 7 * time.Second, byWork: true, digests: true,
+				joiners: 16, joinAt: 4 * time.Second, joinWarmup: 3 * time.Second, unaware: unaware, seed: seed,
+				classes: []modelClass{{rate: 1300, work: 120 * ms, target: 400 * ms, deadline: time.Second}},
+			}).run()
+			late[unaware] += m.lateAfterJoin
+			longest[unaware] += m.longest
+			soon[unaware] += m.soon
+		}
+	}
+	t.Logf("4 runs, before and with the rules: late %d, %d; sum of the longest queues %d, %d; first second %d, %d", late[true], late[false], longest[true], longest[false], soon[true], soon[false])
+	if late[false] > late[true]*6/10 || longest[false] > longest[true]/2 {
+		t.Errorf("late %d, sum of the longest queues %d; before %d, %d", late[false], longest[false], late[true], longest[true])
+	}
+	if soon[false] < 4*2*16 || soon[false] > soon[true]/2 {
+		t.Errorf("%d requests at 16 joining servers in their first second, 4 runs; before %d", soon[false], soon[true])
+	}
+}
+
+// Guards against several requests of one gateway at a server of which it knows nothing, and against requests that are
+// refused although it is the only one.
+func TestUnknownServerGetsOneRequestAtATime(t *testing.T) {
+	r := Request{UntilDeadline: time.Second, UntilTarget: 500 * ms, Work: 100 * ms}
+	for name, c := range map[string]struct {
+		change func(joining, other *Candidate)
+		want   bool // whether the joining server may get another request
+	}{
+		"full":       {func(_, o *Candidate) { o.Load.inFlight = 90 }, false},
+		"far":        {func(_, o *Candidate) { o.Distance = OtherRegion }, false},
+		"claimed":    {func(j, _ *Candidate) { j.Load.inFlight = 0; j.Load.Claim(time.Second - claimLifetime/2) }, false},
+		"claim over": {func(j, _ *Candidate) { j.Load.inFlight = 0; j.Load.Claim(time.Second - claimLifetime) }, true},
+		"answered":   {func(j, _ *Candidate) { j.Load.SetKnown() }, true},
+		"in digest":  {func(j, _ *Candidate) { j.Load.ObserveShared(time.Second-ms, 0) }, true},
+		"failing":    {func(_, o *Candidate) { o.Suspect = true }, true},
+		"avoided":    {func(_, o *Candidate) { o.Avoid = true }, true},
+		"no token":   {func(_, o *Candidate) { o.Limited = true }, true},
+	} {
+		joining := Candidate{Load: &Load{inFlight: 1}, Slots: 4, ConnectionLimit: 20, MeanWork: 100 * ms}
+		other := Candidate{Load: loaded(0, 0, 100*ms), Slots: 4, ConnectionLimit: 20, MeanWork: 100 * ms}
+		other.Load.SetKnown()
+		c.change(&joining, &other)
+		got := false
+		for range 100 {
+			choice := ChooseByWork(time.Second, []Candidate{joining, other}, r, rand.Float64)
+			got = got || choice.Index == 0
+			if choice.Index < 0 && choice.Reason != QueueFull {
+				t.Errorf("%s: refused as %q, want to wait", name, choice.Reason)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: a second request chosen: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // Guards against a slow host that counts for longer than neighbors stay the same.
 func TestHostPercentFadesWithin400Milliseconds(t *testing.T) {
 	var l Load
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -59,6 +59,7 @@
 	observed    keyrange.ServerLoad // not yet reported to the leader
 	coldTokens  warmup.Holder       // while the server is cold
 	warmth      warmup.Evidence     // that the server is cold
+	countdown   warmup.Countdown    // of the time for which it is slower, with balance: work
 	nearbyAt    time.Duration       // when the server was last a candidate of the own region
 	failedAt    time.Duration       // time of the last failure; 0 for none
 	refusedAt   time.Duration       // time of the last refused connection; 0 for none
@@ -114,6 +115,7 @@
 	if server == nil || server.address != s.Address || server.startMillis != s.StartMillis {
 		if server != nil {
 			server.close()
+			b.digests.Forget(server.hash) // it says how loaded the former process was
 		}
 		server = &backend{
 			id: s.ID, address: s.Address, service: s.Service, startMillis: s.StartMillis, meanServiceTime: b.meanServiceTime(s.Service),
@@ -215,7 +217,7 @@
 	b.load.Start()
 	b.load.AddWork(req.cost.expected())
 	if req.cost != nil {
-		req.cost.host = b.load.HostFactor(now)
+		req.cost.host, req.cost.warmingUp = b.load.HostFactor(now), b.countdown.WarmingUp(now)
 	}
 	b.mu.Unlock()
 	started := time.Now()
@@ -231,6 +233,8 @@
 		b.recordFailure(err, time.Since(started), hadFreeSlot)
 		return nil, err
 	}
+	b.load.SetKnown()
+	b.recordWarmup(resp.info)
 	if resp.info.Load != nil {
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
 		b.observeReport(clockNow(), *resp.info.Load)
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/galenalug/galenalug/cost"
 	"github.com/galenalug/galenalug/dispatch"
+	"github.com/galenalug/galenalug/warmup"
 )
 
 // costs holds what the gateway has learned of the work of requests.
@@ -30,9 +32,22 @@
 	return c.model.Mean(service, prior)
 }
 
-func (c *costs) observe(class cost.Class, speed *cost.Speed, prior, took time.Duration) (logSpeed float64) {
+func (c *costs) warmupSpeed(service string) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.model.WarmupSpeed(service)
+}
+
+// observe adds the time of a request that did not queue, on a server in a phase.
+func (c *costs) observe(class cost.Class, speed *cost.Speed, prior, took time.Duration, phase warmup.Phase) (logSpeed float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch phase {
+	case warmup.Mixed:
+		return math.Log(speed.Factor()) // shows nothing new
+	case warmup.WarmingUp:
+		return c.model.ObserveWarmingUp(class, speed, prior, took)
+	}
 	return c.model.Observe(class, speed, prior, took)
 }
 
@@ -101,7 +116,8 @@
 	prior time.Duration // work of the route before its first response
 	work  cost.Work
 
-	host float64 // by what factor work took longer on the server's host when the request was sent
+	host      float64 // by what factor work took longer on the server's host when the request was sent
+	warmingUp bool    // whether the server was warming up then
 }
 
 // expected returns the expected work; 0 without balance: work.
@@ -124,7 +140,8 @@
 	switch {
 	case err != nil:
 		var e *exchangeError
-		silent := errors.As(err, &e) && e.mayHaveRun && took > silentFactor*req.cost.work.High
+		high := float64(req.cost.work.High) / b.warmupFactor(req.cost.warmingUp)
+		silent := errors.As(err, &e) && e.mayHaveRun && float64(took) > silentFactor*high
 		if silent && (e.reason == reasonTimeout || e.reason == reasonCanceled) {
 			b.failedAt = clockNow()
 		}
@@ -137,12 +154,21 @@
 		host := (req.cost.host + b.load.HostFactor(clockNow())) / 2
 		b.observeDial(req.dialTook)
 		ran := max(took-between(&req.progress.startedAt, &req.progress.connectedAt)-b.roundTrip, took/10)
-		logSpeed := b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(ran)/host))
+		phase := warmup.PhaseOf(req.cost.warmingUp, b.countdown.WarmingUp(clockNow()))
+		logSpeed := b.costs.observe(req.cost.class, &b.speed, req.cost.prior, time.Duration(float64(ran)/host), phase)
 		b.factor = b.speed.FactorWith(b.shared.Speed)
 		b.observed.SpeedSum += int64(1000 * logSpeed)
 	}
 }
 
+// warmupFactor returns the server's present speed relative to its usual one.
+func (b *backend) warmupFactor(warmingUp bool) float64 {
+	if !warmingUp {
+		return 1
+	}
+	return b.costs.warmupSpeed(b.service)
+}
+
 const (
 	// roundTripWeight is the weight of a connection that took longer to open than earlier ones. Lower values count at
 	// once: they met no queue.
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -48,6 +48,9 @@
 	defer b.mu.Unlock()
 	b.shared = e
 	b.factor = b.speed.FactorWith(e.Speed)
+	if e.Speed > 0 {
+		b.load.SetKnown()
+	}
 	if e.At != 0 {
 		b.load.ObserveShared(e.At, e.PerSlot*float64(b.slots))
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -21,6 +21,7 @@
 type serverEntry struct {
 	keyrange.Server
 	term          uint64        // term of the leader that last sent it
+	warmUntil     time.Duration // end of the warm-up that the entry states; 0 if it states none with an end
 	drainingSince time.Duration // when it was first reported as draining; 0 if it was not
 	// announcedAfter is a time before the announcement of the draining: the table was up to date then,
 	// and did not have it. It is 0 if the table was never known to be up to date.
@@ -135,6 +136,9 @@
 	}()
 	for _, s := range u.Servers {
 		entry := &serverEntry{Server: s, term: u.Term}
+		if s.WarmupMillis > 0 && s.WarmupMillis != keyrange.SilentWarmupMillis {
+			entry.warmUntil = now + time.Duration(s.WarmupMillis)*time.Millisecond
+		}
 		if old := v.servers[s.ID]; old != nil && old.StartMillis == s.StartMillis {
 			entry.drainingSince, entry.announcedAfter = old.drainingSince, old.announcedAfter
 		}
@@ -249,6 +253,7 @@
 
 // serversOf returns the servers of a service that may get new requests at the given time. Draining servers are
 // included only if there are no others. Only servers in failure domains that admits accepts are returned; nil accepts all.
+// WarmupMillis of the result is what is left of the stated time.
 func (v *view) serversOf(at time.Duration, service string, admits func(domain string) bool) []keyrange.Server {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -260,9 +265,9 @@
 		case v.drained(at, s) || admits != nil && !admits(s.Domain):
 		case v.evacuations.Blocked(at, s.Domain, false):
 		case s.Draining:
-			draining = append(draining, s.Server)
+			draining = append(draining, s.countedDown(at))
 		default:
-			active = append(active, s.Server)
+			active = append(active, s.countedDown(at))
 		}
 	}
 	if len(active) == 0 {
@@ -271,6 +276,15 @@
 	return active
 }
 
+// countedDown returns the server with what is left of its warm-up at the given time.
+func (s *serverEntry) countedDown(at time.Duration) keyrange.Server {
+	server := s.Server
+	if server.WarmupMillis > 0 {
+		server.WarmupMillis = max(0, (s.warmUntil - at).Milliseconds())
+	}
+	return server
+}
+
 // connectionLimit returns the number of connections that this gateway may open to a server.
 func (v *view) connectionLimit(s keyrange.Server) int {
 	v.mu.RLock()
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -63,9 +63,23 @@
 	}
 	if rate > 0 {
 		c.Cold, c.Limited, c.Tokens = true, true, b.coldTokens.Available(now)
+		c.WarmingUp = true
+		if !b.warmth.Suspected() { // suspicion alone must not count its responses as those of a server that warms up
+			b.countdown.Listed(now, coldListing)
+		}
 	}
 }
 
+// coldListing is how long a cold server counts as warming up without another choice that finds it cold.
+const coldListing = time.Second
+
+// recordWarmup records for how long the server is slower according to a response. The caller holds b.mu.
+func (b *backend) recordWarmup(info ResponseInfo) {
+	b.countdown.Respond(clockNow(), warmup.Response{
+		SameProcess: info.ServerID == "" || info.ServerID == b.id, Known: info.Notice.WarmupKnown, Left: info.Notice.Warmup,
+	})
+}
+
 // takeColdToken takes a token for a request to a cold server, or returns false if there is none.
 func (t *target) takeColdToken(now time.Duration) bool {
 	t.mu.Lock()
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -66,12 +66,12 @@
 			ID: s.ID, Load: &buffer.loads[i], Slots: int(s.Slots), ConnectionLimit: connections, Distance: c.host.distance(s.Domain),
 			Avoid: slices.Contains(c.avoid, s.ID), MeanWork: mean,
 		}
-		b.fillCandidate(now, candidate, entry, once)
+		b.fillCandidate(now, s, candidate, entry, once)
 		if service.WarmupPerSecond > 0 {
 			b.addWarmth(now, candidate)
 		}
 	}
-	choice := dispatch.ChooseByWork(now, buffer.candidates, request, rand.Float64)
+	choice := c.chooseAndClaim(now, servers, buffer, request)
 	if choice.Index < 0 {
 		candidates, rejection := buffer.candidates, choice.Reason
 		if rejection == dispatch.RateLimited && !service.Keyed {
@@ -87,6 +87,25 @@
 	return c.host.target(servers[choice.Index]), nil, ""
 }
 
+// chooseAndClaim chooses a server, and claims it if nothing is known of it. If another request has claimed it since its
+// state was read, it chooses again without it: requests that wait are all woken when a server joins.
+func (c *call) chooseAndClaim(now time.Duration, servers []keyrange.Server, buffer *choiceBuffer, request dispatch.Request) dispatch.Choice {
+	for {
+		choice := dispatch.ChooseByWork(now, buffer.candidates, request, rand.Float64)
+		if choice.Index < 0 || !choice.Probe || c.host.backends.get(servers[choice.Index]).claim(now) {
+			return choice
+		}
+		buffer.loads[choice.Index].Claim(now)
+	}
+}
+
+// claim claims the server for one request; see dispatch.Load.
+func (b *backend) claim(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.load.Claim(now)
+}
+
 // addCost adds to a request what dispatch.ChooseByWork needs besides.
 func (c *call) addCost(now time.Duration, request *dispatch.Request, entry *queueEntry) {
 	work := c.expectedCost().work
@@ -95,13 +114,16 @@
 	waited := time.Since(c.started)
 	request.Usable = state.usable(now, request.Priority, work.Expected, waited, request.UntilTarget+waited-work.Expected)
 	request.Ahead = entry.aheadOfService(now, state)
+	request.WarmupSpeed = c.host.backends.costs.warmupSpeed(c.service)
 	request.MayBeSilent, request.Gateways = state.mayBeSilent(), c.host.view.gateways()
 }
 
 // fillCandidate sets what the backend knows for dispatch.ChooseByWork.
-func (b *backend) fillCandidate(now time.Duration, c *dispatch.Candidate, entry *queueEntry, once bool) {
+func (b *backend) fillCandidate(now time.Duration, s keyrange.Server, c *dispatch.Candidate, entry *queueEntry, once bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.countdown.Listed(now, time.Duration(s.WarmupMillis)*time.Millisecond)
+	c.WarmingUp = b.countdown.WarmingUp(now)
 	*c.Load = b.load
 	if b.queue.Len() > 0 {
 		if entry.target != nil && entry.target.backend == b {
@@ -156,7 +178,7 @@
 	to.mu.Lock()
 	now := clockNow()
 	wait := to.load.ExpectedWait(now, to.slots)
-	speed := to.factor / to.load.HostFactor(now)
+	speed := to.factor / to.load.HostFactor(now) * to.warmupFactor(to.countdown.WarmingUp(now))
 	to.mu.Unlock()
 	return max(minHedgeDelay, wait+time.Duration(workHedgeFactor*float64(high)/speed))
 }
--- a/serverload/view.go
+++ b/serverload/view.go
@@ -67,6 +67,9 @@
 	return e
 }
 
+// Forget removes what is known of the server with a hash, since another process has its ID.
+func (v *View) Forget(hash uint32) { delete(v.servers, hash) }
+
 // Server returns what is known of the server with a hash.
 func (v *View) Server(hash uint32) Estimate {
 	if e := v.servers[hash]; e != nil {
--- a/warmup/doc.go
+++ b/warmup/doc.go
@@ -6,6 +6,7 @@
 // the server is cold, each request to it takes a token. The leader's Issuer gives tokens at most at a part of
 // the rate that a cold server takes, and gateways without a leader use another part: see Holder. So the limit
 // holds although gateways that are cut off and the leader don't know of each other.
+// A Countdown limits nothing: it tells how long a server is slower since it warms up.
 //
 // The package does no I/O and reads no clock: times are durations since an origin of the caller's choice, on a
 // clock that includes suspensions.
