--- a/keyrange/capacity.go
+++ b/keyrange/capacity.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		info := s.info
-		info.WarmupMillis = c.warmupMillis(s)
+		info.WarmupMillis = c.warmupMillis(now, s)
 		servers = append(servers, info)
 	}
 	return servers
