Gateway: pipelined responses that wait take no place among the requests in progress

Cause: a request that runs before its turn kept its place (clientLimits.running) until its response was written. On a host with room for eight requests, one client with a slow request and ten behind it took all places: its own further requests and those of other clients got a 503. Besides, the connection of such a request did not count as one at a server, so that a client that did not read large responses did not give way to others.

Change: once a response is held, its connection to the server is given back, and then its place. It needs no place when its turn comes, so that a request that has run is never refused. A response that can't be held keeps its place, and its client's connection now gives way as that of any stalled client. awaitRead counts requests ahead apart from the places, as before: a stop waits for those without a place, too.

--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -57,9 +57,9 @@
 	reading      atomic.Bool  // a read is in progress
 	writing      atomic.Bool  // a write is in progress
 	serving      atomic.Bool
-	atServer     atomic.Bool
-	stopped      atomic.Bool // reads fail
-	slow         atomic.Bool // reads fail because the client sends too slowly
+	atServer     atomic.Int32 // requests that hold a connection to a server
+	stopped      atomic.Bool  // reads fail
+	slow         atomic.Bool  // reads fail because the client sends too slowly
 	closed       atomic.Bool
 
 	// The fields below are used by the guard's watch only, with Guard.mu held.
@@ -143,10 +143,10 @@
 	}
 }
 
-// SetAtServer states whether a request of the client holds a connection to a server, for Relieve.
-func (c *Conn) SetAtServer(atServer bool) {
+// AddAtServer changes the number of the client's requests that hold a connection to a server, for Relieve.
+func (c *Conn) AddAtServer(requests int32) {
 	if c != nil {
-		c.atServer.Store(atServer)
+		c.atServer.Add(requests)
 	}
 }
 
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -144,7 +144,7 @@
 	g.mu.Lock()
 	_, victims := g.stalled(time.Now())
 	g.mu.Unlock()
-	victims = slices.DeleteFunc(victims, func(c *Conn) bool { return !c.atServer.Load() })
+	victims = slices.DeleteFunc(victims, func(c *Conn) bool { return c.atServer.Load() == 0 })
 	for _, victim := range victims[:min(len(victims), g.maxVictims())] {
 		victim.Cut(GaveWay)
 	}
--- a/internal/gateway/clientlimits.go
+++ b/internal/gateway/clientlimits.go
@@ -62,8 +62,34 @@
 	}, nil
 }
 
+// place is a request's place among those in progress. The zero value holds none. It is not safe for concurrent use.
+type place struct {
+	limits *clientLimits // nil while no place is held
+	conn   *clientconn.Conn
+}
+
+// take takes a place for a request of the client, and reports whether there was one.
+func (p *place) take(ctx context.Context, limits *clientLimits, client *clientconn.Conn) bool {
+	if !limits.startRequest(ctx) {
+		return false
+	}
+	p.limits, p.conn = limits, client
+	client.AddAtServer(1)
+	return true
+}
+
+// giveBack gives the place back, if one is held.
+func (p *place) giveBack() {
+	if p.limits == nil {
+		return
+	}
+	p.conn.AddAtServer(-1)
+	<-p.limits.running
+	p.limits = nil
+}
+
 // startRequest reports whether another request may be sent to servers. If there are too many, those of stalled clients
-// give way. endRequest ends it.
+// give way. The caller receives from running when the request ends.
 func (l *clientLimits) startRequest(ctx context.Context) bool {
 	select {
 	case l.running <- struct{}{}:
@@ -82,8 +108,6 @@
 	return false
 }
 
-func (l *clientLimits) endRequest() { <-l.running }
-
 // ClientMetrics returns the metrics of the clients' connections, to which those of other listeners are added.
 func (h *Host) ClientMetrics() *clientconn.Metrics { return h.clients.metrics }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -80,6 +80,7 @@
 	keyed            bool // the service is partitioned by key
 	stamp            Stamp
 	hold             hold // of the client's connection and memory
+	place            place
 	body             []byte
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
 	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
@@ -178,13 +179,11 @@
 		c.refuse(reasonNoCapacity)
 		return
 	}
-	if !h.clients.startRequest(c.request.Context()) {
+	if !c.place.take(c.request.Context(), h.clients, c.clientConn()) {
 		c.refuse(reasonBusy)
 		return
 	}
-	defer h.clients.endRequest()
-	c.hold.client().SetAtServer(true)
-	defer c.hold.client().SetAtServer(false)
+	defer c.place.giveBack()
 	c.run(service)
 	c.endAdmitted()
 }
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -91,13 +91,19 @@
 
 // startResponse states that the request waits until its client takes the response.
 func (c *call) startResponse() {
-	if c.ahead != nil {
-		c.hold.conn.Store(c.ahead.conn.Conn)
-	}
+	c.hold.conn.Store(c.clientConn())
 	c.hold.responding.Store(true)
 	c.hold.awaitClient()
 }
 
+// clientConn returns the client's connection, also that of a call that runs ahead, or nil.
+func (c *call) clientConn() *clientconn.Conn {
+	if c.ahead != nil {
+		return c.ahead.conn.Conn
+	}
+	return c.hold.client()
+}
+
 // mustClose reports whether the connection can't be used again, because too much of the body was not read.
 func (c *call) mustClose() bool {
 	length := c.request.ContentLength
--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -169,6 +169,9 @@
 // awaitTurn returns true when the call may write its response: at once, unless it runs ahead. A response of a
 // backend server is held as far as there is memory. A larger one waits at its server, which may cut it off, unless
 // the retry budget lets the request run again in its turn.
+//
+// A call without a connection to a server gives its place among the requests in progress back before it waits, and
+// needs none to write the response: it can't be refused any more.
 func (c *call) awaitTurn(resp *backendResponse) bool {
 	a := c.ahead
 	if a == nil || c.writer != nil {
@@ -180,7 +183,10 @@
 		return true
 	default:
 	}
-	if resp != nil && !resp.hold() && c.host.allowRetry(c.service) {
+	switch {
+	case resp == nil || resp.hold():
+		c.place.giveBack()
+	case c.host.allowRetry(c.service):
 		resp.finish(false)
 		a.again, a.ran = true, true
 		return false
