Gateway: bound the counts of requests by key

Cause: Host.keyCounts got an entry for each key that clients name, and was emptied only by a load report. Without a leader there is none.

Change: keyCounts counts at most 4,096 keys of all services. Beyond it, a request of a further key takes one request off all counts (Misra-Gries), so that the keys with the most requests stay. Up to 4,096 keys between two reports, counts are exact as before.

Result: TestKeyCountsAreBounded failed on the code before (81,921 keys) and passes now: at most 4,096 keys, and the key with a tenth as many requests as there are others keeps more than half of its count.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -88,7 +88,7 @@
 	mu            sync.Mutex
 	picker        routes.Picker
 	retryLimiters map[string]*retry.WindowLimiter // by service
-	keyCounts     map[string]map[int64]int64      // requests by service and key, for the load report
+	keyCounts     keyCounts                       // for the load report
 	seeds         []string
 }
 
@@ -124,7 +124,6 @@
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
 		retryLimiters: map[string]*retry.WindowLimiter{},
-		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
 	h.backends.onCrash, h.backends.byWork = h.reportCrash, h.byWork()
--- a/internal/gateway/hostload.go
+++ b/internal/gateway/hostload.go
@@ -21,13 +21,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.retryLimiter(service).RecordRequest(clockNow())
-	if key == NoKey {
-		return
+	if key != NoKey {
+		h.keyCounts.add(service, key)
 	}
-	if h.keyCounts[service] == nil {
-		h.keyCounts[service] = map[int64]int64{}
-	}
-	h.keyCounts[service][key]++
 }
 
 // allowRetry takes one retry from the service's retry budget, or returns false if it is used up.
@@ -55,13 +51,6 @@
 	report := keyrange.LoadReport{Servers: h.backends.takeObservations(clockNow())}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for service, keyCounts := range h.keyCounts {
-		load := keyrange.ServiceLoad{Service: service}
-		for key, count := range keyCounts {
-			load.Keys = append(load.Keys, keyrange.KeyLoad{Key: key, Count: count})
-		}
-		report.Services = append(report.Services, load)
-	}
-	h.keyCounts = map[string]map[int64]int64{}
+	report.Services = h.keyCounts.take()
 	return report
 }
