Gateway, serverload: forget a server's learned speed by one rule

Cause: the leader forgets a server without observations after a minute, but did not tell gateways, and gateways kept what they had learned themselves as long as the table listed the server. After a pause, a gateway chose by speeds that neither the leader nor gateways started since knew.

Change: serverload.Forgotten is the rule of both: a minute after the last news. The leader lists a server that it forgets (unknown load, then speed 1), and keeps it until this was sent; a View drops it then, and drops all servers after a minute without digests. A gateway forgets the speed that it has learned itself a minute after the server last answered or failed.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -51,6 +51,7 @@
 	backoff     dispatch.Backoff  // after refusals
 	failures    dispatch.Failures // of requests that the server ran
 	speed       cost.Speed
+	newsAt      time.Duration       // when the server last answered, or failed to
 	factor      float64             // speed, also according to shared
 	roundTrip   time.Duration       // of the network, from the opening of connections; 0 if not known
 	shared      serverload.Estimate // what the leader says of the server
@@ -154,7 +155,7 @@
 	return state
 }
 
-// sweep closes expired idle connections, and removes the servers that are not listed, unless their
+// sweep closes expired idle connections, forgets what was learned too long ago, and removes the servers that are not listed, unless their
 // notices still count.
 func (b *backends) sweep(now time.Duration, listed func(id string) bool) {
 	b.mu.Lock()
@@ -166,6 +167,10 @@
 			continue
 		}
 		server.closeIdle()
+		server.forgetSpeed(now)
+	}
+	if b.digests.Expire(now) {
+		b.useDigests()
 	}
 }
 
@@ -231,6 +236,7 @@
 		b.recordFailure(err, time.Since(started), hadFreeSlot)
 		return nil, err
 	}
+	b.newsAt = clockNow()
 	if resp.info.Load != nil {
 		b.load.ObserveReport(clockNow(), *resp.info.Load)
 		b.observeReport(clockNow(), *resp.info.Load)
--- a/internal/gateway/digest.go
+++ b/internal/gateway/digest.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/galenalug/galenalug/cost"
 	"github.com/galenalug/galenalug/dispatch"
 	"github.com/galenalug/galenalug/serverload"
 )
@@ -27,6 +28,11 @@
 		return
 	}
 	b.digestBytes.Add(float64(len(body)))
+	b.useDigests()
+}
+
+// useDigests updates the estimates of all servers. The caller holds b.mu.
+func (b *backends) useDigests() {
 	for _, server := range b.byID {
 		server.useShared(b.digests.Server(server.hash))
 	}
@@ -53,6 +59,16 @@
 	}
 }
 
+// forgetSpeed forgets the learned speed of a server without news, by the rule of the leader.
+func (b *backend) forgetSpeed(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if serverload.Forgotten(now, b.newsAt) {
+		b.speed = cost.Speed{}
+		b.factor = b.speed.FactorWith(b.shared.Speed)
+	}
+}
+
 // observeReport keeps a load report for the leader. The caller holds b.mu.
 func (b *backend) observeReport(now time.Duration, r dispatch.Report) {
 	if !b.byWork {
--- a/internal/gateway/estimates.go
+++ b/internal/gateway/estimates.go
@@ -51,6 +51,7 @@
 	b.failedAt = clockNow()
 	if b.byWork && e.mayHaveRun {
 		b.observed.Failures++
+		b.newsAt = b.failedAt
 	}
 	if e.connRefused {
 		b.refusedAt = b.failedAt
--- a/serverload/doc.go
+++ b/serverload/doc.go
@@ -2,6 +2,10 @@
 // keeps the newest load report of each server, and its speed, and makes digests of what has changed. At a gateway, a
 // View holds what the digests say.
 //
+// What was learned of a server is forgotten a minute after the last news of it (Forgotten): at the leader, after the last
+// observation of any gateway; at a gateway, after its own last observation. The leader lists the servers that it forgets, and
+// a View without digests forgets all of them.
+//
 // The package does no I/O, reads no clock and uses no locks: times are durations since an arbitrary origin.
 package serverload
 
@@ -25,6 +29,13 @@
 	entryBytes = 5
 )
 
+// serverMemory is the time after which a server without news is forgotten.
+const serverMemory = time.Minute
+
+// Forgotten reports whether what was learned of a server does not count any more. newsAt is the time of the last news of
+// the server.
+func Forgotten(now, newsAt time.Duration) bool { return now-newsAt > serverMemory }
+
 // Hash returns the hash of a server's ID that stands for it in digests.
 func Hash(id string) uint32 {
 	h := fnv.New32a()
--- a/serverload/tracker.go
+++ b/serverload/tracker.go
@@ -24,8 +24,6 @@
 	speedHysteresis = 2
 	// loadMemory is the age of a server's newest load report from which its load is unknown.
 	loadMemory = 3 * time.Second
-	// serverMemory is the time after which a server without observations is forgotten.
-	serverMemory = time.Minute
 	// speedMemory is the time constant of the decay of the observations of speeds, and speedPrior the weight, in
 	// requests, of the assumption that a server has mean speed.
 	speedMemory = 15 * time.Second
@@ -152,6 +150,16 @@
 	return max(int(level), int(s.sentLoad)) - min(int(level), int(s.sentLoad))
 }
 
+// speedDue reports whether the speed is to be listed. That of a server that is forgotten follows the news that its load is
+// unknown, by which a View tells it from a mean speed.
+func (s *server) speedDue(now time.Duration) bool {
+	change := int(s.speedLevel()) - int(s.sentSpeed)
+	if Forgotten(now, s.observedAt) {
+		return change != 0 && s.sentLoad == unknownLoad
+	}
+	return change >= speedHysteresis || change <= -speedHysteresis
+}
+
 // interval returns the time between two digests.
 func interval(gateways int) time.Duration {
 	return max(minInterval, time.Duration(gateways)*time.Second/maxPerSecond)
@@ -168,14 +176,17 @@
 	entries := (int(bytesPerSecond*every.Seconds()) - headBytes) / entryBytes
 	var changed, speeds []*server
 	for id, s := range t.servers {
-		if now-s.observedAt > serverMemory {
-			delete(t.servers, id)
-			continue
+		if Forgotten(now, s.observedAt) {
+			if s.sentLoad == unknownLoad && s.sentSpeed == 0 { // gateways know nothing of it any more
+				delete(t.servers, id)
+				continue
+			}
+			s.speedSum, s.samples = 0, 0
 		}
 		if s.loadChange(now) > 0 {
 			changed = append(changed, s)
 		}
-		if change := int(s.speedLevel()) - int(s.sentSpeed); change >= speedHysteresis || change <= -speedHysteresis {
+		if s.speedDue(now) {
 			speeds = append(speeds, s)
 		}
 	}
--- a/serverload/view.go
+++ b/serverload/view.go
@@ -50,7 +50,11 @@
 		}
 	}
 	for b := d.Speeds; len(b) > 0; b = b[entryBytes:] {
-		v.server(b).Speed = speedOf(int8(b[entryBytes-1]))
+		e, level := v.server(b), int8(b[entryBytes-1])
+		e.Speed = speedOf(level)
+		if level == 0 && e.At == 0 { // the leader has forgotten the server
+			delete(v.servers, binary.BigEndian.Uint32(b))
+		}
 	}
 	v.receivedAt = now
 	return nil
@@ -67,6 +71,16 @@
 	return e
 }
 
+// Expire forgets all servers if there has been no digest for so long that the leader would have forgotten them, and
+// reports whether it did.
+func (v *View) Expire(now time.Duration) bool {
+	if len(v.servers) == 0 || !Forgotten(now, v.receivedAt) {
+		return false
+	}
+	v.servers = nil
+	return true
+}
+
 // Server returns what is known of the server with a hash.
 func (v *View) Server(hash uint32) Estimate {
 	if e := v.servers[hash]; e != nil {
