clientconn: bound the log lines about clients that are cut off

Cause: Guard wrote a line for each connection that it refused or cut off, so that a crowd of thousands of connections a second costs as many lines, and hides the other lines of the log.

Change: cutLog decides when a line is due: at most one a second for each listener and cause, with the number of clients that it stands for (field count). The first one of a cause is logged at once. Watch writes what is due when no further client is cut off; the listener of peers has no Watch, so that its last count waits for the next refusal.

--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -5,6 +5,9 @@
 // way to new ones: first idle connections, then those without progress for longest, if that is at least the stall time.
 // If there is none, the new connection is refused. A client that waits for its response doesn't give way.
 //
+// Log lines about clients that are cut off are bounded for each cause; see cutLog. Watch writes those that are still due
+// when no further client is cut off. Without Watch they wait for the next one.
+//
 // Guard.mu is held while the kernel is asked for the unacknowledged bytes of connections, which doesn't block.
 package clientconn
 
@@ -58,6 +61,9 @@
 	byRemote map[string]*Conn // by remote address
 	// noneUntil is the time until which no connection gives way, since the last search found none.
 	noneUntil time.Time
+
+	cutsMu sync.Mutex // guards cuts; no other lock is acquired while it is held
+	cuts   cutLog
 }
 
 // New returns a guard.
@@ -200,6 +206,7 @@
 		for c, cause := range g.tooSlow(now, waited) {
 			c.cutSlow(cause)
 		}
+		g.logPendingCuts(now)
 	}
 }
 
@@ -258,8 +265,28 @@
 
 func (g *Guard) recordCut(c *Conn, cause Cause) {
 	g.options.Metrics.countCut(cause)
-	g.options.Logger.WithFields(log.Fields{
-		"listener": g.options.Name, "remote": c.remote, "cause": string(cause),
-		"received": c.received.Load(), "written": c.written.Load(), "open_ms": time.Since(c.opened).Milliseconds(),
-	}).Warn("client cut off")
+	now := time.Now()
+	fields := log.Fields{
+		"remote": c.remote, "received": c.received.Load(), "written": c.written.Load(), "open_ms": now.Sub(c.opened).Milliseconds(),
+	}
+	g.cutsMu.Lock()
+	lines := g.cuts.add(now, cause, fields)
+	g.cutsMu.Unlock()
+	g.logCuts(lines)
+}
+
+// logPendingCuts writes the log lines that are due though no further client is cut off.
+func (g *Guard) logPendingCuts(now time.Time) {
+	g.cutsMu.Lock()
+	lines := g.cuts.due(now)
+	g.cutsMu.Unlock()
+	g.logCuts(lines)
+}
+
+func (g *Guard) logCuts(lines []cutLine) {
+	for _, line := range lines {
+		g.options.Logger.WithFields(log.Fields{
+			"listener": g.options.Name, "cause": string(line.cause), "count": line.count,
+		}).WithFields(line.fields).Warn("client cut off")
+	}
 }
