Gateway: heads of requests that run ahead are part of the memory budget

Cause: Host.serve takes the memory of a head, but requests that run before their turn don't pass there. 256 of them with heads of short fields (0.46 MB each) could hold more than 100 MB that the budget did not count. Their accounts were empty, so that none of them ever gave way.

Change: a request runs ahead only if the budget has memory for its head, else it waits its turn, where it is refused if there is still none. Account.TryTake takes memory that nobody gives way to, and leaves a quarter of the budget to others. The account does not give way before the response is written; then the connection is closed. The account is closed before the end of the request is known, since the handler then returns and the connection serves the next request.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -42,7 +42,7 @@
 // client returns the client's connection, or nil.
 func (h *hold) client() *clientconn.Conn { return h.conn.Load() }
 
-// openHold opens the request's account in the memory budget. conn is nil for a request that runs before its turn.
+// openHold opens the request's account in the memory budget. A request that runs before its turn has one already.
 func (c *call) openHold(conn *clientconn.Conn) {
 	c.hold.conn.Store(conn)
 	c.hold.unread = c.request.ContentLength != 0
--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -8,6 +8,9 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/galenalug/galenalug/internal/clientconn"
+	"github.com/galenalug/galenalug/internal/membudget"
 )
 
 // maxHeldHead is the size up to which a response's head is held until the response's turn, bytes.
@@ -34,6 +37,7 @@
 	conn     *clientConn
 	request  *http.Request // as parsed here; equal to that of net/http
 	arrived  time.Time
+	account  *membudget.Account
 	turn     chan struct{} // closed when writer is set
 	writer   http.ResponseWriter
 	done     chan struct{} // closed at the end; the fields below are set before
@@ -81,7 +85,8 @@
 	if table == nil || !stamp.ConfigUsable || !mayRunAhead(table.Match(r.Host, path)) {
 		return notAheadRoute, true
 	}
-	if !c.shared.ahead.TryAcquire(1) {
+	account := c.takeAhead(r)
+	if account == nil {
 		return notAheadNoRoom, false
 	}
 	if c.ctx == nil {
@@ -89,7 +94,7 @@
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
 	a := &aheadRequest{
-		conn: c, request: r.WithContext(c.ctx), arrived: arrived,
+		conn: c, request: r.WithContext(c.ctx), arrived: arrived, account: account,
 		turn: make(chan struct{}), done: make(chan struct{}),
 	}
 	c.queue = append(c.queue, a)
@@ -99,12 +104,29 @@
 	return "", false
 }
 
+// takeAhead takes a part of what all requests ahead may have, and the memory of the request's head. It returns the account
+// of the request, or nil if there is not enough. The account does not give way before the response is written: its client
+// has done its part. If it has to then, the connection is closed. The caller holds mu.
+func (c *clientConn) takeAhead(r *http.Request) *membudget.Account {
+	if !c.shared.ahead.TryAcquire(1) {
+		return nil
+	}
+	now := clockNow()
+	account := c.shared.host.clients.budget.Open(now, func() { c.Cut(clientconn.MemoryShort) })
+	account.SetAtServer(now, true)
+	if !account.TryTake(membudget.Heads, headMemory(headSize(r))) {
+		account.Close()
+		c.shared.ahead.Release(1)
+		return nil
+	}
+	return account
+}
+
 // run serves the request in the code path of other requests.
 func (a *aheadRequest) run(h *Host) {
 	c := h.newCall(nil, a.request, a.arrived)
 	c.ahead = a
-	c.openHold(nil)
-	defer c.closeHold()
+	c.hold.account = a.account
 	defer func() {
 		a.panicked = recover() // raised again in the handler
 		if a.canceled = c.writer == nil && !a.again; a.canceled {
@@ -114,6 +136,7 @@
 		a.conn.shared.ahead.Release(1)
 		close(a.done)
 	}()
+	defer c.closeHold() // before the end is known: the connection then serves the next request
 	c.serve()
 }
 
--- a/internal/gateway/pipeline_place_test.go
+++ b/internal/gateway/pipeline_place_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/galenalug/galenalug/internal/membudget"
 	"github.com/galenalug/galenalug/internal/settings"
 )
 
@@ -70,3 +72,24 @@
 		return err == nil && response.StatusCode == 200
 	})
 }
+
+// Guards against heads of requests that run ahead without a part of the memory budget: each takes up to 0.5 MB. Without
+// memory a request has to wait for its turn.
+func TestHeadsOfRequestsAheadAreInTheBudget(t *testing.T) {
+	release := make(chan struct{})
+	server := newFakeBackend(t, pathResponder(func(string) { <-release }))
+	f := newSmallHost(t, server)
+	budget := f.host.clients.budget
+	free := budget.Size()*3/4 - 400_000 // room for two of the heads below
+	budget.Charge(membudget.RequestBodies, free)
+	client := f.connect()
+	client.send(strings.ReplaceAll(getRequests(5), "\r\n\r\n", "\r\n"+strings.Repeat("a: \r\n", 800)+"\r\n"))
+	waitFor(t, "requests at the server", func() bool { return server.count() >= 2 })
+	time.Sleep(50 * time.Millisecond) // in which further ones would arrive
+	if n, held := server.count(), budget.Held(membudget.Heads); n != 2 || held < 250_000 || held > 400_000 {
+		t.Errorf("%d requests at the server, %d bytes of heads in the budget; want 2 requests and their heads", n, held)
+	}
+	close(release)
+	client.expectPaths(5)
+	waitFor(t, "returned memory", func() bool { return budget.Held(membudget.Heads) == 0 })
+}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -145,9 +145,7 @@
 	}
 	enough := b.total+bytes <= limit
 	if enough {
-		a.held[kind] += bytes
-		a.total += bytes
-		b.add(kind, bytes)
+		a.add(kind, bytes)
 	}
 	b.mu.Unlock()
 	for _, victim := range victims {
@@ -156,6 +154,26 @@
 	return enough
 }
 
+// TryTake takes memory for work that can wait, and reports whether there was enough. Nobody gives way to it, and it leaves
+// the last quarter of the budget to others.
+func (a *Account) TryTake(kind Kind, bytes int64) bool {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.evicted || a.closed || b.total+bytes > b.size*largeShare/4 {
+		return false
+	}
+	a.add(kind, bytes)
+	return true
+}
+
+// add changes what the account holds. The caller holds mu.
+func (a *Account) add(kind Kind, bytes int64) {
+	a.held[kind] += bytes
+	a.total += bytes
+	a.budget.add(kind, bytes)
+}
+
 // mostStalled returns the account that gives way first, or nil. The caller holds mu.
 func (b *Budget) mostStalled(now time.Duration, except *Account) *Account {
 	var found *Account
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -90,3 +90,17 @@
 		t.Error("a client that sends 40 bytes a second did not give way")
 	}
 }
+
+// Guards against work that can wait and makes others give way, or leaves nothing to them.
+func TestWorkThatCanWaitGetsNoMemoryOfOthers(t *testing.T) {
+	b := New(4 << 20)
+	var evicted int
+	open(b, 0, &evicted).Take(0, RequestBodies, 3<<20-10)
+	waits := open(b, 2*second, &evicted)
+	if !waits.TryTake(Heads, 10) || waits.TryTake(Heads, 1) || evicted != 0 {
+		t.Errorf("three quarters of the budget are not the bound, or %d accounts gave way", evicted)
+	}
+	if waits.Close(); b.Held(Heads) != 0 {
+		t.Errorf("%d bytes are held after the end", b.Held(Heads))
+	}
+}
