Gateway, admitshare: drop the state of services that left the configuration

Cause: gateways kept the retry limiters, counts of keys, mean service times, queues, learned work and owners of each service that they had ever served, and the throttle its groups. At the leader, the planner of the admission never forgot a group: each plan renewed the time that stood for its last demand; corrections of the capacity were kept, too.

By then their requests have ended, and a leader that sees such a service return sends all owners of its keys. The throttle and the planner forget a group 10 s after its last request; the planner forgets corrections of services without demand and servers. The other maps of internal/fleet are made anew for each configuration, and keyrange forgets its services already.

--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -58,8 +59,9 @@
 
 // demandRate is work demanded per second, decayed.
 type demandRate struct {
-	work      float64 // slots that the demand keeps busy
-	updatedAt time.Duration
+	work       float64 // slots that the demand keeps busy
+	updatedAt  time.Duration
+	reportedAt time.Duration
 }
 
 // NewPlanner returns a planner without demand.
@@ -76,6 +78,7 @@
 			p.demand[d.Group] = rate
 		}
 		rate.decay(now)
+		rate.reportedAt = now
 		rate.work += float64(max(d.WorkMicros, 0)) / float64(demandTime.Microseconds())
 	}
 }
@@ -91,7 +94,9 @@
 	free := p.plannedCapacity(capacities)
 	plan := Plan{Groups: []Fraction{}}
 	clear(p.limited)
-	for _, group := range p.groups(now) {
+	groups := p.groups(now)
+	p.forgetCorrections(groups, free)
+	for _, group := range groups {
 		regions := free[group.Service]
 		if len(regions) == 0 {
 			continue // no server is known, so that there is nothing to share
@@ -108,11 +113,20 @@
 	return plan
 }
 
+// forgetCorrections drops the corrections of services without demand that have no capacity any more.
+func (p *Planner) forgetCorrections(groups []Group, capacity map[string]map[string]float64) {
+	demanded := map[string]bool{}
+	for _, group := range groups {
+		demanded[group.Service] = true
+	}
+	maps.DeleteFunc(p.corrections, func(at place, _ *correction) bool { return !demanded[at.service] && len(capacity[at.service]) == 0 })
+}
+
 // groups returns the groups with demand in the order in which capacity is given to them.
 func (p *Planner) groups(now time.Duration) []Group {
 	var groups []Group
 	for group, rate := range p.demand {
-		if now-rate.updatedAt > forgetTime {
+		if now-rate.reportedAt > forgetTime {
 			delete(p.demand, group)
 			continue
 		}
--- a/admitshare/throttle.go
+++ b/admitshare/throttle.go
@@ -1,6 +1,7 @@
 package admitshare
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -47,6 +48,11 @@
 	}
 }
 
+// Forget drops the groups without requests for forgetTime. Less than one percent of their counts is left then.
+func (t *Throttle) Forget(now time.Duration) {
+	maps.DeleteFunc(t.groups, func(_ Group, counts *throttleCounts) bool { return now-counts.updatedAt > forgetTime })
+}
+
 func (t *Throttle) counts(now time.Duration, group Group) *throttleCounts {
 	if t.groups == nil {
 		t.groups = map[Group]*throttleCounts{}
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -9,6 +9,7 @@
 package cost
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -208,6 +209,11 @@
 	return prior
 }
 
+// Forget drops the classes of the services that gone accepts.
+func (m *Model) Forget(gone func(service string) bool) {
+	maps.DeleteFunc(m.classes, func(c Class, _ *estimate) bool { return gone(c.Service) })
+}
+
 // Each calls visit for each route of which something is known.
 func (m *Model) Each(visit func(Class, Work)) {
 	for c, e := range m.classes {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -57,6 +57,16 @@
 	a.limiter.Update(now, plan)
 }
 
+// forget drops what is known of groups without requests.
+func (a *admission) forget(now time.Duration) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.throttle.Forget(now)
+}
+
 // demand returns the demand since the last call.
 func (a *admission) demand() admitshare.DemandReport {
 	a.mu.Lock()
--- a/internal/gateway/costs.go
+++ b/internal/gateway/costs.go
@@ -36,6 +36,13 @@
 	return c.model.Observe(class, speed, prior, took)
 }
 
+// drop forgets the work of requests for services.
+func (c *costs) drop(services map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.model.Forget(func(service string) bool { return services[service] })
+}
+
 // each calls visit for each route of which the work is known.
 func (c *costs) each(visit func(cost.Class, cost.Work)) {
 	c.mu.Lock()
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -209,10 +209,13 @@
 }
 
 func (h *Host) sweep(ctx context.Context) {
+	var left leftServices
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, sweepInterval)
 		h.backends.sweep(clockNow(), h.view.has)
 		h.checkLimits()
+		h.dropLeftServices(clockNow(), &left)
+		h.admission.forget(clockNow())
 	}
 }
 
--- a/internal/gateway/keycounts.go
+++ b/internal/gateway/keycounts.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/galenalug/galenalug/keyrange"
+import (
+	"maps"
+
+	"github.com/galenalug/galenalug/keyrange"
+)
 
 // maxKeyCounts bounds the keys of all services that are counted between two load reports: about 0.5 MB. A gateway of the
 // rental deployment gets a few requests in this time. There may be far more keys while there is no leader to report to,
@@ -40,6 +44,11 @@
 	}
 }
 
+// drop forgets the counts of services.
+func (k *keyCounts) drop(services map[string]bool) {
+	maps.DeleteFunc(k.counts, func(id keyOf, _ int64) bool { return services[id.service] })
+}
+
 // take returns the counts since the last call.
 func (k *keyCounts) take() []keyrange.ServiceLoad {
 	var loads []keyrange.ServiceLoad
