--- a/admitshare/planner.go
+++ b/admitshare/planner.go
@@ -67,9 +67,10 @@
 
 // demandRate is work demanded per second, decayed.
 type demandRate struct {
-	work      float64 // slots that the demand keeps busy
-	requests  float64 // per second
-	updatedAt time.Duration
+	work       float64 // slots that the demand keeps busy
+	requests   float64 // per second
+	updatedAt  time.Duration
+	reportedAt time.Duration
 }
 
 // NewPlanner returns a planner without demand. mayQueue tells whether the leader has a queue for scarce services.
@@ -89,6 +90,7 @@
 			p.demand[d.Group] = rate
 		}
 		rate.decay(now)
+		rate.reportedAt = now
 		rate.work += float64(max(d.WorkMicros, 0)) / float64(demandTime.Microseconds())
 		rate.requests += float64(max(d.Requests, 0)) / demandTime.Seconds()
 	}
@@ -110,6 +112,7 @@
 	free := p.plannedCapacity(capacities)
 	plan := Plan{Groups: []Fraction{}, Queued: slices.Sorted(maps.Keys(p.queued))}
 	clear(p.limited)
+	p.forgetCorrections(groups, free)
 	for _, group := range groups {
 		regions := free[group.Service]
 		if len(regions) == 0 || p.queued[group.Service] {
@@ -127,11 +130,20 @@
 	return plan
 }
 
+// forgetCorrections drops the corrections of services without demand that have no capacity any more.
+func (p *Planner) forgetCorrections(groups []Group, capacity map[string]map[string]float64) {
+	demanded := map[string]bool{}
+	for _, group := range groups {
+		demanded[group.Service] = true
+	}
+	maps.DeleteFunc(p.corrections, func(at place, _ *correction) bool { return !demanded[at.service] && len(capacity[at.service]) == 0 })
+}
+
 // groups returns the groups with demand in the order in which capacity is given to them.
 func (p *Planner) groups(now time.Duration) []Group {
 	var groups []Group
 	for group, rate := range p.demand {
-		if now-rate.updatedAt > forgetTime {
+		if now-rate.reportedAt > forgetTime {
 			delete(p.demand, group)
 			continue
 		}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -89,7 +89,7 @@
 	mu            sync.Mutex
 	picker        routes.Picker
 	retryLimiters map[string]*retry.WindowLimiter // by service
-	keyCounts     map[string]map[int64]int64      // requests by service and key, for the load report
+	keyCounts     keyCounts                       // for the load report
 	seeds         []string
 }
 
@@ -125,7 +125,6 @@
 		metrics:       m,
 		events:        eventlog.New(o.Events, o.Settings.Name),
 		retryLimiters: map[string]*retry.WindowLimiter{},
-		keyCounts:     map[string]map[int64]int64{},
 		seeds:         fleet.SeedAddresses(o.Settings.Seeds, o.Settings.PeerPort),
 	}
 	h.backends.onCrash, h.backends.byWork = h.reportCrash, h.byWork()
@@ -212,10 +211,13 @@
 }
 
 func (h *Host) sweep(ctx context.Context) {
+	var left leftServices
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, sweepInterval)
 		h.backends.sweep(clockNow(), h.view.has)
 		h.checkLimits()
+		h.dropLeftServices(clockNow(), &left)
+		h.admission.forget(clockNow())
 	}
 }
 
