Schema of keyrange: state what RegionServer describes

Cause: the generated comment "is what operators are told" did not say what the type holds.

Change: "describes a backend server to operators". Comments only.

Result: make generate changes nothing else.

--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -130,7 +130,7 @@
 	To int64 `json:"t" yaml:"t" cbor:"t"`
 }
 
-// RegionServer is what operators are told of a backend server.
+// RegionServer describes a backend server to operators.
 type RegionServer struct {
 	// Failure domain.
 	Domain string `json:"domain" yaml:"domain" cbor:"domain"`
