Gateway: requests ahead that are refused hold no slot of the leader's queue

Cause: a request that runs before its turn and was refused by its server asks the leader for another slot before it is known that it may not be sent again. It kept this slot until its turn came, so that a client with a slow request before it kept slots of a scarce service from all gateways.

Change: awaitTurn gives back an unused slot together with the place among the requests in progress.

Result: TestRefusedRequestAheadHoldsNoSlot failed on the code before (slot not given back within 5 s) and passes now. All tests of internal/gateway pass with -race.

--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -193,8 +193,8 @@
 // backend server is held as far as there is memory. A larger one waits at its server, which may cut it off, unless
 // the retry budget lets the request run again in its turn.
 //
-// A call without a connection to a server gives its place among the requests in progress back before it waits, and
-// needs none to write the response: it can't be refused any more.
+// A call without a connection to a server gives back its place among the requests in progress, and a slot that it has not
+// used, before it waits. It needs none to write the response: it can't be refused any more.
 func (c *call) awaitTurn(resp *backendResponse) bool {
 	a := c.ahead
 	if a == nil || c.writer != nil {
@@ -209,6 +209,7 @@
 	switch {
 	case resp == nil || resp.hold():
 		c.place.giveBack()
+		c.returnSlot()
 	case c.host.allowRetry(c.service):
 		resp.finish(false)
 		a.again, a.ran = true, true
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/keyrange"
+	"github.com/galenalug/galenalug/routes"
 	"github.com/galenalug/galenalug/slotqueue"
 )
 
@@ -217,3 +218,41 @@
 		t.Errorf("outcomes %q", got)
 	}
 }
+
+// publishQueued publishes servers of a service that the given leader queues, with routes to it whose timeout no test reaches.
+func (f *fixture) publishQueued(leader notifier, servers ...*fakeBackend) {
+	f.publishPhotos(servers...)
+	config := testConfig()
+	config.Version++
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		r.TimeoutMillis, r.MaxAttempts, r.Shares = 60_000, 1, []routes.Share{{Service: "photos", Weight: 1}}
+	}
+	if err := f.host.view.applyConfig(routes.Update{Full: &config}); err != nil {
+		f.t.Fatal(err)
+	}
+	f.host.slots.leader = func() notifier { return leader }
+	f.host.admission.update(clockNow(), admitshare.Plan{Queued: []string{"photos"}})
+}
+
+// Guards against slots that nobody can use, since a request that may not be sent again waits for its turn on its connection.
+func TestRefusedRequestAheadHoldsNoSlot(t *testing.T) {
+	f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity, s.PipelineDepth = true, 10 }, nil)
+	release := make(chan struct{})
+	refuse := rawResponse("HTTP/1.1 503 Service Unavailable\r\nTest-Id: ID\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	server := newFakeBackend(t, pathResponder(func(string) { <-release }), refuse)
+	leader := &fakeQueue{slots: &f.host.slots, answer: &slotqueue.Answer{ServerID: "a"}}
+	f.publishQueued(leader, server)
+	client := f.connect()
+	client.send(getRequest("/look/0"))
+	waitFor(t, "a request at the server", func() bool { return server.count() == 1 })
+	client.send(getRequest("/look/1"))
+	waitFor(t, "the slots of the refused request", func() bool {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return joinOutcomes(leader.released) == "refused unsent"
+	})
+	close(release)
+	client.expect(200, "/look/0")
+	client.expect(503, "")
+}
