Queue of slots: servers that warm up count as slower

Cause: the leader's queue took servers that warm up without a limit for as fast as warm ones, and so filled the ones that have just joined first. Gateways learn of the warm-up from the table when they choose among servers, which they don't for a request with a slot: without X-Warmup-Ms, its response time counted as the usual speed of the server, also at the leader.

Change: the leader multiplies the speed with the fraction that keyrange uses (now exported), and a gateway notes the warm-up that the table states when it uses a slot.

Result: TestServersThatWarmUpGetFewerSlots (speed 1, want 0.5) and TestServerOfSlotCountsAsWarmingUp failed on the code before and pass now. The tests of internal/gateway, internal/fleet, keyrange and slotqueue pass with -race.

--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -11,6 +11,7 @@
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/slotqueue"
 )
 
@@ -60,7 +61,7 @@
 }
 
 // slotServers returns the servers of a service that may get requests from its queue. Cold servers are left out: gateways send
-// them requests with tokens.
+// them requests with tokens. Others that warm up count with a part of their speed.
 func (h *Host) slotServers(now time.Duration, l *leadership, service string) []slotqueue.Server {
 	var servers []slotqueue.Server
 	for _, s := range l.coordinator.AvailableServers(now, service) {
@@ -73,6 +74,9 @@
 		if l.loads != nil {
 			server.Speed = l.loads.Speed(s.ID)
 		}
+		if s.WarmupMillis > 0 { // the speed in loads is that of the warm server
+			server.Speed *= keyrange.WarmupFactor
+		}
 		servers = append(servers, server)
 	}
 	return servers
--- a/internal/fleet/slots_test.go
+++ b/internal/fleet/slots_test.go
@@ -64,3 +64,28 @@
 		send(wire.KindSlotRelease, slotqueue.Release{ID: id, Outcome: slotqueue.Served, AtServerMicros: 1000})
 	}
 }
+
+// Guards against a queue that fills servers that warm up as if they had their usual speed.
+func TestServersThatWarmUpGetFewerSlots(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	leader := c.leader()
+	p := put(0, 1)
+	p.Config.Services[0].Keyed = false
+	c.putUntilAccepted(p)
+	server := &keyrange.Server{ID: "s1", StartMillis: 3, Service: "stock", Address: "s1:80", Slots: 4, WarmupMillis: 60_000}
+	ctx, cancel := context.WithCancel(context.Background())
+	loops := c.beatUntil(ctx, server)
+	defer loops.Wait()
+	defer cancel()
+	var servers []slotqueue.Server
+	c.wait("the server", func() bool {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		servers = leader.slotServers(clock.Now(), leader.leading, "stock")
+		return len(servers) == 1
+	})
+	if servers[0].Speed != keyrange.WarmupFactor {
+		t.Errorf("speed %v during the warm-up, want %v", servers[0].Speed, keyrange.WarmupFactor)
+	}
+}
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -96,7 +96,9 @@
 	servers, _ := c.servers(now, service)
 	for _, s := range servers {
 		if s.ID == answer.ServerID && s.StartMillis == answer.StartMillis {
-			to, _, _ := c.claim(now, c.host.target(s))
+			to := c.host.target(s)
+			to.noteListed(now, s)
+			to, _, _ = c.claim(now, to)
 			return to
 		}
 	}
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -256,3 +256,18 @@
 	client.expect(200, "/look/0")
 	client.expect(503, "")
 }
+
+// Guards against a warm-up that counts as the usual speed of a server, since its requests come from the leader's queue.
+func TestServerOfSlotCountsAsWarmingUp(t *testing.T) {
+	f := newFixtureWith(t, func(s *settings.GatewaySettings) { byWork(s); s.ShareCapacity = true }, nil)
+	server := newFakeBackend(t, okResponse("ok"))
+	leader := &fakeQueue{slots: &f.host.slots, answer: &slotqueue.Answer{ServerID: "a"}}
+	f.publishQueued(leader, server)
+	joining := f.publishJoining(time.Minute, server)
+	f.do("POST", "/photo/1", nil)
+	joining.mu.Lock()
+	defer joining.mu.Unlock()
+	if server.count() != 1 || !joining.countdown.WarmingUp(clockNow()) {
+		t.Errorf("%d requests at the server, which does not count as warming up", server.count())
+	}
+}
--- a/internal/gateway/warmup.go
+++ b/internal/gateway/warmup.go
@@ -73,6 +73,18 @@
 // coldListing is how long a cold server counts as warming up without another choice that finds it cold.
 const coldListing = time.Second
 
+// noteListed records for how long the server is slower according to its entry in the table.
+func (b *backend) noteListed(now time.Duration, s keyrange.Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noteListedLocked(now, s)
+}
+
+// noteListedLocked does the work of noteListed. The caller holds b.mu.
+func (b *backend) noteListedLocked(now time.Duration, s keyrange.Server) {
+	b.countdown.Listed(now, time.Duration(s.WarmupMillis)*time.Millisecond)
+}
+
 // recordWarmup records for how long the server is slower according to a response. The caller holds b.mu.
 func (b *backend) recordWarmup(info ResponseInfo) {
 	b.countdown.Respond(clockNow(), warmup.Response{
--- a/internal/gateway/workchoice.go
+++ b/internal/gateway/workchoice.go
@@ -122,7 +122,7 @@
 func (b *backend) fillCandidate(now time.Duration, s keyrange.Server, c *dispatch.Candidate, entry *queueEntry, once bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.countdown.Listed(now, time.Duration(s.WarmupMillis)*time.Millisecond)
+	b.noteListedLocked(now, s)
 	c.WarmingUp = b.countdown.WarmingUp(now)
 	*c.Load = b.load
 	if b.queue.Len() > 0 {
--- a/keyrange/balance.go
+++ b/keyrange/balance.go
@@ -6,8 +6,8 @@
 	// defaultServiceTimeSeconds is the service time of a request that is assumed while no
 	// measurement exists.
 	defaultServiceTimeSeconds = 0.1
-	// warmupFactor is the fraction of a server's capacity that is counted during its warm-up.
-	warmupFactor = 0.5
+	// WarmupFactor is the fraction of a server's capacity that the leader counts during its warm-up.
+	WarmupFactor = 0.5
 	// busyUtilization is the slot utilization above which requests begin to queue at a server.
 	// Below it no keys are moved because of load.
 	busyUtilization = 0.6
--- a/keyrange/fleet.go
+++ b/keyrange/fleet.go
@@ -133,7 +133,7 @@
 	serviceTimeSeconds := s.serviceTimes.averageSeconds(serviceAverage)
 	capacity := float64(max(s.info.Slots, 1)) / serviceTimeSeconds
 	if s.info.WarmupMillis > 0 {
-		capacity *= warmupFactor
+		capacity *= WarmupFactor
 	}
 	if s.cold && coldRate > 0 {
 		capacity = min(capacity, coldRate)
