Gateway: keep the owners of a service that returns to the configuration

Cause: the leader sends the owners of a returning service once, possibly before the gateway has the new configuration.

Result: TestOwnersOfReturningServiceAreKept failed on the code before ("owners that have just been sent are dropped") and passes now, with all tests of internal/gateway with -race.

--- a/internal/gateway/leftservices.go
+++ b/internal/gateway/leftservices.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/galenalug/galenalug/routes"
@@ -55,7 +56,7 @@
 	}
 	h.dropServices(gone)
 	h.backends.dropServices(gone)
-	h.view.dropServices(gone)
+	h.view.dropServices(now, gone)
 }
 
 // addServices adds the services of which the host keeps state.
@@ -100,10 +101,14 @@
 	addKeys(held, v.owners)
 }
 
-func (v *view) dropServices(gone map[string]bool) {
+// dropServices drops the owners of services, except those that have just been learned: the service returns, and its new
+// configuration has not arrived or was not seen by the sweep. The leader doesn't send them again.
+func (v *view) dropServices(now time.Duration, gone map[string]bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	dropKeys(v.owners, gone)
+	maps.DeleteFunc(v.owners, func(name string, owners []ownerRange) bool {
+		return gone[name] && !slices.ContainsFunc(owners, func(o ownerRange) bool { return now-o.learnedAt < serviceRetention/2 })
+	})
 }
 
 // addKeys adds the keys of a map by service.
--- a/internal/gateway/leftservices_test.go
+++ b/internal/gateway/leftservices_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/cost"
+	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
 )
 
@@ -55,3 +56,29 @@
 		t.Errorf("state of %v, want photos only; %d services remembered", found, len(left.since))
 	}
 }
+
+// Guards against keys without an owner for a service that returns: the leader sends the owners of its keys once, possibly
+// before the gateway has the configuration.
+func TestOwnersOfReturningServiceAreKept(t *testing.T) {
+	f := newFixtureWith(t, byWork, nil)
+	f.publish(nil)
+	now := clockNow()
+	learn := func(at time.Duration) {
+		f.host.view.apply(at, keyrange.TableUpdate{Term: 1, EntryHosts: 1, Owners: []keyrange.Owner{{Service: "back", From: 0, To: 999, ServerID: "s1"}}})
+	}
+	learn(now)
+	var left leftServices
+	f.host.dropLeftServices(now, &left)
+	learn(now + serviceRetention)
+	f.host.dropLeftServices(now+serviceRetention, &left)
+	held := map[string]bool{}
+	if f.host.view.addServices(held); !held["back"] {
+		t.Error("owners that have just been sent are dropped")
+	}
+	f.host.dropLeftServices(now+serviceRetention+time.Second, &left)
+	f.host.dropLeftServices(now+2*serviceRetention+time.Second, &left)
+	clear(held)
+	if f.host.view.addServices(held); held["back"] {
+		t.Error("owners of a service that does not return are kept")
+	}
+}
