Elect and keep a leader of the control group while disks are slow

Cause: the loop of a member stood still during each synced write. Where writes take the election timeout (400 ms) or longer on a majority of the members, no election succeeded: a candidate timed out while it wrote its own vote, which discarded the votes that came later; a voter timed out while it wrote the vote that it had just granted; and a new leader sent no heartbeat before its first entry was written. The group raised its term again and again, without a leader, for as long as the disks were slow.

Change: a write runs on another goroutine, one at a time, and the node goes on meanwhile. Ready withholds the messages that depend on a write; a leader's appends and heartbeats do not. A follower acknowledges heartbeats during a write up to what is durable. Entries are applied once they are committed and durable here. No election starts during a member's write, and its timeout counts from the end of a slow one; votes for a candidacy count although a pre-vote has started since; a member refuses pre-votes while an election in which it has voted may be in progress. Members whose last write was slow stand later. A leader whose write takes longer than the election timeout transfers its leadership to a live voter that wrote the same entries in half of it, or after ten election timeouts to any that has them; at most once in four election timeouts, since transfers between equally slow members cost more than they gain. The fleet logs such writes.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/galenalug/galenalug/storage"
 )
@@ -23,6 +24,7 @@
 // FS is an in-memory file system. It is safe for concurrent use.
 type FS struct {
 	mu     sync.Mutex // guards the fields below and all inodes
+	fixed  *sync.Cond // on mu; signaled when the faults change
 	files  map[string]*inode
 	synced map[string]*inode // directory entries that survive a crash
 	faults Faults
@@ -38,11 +40,17 @@
 	SyncError    error
 	DirSyncError error
 	RenameError  error
+	// If set, syncs of files wait until it is no longer set.
+	Stalled bool
+	// SyncDelay is the time that each sync of a file takes.
+	SyncDelay time.Duration
 }
 
 // New returns an empty file system without faults.
 func New() *FS {
-	return &FS{files: map[string]*inode{}, synced: map[string]*inode{}, faults: Faults{FreeBytes: -1}}
+	f := &FS{files: map[string]*inode{}, synced: map[string]*inode{}, faults: Faults{FreeBytes: -1}}
+	f.fixed = sync.NewCond(&f.mu)
+	return f
 }
 
 // SetFaults replaces the injected faults.
@@ -50,6 +58,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.faults = faults
+	f.fixed.Broadcast()
 }
 
 // Crash discards everything that was not synced, except for up to tail bytes of each file after the
@@ -240,6 +249,14 @@
 func (f *file) Sync() error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if delay := f.fs.faults.SyncDelay; delay > 0 {
+		f.fs.mu.Unlock()
+		time.Sleep(delay)
+		f.fs.mu.Lock()
+	}
+	for f.fs.faults.Stalled {
+		f.fs.fixed.Wait()
+	}
 	if f.fs.faults.SyncError != nil {
 		return f.fs.faults.SyncError
 	}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -210,6 +210,7 @@
 		OnChange:      h.logMemberChange,
 		Voters:        h.voterPolicy(),
 		ElectionDelay: h.electionDelay,
+		OnSlowWrite:   h.logSlowWrite,
 	}
 	initialMembers := h.bootstrapMembers()
 	switch {
--- a/internal/fleet/quorum.go
+++ b/internal/fleet/quorum.go
@@ -44,6 +44,11 @@
 	}).Info("member change proposed")
 }
 
+// logSlowWrite logs a write that took the election timeout or longer, which bounds the rate of these lines.
+func (h *Host) logSlowWrite(took time.Duration) {
+	log.WithFields(log.Fields{"host": h.name, "elapsed_ms": took.Milliseconds()}).Warn("write of the replicated log was slow")
+}
+
 func (h *Host) observeFailure(status group.Status) {
 	failed := status.Failed != nil && !errors.Is(status.Failed, group.ErrStopped)
 	if failed == h.logFailed.Swap(failed) {
--- a/internal/group/doc.go
+++ b/internal/group/doc.go
@@ -1,6 +1,10 @@
 // Package group runs one member of a replicated log. A single goroutine, the loop, owns the
-// replog.Node, the storage.Store and the Applier. It writes all queued proposals as one batch with
-// one sync.
+// replog.Node and the Applier. It writes all queued proposals as one batch with one sync.
+//
+// Writes run on another goroutine, one at a time. The loop goes on meanwhile: it sends heartbeats and
+// acknowledges what is durable by then, so that a slow disk does not look like a lost host. A leader
+// whose write takes longer than the election timeout transfers its leadership to a member that has
+// written the same entries, if there is one.
 //
 // # Contract
 //
--- a/internal/group/failure.go
+++ b/internal/group/failure.go
@@ -19,6 +19,9 @@
 		return
 	}
 	r.reopenAt = now + reopenInterval
+	if r.jobRunning {
+		return
+	}
 	r.discardSnapshots()
 	store, recovered, err := r.store.Reopen()
 	if err != nil {
@@ -35,7 +38,7 @@
 
 // discardSnapshots waits for a snapshot that is being written to the store and ignores its result.
 func (r *Runner) discardSnapshots() {
-	r.snapshotWriters.Wait()
+	r.writers.Wait()
 	r.snapshotting = false
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -62,7 +65,7 @@
 		req.reply <- outcome{err: ErrUnknownOutcome}
 	}
 	r.failRequests(inbox{tasks: r.tasks}, errors.Wrap(ErrUnavailable, err.Error()))
-	r.tasks = nil
+	r.tasks, r.jobs = nil, nil
 }
 
 // failRequests replies with err to the requests in work and to all pending reads.
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -22,6 +22,9 @@
 			r.reopen()
 		}
 		work := r.takeInbox()
+		for _, err := range work.stored {
+			r.finishJob(err)
+		}
 		if work.stop {
 			r.shutDown(work)
 			return
@@ -127,7 +130,7 @@
 	}
 	r.fail(stopped)
 	r.failRequests(work, ErrStopped)
-	r.snapshotWriters.Wait()
+	r.writers.Wait()
 	_ = r.store.Close()
 	r.publish()
 }
--- a/internal/group/options.go
+++ b/internal/group/options.go
@@ -109,6 +109,9 @@
 	// that are live have changed, and when the member has failed. It may be nil. It is called from
 	// the loop and must not block.
 	OnVoters func(Status)
+	// OnSlowWrite is called when a write has taken the election timeout or longer. It may be nil. It is called from the
+	// loop and must not block.
+	OnSlowWrite func(took time.Duration)
 	// Storage configures the store. The zero value selects the defaults.
 	Storage storage.Options
 }
@@ -135,6 +138,9 @@
 	if o.OnChange == nil {
 		o.OnChange = func(replog.MemberChange) {}
 	}
+	if o.OnSlowWrite == nil {
+		o.OnSlowWrite = func(time.Duration) {}
+	}
 	if o.OnVoters == nil {
 		o.OnVoters = func(Status) {}
 	}
--- a/internal/group/ready.go
+++ b/internal/group/ready.go
@@ -5,18 +5,15 @@
 	"github.com/pkg/errors"
 )
 
-// processReady persists, sends and applies the node's output until there is none left.
+// processReady starts the writes of the node's output, and sends and applies it, until there is none left.
 func (r *Runner) processReady() {
 	for r.failed == nil {
 		ready := r.node.Ready()
 		if ready.Empty() {
+			r.startSnapshot()
 			return
 		}
 		r.notifyLeadership()
-		if err := r.write(ready); err != nil {
-			r.fail(err)
-			return
-		}
 		r.sendAll(ready.Messages)
 		if err := r.apply(ready); err != nil {
 			r.fail(err)
@@ -24,25 +21,12 @@
 		}
 		r.completeReads(ready.ReadStates)
 		r.node.Advance()
-		r.notifyLeadership()
 		r.startSnapshot()
-	}
-}
-
-func (r *Runner) write(ready replog.Ready) error {
-	if ready.Snapshot != nil {
-		hard := ready.HardState
-		if hard == nil {
-			return errors.New("group: snapshot without hard state")
-		}
-		if err := r.store.InstallSnapshot(*hard, ready.Snapshot.Meta, ready.Snapshot.Data); err != nil {
-			return err
-		}
-		if err := r.store.Compact(ready.Snapshot.Meta.Index); err != nil {
-			return err
+		if ready.Writes() && r.failed == nil {
+			r.write(ready)
 		}
+		r.notifyLeadership()
 	}
-	return r.store.Append(ready.HardState, ready.Entries)
 }
 
 // sendAll sends the messages, with one call to Send for each member.
@@ -75,7 +59,7 @@
 }
 
 func (r *Runner) apply(ready replog.Ready) error {
-	if s := ready.Snapshot; s != nil {
+	if s := ready.Restore; s != nil {
 		r.applied, r.snapshotIndex = s.Meta.Index, s.Meta.Index
 		r.snapshotBytes, r.appliedBytes = len(s.Data), 0
 		if len(s.Data) > 0 && s.Meta.Index > r.applierIndex {
--- a/internal/group/runner.go
+++ b/internal/group/runner.go
@@ -40,6 +40,7 @@
 	reads     []*request
 	tasks     []*task
 	snapshots []snapshotResult
+	stored    []error // results of jobs
 	stop      bool
 }
 
@@ -79,7 +80,9 @@
 	applied          uint64 // index of the last entry that the node has released
 	applierIndex     uint64 // index of the last entry that the Applier has; higher than applied after reopen
 	snapshotting     bool
-	snapshotWriters  sync.WaitGroup // goroutines writing snapshots
+	writers          sync.WaitGroup // goroutines that write snapshots or run jobs
+	jobs             []storeJob     // the first one is running; empty after a failure
+	jobRunning       bool           // whether a job is running, which may be one from before a failure
 	failed           error
 	reopenAt         time.Duration // when to open the store again; only while failed is set
 	notified         bool          // whether OnVoters was called
--- a/internal/group/snapshot.go
+++ b/internal/group/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenalug/galenalug/replog"
+	"github.com/galenalug/galenalug/storage"
 	"github.com/pkg/errors"
 )
 
@@ -29,22 +30,25 @@
 	if r.applied < r.applierIndex {
 		return // the Applier's state is newer than any index that the node could give the snapshot
 	}
-	if r.snapshotting || !r.snapshotDue() {
-		return
+	if r.snapshotting || len(r.jobs) > 0 || !r.snapshotDue() {
+		return // a job may use the store; this is called again when it has ended
+	}
+	meta, err := r.node.SnapshotMeta(r.applied)
+	if errors.Is(err, replog.ErrCompacted) {
+		return // a snapshot from the leader is about to be written
 	}
-	encode, err := freeze(r.options.Applier)
 	if err != nil {
-		r.fail(errors.Wrap(err, "group: snapshot"))
+		r.fail(err)
 		return
 	}
-	meta, err := r.node.SnapshotMeta(r.applied)
+	encode, err := freeze(r.options.Applier)
 	if err != nil {
-		r.fail(err)
+		r.fail(errors.Wrap(err, "group: snapshot"))
 		return
 	}
 	write := r.store.SnapshotWriter(meta)
 	r.snapshotting, r.appliedBytes = true, 0
-	r.snapshotWriters.Go(func() {
+	r.writers.Go(func() {
 		result := snapshotResult{meta: meta}
 		if result.data, result.err = encode(); result.err == nil {
 			result.err = write(result.data)
@@ -65,21 +69,27 @@
 	return func() ([]byte, error) { return data, nil }, err
 }
 
-// finishSnapshot removes the log entries that the snapshot covers.
+// finishSnapshot removes the log entries that the snapshot covers, from the store and then from memory.
 func (r *Runner) finishSnapshot(result snapshotResult) {
+	superseded := result.meta.Index <= r.snapshotIndex // a snapshot from the leader was installed in the meantime
+	r.enqueueJob(storeJob{
+		run: func(store *storage.Store) error {
+			if err := store.FinishSnapshot(result.err); err != nil || superseded {
+				return err
+			}
+			return store.Compact(result.meta.Index)
+		},
+		done: func() { r.compact(result) },
+	})
+}
+
+// compact removes the log entries that a durable snapshot covers from memory.
+func (r *Runner) compact(result snapshotResult) {
 	r.snapshotting = false
-	if err := r.store.FinishSnapshot(result.err); err != nil {
-		r.fail(err)
-		return
-	}
-	if result.meta.Index <= r.snapshotIndex {
-		return // a snapshot from the leader was installed in the meantime
+	if result.meta.Index <= max(r.snapshotIndex, r.node.Status(r.now()).SnapshotIndex) {
+		return // a snapshot from the leader is in its place
 	}
 	r.snapshotIndex, r.snapshotBytes = result.meta.Index, len(result.data)
-	if err := r.store.Compact(result.meta.Index); err != nil {
-		r.fail(err)
-		return
-	}
 	retention := replog.Retention{Entries: min(retainedEntries, r.options.SnapshotEntries), Bytes: r.maxLogBytes()}
 	if err := r.node.Compact(result.meta, result.data, retention); err != nil {
 		r.fail(err)
--- a/replog/doc.go
+++ b/replog/doc.go
@@ -11,14 +11,20 @@
 //
 // # Contract
 //
-//   - The caller sends the messages of a Ready only after its writes are complete, and
-//     synced if MustSync is set. Messages may be lost, duplicated, delayed and
-//     reordered, but not altered.
+//   - The caller calls Written only after the write of a Ready is complete, and synced
+//     if MustSync is set. Ready withholds the messages that depend on a write until
+//     then; a leader's appends do not (10.2.1). Messages may be lost, duplicated,
+//     delayed and reordered, but not altered.
 //   - An entry that Ready returned as committed is never rolled back, and every
 //     member returns the same committed entries in the same order.
 //   - Elections start with a pre-vote (thesis 9.6), so that a member that was
 //     partitioned does not disrupt the leader when it returns. A leader steps down
 //     when no quorum answered it within the quorum timeout (check quorum, 6.2).
+//   - A slow disk does not look like a lost member: during a write, a leader sends
+//     heartbeats, and a follower acknowledges them up to what is durable. The time of a
+//     write does not count towards an election timeout. A leader whose write takes longer
+//     than the election timeout transfers its leadership to a member that has written the
+//     same entries faster, if there is one.
 //   - Leadership is protected by a lease (6.4.1), see HoldsLease: while it is valid,
 //     no other member can be elected. Members refuse votes for one election timeout
 //     after contact with a leader and after they start, except in a leadership
--- a/replog/election.go
+++ b/replog/election.go
@@ -9,7 +9,8 @@
 // resetElection sets a new random election deadline.
 func (n *Node) resetElection() {
 	timeout := n.cfg.ElectionTimeout
-	n.electionDeadline = n.now + n.electionDelay + timeout + time.Duration(n.cfg.Rand.Int64N(int64(timeout)))
+	slowness := min(n.lastWrite, 2*timeout) // members whose writes are fast stand first
+	n.electionDeadline = n.now + n.electionDelay + slowness + timeout + time.Duration(n.cfg.Rand.Int64N(int64(timeout)))
 }
 
 // SetElectionDelay sets the delay that is added to the member's election timeouts, from
@@ -42,7 +43,8 @@
 		return
 	}
 	n.incoming = nil
-	n.votes = map[uint64]bool{n.cfg.ID: true}
+	// Votes of an earlier candidacy in this term still count if they arrive during the pre-vote.
+	n.preVotes = map[uint64]bool{n.cfg.ID: true}
 	request := Message{Kind: KindPreVote, Term: n.term + 1}
 	n.role = PreCandidate
 	if pre && !n.leaderSeen {
@@ -52,6 +54,7 @@
 		n.role = Candidate
 		n.term++
 		n.vote = n.cfg.ID
+		n.votes, n.preVotes = map[uint64]bool{n.cfg.ID: true}, nil
 		request = Message{Kind: KindVote, Planned: planned}
 	}
 	request.Index, request.LogTerm = n.log.last(), n.log.lastTerm()
@@ -65,7 +68,7 @@
 }
 
 func (n *Node) handlePreVote(m Message) {
-	grant := m.Term > n.term && !n.refusesVotes() && n.log.upToDate(m.Index, m.LogTerm)
+	grant := m.Term > n.term && !n.refusesVotes() && !n.votedRecently() && n.log.upToDate(m.Index, m.LogTerm)
 	reply := Message{Kind: KindPreVoteReply, To: m.From, Reject: !grant}
 	if grant {
 		reply.Term = m.Term
@@ -84,31 +87,42 @@
 }
 
 func (n *Node) handleVoteReply(m Message) {
-	expected := n.role == PreCandidate && m.Kind == KindPreVoteReply && (m.Reject || m.Term == n.term+1) ||
-		n.role == Candidate && m.Kind == KindVoteReply
-	if !expected || !isVoter(n.members, m.From) {
+	votes := n.votes
+	if m.Kind == KindPreVoteReply {
+		votes = n.preVotes
+		if !m.Reject && m.Term != n.term+1 {
+			return
+		}
+	}
+	if votes == nil || !isVoter(n.members, m.From) {
 		return
 	}
-	n.votes[m.From] = !m.Reject
+	votes[m.From] = !m.Reject
 	n.countVotes()
 }
 
 func (n *Node) countVotes() {
-	if !hasQuorum(n.members, func(id uint64) bool { return n.votes[id] }) {
-		return
-	}
-	if n.role == PreCandidate {
+	switch {
+	case hasQuorum(n.members, func(id uint64) bool { return n.votes[id] }):
+		n.becomeLeader()
+	case hasQuorum(n.members, func(id uint64) bool { return n.preVotes[id] }):
 		n.campaign(false, false)
-		return
 	}
-	n.becomeLeader()
+}
+
+// votedRecently reports whether an election in which the member has voted may still be in progress: it waits for a write
+// that makes the vote durable, or did so within the election timeout. A pre-vote for another election would prevent its
+// result.
+func (n *Node) votedRecently() bool {
+	return n.vote != 0 && (n.voteUnsaved() || n.votedAt > 0 && n.now-n.votedAt < n.cfg.ElectionTimeout)
 }
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader = Leader, n.cfg.ID
 	n.leaderSeen = true
-	n.votes = nil
+	n.votes, n.preVotes = nil, nil
 	n.electedAt = n.now
+	n.slowTransferAt = n.now + slowTransferPause*n.cfg.ElectionTimeout
 	n.reads = nil
 	n.progress = nil
 	n.reloadProgress()
@@ -180,6 +194,32 @@
 	n.becomeFollower(n.term, 0)
 }
 
+const (
+	// slowTransferPause is the time between two transfers because of slow writes, and from the election to the first one,
+	// in election timeouts. Where the writes of all members take about as long, each transfer only costs time.
+	slowTransferPause = 4
+	// slowTransferAnyway is the time of a write, in election timeouts, after which a leader also transfers its leadership
+	// to a voter that was slow with the same entries.
+	slowTransferAnyway = 10
+)
+
+// transferIfSlow transfers the leadership if the leader's write takes longer than the election timeout, to a live voter
+// that had the same entries durable within half of it, if there is one.
+func (n *Node) transferIfSlow() {
+	if n.transferTo != 0 || n.now < n.slowTransferAt || !n.writesSlowly(n.cfg.ElectionTimeout) {
+		return
+	}
+	to := n.TransferTargetAmong(func(m Member) bool {
+		pr := n.progress[m.ID]
+		fast := pr.writeDelay <= n.cfg.ElectionTimeout/2 || n.writesSlowly(slowTransferAnyway*n.cfg.ElectionTimeout)
+		return pr.match >= n.log.writing && fast
+	})
+	if to != 0 {
+		n.slowTransferAt = n.now + slowTransferPause*n.cfg.ElectionTimeout
+		_ = n.TransferLeadership(n.now, to) // cannot fail: this member leads, and the other one is a voter
+	}
+}
+
 // TransferTarget returns the live voter with the most complete log, or 0 for none.
 func (n *Node) TransferTarget() uint64 {
 	return n.TransferTargetAmong(func(Member) bool { return true })
--- a/replog/example_test.go
+++ b/replog/example_test.go
@@ -9,7 +9,7 @@
 )
 
 // A group of one member elects itself and commits an entry. Production code must
-// write and sync HardState, Snapshot and Entries before it sends Messages.
+// write and sync HardState, Snapshot and Entries before it calls Written.
 func Example() {
 	members := []replog.Member{{ID: 1, Name: "host-1"}}
 	node, err := replog.New(replog.Config{
@@ -34,6 +34,9 @@
 			}
 		}
 		node.Advance()
+		if ready.Writes() {
+			node.Written(now)
+		}
 	}
 	fmt.Println("leads:", node.HoldsLease(now))
 	// Output:
--- a/replog/inflight_test.go
+++ b/replog/inflight_test.go
@@ -29,8 +29,7 @@
 			}
 		}
 	}
-	send(n.Ready().Messages)
-	n.Advance()
+	send(work(n, now))
 	received := uint64(0)
 	for len(underway) > 0 {
 		size := 0
--- a/replog/log.go
+++ b/replog/log.go
@@ -15,6 +15,7 @@
 	commit     uint64
 	applied    uint64
 	stable     uint64 // index of the last entry that is durable
+	writing    uint64 // index of the last entry in the write in progress that has not been replaced since; 0 if none
 }
 
 func restoreLog(r Restored) (raftLog, error) {
@@ -60,6 +61,16 @@
 	return term
 }
 
+// applicable returns the index of the last entry that is committed and durable. Only these are applied, so that no
+// snapshot of the application is ahead of the stored log.
+func (l *raftLog) applicable() uint64 { return min(l.commit, l.stable) }
+
+// finishWrite records that the write in progress is complete.
+func (l *raftLog) finishWrite() {
+	l.stable = max(l.stable, l.writing)
+	l.writing = 0
+}
+
 // term returns the term of the entry at index, if it is not compacted.
 func (l *raftLog) term(index uint64) (uint64, bool) {
 	switch {
@@ -107,7 +118,7 @@
 	if before < l.last() {
 		l.bytes -= dataBytes(l.entries[keep:])
 		l.entries = l.entries[:keep:keep]
-		l.stable = min(l.stable, before)
+		l.stable, l.writing = min(l.stable, before), min(l.writing, before)
 	}
 	l.entries = append(l.entries, entries...)
 	l.bytes += dataBytes(entries)
--- a/replog/node.go
+++ b/replog/node.go
@@ -41,8 +41,10 @@
 	leaderSeen        bool          // whether any leader, itself included, was seen since the start
 	lastLeaderContact time.Duration // time of the last message from a leader, or of the start
 	electionDeadline  time.Duration
-	electionDelay     time.Duration // added to each election timeout
-	votes             map[uint64]bool
+	electionDelay     time.Duration   // added to each election timeout
+	votes             map[uint64]bool // for this member's candidacy in its term; nil if there is none
+	preVotes          map[uint64]bool
+	votedAt           time.Duration // when the member's latest vote became durable
 
 	// Used by the leader only.
 	heartbeatDeadline time.Duration
@@ -54,13 +56,18 @@
 	heartbeatDue      bool
 	transferTo        uint64
 	transferDeadline  time.Duration
+	slowTransferAt    time.Duration // time from which the leader may transfer its leadership because of a slow write
 
 	incoming  *incomingSnapshot
-	installed *Snapshot
+	installed *Snapshot // to be written
+	restore   *Snapshot // written, and not yet handed to the application
 
 	messages   []Message
+	held       []Message // those of messages that the last Ready left out
 	readStates []ReadState
-	saved      HardState // as of the last Advance
+	saved      HardState     // as of the last Written
+	writing    *write        // in progress, or nil
+	lastWrite  time.Duration // how long the last synced write took
 }
 
 // New returns a member that starts from the given durable state. Except in a
@@ -103,7 +110,7 @@
 func (n *Node) Tick(now time.Duration) {
 	n.advanceTime(now)
 	if n.role != Leader {
-		if n.now >= n.electionDeadline {
+		if n.now >= n.electionDeadline && n.writing == nil {
 			n.campaign(true, false)
 		}
 		return
@@ -118,6 +125,7 @@
 	if n.now >= n.heartbeatDeadline {
 		n.heartbeatDue = true
 	}
+	n.transferIfSlow()
 }
 
 // NextDeadline returns the time by which Tick should be called next.
@@ -125,6 +133,9 @@
 	if n.role == Leader {
 		return n.heartbeatDeadline
 	}
+	if n.writing != nil {
+		return max(n.electionDeadline, n.now+n.cfg.HeartbeatInterval) // no election starts during a write
+	}
 	return n.electionDeadline
 }
 
@@ -255,7 +266,7 @@
 		n.resetElection()
 	}
 	n.role, n.leader = Follower, leader
-	n.votes, n.progress, n.incoming = nil, nil, nil
+	n.votes, n.preVotes, n.progress, n.incoming = nil, nil, nil, nil
 	n.transferTo = 0
 	n.heartbeatDue = false
 	n.failReads()
--- a/replog/node_test.go
+++ b/replog/node_test.go
@@ -37,8 +37,19 @@
 	if err := n.Step(now, m); err != nil {
 		t.Fatal(err)
 	}
-	messages := n.Ready().Messages
-	n.Advance()
+	return work(n, now)
+}
+
+// work does the node's pending work, with writes that take no time, and returns the messages that it sends.
+func work(n *Node, now time.Duration) []Message {
+	var messages []Message
+	for ready := n.Ready(); !ready.Empty(); ready = n.Ready() {
+		messages = append(messages, ready.Messages...)
+		n.Advance()
+		if ready.Writes() {
+			n.Written(now)
+		}
+	}
 	return messages
 }
 
@@ -190,8 +201,7 @@
 			now = elect(t, n)
 		}
 		_ = n.Step(now, m)
-		n.Ready()
-		n.Advance()
+		work(n, now)
 		n.Tick(now + 3*testElection)
 		n.Ready()
 	})
@@ -207,10 +217,9 @@
 		if _, _, err := n.Propose(now, []byte("x")); err != nil {
 			t.Fatal(err)
 		}
-		for _, m := range n.Ready().Messages {
+		for _, m := range work(n, now) {
 			sent[m.To] = m
 		}
-		n.Advance()
 		return sent[2]
 	}
 	first, second := propose(), propose()
@@ -252,13 +261,10 @@
 		rounds := 0
 		for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
 			n.Tick(now)
-			for ready := n.Ready(); !ready.Empty(); ready = n.Ready() {
-				for _, m := range ready.Messages {
-					if m.Kind == KindPreVote && m.To == 2 {
-						rounds++
-					}
+			for _, m := range work(n, now) {
+				if m.Kind == KindPreVote && m.To == 2 {
+					rounds++
 				}
-				n.Advance()
 			}
 		}
 		if contact && rounds > 10 || !contact && rounds < 15 {
--- a/replog/random_test.go
+++ b/replog/random_test.go
@@ -34,7 +34,7 @@
 			"pass": s.drawAdvance, "cut": s.drawPartition, "cut one way": s.drawOneWayPartition, "heal": s.drawHeal,
 			"tick": s.drawTick, "surge": s.drawDeliverAll, "pause": s.drawPause, "restart": s.drawRestart,
 			"propose": s.drawPropose, "read": s.drawRead, "transfer": s.drawTransfer,
-			"compact": s.drawCompact, "lose disk": s.drawLoseDisk, "admit": s.drawAdmit,
+			"compact": s.drawCompact, "lose disk": s.drawLoseDisk, "admit": s.drawAdmit, "slow disk": s.drawWriteTime,
 		})
 		s.checkRecovery()
 	})
@@ -102,9 +102,19 @@
 
 func (s *schedule) drawPause(t *rapid.T) { s.host(t).paused = rapid.Bool().Draw(t, "pause") }
 
-// drawRestart restarts a host from its disk and may drop the newest queued message.
+// drawWriteTime makes the writes of a host slow, or fast again.
+func (s *schedule) drawWriteTime(t *rapid.T) {
+	s.host(t).writeTime = time.Duration(rapid.SampledFrom([]int{0, 5, 50, 150, 400}).Draw(t, "ms")) * time.Millisecond
+}
+
+// drawRestart restarts a host from its disk and may drop the newest queued message. The write in progress is lost, or has
+// reached the disk.
 func (s *schedule) drawRestart(t *rapid.T) {
-	s.start(s.host(t))
+	h := s.host(t)
+	if h.writing != nil && rapid.Bool().Draw(t, "written") {
+		h.write(*h.writing)
+	}
+	s.start(h)
 	if len(s.queue) > 0 && rapid.Bool().Draw(t, "lose") {
 		s.queue = s.queue[:len(s.queue)-1]
 	}
@@ -193,7 +203,7 @@
 func (s *schedule) checkRecovery() {
 	clear(s.blocked)
 	for _, h := range s.hosts {
-		h.paused = false
+		h.paused, h.writeTime = false, 0
 	}
 	for range 100 {
 		s.run(50 * time.Millisecond)
--- a/replog/ready.go
+++ b/replog/ready.go
@@ -43,8 +43,8 @@
 		}
 	}
 	alone := countVoters(n.members) == 1
-	confirmed := n.quorumRound()
-	for len(n.reads) > 0 && (alone || n.reads[0].round < confirmed) {
+	confirmed, applicable := n.quorumRound(), n.log.applicable()
+	for len(n.reads) > 0 && (alone || n.reads[0].round < confirmed) && n.reads[0].index <= applicable {
 		n.readStates = append(n.readStates, ReadState{Context: n.reads[0].context, Index: n.reads[0].index})
 		n.reads = n.reads[1:]
 	}
@@ -57,54 +57,101 @@
 	n.reads = nil
 }
 
-// Ready is the pending work of a Node. The caller must, in this order: write Snapshot,
-// then HardState and Entries; sync if MustSync; only then send Messages; restore the
-// application from Snapshot; apply Committed; answer ReadStates; call Advance.
+// Ready is the pending work of a Node. The caller must, in this order: start the write of Snapshot, then HardState and
+// Entries, with a sync if MustSync; send Messages, which do not depend on this write; restore the application from
+// Restore; apply Committed; answer ReadStates; call Advance. Once the write is complete, it must call Written. In between,
+// the Node may be used as usual, and its Ready contains no other write.
 type Ready struct {
 	HardState  *HardState // nil if unchanged
 	Snapshot   *Snapshot  // replaces the whole log; nil if none
 	Entries    []Entry    // to append, replacing stored ones from the first index on
+	MustSync   bool
 	Messages   []Message
-	Committed  []Entry
+	Restore    *Snapshot // is durable; nil if none
+	Committed  []Entry   // are durable on this member, too
 	ReadStates []ReadState
-	MustSync   bool
 }
 
+// Writes reports whether there is something to write.
+func (r Ready) Writes() bool { return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 }
+
 // Empty reports whether there is no work.
 func (r Ready) Empty() bool {
-	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 &&
-		len(r.Committed) == 0 && len(r.ReadStates) == 0
+	return !r.Writes() && len(r.Messages) == 0 && r.Restore == nil && len(r.Committed) == 0 && len(r.ReadStates) == 0
+}
+
+// write is a write that the caller has started.
+type write struct {
+	startedAt time.Duration
+	state     HardState
+	snapshot  *Snapshot
+	synced    bool
 }
 
 // Ready returns the pending work. Until Advance, only methods that query the member,
 // such as Term, Members and LeaseUntil, may be called. The slices must not be modified.
 func (n *Node) Ready() Ready {
 	n.replicate()
-	ready := Ready{
-		Snapshot:   n.installed,
-		Entries:    n.log.slice(n.log.stable, n.log.last()),
-		Messages:   n.messages,
-		Committed:  n.log.slice(n.log.applied, n.log.commit),
-		ReadStates: n.readStates,
+	ready := Ready{Restore: n.restore, ReadStates: n.readStates}
+	ready.Messages, n.held = n.sendable()
+	if !n.snapshotPending() {
+		ready.Committed = n.log.slice(n.log.applied, n.log.applicable())
 	}
-	state := n.hardState()
-	if state != n.saved {
+	if n.writing != nil {
+		return ready
+	}
+	ready.Snapshot = n.installed
+	ready.Entries = n.log.slice(n.log.stable, n.log.last())
+	if state := n.hardState(); state != n.saved {
 		ready.HardState = &state
 	}
-	voted := state.Term != n.saved.Term || state.Vote != n.saved.Vote
-	ready.MustSync = voted || len(ready.Entries) > 0 || ready.Snapshot != nil
+	ready.MustSync = n.voteUnsaved() || len(ready.Entries) > 0 || ready.Snapshot != nil
 	return ready
 }
 
-// Advance reports that the work of the last Ready is complete.
+// Advance reports that the work of the last Ready is complete, except for its write.
 func (n *Node) Advance() {
-	n.installed = nil
-	n.messages = nil
+	n.messages, n.held = n.held, nil
 	n.readStates = nil
-	n.saved = n.hardState()
-	n.log.stable = n.log.last()
-	n.log.applied = n.log.commit
+	n.restore = nil
+	if !n.snapshotPending() {
+		n.log.applied = max(n.log.applied, n.log.applicable())
+	}
+	state := n.hardState()
+	if n.writing != nil || state == n.saved && n.installed == nil && n.log.stable == n.log.last() {
+		return
+	}
+	synced := n.voteUnsaved() || n.log.stable < n.log.last() || n.installed != nil
+	n.writing = &write{startedAt: n.now, state: state, snapshot: n.installed, synced: synced}
+	n.log.writing = n.log.last()
+	n.installed = nil
+}
+
+// Written reports that the write of the last Ready that had one is complete.
+func (n *Node) Written(now time.Duration) {
+	n.advanceTime(now)
+	w := n.writing
+	if w == nil {
+		return
+	}
+	n.writing = nil
+	if n.vote != 0 && n.voteUnsaved() {
+		n.votedAt = n.now
+	}
+	n.saved = w.state
+	n.log.finishWrite()
+	if n.installed == nil && w.snapshot != nil {
+		n.restore = w.snapshot
+	}
+	if w.synced {
+		n.lastWrite = n.now - w.startedAt
+	}
 	if n.role != Leader {
+		// Votes and the first messages of a new leader arrive only after the write, so the time that it took does not
+		// count: otherwise no election succeeds where writes take longer than the election timeout.
+		if n.lastWrite >= n.cfg.HeartbeatInterval && w.synced {
+			n.resetElection()
+		}
 		return
 	}
 	if pr := n.progress[n.cfg.ID]; pr != nil {
@@ -113,3 +160,40 @@
 	n.advanceCommit()
 	n.answerReads()
 }
+
+// voteUnsaved reports whether the member's term or vote is not durable yet.
+func (n *Node) voteUnsaved() bool { return n.term != n.saved.Term || n.vote != n.saved.Vote }
+
+// snapshotPending reports whether the log begins with a received snapshot that is not durable yet.
+func (n *Node) snapshotPending() bool {
+	return n.installed != nil || n.writing != nil && n.writing.snapshot != nil
+}
+
+// durable returns the index up to which the log is durable.
+func (n *Node) durable() uint64 {
+	if n.snapshotPending() {
+		return 0
+	}
+	return n.log.stable
+}
+
+// writesSlowly reports whether a write has been in progress for at least the given time.
+func (n *Node) writesSlowly(atLeast time.Duration) bool {
+	return n.writing != nil && n.now-n.writing.startedAt >= atLeast
+}
+
+// sendable divides the queued messages into those that may be sent now and those that depend on a write. It drops what a
+// change of the term has outdated: an acknowledged entry may have been replaced since.
+func (n *Node) sendable() (now, held []Message) {
+	for _, m := range n.messages {
+		preVote := m.Kind == KindPreVote || m.Kind == KindPreVoteReply
+		switch {
+		case !preVote && m.Term < n.term:
+		case !preVote && n.voteUnsaved(), m.Kind == KindAppendReply && !m.Reject && m.Index > n.durable():
+			held = append(held, m)
+		default:
+			now = append(now, m)
+		}
+	}
+	return now, held
+}
--- a/replog/replication.go
+++ b/replog/replication.go
@@ -27,9 +27,10 @@
 	acked          bool          // whether the member sent an acknowledgement in this term
 	ackedSent      time.Duration
 	ackedRound     uint64
-	matchRound     uint64 // last round sent before match was acknowledged
-	backtrackRound uint64 // rejections of messages up to this round are outdated
-	lost           bool   // the member lost acknowledged entries; its replies are ignored
+	matchRound     uint64        // last round sent before match was acknowledged
+	writeDelay     time.Duration // from sending the latest entries to their acknowledgement
+	backtrackRound uint64        // rejections of messages up to this round are outdated
+	lost           bool          // the member lost acknowledged entries; its replies are ignored
 
 	snapshot *snapshotTransfer
 }
@@ -198,7 +199,7 @@
 	reply := Message{Kind: KindAppendReply, To: m.From, Round: m.Round, Sent: m.Sent}
 	if m.Index < n.log.commit {
 		reply.Index = n.log.commit
-		n.send(reply)
+		n.acceptAppend(m, reply)
 		return nil
 	}
 	if term, ok := n.log.term(m.Index); !ok || term != m.LogTerm {
@@ -215,10 +216,28 @@
 	}
 	reply.Index = m.Index + uint64(len(m.Entries))
 	n.log.commit = max(n.log.commit, min(m.Commit, reply.Index))
-	n.send(reply)
+	n.acceptAppend(m, reply)
 	return nil
 }
 
+// acceptAppend queues the reply to an append whose entries match. It is held back until they are durable, so a heartbeat,
+// and each append during a slow write, is acknowledged at once up to what is durable by now. The leader must hear of this
+// member during a write.
+func (n *Node) acceptAppend(m, reply Message) {
+	if reply.Index <= n.durable() {
+		n.send(reply)
+		return
+	}
+	if len(m.Entries) > 0 {
+		n.send(reply)
+		if !n.writesSlowly(n.cfg.HeartbeatInterval) {
+			return
+		}
+	}
+	reply.Index = n.durable()
+	n.send(reply)
+}
+
 func (n *Node) appendReceived(entries []Entry) error {
 	changed := entries[0].Index <= n.membersIndex || slices.ContainsFunc(entries, func(e Entry) bool {
 		return e.Kind == EntryMember
@@ -275,6 +294,7 @@
 	}
 	if m.Index > pr.match {
 		pr.match, pr.matchRound = m.Index, n.round
+		pr.writeDelay = n.now - time.Duration(m.Sent)
 	}
 	pr.next = max(pr.next, pr.match+1)
 	pr.acknowledgeInflight()
--- a/replog/sim_test.go
+++ b/replog/sim_test.go
@@ -40,6 +40,10 @@
 	hash    uint64
 	applied uint64   // index of the last applied entry
 	reads   []string // results of reads
+
+	writeTime time.Duration // of each synced write
+	writing   *Ready        // whose write is in progress, or nil
+	writtenAt time.Duration // when that write ends, in sim.now
 }
 
 // sim drives hosts in virtual time and checks the invariants at each step.
@@ -90,7 +94,7 @@
 	if err != nil {
 		s.fatalf("start %s: %v", h.name, err)
 	}
-	h.node, h.paused = node, false
+	h.node, h.paused, h.writing = node, false, nil
 	h.restore(h.disk.Snapshot.Index, h.disk.SnapshotData)
 }
 
@@ -125,9 +129,8 @@
 		if ready.Empty() {
 			break
 		}
-		h.write(ready)
 		s.queue = append(s.queue, ready.Messages...)
-		if snap := ready.Snapshot; snap != nil {
+		if snap := ready.Restore; snap != nil {
 			h.restore(snap.Meta.Index, snap.Data)
 			s.checkHash(h)
 		}
@@ -141,10 +144,27 @@
 			}
 		}
 		h.node.Advance()
+		if ready.Writes() {
+			h.writing, h.writtenAt = &ready, s.now
+			if ready.MustSync {
+				h.writtenAt += h.writeTime
+			}
+			s.finishWrite(h)
+		}
 	}
 	s.check()
 }
 
+// finishWrite ends the host's write if it is due.
+func (s *sim) finishWrite(h *host) {
+	if h.writing == nil || s.now < h.writtenAt {
+		return
+	}
+	h.write(*h.writing)
+	h.writing = nil
+	h.node.Written(s.clock(h))
+}
+
 func (h *host) write(ready Ready) {
 	if ready.Snapshot != nil {
 		h.disk.Snapshot, h.disk.SnapshotData, h.disk.Entries = ready.Snapshot.Meta, ready.Snapshot.Data, nil
@@ -231,6 +251,7 @@
 	s.now += d
 	for _, h := range s.hosts {
 		if !h.paused {
+			s.finishWrite(h)
 			h.node.Tick(s.clock(h))
 			s.processReady(h)
 		}
