Let a new leader know of evacuations that have just ended

Cause: the servers of a failure domain may be cold at the end of its evacuation. Only the leader that committed the end marked them, because the replicated set forgot the domain: a leader elected shortly after counted them as warm, while gateways suspected them.

Change: the set keeps the latest end of each domain's evacuation. A new leader counts the servers of a domain as cold if the end was within the longest warm-up of the configuration and a minute for the clocks. Without warm-up rates nothing changes. Followers of earlier releases ignore the new field.

Result: the new tests pass; without the mark, TestNewLeaderCountsServersAsColdAfterEndedEvacuation fails (0 servers count as cold, want 1).

--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -42,6 +42,24 @@
 	}
 }
 
+// Guards against a new leader that does not know of the latest end of an evacuation, or takes an older one for it.
+func TestSetKeepsLatestEnds(t *testing.T) {
+	var s Set
+	for _, c := range []Change{
+		{Domain: "b", Start: true}, {Domain: "b", Millis: 10}, {Domain: "c", Start: true}, {Domain: "c", Millis: 20},
+		{Domain: "a", Start: true}, {Domain: "a", Millis: 30}, {Domain: "b", Start: true}, {Domain: "b", Millis: 40},
+		{Domain: "a", Start: true}, {Domain: "b", Millis: 50},
+	} {
+		s = s.Apply(c)
+	}
+	if got := s.EndedSince(20); !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("ended since 20: %v, want b and c", got)
+	}
+	if got := s.EndedSince(21); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("ended since 21: %v, want b", got)
+	}
+}
+
 const (
 	modelLease    = 5 * time.Second
 	modelEvacuate = 5 * time.Second
--- a/evacuation/messages_gen.go
+++ b/evacuation/messages_gen.go
@@ -54,6 +54,16 @@
 	StartedBy string `json:"started_by" yaml:"started_by" cbor:"started_by"`
 }
 
+// Ended is the latest end of a failure domain's evacuation.
+type Ended struct {
+	// Name of the failure domain.
+	Name string `json:"n" yaml:"n" cbor:"n"`
+
+	// Time of the end by the clock of the control host that was called, Unix
+	// milliseconds.
+	EndMillis int64 `json:"t" yaml:"t" cbor:"t"`
+}
+
 // Evacuated failure domains, and the messages about them.
 type Evacuations map[string]interface{}
 
@@ -71,6 +81,10 @@
 	// Evacuated failure domains, by name.
 	Domains []Domain `json:"d" yaml:"d" cbor:"d"`
 
+	// Failure domains that are no longer evacuated, by name. A new leader of the
+	// control hosts needs them, since the servers of such a domain may be cold.
+	Ended []Ended `json:"e,omitempty,omitzero" yaml:"e,omitempty" cbor:"e,omitempty"`
+
 	// Number of changes so far.
 	Revision uint64 `json:"r" yaml:"r" cbor:"r"`
 }
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -34,9 +34,12 @@
 	if s.InForce(c) {
 		return s
 	}
-	next := Set{Revision: s.Revision + 1, Domains: slices.Clone(s.Domains)}
+	next := Set{Revision: s.Revision + 1, Domains: slices.Clone(s.Domains), Ended: slices.Clone(s.Ended)}
+	next.Ended = slices.DeleteFunc(next.Ended, func(e Ended) bool { return e.Name == c.Domain })
 	if !c.Start {
 		next.Domains = slices.DeleteFunc(next.Domains, func(d Domain) bool { return d.Name == c.Domain })
+		next.Ended = append(next.Ended, Ended{Name: c.Domain, EndMillis: c.Millis})
+		slices.SortFunc(next.Ended, func(a, b Ended) int { return strings.Compare(a.Name, b.Name) })
 		return next
 	}
 	next.Domains = append(next.Domains, Domain{Name: c.Domain, Revision: next.Revision, StartMillis: c.Millis, StartedBy: c.By})
@@ -44,6 +47,18 @@
 	return next
 }
 
+// EndedSince returns the names of the failure domains whose evacuation has ended at the given time, Unix milliseconds, or
+// later.
+func (s Set) EndedSince(millis int64) []string {
+	var names []string
+	for _, e := range s.Ended {
+		if e.EndMillis >= millis {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // Names returns the names of the evacuated failure domains, in order.
 func (s Set) Names() []string {
 	names := make([]string, 0, len(s.Domains))
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -65,6 +65,28 @@
 	return state
 }
 
+// endedEvacuationSlack covers the differences between the clocks of control hosts when a new leader looks for evacuations
+// that ended shortly before its term.
+const endedEvacuationSlack = time.Minute
+
+// evacuationEnds returns the failure domains whose servers may be cold in a term that begins now, because the evacuation
+// ended within the time for which servers are cold. The mark counts from the begin of the term, since the clock of the
+// host that was called may be off; a heartbeat since then proves that a server is warm.
+func (h *Host) evacuationEnds(now time.Duration) map[string]time.Duration {
+	longest := time.Duration(0)
+	for _, w := range warmups(h.state.config()) {
+		longest = max(longest, w.Time)
+	}
+	ends := map[string]time.Duration{}
+	if longest == 0 {
+		return ends // no service has a limit for cold servers
+	}
+	for _, domain := range h.state.evacuationSet().EndedSince(time.Now().Add(-longest - endedEvacuationSlack).UnixMilli()) {
+		ends[domain] = now
+	}
+	return ends
+}
+
 func (e *evacuationState) inherit(now time.Duration) {
 	if e.tracker != nil {
 		e.tracker.Inherit(now)
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -15,9 +15,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/evacuation"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/wire"
+	"github.com/galenalug/galenalug/keyrange"
 	"github.com/galenalug/galenalug/routes"
+	"github.com/galenalug/galenalug/warmup"
 )
 
 // leaseOverBound is the time for which a gateway that can't be reached delays a start: its lease of 5 s and the drift of clocks, less
@@ -177,6 +180,37 @@
 	}
 }
 
+// Guards against a leader that takes over just after the end of an evacuation and counts the servers of the domain as warm.
+func TestNewLeaderCountsServersAsColdAfterEndedEvacuation(t *testing.T) {
+	c := evacuatingCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	limited := put(1, 2)
+	limited.Config.Services[0].WarmupMillis, limited.Config.Services[0].WarmupPerSecond = 30_000, 5.5
+	c.putUntilAccepted(limited)
+	c.call(startOf("d1"))
+	c.call(evacuation.Change{Domain: "d1", Millis: time.Now().UnixMilli(), By: "test"})
+	c.kill(c.leader())
+	c.wait("a second leader", func() bool { return c.leader() != nil })
+	leader := c.leader()
+	for domain, cold := range map[string]int{"d1": 1, "d2": 0} {
+		hb := keyrange.Heartbeat{Server: keyrange.Server{
+			ID: "in-" + domain, Service: "stock", Address: "10.0.0." + domain[1:] + ":80", Domain: domain, Slots: 6, StartMillis: 1,
+		}, Sequence: 1}
+		leader.mu.Lock()
+		coordinator := leader.leading.coordinator
+		coordinator.Heartbeat(clock.Now(), hb)
+		got := 0
+		for _, s := range coordinator.ColdServers() {
+			if s.ServerID == hb.Server.ID && s.Cause == warmup.CauseEvacuation {
+				got++
+			}
+		}
+		leader.mu.Unlock()
+		if got != cold {
+			t.Errorf("%s counts as cold: %d, want %d", hb.Server.ID, got, cold)
+		}
+	}
+}
+
 // Guards against evacuations that are lost with power on all hosts, and against a gateway that was cut off and serves before it
 // has read the newest set.
 func TestSetSurvivesRestartOfAllHosts(t *testing.T) {
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -99,6 +99,7 @@
 		InheritedLeasesEnd: inheritedLeasesEnd,
 		RecordedGrants:     h.state.grants(),
 		Regions:            h.settings.Domains,
+		EvacuationEnds:     h.evacuationEnds(now),
 		RevokeBy:           clock.Milliseconds(h.settings.EvacuateMs) / 2,
 		DrainPeriod:        clock.Milliseconds(h.settings.DrainMs),
 		HeartbeatInterval:  clock.Milliseconds(h.settings.ServerHeartbeatMs),
--- a/keyrange/options.go
+++ b/keyrange/options.go
@@ -54,6 +54,9 @@
 	// RevokeBy is the time after the start of an evacuation within which the keys of the failure domain are revoked; 0
 	// means defaultRevokeBy.
 	RevokeBy time.Duration
+	// EvacuationEnds has, by failure domain, a time up to which its servers may have become cold because its evacuation
+	// ended shortly before the term.
+	EvacuationEnds map[string]time.Duration
 	// DrainPeriod is how long a leaving server may still receive requests.
 	DrainPeriod time.Duration
 	// HeartbeatInterval is the interval between a server's heartbeats; 0 if it is not known. Then no server
--- a/keyrange/warmup.go
+++ b/keyrange/warmup.go
@@ -90,6 +90,9 @@
 	case joined && c.silence() > 0 && c.hearing.undisturbedFor(now) > c.silence():
 		s.warmth.Mark(now, now, limit.Time, warmup.CauseJoined)
 	}
+	if at, ended := c.options.EvacuationEnds[s.info.Domain]; ended && joined {
+		s.warmth.Mark(now, at, limit.Time, warmup.CauseEvacuation)
+	}
 	s.warmth.Heartbeat(now, time.Duration(s.info.WarmupMillis)*time.Millisecond, limit.Time)
 	c.updateCold(now, s)
 }
--- a/keyrange/warmup_test.go
+++ b/keyrange/warmup_test.go
@@ -116,6 +116,25 @@
 	}
 }
 
+// Guards against a new leader for which the servers of a domain are warm whose evacuation has just ended, while gateways
+// suspect them, and against one that counts them as cold for longer than the heartbeats need to prove otherwise.
+func TestNewLeaderKnowsEndedEvacuations(t *testing.T) {
+	f := newColdFleet(4)
+	options := f.coordinator.options
+	options.EvacuationEnds = map[string]time.Duration{"d0": f.now}
+	f.coordinator = New(options)
+	f.coordinator.SetServices(nil, "reserva")
+	f.coordinator.SetWarmups(map[string]Warmup{"reserva": {Time: 3 * time.Second, PerSecond: 5.5}})
+	f.run(beatInterval / 4)
+	if got, want := fmt.Sprint(f.cold()), fmt.Sprint(map[string]warmup.Cause{"s0": warmup.CauseEvacuation, "s2": warmup.CauseEvacuation}); got != want {
+		t.Errorf("cold are %v after the first heartbeats, want %v", got, want)
+	}
+	f.run(2 * beatInterval)
+	if got := f.cold(); len(got) > 0 {
+		t.Errorf("cold are %v after two heartbeats, want none", got)
+	}
+}
+
 // Guards against keys that go to a cold server as if it were warm.
 func TestColdServerCountsWithItsRate(t *testing.T) {
 	s := &server{info: Server{Slots: 4}, cold: true}
