Replace a voter whose disk has stalled for good

Cause: a follower acknowledges heartbeats during its writes, so a voter whose write never ends was never silent, and VoterPolicy did not replace it.

Learners are removed as before, so that a slow one can catch up.

--- a/replog/replication.go
+++ b/replog/replication.go
@@ -27,6 +27,7 @@
 	acked          bool          // whether the member sent an acknowledgement in this term
 	ackedSent      time.Duration
 	ackedRound     uint64
+	advancedAt     time.Duration // when match or a snapshot last advanced, or an acknowledgement came while nothing committed was missing
 	matchRound     uint64        // last round sent before match was acknowledged
 	writeDelay     time.Duration // from sending the latest entries to their acknowledgement
 	backtrackRound uint64        // rejections of messages up to this round are outdated
@@ -295,12 +296,16 @@
 	if m.Index > pr.match {
 		pr.match, pr.matchRound = m.Index, n.round
 		pr.writeDelay = n.now - time.Duration(m.Sent)
+		pr.advancedAt = n.now
 	}
 	pr.next = max(pr.next, pr.match+1)
 	pr.acknowledgeInflight()
 	if pr.snapshot != nil && pr.match >= pr.snapshot.meta.Index {
 		pr.snapshot = nil
 	}
+	if pr.match >= n.log.commit {
+		pr.advancedAt = n.now
+	}
 	n.advanceCommit()
 	n.answerReads()
 	n.finishTransfer(pr)
--- a/replog/snapshot.go
+++ b/replog/snapshot.go
@@ -65,6 +65,7 @@
 	if m.Offset != tr.offset {
 		tr.offset = m.Offset
 		tr.resendAt = n.now
+		pr.advancedAt = n.now
 	}
 	return nil
 }
--- a/replog/voters.go
+++ b/replog/voters.go
@@ -11,8 +11,9 @@
 	// Voters is the number of voters below which none is removed: twice the tolerated losses, plus 1.
 	Voters int
 	// ReplaceAfter is how long a voter must have been silent before a learner of another host takes its
-	// place. A voter that has stopped is replaced at once, and so is one whose host has a new disk, since
-	// the old disk is gone.
+	// place. So must one that acknowledges heartbeats, but has lacked committed entries without progress. A
+	// voter that has stopped is replaced at once, and so is one whose host has a new disk, since the old disk
+	// is gone.
 	ReplaceAfter time.Duration
 	// RemoveAfter is how long a surplus voter or a learner must have been silent before it is removed. One
 	// that has stopped is removed at once.
@@ -50,10 +51,11 @@
 		if m.Name == learner.Name {
 			return MemberChange{Kind: Swap, Member: learner, Replaced: m.ID}, true
 		}
-		if silence := n.silence(m.ID); silence >= longest {
+		silence := n.voterSilence(m.ID)
+		if silence >= longest {
 			replaced, longest = m.ID, silence
 		}
-		waiting = waiting || !n.live(m.ID)
+		waiting = waiting || !n.live(m.ID) || silence >= n.cfg.ElectionTimeout
 	}
 	switch {
 	case replaced != 0:
@@ -68,7 +70,10 @@
 func (n *Node) removal(policy VoterPolicy) (MemberChange, bool) {
 	surplus := countVoters(n.members) > policy.Voters
 	for _, m := range n.members {
-		if m.ID != n.cfg.ID && n.silence(m.ID) >= policy.RemoveAfter && (m.Learner || surplus) {
+		if m.ID == n.cfg.ID {
+			continue
+		}
+		if m.Learner && n.silence(m.ID) >= policy.RemoveAfter || surplus && !m.Learner && n.voterSilence(m.ID) >= policy.RemoveAfter {
 			return MemberChange{Kind: Remove, Member: m}, true
 		}
 	}
@@ -97,3 +102,10 @@
 	pr := n.progress[id]
 	return n.now - max(pr.ackedSent, pr.since)
 }
+
+// voterSilence is like silence, but also counts the time for which the voter has lacked committed entries without
+// making progress. During a write that hangs, a voter acknowledges heartbeats, but it does not help to commit.
+func (n *Node) voterSilence(id uint64) time.Duration {
+	pr := n.progress[id]
+	return max(n.silence(id), n.now-max(pr.advancedAt, pr.since))
+}
--- a/replog/voters_test.go
+++ b/replog/voters_test.go
@@ -231,3 +231,18 @@
 		t.Fatalf("members %+v: want the new host, and not the dead one", members)
 	}
 }
+
+// Guards against a voter whose disk has stalled for good and that is never replaced, because it acknowledges heartbeats
+// during its write.
+func TestVoterWithStalledDiskIsReplaced(t *testing.T) {
+	r := newReplacement(t, false)
+	stalled := r.hosts[4]
+	stalled.paused, stalled.writeTime = false, time.Hour
+	for r.now < r.start+testCatchUp {
+		r.step()
+	}
+	leader := r.find("leader")
+	if q := leader.node.Status(r.clock(leader)).Quorum(); q.Voters != 5 || findMember(leader.node.Members(), stalled.id) >= 0 {
+		t.Fatalf("members %+v: want the new host in place of %s", leader.node.Members(), stalled.name)
+	}
+}
