Bound the proposals in memory while a write hangs

Cause: the loop takes proposals from the inbox during a write, and followers acknowledge heartbeats during theirs, so the leader keeps its leadership. The bound of the inbox no longer limited the proposals that wait for a stalled disk.

Change: the leader refuses proposals with ErrUnavailable while as many as the inbox may hold are not committed.

--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -90,7 +90,13 @@
 	r.failStaleProposals()
 }
 
+// propose appends a proposal to the log. The loop goes on while a write hangs, so the inbox alone does not bound the
+// proposals in memory.
 func (r *Runner) propose(now time.Duration, req *request) {
+	if len(r.pendingProposals) >= maxQueuedRequests {
+		req.reply <- outcome{err: errors.Wrap(ErrUnavailable, "too many proposals are not committed yet")}
+		return
+	}
 	index, term, err := r.node.Propose(now, req.data)
 	if err != nil {
 		req.reply <- outcome{err: ErrNotLeader}
--- a/internal/group/slowdisk_test.go
+++ b/internal/group/slowdisk_test.go
@@ -1,11 +1,13 @@
 package group
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/galenalug/galenalug/internal/faultfs"
 	"github.com/galenalug/galenalug/storage"
+	"github.com/pkg/errors"
 )
 
 // slowDiskRecovery is how long a group of which a majority works may take until it commits.
@@ -99,3 +101,29 @@
 	})
 	c.commits("after a stall of all disks")
 }
+
+// Guards against a leader that accepts proposals without limit while its writes hang: they fill its memory.
+func TestProposalsDuringStalledWriteAreBounded(t *testing.T) {
+	c := newCluster(t, "a")
+	disk := faultfs.New()
+	r := c.start("a", 1, c.members, storage.Options{FS: disk})
+	t.Cleanup(c.stopAll)
+	c.commits("after the start")
+	disk.SetFaults(faultfs.Faults{FreeBytes: -1, Stalled: true})
+	t.Cleanup(func() { disk.SetFaults(faultfs.Faults{FreeBytes: -1}) })
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for i := range maxQueuedRequests {
+		_, _, _ = r.Propose(canceled, number(1))
+		if i%1024 == 0 { // lets the loop take what is queued
+			if err := r.runTask(t.Context(), func(time.Duration) (bool, error) { return true, nil }); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), slowDiskRecovery)
+	defer cancel()
+	if _, _, err := r.Propose(ctx, number(1)); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error %v after %d proposals, want %v", err, maxQueuedRequests, ErrUnavailable)
+	}
+}
