Check in the simulation that what a member sends is durable

Cause: the random schedules found an acknowledgement that was sent too early only if a later fault made it matter.

Change: the simulation compares the term, vote and entries behind each message with the sender's disk.

--- a/replog/sim_test.go
+++ b/replog/sim_test.go
@@ -129,6 +129,9 @@
 		if ready.Empty() {
 			break
 		}
+		for _, m := range ready.Messages {
+			s.checkDurable(h, m)
+		}
 		s.queue = append(s.queue, ready.Messages...)
 		if snap := ready.Restore; snap != nil {
 			h.restore(snap.Meta.Index, snap.Data)
@@ -178,6 +181,25 @@
 	}
 }
 
+// checkDurable verifies that the term, the vote and the entries that a message stands for are on the sender's disk.
+func (s *sim) checkDurable(h *host, m Message) {
+	if m.Kind == KindPreVote || m.Kind == KindPreVoteReply {
+		return // promises nothing
+	}
+	state, snapshot := h.disk.HardState, h.disk.Snapshot.Index
+	voted := m.Kind == KindVote && state.Vote != h.id || m.Kind == KindVoteReply && !m.Reject && state.Vote != m.To
+	if m.Term != state.Term || voted {
+		s.fatalf("%s sends %+v, but %+v is durable", h.name, m, state)
+	}
+	if m.Kind != KindAppendReply || m.Reject || m.Index <= snapshot {
+		return
+	}
+	term, _ := h.node.log.term(m.Index)
+	if at := m.Index - snapshot - 1; at >= uint64(len(h.disk.Entries)) || h.disk.Entries[at].Term != term {
+		s.fatalf("%s acknowledges entry %d of term %d, which is not durable", h.name, m.Index, term)
+	}
+}
+
 func (s *sim) apply(h *host, e Entry) {
 	if e.Index != h.applied+1 {
 		s.fatalf("%s: applies entry %d after %d", h.name, e.Index, h.applied)
