Gateway: don't wait for a slot on a connection that has just ended

Cause: the end of the leader's connection ends the waits for slots that are recorded by then. A request that had the connection already, but was recorded after that, waited for as long as it may. Besides, a request that was not sent counted as one that the leader owes an answer, so that one short time-out later was enough for a silent leader.

Change: ask compares the connection again after the request is recorded, and withdraws the request if it is not sent.

Result: TestConnectionLostBeforeRequestIsRecorded failed on the code before (2.0 s) and passes now, with all tests of internal/gateway with -race. It failed for the wait; its check of the second fault was added together with its fix.

--- a/internal/gateway/slotclient.go
+++ b/internal/gateway/slotclient.go
@@ -52,7 +52,9 @@
 	answers := q.open(&request)
 	defer q.forget(request.ID)
 	asked := &slot{leader: leader, id: request.ID}
-	if !notifySlots(leader, wire.KindSlotRequest, request) {
+	// If the connection has ended meanwhile, disconnected may have missed this request.
+	if q.leader() != leader || !notifySlots(leader, wire.KindSlotRequest, request) {
+		q.noteWithdrawn()
 		return slotqueue.Answer{}, nil, false
 	}
 	timer := time.NewTimer(wait)
--- a/internal/gateway/slots_test.go
+++ b/internal/gateway/slots_test.go
@@ -168,6 +168,24 @@
 	}
 }
 
+// Guards against a request that waits for its whole time since the connection ends just before the request is recorded.
+func TestConnectionLostBeforeRequestIsRecorded(t *testing.T) {
+	leader, lost := &countingLeader{}, false
+	q := &slotClient{}
+	q.leader = func() notifier {
+		if lost {
+			return nil
+		}
+		lost = true
+		q.disconnected()
+		return leader
+	}
+	started := time.Now()
+	if _, _, answered := q.ask(t.Context(), slotqueue.Request{}, 2*time.Second); answered || time.Since(started) > time.Second || q.unanswered != 0 {
+		t.Errorf("answered %v after %v, a request without an answer since %v", answered, time.Since(started), q.unanswered)
+	}
+}
+
 // Guards against requests that are sent or delayed by the queue when the gateway gives them up.
 func TestRequestsAreGivenUpWhileTheyWaitForSlots(t *testing.T) {
 	f := newFixtureWith(t, func(s *settings.GatewaySettings) { s.ShareCapacity = true }, nil)
