clientconn: state plainly why log lines are bounded

Cause: the comment on cutLogInterval used a figurative word.

Change: it names refused connections. Comment only.

Result: internal/clientconn passes with -race.

--- a/internal/clientconn/cutlog.go
+++ b/internal/clientconn/cutlog.go
@@ -6,7 +6,7 @@
 	"github.com/apex/log"
 )
 
-// cutLogInterval is the least time between two log lines of one cause. A crowd can have thousands of connections refused
+// cutLogInterval is the least time between two log lines of one cause. Thousands of connections may be refused
 // in a second.
 const cutLogInterval = time.Second
 
