Count a voter with a stalled disk as lost in the quorum margin

Cause: a voter acknowledges heartbeats during a write that hangs, so Status counted it as live. The margin in the log and the metrics, and the line that reports a lost voter, did not show it.

Change: Status counts a voter as live only if it has not lacked committed entries for an election timeout without progress.

--- a/replog/status.go
+++ b/replog/status.go
@@ -7,7 +7,7 @@
 	Member
 	Match      uint64        // highest index known to be durable on the member
 	Next       uint64        // next index to send to it
-	Live       bool          // acknowledged a message sent within the last election timeout
+	Live       bool          // acknowledged a message sent within the last election timeout and, if a voter, has not stalled
 	AckedAge   time.Duration // time since the latest message it acknowledged was sent; 0 if none
 	Lost       bool          // lost acknowledged entries; its replies are ignored
 	InSnapshot bool          // whether it is being sent a snapshot
@@ -35,7 +35,7 @@
 // Quorum is how many losses a group bears, from the leader's point of view.
 type Quorum struct {
 	Voters int
-	Live   int // voters that acknowledged a message within the last election timeout
+	Live   int // voters that acknowledged a message within the last election timeout and have not stalled
 	Margin int // live voters that may be lost before no quorum is left; negative without a quorum
 }
 
@@ -76,7 +76,7 @@
 		status.LeaderSince = n.electedAt
 	}
 	for _, m := range n.members {
-		member := MemberStatus{Member: m, Live: n.role == Leader && n.live(m.ID)}
+		member := MemberStatus{Member: m, Live: n.role == Leader && n.live(m.ID) && !n.stalled(m)}
 		if pr := n.progress[m.ID]; pr != nil {
 			member.Match, member.Next, member.InSnapshot = pr.match, pr.next, pr.snapshot != nil
 			member.Lost = pr.lost
--- a/replog/voters.go
+++ b/replog/voters.go
@@ -55,7 +55,7 @@
 		if silence >= longest {
 			replaced, longest = m.ID, silence
 		}
-		waiting = waiting || !n.live(m.ID) || silence >= n.cfg.ElectionTimeout
+		waiting = waiting || !n.live(m.ID) || n.stalled(m)
 	}
 	switch {
 	case replaced != 0:
@@ -109,3 +109,8 @@
 	pr := n.progress[id]
 	return max(n.silence(id), n.now-max(pr.advancedAt, pr.since))
 }
+
+// stalled reports whether another voter has lacked committed entries without making progress for an election timeout.
+func (n *Node) stalled(m Member) bool {
+	return !m.Learner && m.ID != n.cfg.ID && n.voterSilence(m.ID) >= n.cfg.ElectionTimeout
+}
--- a/replog/voters_test.go
+++ b/replog/voters_test.go
@@ -246,3 +246,20 @@
 		t.Fatalf("members %+v: want the new host in place of %s", leader.node.Members(), stalled.name)
 	}
 }
+
+// Guards against a group that seems to bear a loss, although the disk of a voter has stalled and the voter only
+// acknowledges heartbeats.
+func TestVoterWithStalledDiskIsNotLive(t *testing.T) {
+	s := slowSim(t)
+	leader := s.runWithProposals(10 * testElection)
+	for _, h := range s.hosts {
+		if h != leader {
+			h.writeTime = time.Hour
+			break
+		}
+	}
+	s.runWithProposals(3 * testElection)
+	if q := leader.node.Status(s.clock(leader)).Quorum(); q.Live != 2 || q.Margin != 0 {
+		t.Fatalf("%+v, want 2 live voters and margin 0", q)
+	}
+}
