--- a/replog/voters_test.go
+++ b/replog/voters_test.go
@@ -231,3 +231,35 @@
 		t.Fatalf("members %+v: want the new host, and not the dead one", members)
 	}
 }
+
+// Guards against a voter whose disk has stalled for good and that is never replaced, because it acknowledges heartbeats
+// during its write.
+func TestVoterWithStalledDiskIsReplaced(t *testing.T) {
+	r := newReplacement(t, false)
+	stalled := r.hosts[4]
+	stalled.paused, stalled.writeTime = false, time.Hour
+	for r.now < r.start+testCatchUp {
+		r.step()
+	}
+	leader := r.find("leader")
+	if q := leader.node.Status(r.clock(leader)).Quorum(); q.Voters != 5 || findMember(leader.node.Members(), stalled.id) >= 0 {
+		t.Fatalf("members %+v: want the new host in place of %s", leader.node.Members(), stalled.name)
+	}
+}
+
+// Guards against a group that seems to bear a loss, although the disk of a voter has stalled and the voter only
+// acknowledges heartbeats.
+func TestVoterWithStalledDiskIsNotLive(t *testing.T) {
+	s := slowSim(t)
+	leader := s.runWithProposals(10 * testElection)
+	for _, h := range s.hosts {
+		if h != leader {
+			h.writeTime = time.Hour
+			break
+		}
+	}
+	s.runWithProposals(3 * testElection)
+	if q := leader.node.Status(s.clock(leader)).Quorum(); q.Live != 2 || q.Margin != 0 {
+		t.Fatalf("%+v, want 2 live voters and margin 0", q)
+	}
+}
