dispatch: no limit of connections where the service has none

Cause: max_connections 0 means no limit (schema of the routes), but a gateway opened at most two connections to a server of such a service: its equal part of 0, raised to the minimum.

Change: without a limit, only the server's capacity bounds the connections.

Measured: the new case fails on the code before (2 connections, want 12) and passes now.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -172,6 +172,7 @@
 		{"many gateways", 580, 87, 6, 2},
 		{"more gateways than connections", 120, 440, 6, 2},
 		{"no other gateway is known yet", 120, 0, 6, 120},
+		{"no limit of the server", 0, 10, 6, 12},
 	} {
 		if got := ConnectionLimit(c.maxConnections, c.gateways, c.slots); got != c.want {
 			t.Errorf("%s: limit of %d connections, want %d", c.name, got, c.want)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -44,13 +44,15 @@
 )
 
 // ConnectionLimit returns the number of connections that each of many gateways may open to a server
-// that accepts maxConnections in total. The limit is set in advance because, when a key becomes hot,
+// that accepts maxConnections in total, or 0 for any number. The limit is set in advance because, when a key becomes hot,
 // all gateways send at the same moment, before any of them can see the others' requests.
 func ConnectionLimit(maxConnections, gateways int64, slots int) int {
 	gateways = max(gateways, 1)
-	equalPart := maxConnections / gateways
-	byCapacity := int64(skewFactor * urgentRequestsPerSlot * float64(slots) / float64(gateways))
-	return int(max(minConnections, min(equalPart, byCapacity)))
+	limit := int64(skewFactor * urgentRequestsPerSlot * float64(slots) / float64(gateways))
+	if maxConnections > 0 {
+		limit = min(limit, maxConnections/gateways)
+	}
+	return int(max(minConnections, limit))
 }
 
 // OneEachOverloads reports whether one request from each gateway is more than a server can take.
