--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -34,15 +34,20 @@
 	return nil
 }
 
-// get sends a request on a new connection. Status 0 stands for no whole answer.
+// get sends a GET request on a new connection. Status 0 stands for no whole answer.
 func get(address, host, path, id string, limit time.Duration) (status int, header http.Header) {
+	return send(address, getRequest(host, path, id), limit)
+}
+
+// send sends a request on a new connection. Status 0 stands for no whole answer.
+func send(address, request string, limit time.Duration) (status int, header http.Header) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, nil
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(limit))
-	if _, err := io.WriteString(conn, getRequest(host, path, id)); err != nil {
+	if _, err := io.WriteString(conn, request); err != nil {
 		return 0, nil
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
