Add a review case: heartbeats with a missing field free keys that their holder still holds

A heartbeat of another writer without zone counts as one of the server under whose ID it is sent, also where it says that the server has released its keys.

--- a/review/standin-2/case_lost.go
+++ b/review/standin-2/case_lost.go
@@ -17,6 +17,8 @@
 func init() { cases["broken-off"] = brokenOff }
 
 const (
+	// largeAnswer is the size of the answers of the faulty service, bytes.
+	largeAnswer = 400 << 10
 	// brokenEvery is the number of answers of a faulty upstream of which one is broken off: x = 0.02.
 	brokenEvery = 50
 	// faultyUpstreams of archiveUpstreams are faulty: share = 0.33.
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -35,6 +36,7 @@
 	seq    int64
 	next   string // control host of the next heartbeat
 	state  string
+	keys   keyHolder
 	server *http.Server
 	cancel context.CancelFunc
 }
@@ -45,6 +47,7 @@
 	controls []string
 	// answer returns the body of an answer, and how long the request takes.
 	answer func(u *upstream, r *http.Request) (body []byte, took time.Duration)
+	keyed  bool // requests have keys, and upstreams run only those that they hold
 	// breaksOff reports whether an answer is broken off after three quarters. It may be nil.
 	breaksOff func(u *upstream) bool
 
@@ -118,6 +121,15 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if u.fleet.keyed {
+		key, err := strconv.ParseInt(r.Header.Get("X-Shard-Key"), 10, 64)
+		if err != nil || !u.startWork(key) {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		defer u.endWork(key)
+	}
 	run := arrival{upstream: u.id, zone: u.zone, attempt: attempt, deadline: r.Header.Get("X-Deadline-Ms"), at: time.Now()}
 	u.fleet.mu.Lock()
 	u.fleet.runs = append(u.fleet.runs, run)
@@ -160,8 +172,11 @@
 		}
 		u.mu.Unlock()
 		pause := heartbeatInterval
-		if !ok {
+		switch {
+		case !ok:
 			pause = 50 * time.Millisecond
+		case u.hasFreed():
+			pause = 100 * time.Millisecond
 		}
 		select {
 		case <-ctx.Done():
@@ -171,11 +186,17 @@
 }
 
 func (u *upstream) sendBeat(ctx context.Context, address string, seq int64, state string) (next string, ok bool) {
-	body, err := json.Marshal(map[string]any{
+	beat := map[string]any{
 		"address": u.address, "born": u.born,
 		"info":   map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": 6},
 		"status": map[string]any{"state": state, "seq": seq, "warmupLeftMs": 0},
-	})
+	}
+	sentAt := time.Now()
+	freed := 0
+	if u.fleet.keyed {
+		beat["holds"], beat["freed"], freed = u.reportKeys(sentAt)
+	}
+	body, err := json.Marshal(beat)
 	if err != nil {
 		return "", false
 	}
@@ -192,10 +213,18 @@
 	}
 	defer response.Body.Close()
 	var reply struct {
-		HeartbeatAddr string `json:"heartbeatAddr"`
+		HeartbeatAddr string   `json:"heartbeatAddr"`
+		Holds         *[][]any `json:"holds"`
+		HoldMs        int64    `json:"holdMs"`
 	}
 	if json.NewDecoder(io.LimitReader(response.Body, 4<<10)).Decode(&reply) != nil || response.StatusCode != http.StatusOK {
 		return "", false
 	}
+	if u.fleet.keyed {
+		u.acknowledged(freed)
+		if reply.Holds != nil {
+			u.takeKeys(*reply.Holds, sentAt, time.Duration(reply.HoldMs)*time.Millisecond)
+		}
+	}
 	return reply.HeartbeatAddr, true
 }
