Let the foreign heartbeats of the review lack all fields that are not required

Cause: zone, version and warmupLeftMs are all accepted as missing; a heartbeat without the three is still less one of a server.

--- a/review/standin-2/case_foreign.go
+++ b/review/standin-2/case_foreign.go
@@ -24,7 +24,7 @@
 	orderClients = 24
 )
 
-// foreignHeartbeat sends one heartbeat of another writer, in which a field is missing, under the ID of an upstream. Then
+// foreignHeartbeat sends one heartbeat of another writer, in which fields are missing, under the ID of an upstream. Then
 // the upstream leaves as planned: it reports that it is draining, goes on for longer than drainMs, leaves and exits.
 func foreignHeartbeat(r *record, trouble bool) error {
 	c, err := newCluster(r, 5, 2, false)
@@ -97,12 +97,12 @@
 	return nil
 }
 
-// sendForeign sends a heartbeat under the ID of an upstream that lacks the field zone.
+// sendForeign sends a heartbeat under the ID of an upstream that lacks the fields zone, version and warmupLeftMs.
 func sendForeign(r *record, address string, u *upstream) error {
 	body, err := json.Marshal(map[string]any{
 		"address": u.address, "born": u.born,
-		"info":   map[string]any{"service": u.service, "version": "v1", "slots": 6},
-		"status": map[string]any{"state": "ready", "seq": 1000, "warmupLeftMs": 0},
+		"info":   map[string]any{"service": u.service, "slots": 6},
+		"status": map[string]any{"state": "ready", "seq": 1000},
 	})
 	if err != nil {
 		return err
--- a/review/standin-2/case_owner.go
+++ b/review/standin-2/case_owner.go
@@ -23,7 +23,7 @@
 	lookupClients = 12
 )
 
-// foreignOwner sends two heartbeats of another writer, in which a field is missing, under the ID of an upstream that holds
+// foreignOwner sends two heartbeats of another writer, in which fields are missing, under the ID of an upstream that holds
 // keys. They say that the upstream leaves and has released its keys.
 func foreignOwner(r *record, trouble bool) error {
 	c, err := newCluster(r, 5, 2, false)
@@ -113,12 +113,12 @@
 	return errors.New("the keys were not granted")
 }
 
-// sendForeignLeave sends a heartbeat under the ID of an upstream that lacks the field zone.
+// sendForeignLeave sends a heartbeat under the ID of an upstream that lacks the fields zone, version and warmupLeftMs.
 func sendForeignLeave(r *record, address string, u *upstream, seq int) error {
 	body, err := json.Marshal(map[string]any{
 		"address": u.address, "born": u.born,
-		"info":   map[string]any{"service": u.service, "version": "v1", "slots": 6},
-		"status": map[string]any{"state": "draining", "seq": seq, "warmupLeftMs": 0},
+		"info":   map[string]any{"service": u.service, "slots": 6},
+		"status": map[string]any{"state": "draining", "seq": seq},
 		"holds":  [][]any{}, "freed": [][]any{{0, 65535, ""}},
 	})
 	if err != nil {
