--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -96,7 +96,8 @@
 type model struct {
 	now     time.Duration
 	tracker *rollout.Tracker
-	set     Set
+	state   State
+	copies  []ConditionalChange // of changes that the operator has repeated or given up
 	acked   map[string]time.Duration // time of the first acknowledgement of a start that is in force
 	hosts   map[string]*modelHost
 	names   []string
@@ -109,7 +110,7 @@
 }
 
 // From the bound after the acknowledgement of a start until the end, no entry host sends requests to the domain, to
-// owners of keys neither, whatever the delays of messages, lost hosts, changes of leader and clock drift.
+// owners of keys neither, whatever the delays of messages and calls, lost hosts, changes of leader and clock drift.
 func TestModelNoRequestsAfterTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{tracker: newModelTracker(), acked: map[string]time.Duration{}, hosts: map[string]*modelHost{}, now: time.Second}
@@ -123,7 +124,7 @@
 			"pass time": func(t *rapid.T) {
 				m.now += time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
 			},
-			"change": m.change, "acknowledge": m.acknowledge, "update": m.update, "report": m.report, "deliver": m.deliver, "follow": m.follow,
+			"change": m.change, "late copy": m.late, "acknowledge": m.acknowledge, "update": m.update, "report": m.report, "deliver": m.deliver, "follow": m.follow,
 			"change leader": func(*rapid.T) {
 				m.tracker = newModelTracker()
 				m.tracker.Inherit(m.now)
@@ -135,14 +136,29 @@
 
 func (m *model) change(t *rapid.T) {
 	c := Change{Domain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"), Start: rapid.Bool().Draw(t, "start")}
-	if m.set = m.set.Apply(c); !c.Start {
+	conditional := ConditionalChange{Change: c, Sequence: m.state.Sequence(c.Domain)}
+	m.apply(conditional)
+	m.copies = append(m.copies, conditional)
+	if !c.Start {
 		delete(m.acked, c.Domain)
 	}
-	m.sets = append(m.sets, m.set)
+}
+
+// apply applies a change, of which the entry hosts may hear from then on.
+func (m *model) apply(c ConditionalChange) {
+	m.state.Apply(c)
+	m.sets = append(m.sets, m.state.Set())
+}
+
+// late applies a copy of a change that the operator has made before.
+func (m *model) late(t *rapid.T) {
+	if len(m.copies) > 0 {
+		m.apply(rapid.SampledFrom(m.copies).Draw(t, "copy"))
+	}
 }
 
 func (m *model) acknowledge(*rapid.T) {
-	for _, d := range m.set.Domains {
+	for _, d := range m.state.Set().Domains {
 		if _, done := m.acked[d.Name]; !done && m.now >= m.tracker.AcknowledgeAt(m.now, d.Revision) {
 			m.acked[d.Name] = m.now
 		}
@@ -165,15 +181,15 @@
 func (m *model) follow(t *rapid.T) {
 	name := rapid.SampledFrom(m.names).Draw(t, "host")
 	h := m.hosts[name]
-	if m.tracker.Report(m.now, name, h.follower.Revision(), m.set.Revision) > 0 {
+	if m.tracker.Report(m.now, name, h.follower.Revision(), m.state.Set().Revision) > 0 {
 		h.holder.Renewed(1, h.clock(m.now), modelLease)
 		h.confirmedAt = h.clock(m.now)
 	}
 	if rapid.Bool().Draw(t, "change first") {
 		m.change(t)
 	}
-	h.follower.Update(Update{Set: m.set, BoundMillis: Bound(modelEvacuate).Milliseconds()}, h.confirmedAt)
-	m.tracker.Report(m.now, name, h.follower.Revision(), m.set.Revision)
+	h.follower.Update(Update{Set: m.state.Set(), BoundMillis: Bound(modelEvacuate).Milliseconds()}, h.confirmedAt)
+	m.tracker.Report(m.now, name, h.follower.Revision(), m.state.Set().Revision)
 	h.holder.Renewed(1, h.clock(m.now), modelLease)
 	m.acknowledge(t)
 }
@@ -186,7 +202,7 @@
 	i := rapid.IntRange(0, len(m.reports)-1).Draw(t, "report")
 	r := m.reports[i]
 	if !r.replied {
-		r.replied, r.granted = true, m.tracker.Report(m.now, r.name, r.revision, m.set.Revision) > 0
+		r.replied, r.granted = true, m.tracker.Report(m.now, r.name, r.revision, m.state.Set().Revision) > 0
 		return
 	}
 	if r.granted {
@@ -198,6 +214,9 @@
 
 func (m *model) check(t *rapid.T) {
 	for domain, at := range m.acked {
+		if !m.state.Set().InForce(Change{Domain: domain, Start: true}) {
+			t.Fatalf("at %v the evacuation of %s, acknowledged at %v, has ended without an end", m.now, domain, at)
+		}
 		for name, h := range m.hosts {
 			if m.now >= at+Bound(modelEvacuate) && h.sendsTo(m.now, domain, true) {
 				t.Fatalf("at %v host %s sends to %s, which was acknowledged at %v", m.now, name, domain, at)
--- a/evacuation/messages_gen.go
+++ b/evacuation/messages_gen.go
@@ -17,6 +17,29 @@
 	Millis int64 `json:"t" yaml:"t" cbor:"t"`
 }
 
+// ChangeReply is the reply to a ConditionalChange.
+type ChangeReply struct {
+	// Whether the change had no effect because the sequence number that it is based
+	// on is not the current one.
+	Outdated bool `json:"o" yaml:"o" cbor:"o"`
+
+	// Sequence number of the failure domain after the change.
+	Sequence uint64 `json:"q" yaml:"q" cbor:"q"`
+
+	// Revision that entry hosts must use before the change may be acknowledged.
+	Revision uint64 `json:"r" yaml:"r" cbor:"r"`
+}
+
+// ConditionalChange is a change that takes effect only if no other change of its
+// failure domain was acknowledged since its caller was known to wait for it.
+type ConditionalChange struct {
+	// What the caller asks for.
+	Change Change `json:"c" yaml:"c" cbor:"c"`
+
+	// Sequence number of the failure domain that the change is based on.
+	Sequence uint64 `json:"q" yaml:"q" cbor:"q"`
+}
+
 // Domain is an evacuated failure domain.
 type Domain struct {
 	// Who started it.
@@ -33,6 +56,16 @@
 	StartMillis int64 `json:"t" yaml:"t" cbor:"t"`
 }
 
+// DomainSequence is the sequence number of a failure domain.
+type DomainSequence struct {
+	// Name of the failure domain.
+	Name string `json:"n" yaml:"n" cbor:"n"`
+
+	// Number of changes that were acknowledged or took effect, including those that
+	// asked for what was in force.
+	Number uint64 `json:"q" yaml:"q" cbor:"q"`
+}
+
 // DomainStatus is the progress of the evacuation of one failure domain.
 type DomainStatus struct {
 	// Name of the failure domain.
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -29,6 +29,15 @@
 	return evacuated == c.Start
 }
 
+// revisionOf returns the revision at which a failure domain's evacuation was started, or that of the set if it is not
+// evacuated.
+func (s Set) revisionOf(domain string) uint64 {
+	if d, evacuated := s.Find(domain); evacuated {
+		return d.Revision
+	}
+	return s.Revision
+}
+
 // Apply returns the set after a change. The set that it is called on stays as it is.
 func (s Set) Apply(c Change) Set {
 	if s.InForce(c) {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -65,7 +65,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{stop: stop, http: &http.Server{
 		Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: stdlog.New(io.Discard, "", 0), // net/http would log errors that clients cause
+		ConnContext: clientconn.WithConn,
+		ErrorLog:    stdlog.New(io.Discard, "", 0), // net/http would log errors that clients cause
 	}}
 	go guard.Watch(ctx)
 	go func() {
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -217,16 +217,10 @@
 		return
 	}
 	c.lastOutput, c.pending = written, false
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
+	if info, known := c.tcpInfo(); known {
+		c.taken = int64(info.Bytes_acked)
+		c.pending = info.Unacked > 0 || info.Notsent_bytes > 0
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			c.taken = int64(info.Bytes_acked)
-			c.pending = info.Unacked > 0 || info.Notsent_bytes > 0
-		}
-	})
 }
 
 // unsentBytes bounds what the kernel holds of responses that were not sent yet. What was sent is bounded by the client's
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -41,7 +41,7 @@
 	case wire.KindPutConfig:
 		return encodeReply(decodeAndHandle(body, func(put routes.Put) (any, error) { return h.Put(ctx, put) }))
 	case wire.KindEvacuate:
-		return encodeReply(decodeAndHandle(body, func(change evacuation.Change) (any, error) { return nil, h.Evacuate(ctx, change) }))
+		return encodeReply(decodeAndHandle(body, func(change evacuation.ConditionalChange) (any, error) { return h.changeEvacuation(ctx, change) }))
 	case wire.KindGetEvacuations:
 		status, err := h.Evacuations(ctx)
 		return encodeReply(status, err)
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -120,23 +120,47 @@
 }
 
 // Evacuate starts or ends the evacuation of a failure domain. A start returns once no gateway will send requests to the
-// domain later than evacuate_ms from then on; an end returns once the connected gateways have been told.
-func (h *Host) Evacuate(ctx context.Context, change evacuation.Change) error {
+// domain later than evacuate_ms from then on; an end returns once the connected gateways have been told. received is when
+// the call arrived at this host, by package clock. A call whose caller may have given up has no effect (ErrUnavailable).
+func (h *Host) Evacuate(ctx context.Context, change evacuation.Change, received time.Duration) error {
 	if err := h.checkEvacuation(change); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(0, h.configLease()-h.evacuationBound())+evacuationCallSlack)
 	defer cancel()
+	received = min(received, h.pauses.EarliestArrival(clock.Now()))
+	call := evacuation.NewCall(change, received, h.state.evacuationSequence(change.Domain))
+	for {
+		now := clock.Now()
+		conditional, waiting := call.Next(now)
+		h.logEvacuationCall(conditional, change, now-received, waiting)
+		if !waiting {
+			return errors.Wrap(ErrUnavailable, "the call is too old: its caller may no longer wait for it")
+		}
+		reply, err := h.changeEvacuation(ctx, conditional)
+		if err != nil || !reply.Outdated {
+			return err
+		}
+		call.Retry(reply)
+	}
+}
+
+// changeEvacuation has the leader apply a change, and returns once it may be acknowledged or is outdated.
+func (h *Host) changeEvacuation(ctx context.Context, change evacuation.ConditionalChange) (reply evacuation.ChangeReply, err error) {
+	if err := h.checkEvacuation(change.Change); err != nil {
+		return reply, err
+	}
 	if !h.Leads() {
-		return h.forwardToLeader(ctx, wire.KindEvacuate, change, nil)
+		err = h.forwardToLeader(ctx, wire.KindEvacuate, change, &reply)
+		return reply, err
 	}
 	started := clock.Now()
-	revision, err := h.commitEvacuation(ctx, change)
-	if err == nil && change.Start {
-		err = h.awaitRollout(ctx, evacuationTracker, revision)
+	reply, err = h.commitEvacuation(ctx, change)
+	if err == nil && !reply.Outdated && change.Change.Start {
+		err = h.awaitRollout(ctx, evacuationTracker, reply.Revision)
 	}
-	h.recordEvacuation(change, revision, clock.Now()-started, err)
-	return err
+	h.recordEvacuation(change, reply, clock.Now()-started, err)
+	return reply, err
 }
 
 // checkEvacuation returns ErrUnknownDomain if a change can't be made here. A failure domain that is no longer in the
@@ -150,53 +174,60 @@
 	return nil
 }
 
-// commitEvacuation commits a change, unless it is in force, and sends it to the gateways. It returns the revision that
-// gateways must use: of the start, or of the set after an end.
-func (h *Host) commitEvacuation(ctx context.Context, change evacuation.Change) (revision uint64, err error) {
-	if err := h.runner.ReadBarrier(ctx); err != nil {
-		return 0, mapLogError(err)
-	}
-	set := h.state.evacuationSet()
-	if set.InForce(change) {
-		revision = revisionOf(set, change.Domain)
-	} else {
-		result, err := h.propose(ctx, command{Evacuation: &change})
-		if err != nil {
-			return 0, err
-		}
-		revision, _ = result.(uint64)
+// commitEvacuation commits a change, and sends the set to the gateways. Whether the change takes effect is decided when the
+// entry is applied, since other changes may come before it.
+func (h *Host) commitEvacuation(ctx context.Context, change evacuation.ConditionalChange) (reply evacuation.ChangeReply, err error) {
+	result, err := h.propose(ctx, command{ConditionalEvacuation: &change})
+	if err != nil {
+		return reply, err
 	}
+	reply, _ = result.(evacuation.ChangeReply)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.leading == nil {
-		return revision, errors.Wrap(ErrUnknownOutcome, "this host is no longer the leader")
+		return reply, errors.Wrap(ErrUnknownOutcome, "this host is no longer the leader")
 	}
 	h.publishEvacuations(clock.Now(), h.leading)
-	return revision, nil
+	return reply, nil
 }
 
-// revisionOf returns the revision at which a failure domain's evacuation was started, or that of the set if it is not
-// evacuated.
-func revisionOf(set evacuation.Set, domain string) uint64 {
-	if d, evacuated := set.Find(domain); evacuated {
-		return d.Revision
+// evacuationKind returns the name of a change in logs and metrics.
+func evacuationKind(change evacuation.Change) string {
+	if change.Start {
+		return "start"
 	}
-	return set.Revision
+	return "end"
 }
 
-// recordEvacuation logs and counts a call.
-func (h *Host) recordEvacuation(change evacuation.Change, revision uint64, took time.Duration, err error) {
-	kind, outcome := "end", "acknowledged"
-	if change.Start {
-		kind = "start"
+// logEvacuationCall logs on the host that received a call whether it is sent to the leader.
+func (h *Host) logEvacuationCall(conditional evacuation.ConditionalChange, change evacuation.Change, age time.Duration, waiting bool) {
+	entry := log.WithFields(log.Fields{
+		"domain": change.Domain, "change": evacuationKind(change), "by": change.By, "age_ms": age.Milliseconds(),
+		"sequence": conditional.Sequence,
+	})
+	if waiting {
+		entry.Info("evacuation call received")
+		return
 	}
+	entry.Warn("evacuation call dropped, its caller may no longer wait for it")
+	h.metrics.evacuations.calls.WithLabelValues(evacuationKind(change), "too_old").Inc()
+}
+
+// recordEvacuation logs and counts a change on the leader.
+func (h *Host) recordEvacuation(change evacuation.ConditionalChange, reply evacuation.ChangeReply, took time.Duration, err error) {
+	kind, outcome := evacuationKind(change.Change), "acknowledged"
 	entry := log.WithFields(log.Fields{
-		"domain": change.Domain, "change": kind, "by": change.By, "revision": revision, "took_ms": took.Milliseconds(),
+		"domain": change.Change.Domain, "change": kind, "by": change.Change.By, "revision": reply.Revision,
+		"base_sequence": change.Sequence, "sequence": reply.Sequence, "took_ms": took.Milliseconds(),
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		outcome = "failed"
 		entry.WithError(err).Warn("evacuation not acknowledged")
-	} else {
+	case reply.Outdated:
+		outcome = "outdated"
+		entry.Warn("evacuation not changed, another change was acknowledged meanwhile")
+	default:
 		entry.Info("evacuation acknowledged")
 		h.metrics.evacuations.acknowledgeSeconds.WithLabelValues(kind).Observe(took.Seconds())
 	}
@@ -329,23 +360,32 @@
 	return total
 }
 
-// applyEvacuation applies a change and returns the revision that gateways must use. It must be called with s.mu held.
-func (s *fleetState) applyEvacuation(change evacuation.Change) uint64 {
-	if !s.evacuations.InForce(change) {
-		s.evacuations = s.evacuations.Apply(change)
+// applyEvacuation calls apply, and records a new revision. It must be called with s.mu held.
+func (s *fleetState) applyEvacuation(apply func() evacuation.ChangeReply) evacuation.ChangeReply {
+	before := s.evacuations.Set().Revision
+	reply := apply()
+	if s.evacuations.Set().Revision != before {
 		s.traceEvacuations()
 	}
-	return revisionOf(s.evacuations, change.Domain)
+	return reply
 }
 
 // traceEvacuations records that this host has the set. It must be called with s.mu held.
 func (s *fleetState) traceEvacuations() {
-	s.evacuationTrace.Add(time.Now(), trace.Evacuation{Revision: s.evacuations.Revision, Domains: s.evacuations.Names()})
+	set := s.evacuations.Set()
+	s.evacuationTrace.Add(time.Now(), trace.Evacuation{Revision: set.Revision, Domains: set.Names()})
 }
 
 // evacuationSet returns the evacuated failure domains. They must not be modified.
 func (s *fleetState) evacuationSet() evacuation.Set {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evacuations
+	return s.evacuations.Set()
+}
+
+// evacuationSequence returns the sequence number of a failure domain.
+func (s *fleetState) evacuationSequence(domain string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations.Sequence(domain)
 }
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -46,7 +46,7 @@
 	c.wait("a change of "+change.Domain+" to be acknowledged", func() bool {
 		for _, h := range c.hosts {
 			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-			err := h.Evacuate(ctx, change)
+			err := h.Evacuate(ctx, change, clock.Now())
 			cancel()
 			if err == nil {
 				return true
@@ -156,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	leader := c.leader()
-	if err := leader.Evacuate(ctx, startOf("d1")); !errors.Is(err, ErrUnknownOutcome) {
+	if err := leader.Evacuate(ctx, startOf("d1"), clock.Now()); !errors.Is(err, ErrUnknownOutcome) {
 		t.Errorf("start while a gateway lacks it: error %v, want %v", err, ErrUnknownOutcome)
 	}
 	killed := time.Now()
@@ -174,7 +174,7 @@
 	}
 	// The answer was lost: the call is repeated at each of the hosts and acknowledged again.
 	for _, h := range c.hosts {
-		if err := h.Evacuate(context.Background(), startOf("d1")); err != nil {
+		if err := h.Evacuate(context.Background(), startOf("d1"), clock.Now()); err != nil {
 			t.Errorf("repeated start at %s: %v", h.name, err)
 		}
 	}
@@ -237,8 +237,7 @@
 // Guards against a set that is lost once the log is replaced by a snapshot.
 func TestSnapshotHasTheSet(t *testing.T) {
 	state, restored := &fleetState{onChange: func() {}}, &fleetState{onChange: func() {}}
-	change := startOf("d1")
-	entry, err := cbor.Marshal(command{Evacuation: &change})
+	entry, err := cbor.Marshal(command{ConditionalEvacuation: &evacuation.ConditionalChange{Change: startOf("d1")}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -253,6 +252,56 @@
 	if got, want := restored.evacuationSet(), state.evacuationSet(); want.Revision != 1 || !reflect.DeepEqual(got, want) {
 		t.Errorf("restored %+v, want %+v at revision 1", got, want)
 	}
+	if got := restored.evacuationSequence("d1"); got != 1 {
+		t.Errorf("restored sequence number %d, want 1: a late copy of a call would take effect", got)
+	}
+}
+
+// endOf is the opposite of startOf.
+func endOf(domain string) evacuation.Change {
+	return evacuation.Change{Domain: domain, Millis: time.Now().UnixMilli(), By: "test"}
+}
+
+// Guards against a control host that has stood still and then sends on an end that its caller has long repeated elsewhere,
+// and so ends an evacuation that was acknowledged since (review/7).
+func TestLateEndDoesNotEndALaterEvacuation(t *testing.T) {
+	c := evacuatingCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.call(startOf("d1"))
+	received := clock.Now()
+	time.Sleep(evacuation.CallerPatience + 100*time.Millisecond)
+	c.call(endOf("d1"))
+	c.call(startOf("d1"))
+	for _, h := range c.hosts {
+		if err := h.Evacuate(context.Background(), endOf("d1"), received); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("late end at %s: error %v, want %v", h.name, err, ErrUnavailable)
+		}
+	}
+	if set := c.leader().state.evacuationSet(); !set.InForce(startOf("d1")) {
+		t.Error("the late end has ended an evacuation that was acknowledged after it")
+	}
+}
+
+// Guards against an end that is delayed between hosts or at the leader, and against a host whose replica lags and refuses a
+// call in time.
+func TestChangeOnAnOlderSequenceNumberIsTriedAgainByItsHostOnly(t *testing.T) {
+	c := evacuatingCluster(t, "127.0.0.1", "127.0.0.2", "127.0.0.3")
+	c.call(startOf("d1"))
+	for _, h := range c.hosts {
+		reply, err := h.changeEvacuation(context.Background(), evacuation.ConditionalChange{Change: endOf("d1")})
+		if err != nil || !reply.Outdated || reply.Sequence == 0 {
+			t.Errorf("end on sequence number 0 at %s: %+v, %v, want it outdated", h.name, reply, err)
+		}
+	}
+	if set := c.leader().state.evacuationSet(); !set.InForce(startOf("d1")) {
+		t.Error("an outdated end has ended the evacuation")
+	}
+	for _, h := range c.hosts { // those that do not lead may not have the latest sequence number yet
+		for _, change := range []evacuation.Change{endOf("d1"), startOf("d1")} {
+			if err := h.Evacuate(context.Background(), change, clock.Now()); err != nil {
+				t.Errorf("start %v in time at %s: %v", change.Start, h.name, err)
+			}
+		}
+	}
 }
 
 // Guards against evacuations in a deployment that does not ask for them: no message, no condition on leases.
@@ -265,7 +314,7 @@
 	if lease := reportInForce(client, 7); lease != 5*time.Second {
 		t.Errorf("lease %v, want 5s whatever the revision", lease)
 	}
-	if err := c.leader().Evacuate(context.Background(), startOf("d1")); !errors.Is(err, ErrUnknownDomain) {
+	if err := c.leader().Evacuate(context.Background(), startOf("d1"), clock.Now()); !errors.Is(err, ErrUnknownDomain) {
 		t.Errorf("start: %v, want %v", err, ErrUnknownDomain)
 	}
 	stub.mu.Lock()
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -19,6 +19,7 @@
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/groupcall"
+	"github.com/galenalug/galenalug/internal/pause"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/trace"
@@ -100,6 +101,7 @@
 	publishRequests chan struct{} // signals publishLoop that the table may have changed
 	grantWake       chan struct{} // signals grantLoop that calls may be due
 	newCaller       func() GrantCaller
+	pauses          pause.Detector
 	cancel          context.CancelFunc
 	loops           sync.WaitGroup
 
@@ -178,6 +180,7 @@
 	for _, address := range h.otherControlHosts() {
 		h.peers.client(address) // connects in the background
 	}
+	h.loops.Go(func() { h.pauses.Watch(ctx) })
 	h.loops.Go(func() { h.membershipLoop(ctx) })
 	h.loops.Go(func() { h.publishLoop(ctx) })
 	if h.newCaller == nil {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenalug/galenalug/evacuation"
+	"github.com/galenalug/galenalug/internal/clientconn"
 	"github.com/galenalug/galenalug/internal/config"
 	"github.com/galenalug/galenalug/internal/wire"
 	"github.com/galenalug/galenalug/routes"
@@ -119,6 +120,11 @@
 		writeRefusal(w, http.StatusNotFound, wire.OutcomeNotRun, "invalid", "an evacuation has a start and an end")
 		return
 	}
+	received, err := clientconn.From(r.Context()).RequestReceived()
+	if err != nil {
+		writeCallError(w, errors.Wrap(ErrUnavailable, err.Error()))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
 	change := evacuation.Change{
@@ -127,7 +133,7 @@
 	if change.By == "" {
 		change.By = r.RemoteAddr
 	}
-	if err := h.Evacuate(ctx, change); err != nil {
+	if err := h.Evacuate(ctx, change, received); err != nil {
 		writeCallError(w, err)
 		return
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -28,7 +28,8 @@
 
 	Grants []keyrange.Assignment `cbor:"g,omitempty"`
 
-	Evacuation *evacuation.Change `cbor:"e,omitempty"`
+	Evacuation            *evacuation.Change            `cbor:"e,omitempty"` // in logs written before there were sequence numbers
+	ConditionalEvacuation *evacuation.ConditionalChange `cbor:"c,omitempty"`
 }
 
 // stateSnapshot is the encoded form of fleetState.
@@ -39,7 +40,8 @@
 
 	Grants []keyrange.Assignment `cbor:"g"`
 
-	Evacuations *evacuation.Set `cbor:"e,omitempty"` // nil if there never were any
+	Evacuations         *evacuation.Set             `cbor:"e,omitempty"` // nil if there never were any
+	EvacuationSequences []evacuation.DomainSequence `cbor:"q,omitempty"`
 }
 
 // fleetState is the replicated state machine. Apply, Snapshot and Restore are called by the
@@ -53,7 +55,7 @@
 	leaves          []keyrange.Leave
 	grantRecord     keyrange.Record
 	appliedVersions trace.History[uint64] // configuration versions applied by this host
-	evacuations     evacuation.Set
+	evacuations     evacuation.State
 	evacuationTrace trace.History[trace.Evacuation] // revisions applied by this host
 }
 
@@ -80,7 +82,9 @@
 			s.leaves = s.leaves[extra:]
 		}
 	case c.Evacuation != nil:
-		return s.applyEvacuation(*c.Evacuation)
+		return s.applyEvacuation(func() evacuation.ChangeReply { return s.evacuations.ApplyUnconditionally(*c.Evacuation) })
+	case c.ConditionalEvacuation != nil:
+		return s.applyEvacuation(func() evacuation.ChangeReply { return s.evacuations.Apply(*c.ConditionalEvacuation) })
 	case len(c.Grants) > 0:
 		s.grantRecord.Apply(c.Grants)
 	case c.LeaseMillis > 0:
@@ -108,8 +112,9 @@
 		return nil, err
 	}
 	image := stateSnapshot{Routes: routesImage, LeaseMillis: s.leaseMillis, Leaves: s.leaves, Grants: s.grantRecord.All()}
-	if s.evacuations.Revision > 0 {
-		image.Evacuations = &s.evacuations
+	image.EvacuationSequences = s.evacuations.Sequences()
+	if set := s.evacuations.Set(); set.Revision > 0 {
+		image.Evacuations = &set
 	}
 	data, err := cbor.Marshal(image)
 	return data, errors.Wrap(err, "encode snapshot")
@@ -126,9 +131,9 @@
 	defer s.mu.Unlock()
 	s.leaseMillis, s.leaves = image.LeaseMillis, image.Leaves
 	s.grantRecord.Restore(image.Grants)
-	s.evacuations = evacuation.Set{}
+	s.evacuations = evacuation.NewState(evacuation.Set{}, image.EvacuationSequences)
 	if image.Evacuations != nil {
-		s.evacuations = *image.Evacuations
+		s.evacuations = evacuation.NewState(*image.Evacuations, image.EvacuationSequences)
 		s.traceEvacuations()
 	}
 	return s.routes.Restore(image.Routes)
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/galenalug/galenalug/evacuation"
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/keyrange"
 )
@@ -112,7 +113,7 @@
 	s.wait("the server at the gateway", func() bool { return s.status("/chart/1") == http.StatusOK })
 	s.link.setBacklog(time.Hour)
 	served := server.count()
-	if err := control.Evacuate(context.Background(), evacuation.Change{Domain: "d1", Start: true, Millis: time.Now().UnixMilli()}); err != nil {
+	if err := control.Evacuate(context.Background(), evacuation.Change{Domain: "d1", Start: true, Millis: time.Now().UnixMilli()}, clock.Now()); err != nil {
 		t.Fatal(err)
 	}
 	acknowledged, atBound := time.Now(), 0
@@ -132,7 +133,7 @@
 	if status := s.status("/chart/1"); status != http.StatusServiceUnavailable || server.count() != atBound {
 		t.Errorf("status %d and %d requests once the gateway is back, want 503 and none", status, server.count()-atBound)
 	}
-	if err := control.Evacuate(context.Background(), evacuation.Change{Domain: "d1"}); err != nil {
+	if err := control.Evacuate(context.Background(), evacuation.Change{Domain: "d1"}, clock.Now()); err != nil {
 		t.Fatal(err)
 	}
 	s.wait("requests after the end", func() bool { return s.status("/chart/1") == http.StatusOK })
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -34,7 +34,7 @@
 	KindPermitRequest   = 24 // quarantine.PermitRequest, entry to control; answered by quarantine.PermitReply
 	KindQuarantine      = 23 // quarantine.Update, one-way, control to entry
 	KindEvacuations     = 25 // evacuation.Update, one-way, control to entry
-	KindEvacuate        = 27 // evacuation.Change, answered by an empty body
+	KindEvacuate        = 27 // evacuation.ConditionalChange, answered by evacuation.ChangeReply
 	KindGetEvacuations  = 28 // empty, answered by evacuation.Status
 	KindEvacuationSent  = 29 // evacuation.Traffic, one-way, entry to control
 	KindServerDigest    = 26 // serverload.Digest, one-way, control to entry
