--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -164,6 +164,8 @@
 	case routes.OutcomeConflict:
 		writeRefusal(w, http.StatusConflict, wire.OutcomeNotRun, string(reply.Outcome),
 			fmt.Sprintf("%s: %d", reply.Detail, reply.Current))
+	case routes.OutcomeUnclear:
+		writeRefusal(w, http.StatusServiceUnavailable, wire.OutcomeUnknown, string(reply.Outcome), reply.Detail)
 	default:
 		writeRefusal(w, http.StatusBadRequest, wire.OutcomeNotRun, string(reply.Outcome), reply.Detail)
 	}
--- a/routes/doc.go
+++ b/routes/doc.go
@@ -9,6 +9,9 @@
 //   - At most one configuration is accepted on top of a version.
 //   - A Put that was accepted is accepted again if it is repeated with the same content and version,
 //     even if later configurations have replaced it. This holds for the last MaxHistory accepted
-//     configurations.
+//     configurations. "The same content" is what was sent, byte for byte: the Document, or the
+//     Config of a Put without one.
+//   - A Put that looks like one that an earlier release accepted, without a record of what was
+//     sent, has OutcomeUnclear.
 //   - An invalid configuration never takes effect.
 package routes
--- a/routes/messages_gen.go
+++ b/routes/messages_gen.go
@@ -7,9 +7,13 @@
 	// Version that it is based on.
 	Base uint64 `json:"b" yaml:"b" cbor:"b"`
 
-	// Digest of its content.
+	// Digest of its content as the recording release decoded it.
 	Digest uint64 `json:"d" yaml:"d" cbor:"d"`
 
+	// Digest of what the operator sent; 0 in records of releases that did not keep
+	// it.
+	Sent uint64 `json:"t" yaml:"t" cbor:"t"`
+
 	// Version of the configuration.
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
@@ -85,12 +89,16 @@
 	// Difference of the encoded Put from the one in force; see package delta.
 	Encoded []byte `json:"e" yaml:"e" cbor:"e"`
 
-	// Digest of the content of the new configuration.
+	// Digest of the content of the new configuration as the leader decodes it.
 	Digest uint64 `json:"g" yaml:"g" cbor:"g"`
 
 	// Checksum of the encoded Put.
 	Sum uint64 `json:"s" yaml:"s" cbor:"s"`
 
+	// Digest of what the operator sent; 0 in entries of releases that did not keep
+	// it.
+	Sent uint64 `json:"t" yaml:"t" cbor:"t"`
+
 	// Version of the new configuration.
 	Version uint64 `json:"v" yaml:"v" cbor:"v"`
 }
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -229,10 +229,94 @@
 	}
 }
 
+// Guards against two different changes on one version that are both acknowledged, since they decode to the same
+// configuration (review/8): the second one would be lost.
+func TestChangesThatDecodeAlikeAreDifferent(t *testing.T) {
+	first := Put{Config: validConfig(5), Document: []byte(`{"tls":false}`)}
+	second := Put{Config: validConfig(5), Document: []byte(`{"tls":true}`)}
+	var s, restored Store
+	late, err := s.Delta(second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(first)
+	image, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(image); err != nil {
+		t.Fatal(err)
+	}
+	for name, store := range map[string]*Store{"store": &s, "restored store": &restored} {
+		for call, reply := range map[string]PutReply{"Check": store.Check(second), "Apply": store.Apply(second), "ApplyDelta": store.ApplyDelta(late)} {
+			if reply.Outcome != OutcomeConflict {
+				t.Errorf("%s of the second change by the %s: %+v, want a conflict", call, name, reply)
+			}
+		}
+		if reply := store.Check(first); reply.Outcome != OutcomeAccepted || string(store.Document()) != string(first.Document) {
+			t.Errorf("first change sent again to the %s: %+v, with document %s", name, reply, store.Document())
+		}
+	}
+}
+
+// Guards against refusals of changes that an earlier release has accepted, and against acknowledgements of others that look
+// like them. Of the change in force the store has what was sent, of the ones before it only a digest of what was decoded.
+func TestHistoryOfAnEarlierRelease(t *testing.T) {
+	older := Put{Config: validConfig(5), Document: []byte("older")}
+	inForce := Put{Base: 5, Config: validConfig(6), Document: []byte("in force")}
+	var s Store
+	s.Apply(older)
+	s.Apply(inForce)
+	for i := range s.history {
+		s.history[i].Sent = 0
+	}
+	image, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Restore(image); err != nil {
+		t.Fatal(err)
+	}
+	likeInForce := Put{Base: 5, Config: validConfig(6), Document: []byte("another one")}
+	unlike := Put{Config: validConfig(5)}
+	unlike.Config.Limits.BodyBytes++
+	for name, step := range map[string]struct {
+		put  Put
+		want Outcome
+	}{
+		"the change in force": {inForce, OutcomeAccepted}, "one that looks like it": {likeInForce, OutcomeConflict},
+		"an older change": {older, OutcomeUnclear}, "one that differs from it": {unlike, OutcomeConflict},
+	} {
+		if reply := s.Check(step.put); reply.Outcome != step.want {
+			t.Errorf("%s: %+v, want %s", name, reply, step.want)
+		}
+	}
+}
+
+// Guards against replicas that disagree on log entries of an earlier release: they hold no digest of what was sent, and a
+// change may stand in the log twice.
+func TestLogOfAnEarlierRelease(t *testing.T) {
+	p := Put{Config: validConfig(5), Document: []byte("first")}
+	var s Store
+	d, err := s.Delta(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Sent = 0
+	for range 2 {
+		if reply := s.ApplyDelta(d); reply.Outcome != OutcomeAccepted || reply.Current != 5 {
+			t.Errorf("entry without the digest: %+v", reply)
+		}
+	}
+	if reply := s.Check(p); reply.Outcome != OutcomeAccepted {
+		t.Errorf("the same change sent again: %+v", reply)
+	}
+}
+
 // Snapshots of earlier releases hold the decoded configuration and the document.
 func TestRestoreOfCompleteSnapshot(t *testing.T) {
 	first := Put{Config: validConfig(5), Document: []byte("first")}
-	digest, err := Digest(first.Config)
+	digest, err := digest(first.Config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/routes/store.go
+++ b/routes/store.go
@@ -37,17 +37,20 @@
 // Check returns the reply that applying p would give, except that Current is the version in force now.
 // It does not change the state.
 func (s *Store) Check(p Put) PutReply {
-	digest, err := Digest(p.Config)
+	id, err := identify(p)
 	if err != nil {
 		return s.reply(OutcomeInvalid, err.Error())
 	}
-	return s.check(p, digest)
+	return s.check(p, id)
 }
 
-// check returns the reply to a change whose configuration has the given digest.
-func (s *Store) check(p Put, digest uint64) PutReply {
-	if s.accepted(p.Config.Version, p.Base, digest) {
+// check returns the reply to a change with the given identity.
+func (s *Store) check(p Put, id identity) PutReply {
+	switch s.match(id) {
+	case sameChange:
 		return s.reply(OutcomeAccepted, "")
+	case maybeSameChange:
+		return s.unclear()
 	}
 	if p.Base != s.current.Version {
 		return s.conflict()
@@ -64,7 +67,7 @@
 // Delta returns a change as its difference from the configuration in force. Only replicas with that
 // configuration can apply it; for others it is a conflict.
 func (s *Store) Delta(p Put) (Delta, error) {
-	digest, err := Digest(p.Config)
+	id, err := identify(p)
 	if err != nil {
 		return Delta{}, err
 	}
@@ -76,13 +79,19 @@
 	if err != nil {
 		return Delta{}, errors.Wrap(ErrEncoding, err.Error())
 	}
-	return Delta{Base: p.Base, Version: p.Config.Version, Digest: digest, Sum: xxhash.Sum64(target), Encoded: encoded}, nil
+	return Delta{
+		Base: p.Base, Version: p.Config.Version, Digest: id.digest, Sent: id.sent, Sum: xxhash.Sum64(target), Encoded: encoded,
+	}, nil
 }
 
 // ApplyDelta puts a change into force if it is accepted, and returns the reply to it.
 func (s *Store) ApplyDelta(d Delta) PutReply {
-	if s.accepted(d.Version, d.Base, d.Digest) {
+	id := identity{version: d.Version, base: d.Base, digest: d.Digest, sent: d.Sent}
+	switch s.match(id) {
+	case sameChange:
 		return s.reply(OutcomeAccepted, "")
+	case maybeSameChange:
+		return s.unclear()
 	}
 	if d.Base != s.current.Version {
 		return s.conflict()
@@ -98,12 +107,17 @@
 	if err := cbor.Unmarshal(encoded, &p); err != nil {
 		return s.reply(OutcomeInvalid, err.Error())
 	}
-	return s.apply(p, d.Digest, encoded)
+	if id.sent == 0 {
+		if id, err = identify(p); err != nil {
+			return s.reply(OutcomeInvalid, err.Error())
+		}
+	}
+	return s.apply(p, id, encoded)
 }
 
 // Apply puts a change into force if it is accepted, and returns the reply to it.
 func (s *Store) Apply(p Put) PutReply {
-	digest, err := Digest(p.Config)
+	id, err := identify(p)
 	if err != nil {
 		return s.reply(OutcomeInvalid, err.Error())
 	}
@@ -111,19 +125,19 @@
 	if err != nil {
 		return s.reply(OutcomeInvalid, err.Error())
 	}
-	return s.apply(p, digest, encoded)
+	return s.apply(p, id, encoded)
 }
 
-func (s *Store) apply(p Put, digest uint64, encoded []byte) PutReply {
-	reply := s.check(p, digest)
-	if reply.Outcome != OutcomeAccepted || s.accepted(p.Config.Version, p.Base, digest) {
+func (s *Store) apply(p Put, id identity, encoded []byte) PutReply {
+	reply := s.check(p, id)
+	if reply.Outcome != OutcomeAccepted || s.match(id) == sameChange {
 		return reply
 	}
 	if s.current.Version > 0 {
 		s.changes.add(Diff(s.current, p.Config))
 	}
 	s.current, s.document, s.encoded = p.Config, p.Document, encoded
-	s.history = append(s.history, Accepted{Version: p.Config.Version, Base: p.Base, Digest: digest})
+	s.history = append(s.history, Accepted{Version: p.Config.Version, Base: p.Base, Digest: id.digest, Sent: id.sent})
 	if extra := len(s.history) - MaxHistory; extra > 0 {
 		s.history = s.history[extra:]
 	}
@@ -137,23 +151,20 @@
 
 func (s *Store) conflict() PutReply { return s.reply(OutcomeConflict, "another version is in force") }
 
-// accepted reports whether an identical change was accepted before.
-func (s *Store) accepted(version, base, digest uint64) bool {
-	for _, a := range s.history {
-		if a.Version == version && a.Base == base && a.Digest == digest {
-			return true
-		}
-	}
-	return false
+// unclear is the reply to a change that may have been accepted.
+func (s *Store) unclear() PutReply {
+	return s.reply(OutcomeUnclear, "an earlier release accepted a change like this one and did not record exactly what was sent")
 }
 
-// Digest returns a hash of a configuration's content.
-func Digest(c Config) (uint64, error) {
-	data, err := cbor.Marshal(c)
-	if err != nil {
-		return 0, errors.Wrap(ErrEncoding, err.Error())
+// completeNewest adds the digest of what was sent to the newest record, which is of the change in force, if an earlier
+// release has left it out.
+func (s *Store) completeNewest(inForce Put) error {
+	if len(s.history) == 0 || s.history[len(s.history)-1].Sent != 0 {
+		return nil
 	}
-	return xxhash.Sum64(data), nil
+	id, err := identify(inForce)
+	s.history[len(s.history)-1].Sent = id.sent
+	return err
 }
 
 // Snapshot returns the encoded state.
@@ -179,7 +190,11 @@
 	if err != nil {
 		return errors.Wrap(ErrEncoding, err.Error())
 	}
-	*s = Store{current: p.Config, document: p.Document, encoded: encoded, history: image.History}
+	restored := Store{current: p.Config, document: p.Document, encoded: encoded, history: image.History}
+	if err := restored.completeNewest(p); err != nil {
+		return err
+	}
+	*s = restored
 	return nil
 }
 
--- a/routes/types.go
+++ b/routes/types.go
@@ -54,4 +54,6 @@
 	// OutcomeInvalid means that Validate rejects the configuration, that its version is not above
 	// the one in force, or that it cannot be encoded.
 	OutcomeInvalid Outcome = "invalid"
+	// OutcomeUnclear means that the Put may be the repetition of one that was accepted, and had no further effect.
+	OutcomeUnclear Outcome = "unclear"
 )
