--- a/internal/clientconn/received.go
+++ b/internal/clientconn/received.go
@@ -16,18 +16,19 @@
 const tcpCloseWait = 8
 
 // RequestReceived returns when the last byte of the request in progress arrived at this host, by package clock. That may be
-// long ago if the process has stood still. It returns ErrClientGone if the client has closed the connection since. Without
-// a connection, or if the kernel doesn't tell, the request counts as received now.
+// long ago if the process has stood still. The error is ErrClientGone if the client has closed the connection since. Without a
+// connection, or if the kernel doesn't tell, the request counts as received now.
 func (c *Conn) RequestReceived() (time.Duration, error) {
 	now := clock.Now() // read first: a pause after it makes the request older, not younger
 	info, known := c.tcpInfo()
-	switch {
-	case !known || info.Data_segs_in == 0:
+	if !known || info.Data_segs_in == 0 {
 		return now, nil
-	case info.State == tcpCloseWait:
-		return now, ErrClientGone
 	}
-	return now - clock.Milliseconds(int64(info.Last_data_recv)), nil
+	received := now - clock.Milliseconds(int64(info.Last_data_recv))
+	if info.State == tcpCloseWait {
+		return received, ErrClientGone
+	}
+	return received, nil
 }
 
 // tcpInfo returns what the kernel knows of the connection.
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -37,7 +37,7 @@
 	case wire.KindServerHeartbeat:
 		return encodeReply(decodeAndHandle(body, func(hb keyrange.Heartbeat) (any, error) { return h.handleHeartbeat(ctx, hb) }))
 	case wire.KindServerLeave:
-		return encodeReply(decodeAndHandle(body, func(leave keyrange.Leave) (any, error) { return nil, h.Leave(ctx, leave) }))
+		return encodeReply(decodeAndHandle(body, func(leave keyrange.Leave) (any, error) { return nil, h.recordLeave(ctx, leave) }))
 	case wire.KindPutConfig:
 		return encodeReply(decodeAndHandle(body, func(put routes.Put) (any, error) { return h.Put(ctx, put) }))
 	case wire.KindEvacuate:
--- a/internal/fleet/draining_test.go
+++ b/internal/fleet/draining_test.go
@@ -3,7 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/keyrange"
 )
 
@@ -60,3 +64,25 @@
 		return next.leading != nil && slices.Equal(next.leading.coordinator.Snapshot().RemovedServers, []string{"s1"})
 	})
 }
+
+// Guards against a leave that a control host reads long after it arrived, and that marks a process as leaving which has
+// started since under the same ID.
+func TestLateLeaveWithoutStartIsRefused(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	leader := c.leader()
+	late := clock.Now() - maxLeaveAge - time.Second
+	if err := leader.Leave(t.Context(), keyrange.Leave{ID: "s1"}, late); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("late leave that names no process: %v, want %v", err, ErrUnavailable)
+	}
+	if err := leader.Leave(t.Context(), keyrange.Leave{ID: "s1", StartMillis: 7}, late); err != nil {
+		t.Errorf("late leave that names its process: %v", err)
+	}
+	if err := leader.Leave(t.Context(), keyrange.Leave{ID: "s2"}, clock.Now()); err != nil {
+		t.Errorf("leave in time that names no process: %v", err)
+	}
+	left := leader.state.recordedLeaves()
+	if len(left) != 2 || left[0].StartMillis != 7 || left[1].ReceivedMillis == 0 {
+		t.Errorf("recorded: %+v, want s1 with its start time and s2 with the time of the call", left)
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/peer"
 	"github.com/galenalug/galenalug/internal/settings"
 	"github.com/galenalug/galenalug/internal/testport"
@@ -327,7 +328,7 @@
 		return err == nil && len(reply.Grants) > 0
 	})
 	c.wait("gateway to learn the owner", func() bool { return stub.owner("0-65535") == "s1" })
-	if err := follower.Leave(context.Background(), keyrange.Leave{ID: "s1", StartMillis: 1}); err != nil {
+	if err := follower.Leave(context.Background(), keyrange.Leave{ID: "s1", StartMillis: 1}, clock.Now()); err != nil {
 		t.Fatal(err)
 	}
 	c.wait("gateway to learn that the owner is draining", func() bool {
--- a/keyrange/leave.go
+++ b/keyrange/leave.go
@@ -27,9 +27,17 @@
 	return s == nil || s.info.StartMillis != info.StartMillis || !s.info.Draining || s.leaving
 }
 
+// NameProcess completes a Leave message that does not name the process, if the process is known. The message then concerns no
+// later process of the server, however often it is passed to Leave or RestoreLeave.
+func (c *Coordinator) NameProcess(leave Leave) Leave {
+	if s := c.servers[leave.ID]; s != nil && leave.StartMillis == 0 {
+		leave.StartMillis, leave.ReceivedMillis = s.info.StartMillis, 0
+	}
+	return leave
+}
+
 // Leave records that a server stops serving after the drain period: it sent a Leave message, or says in its
-// heartbeats that it is draining. Its keys become free when
-// it releases them or its lease expires.
+// heartbeats that it is draining. Its keys become free when it releases them or its lease expires.
 func (c *Coordinator) Leave(now time.Duration, leave Leave) {
 	c.recordDeparture(leave, now)
 }
@@ -42,7 +50,10 @@
 
 func (c *Coordinator) recordDeparture(leave Leave, at time.Duration) {
 	if s := c.servers[leave.ID]; s != nil && leave.StartMillis == 0 {
-		leave.StartMillis = s.info.StartMillis // the message did not name an incarnation
+		if leave.ReceivedMillis > 0 && s.info.StartMillis > leave.ReceivedMillis {
+			return // the message is of an earlier process
+		}
+		leave.StartMillis = s.info.StartMillis
 	}
 	if d, known := c.departures[leave.ID]; known && d.startMillis >= leave.StartMillis {
 		return
--- a/keyrange/messages_gen.go
+++ b/keyrange/messages_gen.go
@@ -92,6 +92,11 @@
 
 	// ID of the incarnation.
 	ID string `json:"i" yaml:"i" cbor:"i"`
+
+	// Time at which a message without a start time was received, Unix milliseconds:
+	// it concerns no process that started later. 0 in records of releases that did
+	// not keep it.
+	ReceivedMillis int64 `json:"r" yaml:"r" cbor:"r"`
 }
 
 // LoadReport is the load that an entry host observed since its last report.
