--- a/internal/fleet/draining_test.go
+++ b/internal/fleet/draining_test.go
@@ -65,6 +65,31 @@
 	})
 }
 
+// Guards against a draining that is acknowledged and not known, because another heartbeat had a higher sequence number: the
+// server would get requests after its drain time (review/6, second effect).
+func TestDrainingInAnOutdatedHeartbeatIsRecorded(t *testing.T) {
+	c := newCluster(t, "127.0.0.1")
+	c.wait("a leader", func() bool { return c.leader() != nil })
+	c.putUntilAccepted(put(0, 1))
+	leader := c.leader()
+	hb := keyrange.Heartbeat{Server: keyrange.Server{ID: "s1", StartMillis: 1, Service: "stock", Address: "s1:80", Slots: 6}, Sequence: 100}
+	c.wait("the server to be known", func() bool {
+		hb.Sequence++
+		reply, err := leader.Heartbeat(t.Context(), hb)
+		return err == nil && len(reply.Grants) > 0
+	})
+	hb.Sequence, hb.Server.Draining = 5, true
+	if _, err := leader.Heartbeat(t.Context(), hb); err != nil {
+		t.Fatal(err)
+	}
+	c.wait("the server to be withdrawn from the gateways", func() bool {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		return slices.Equal(leader.leading.coordinator.Snapshot().RemovedServers, []string{"s1"}) ||
+			slices.ContainsFunc(leader.leading.coordinator.PublishedServers(), func(s keyrange.Server) bool { return s.ID == "s1" && s.Draining })
+	})
+}
+
 // Guards against a leave that a control host reads long after it arrived, and that marks a process as leaving which has
 // started since under the same ID.
 func TestLateLeaveWithoutStartIsRefused(t *testing.T) {
--- a/keyrange/admit.go
+++ b/keyrange/admit.go
@@ -27,12 +27,15 @@
 	return known
 }
 
-// continuedBy reports whether a heartbeat is a newer one of the same process. A process keeps its service and its
-// address: one that names others is not from the server.
-func (s *server) continuedBy(hb Heartbeat) bool {
-	return hb.Server.Service == s.info.Service && hb.Server.Address == s.info.Address && hb.Sequence > s.sequence
+// isProcess reports whether a heartbeat can be of the same process. A process keeps its service and its address: one that
+// names others is not from the server.
+func (s *server) isProcess(info Server) bool {
+	return info.StartMillis == s.info.StartMillis && info.Service == s.info.Service && info.Address == s.info.Address
 }
 
+// continuedBy reports whether a heartbeat is a newer one of the same process.
+func (s *server) continuedBy(hb Heartbeat) bool { return s.isProcess(hb.Server) && hb.Sequence > s.sequence }
+
 // admitProcess adds the entry of a process whose first heartbeat has arrived, and ends the processes of whose end
 // that is proof. It returns nil if the configuration does not have the service, or if the heartbeat is a delayed one
 // of an earlier process. earlier is the entry of another process with the same ID, or nil.
--- a/keyrange/leave.go
+++ b/keyrange/leave.go
@@ -20,11 +20,12 @@
 	c.serverChanged(s)
 }
 
-// KnowsDeparture reports whether nothing needs to be recorded of a process that says that it is draining: that was
-// passed to Leave or RestoreLeave, or no such heartbeat of the process was accepted.
+// KnowsDeparture reports whether nothing needs to be recorded of a process that says that it is draining: that was passed to
+// Leave or RestoreLeave, or no process is known that can have said it. A late heartbeat counts, too, since a process never
+// stops draining.
 func (c *Coordinator) KnowsDeparture(info Server) bool {
 	s := c.servers[info.ID]
-	return s == nil || s.info.StartMillis != info.StartMillis || !s.info.Draining || s.leaving
+	return s == nil || s.leaving || !s.isProcess(info)
 }
 
 // NameProcess completes a Leave message that does not name the process, if the process is known. The message then concerns no
