--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -104,6 +104,21 @@
 	return start, nil
 }
 
+// Extend reads the rest of a body behind its start, up to a limit for both. Data is nil if there is no memory for them. After an
+// error nothing needs to be released.
+func (p *Pool) Extend(start []byte, rest io.Reader, length, limit int64) (Start, error) {
+	limit = partOf(length, limit)
+	if !p.tryTake(limit) {
+		return Start{}, nil
+	}
+	whole := Start{Data: start, Release: func() { p.giveBack(limit) }}
+	if err := whole.extend(rest, length, limit); err != nil {
+		whole.Release()
+		return Start{}, err
+	}
+	return whole, nil
+}
+
 // partOf returns the size of the part of a body that is within a limit, as far as it is known.
 func partOf(length, limit int64) int64 {
 	if length < 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,7 +71,8 @@
 	rest   io.Reader
 	finish func(complete bool) // ends the exchange; must be called exactly once
 
-	releaseBody func() // returns the memory of body; called by finish
+	releaseBody func()           // returns the memory of body; called by finish
+	buffers     *bodybuffer.Pool // the memory for body
 }
 
 // exchange sends a request on a connection and reads the response. The connection is passed to
@@ -133,17 +134,23 @@
 }
 
 func newExchangeError(ctx context.Context, c *conn, watch *clientWatch, err error) *exchangeError {
-	e := &exchangeError{reason: reasonBroken, mayHaveRun: c.written.Load() > 0, err: err}
+	e := &exchangeError{reason: reasonOfRead(err), mayHaveRun: c.written.Load() > 0, err: err}
+	if ctx.Err() != nil || watch.hasAborted() {
+		e.reason = reasonCanceled
+	}
+	return e
+}
+
+// reasonOfRead returns the reason of an exchange that ended with the error of a read.
+func reasonOfRead(err error) string {
 	var netErr net.Error
 	switch {
-	case ctx.Err() != nil, watch.hasAborted():
-		e.reason = reasonCanceled
 	case errors.Is(err, readlimit.ErrTooLong):
-		e.reason = reasonTooLong
+		return reasonTooLong
 	case errors.As(err, &netErr) && netErr.Timeout():
-		e.reason = reasonTimeout
+		return reasonTimeout
 	}
-	return e
+	return reasonBroken
 }
 
 func write(c *conn, req *backendRequest) error {
@@ -244,7 +251,7 @@
 
 func readBody(c *conn, httpResp *http.Response, info ResponseInfo) (*backendResponse, error) {
 	c.maxIdle = keepAliveTime(httpResp.Header)
-	resp := &backendResponse{status: httpResp.StatusCode, header: httpResp.Header, info: info}
+	resp := &backendResponse{status: httpResp.StatusCode, header: httpResp.Header, info: info, buffers: c.buffers}
 	start, err := readStart(c, httpResp, info)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -157,12 +157,12 @@
 		c.respondWithStatus(http.StatusNotFound, reasonNoRoute)
 		return
 	}
-	if c.ahead != nil && !mayRunAhead(c.route) { // the table has changed
+	if c.ahead != nil && !h.pipelining.mayRunAhead(c.route) { // the table has changed, or responses have become large
 		c.ahead.again = true
 		return
 	}
 	c.setDeadline(time.Duration(c.route.TimeoutMillis) * time.Millisecond)
-	if c.ahead == nil && c.route.Kind.Repeatable() && safeRequest(c.request) {
+	if c.ahead == nil && c.route.Kind.Repeatable() && safeRequest(c.request) && !h.pipelining.large.contains(clockNow(), c.route) {
 		c.conn.allowAhead()
 	}
 	c.service = h.pickService(table.Version(), c.route)
@@ -269,6 +269,10 @@
 		c.endSlot(target, resp, err)
 		c.endPermit(resp, err)
 		final := err == nil && !c.notFinal(resp)
+		if final {
+			err = c.readWhole(resp)
+			final = err == nil
+		}
 		if !final || c.route.Kind != routes.Download {
 			c.bulk.release()
 		}
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -40,11 +40,13 @@
 	ahead   *semaphore.Weighted
 	buffers *semaphore.Weighted
 	running atomic.Int64 // requests that hold a part of ahead
+	large   *largeRoutes
 }
 
 func newPipelining(h *Host, depth int) *pipelining {
 	return &pipelining{
 		host: h, depth: depth, ahead: semaphore.NewWeighted(maxAhead), buffers: semaphore.NewWeighted(maxAheadBuffers),
+		large: newLargeRoutes(),
 	}
 }
 
@@ -261,6 +263,15 @@
 	c.startAhead()
 }
 
+// stopAhead reports whether requests behind the current one run. Otherwise none is started until the next request allows it.
+func (c *clientConn) stopAhead() (running bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	running = len(c.queue) > 0
+	c.allowed = c.allowed && running
+	return running
+}
+
 // endRequest is called when the handler of the current request returns.
 func (c *clientConn) endRequest() {
 	if c == nil {
--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -82,7 +82,7 @@
 	}
 	table, stamp, _ := h.view.snapshot(clockNow())
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if table == nil || !stamp.ConfigUsable || !mayRunAhead(table.Match(r.Host, path)) {
+	if table == nil || !stamp.ConfigUsable || !c.shared.mayRunAhead(table.Match(r.Host, path)) {
 		return notAheadRoute, true
 	}
 	account := c.takeAhead(r)
--- a/internal/gateway/pipeline_head.go
+++ b/internal/gateway/pipeline_head.go
@@ -8,8 +8,6 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
-
-	"github.com/galenalug/galenalug/routes"
 )
 
 // States of a scanner.
@@ -171,7 +169,3 @@
 	connection := r.Header.Get("Connection")
 	return len(r.Header["Connection"]) <= 1 && (connection == "" || strings.EqualFold(connection, "keep-alive"))
 }
-
-// mayRunAhead reports whether the requests of a route may run before their turn. Downloads may not: their
-// responses are larger than what is held of a response.
-func mayRunAhead(route *routes.Route) bool { return route != nil && route.Kind == routes.Idempotent }
