--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -85,6 +85,7 @@
 	stream           *clientBody     // replaces body if the body exceeds maxBufferedBody
 	ctx              context.Context // of the attempts; ends when the gateway gives up its requests
 	attempts         int
+	granted          bool   // the route and the retry budget have allowed the next attempt
 	server           string // ID of the server of the last attempt
 	answered         bool   // whether a server ran the request and answered
 	mayHaveRun       bool   // whether an attempt without a usable response may have run
@@ -112,18 +113,18 @@
 	defer guarded.SetServing(false)
 	conn := clientConnOf(r)
 	defer conn.endRequest()
-	served, ran := conn.serveAhead(w, r)
+	served, attempts := conn.serveAhead(w, r)
 	if served {
 		return
 	}
 	c := h.newCall(w, r, conn.arrivedAt())
-	c.mayHaveRun = ran
+	c.attempts, c.mayHaveRun, c.granted = attempts, attempts > 0, attempts > 0
 	c.openHold(guarded)
 	defer c.closeHold()
 	if !c.takeHead() {
 		return
 	}
-	if h.draining.Load() && !ran { // the request might not end before the process does
+	if h.draining.Load() && attempts == 0 { // the request might not end before the process does
 		c.refuse(reasonStopping)
 		return
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -8,11 +8,15 @@
 )
 
 // mayAttempt reports whether another attempt is allowed. Each attempt after the first counts
-// against the retry budget.
+// against the retry budget, once.
 func (c *call) mayAttempt() bool {
 	if c.attempts == 0 {
 		return true
 	}
+	if c.granted {
+		c.granted = false
+		return true
+	}
 	return c.attempts < int(c.route.MaxAttempts) && c.host.allowRetry(c.service)
 }
 
--- a/internal/gateway/pipeline_ahead.go
+++ b/internal/gateway/pipeline_ahead.go
@@ -42,7 +42,7 @@
 	writer   http.ResponseWriter
 	done     chan struct{} // closed at the end; the fields below are set before
 	again    bool          // there is no response; the request has to run in its turn
-	ran      bool          // a server has run it before
+	attempts int           // that were made before
 	canceled bool
 	panicked any
 }
@@ -141,11 +141,11 @@
 }
 
 // serveAhead serves a request from what ran ahead for it. If it returns false, the request has to be served as
-// usual; ran tells whether a server has run it nevertheless.
-func (c *clientConn) serveAhead(w http.ResponseWriter, r *http.Request) (served, ran bool) {
+// usual; attempts is how many attempts were made nevertheless.
+func (c *clientConn) serveAhead(w http.ResponseWriter, r *http.Request) (served bool, attempts int) {
 	a := c.takeNext(r)
 	if a == nil {
-		return false, false
+		return false, 0
 	}
 	c.allowAhead()
 	a.writer = w
@@ -156,11 +156,11 @@
 		panic(a.panicked)
 	case a.again:
 		c.shared.host.metrics.pipelined.WithLabelValues(aheadNotHeld).Inc()
-		return false, a.ran
+		return false, a.attempts
 	case a.canceled:
 		panic(http.ErrAbortHandler) // the client has left; without a response net/http would send an empty one
 	}
-	return true, false
+	return true, 0
 }
 
 // takeNext returns the request ahead that net/http has read now, or nil. If net/http has read another one, all
@@ -191,7 +191,7 @@
 
 // awaitTurn returns true when the call may write its response: at once, unless it runs ahead. A response of a
 // backend server is held as far as there is memory. A larger one waits at its server, which may cut it off, unless
-// the retry budget lets the request run again in its turn.
+// the route and the retry budget let the request run again in its turn.
 //
 // A call without a connection to a server gives back its place among the requests in progress, and a slot that it has not
 // used, before it waits. It needs none to write the response: it can't be refused any more.
@@ -210,9 +210,9 @@
 	case resp == nil || resp.hold():
 		c.place.giveBack()
 		c.returnSlot()
-	case c.host.allowRetry(c.service):
+	case c.mayAttempt():
 		resp.finish(false)
-		a.again, a.ran = true, true
+		a.again, a.attempts = true, c.attempts
 		return false
 	}
 	select {
--- a/internal/gateway/pipeline_large_test.go
+++ b/internal/gateway/pipeline_large_test.go
@@ -46,6 +46,30 @@
 	client.expect(200, "/look/2")
 }
 
+// Guards against a request that runs on more servers than its route allows, because the response of its run ahead was too
+// large to be held (review/10).
+func TestRequestAheadRunsNoMoreOftenThanItsRouteAllows(t *testing.T) {
+	for _, size := range []int{2 * maxBufferedResponse, 2 * maxWholeResponse} {
+		large := strings.Repeat("y", size)
+		var runs atomic.Int32
+		server := newFakeBackend(t, func(conn net.Conn, r *http.Request, body []byte) bool {
+			if r.URL.Path == "/look/0" {
+				time.Sleep(100 * time.Millisecond)
+				return okResponse("/look/0")(conn, r, body)
+			}
+			runs.Add(1)
+			return okResponse(large)(conn, r, body)
+		})
+		client := newPipelineFixture(t, testDepth, server).connect()
+		client.send(getRequests(2))
+		client.expect(200, "/look/0")
+		client.expect(200, large)
+		if got := runs.Load(); got != 1 {
+			t.Errorf("%d bytes: the request ran %d times, want once", size, got)
+		}
+	}
+}
+
 // Guards against requests that run behind a response which is passed on as it arrives, once the route is known for such
 // responses, and against a route that counts as one with large responses for good.
 func TestNothingRunsBehindLargeResponses(t *testing.T) {
