--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -10,7 +10,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"github.com/galenalug/galenalug/evacuation"
 	"github.com/galenalug/galenalug/internal/clock"
 	"github.com/galenalug/galenalug/internal/group"
 	"github.com/galenalug/galenalug/internal/wire"
@@ -26,144 +25,6 @@
 	ErrUnknownOutcome = errors.New("fleet: the outcome is not known")
 )
 
-// Heartbeat processes the heartbeat of a backend server. A follower forwards it to the leader. The error's
-// cause is keyrange.ErrInvalid if no server can mean the heartbeat.
-func (h *Host) Heartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
-	if err := hb.Validate(time.Now()); err != nil {
-		return keyrange.HeartbeatReply{}, err
-	}
-	if !h.Leads() {
-		var reply keyrange.HeartbeatReply
-		err := h.forwardToLeader(ctx, wire.KindServerHeartbeat, hb, &reply)
-		return reply, err
-	}
-	reply, err := h.handleHeartbeat(ctx, hb)
-	reply.HeartbeatAddress = "" // the caller already sends to the leader
-	return reply, err
-}
-
-// handleHeartbeat processes a heartbeat on the leader and records it in the metrics.
-func (h *Host) handleHeartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
-	started := time.Now()
-	reply, err := h.processHeartbeat(ctx, hb)
-	h.metrics.countHeartbeat(started, err)
-	return reply, err
-}
-
-func (h *Host) processHeartbeat(ctx context.Context, hb keyrange.Heartbeat) (keyrange.HeartbeatReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	received := clock.Now()
-	if err := h.confirmLeadership(ctx); err != nil {
-		return keyrange.HeartbeatReply{}, err
-	}
-	reply, toRecord, err := h.applyHeartbeat(hb, received)
-	if err != nil {
-		return reply, err
-	}
-	if err := h.recordGrants(ctx, toRecord.grants); err != nil {
-		return keyrange.HeartbeatReply{}, err
-	}
-	if err := h.recordDraining(ctx, toRecord.draining); err != nil {
-		return keyrange.HeartbeatReply{}, err
-	}
-	h.requestPublish()
-	return reply, nil
-}
-
-// heartbeatRecord is what must be recorded before the reply to a heartbeat is sent.
-type heartbeatRecord struct {
-	grants   []keyrange.Assignment
-	draining *keyrange.Leave // nil if the server does not drain, or that is recorded
-}
-
-// recordDraining commits to the log that a server drains: the acknowledgement of its heartbeat also binds later
-// leaders, which may not hear from it.
-func (h *Host) recordDraining(ctx context.Context, draining *keyrange.Leave) error {
-	if draining == nil {
-		return nil
-	}
-	_, err := h.propose(ctx, command{Leave: draining})
-	return err
-}
-
-// recordGrants commits grants to the log. It must succeed before the reply with the grants is sent.
-func (h *Host) recordGrants(ctx context.Context, granted []keyrange.Assignment) error {
-	if len(granted) == 0 {
-		return nil
-	}
-	_, err := h.propose(ctx, command{Grants: granted})
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leading != nil {
-		h.leading.coordinator.ResolveGrants(clock.Now(), granted, err == nil)
-	}
-	return err
-}
-
-// applyHeartbeat returns the reply to a heartbeat, and what must be recorded before the reply is sent.
-func (h *Host) applyHeartbeat(hb keyrange.Heartbeat, received time.Duration) (keyrange.HeartbeatReply, heartbeatRecord, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leading == nil || h.state.recordedLease() < h.lease() {
-		return keyrange.HeartbeatReply{}, heartbeatRecord{}, errors.Wrap(ErrUnavailable, "leadership begins")
-	}
-	if clock.Now()-received > heartbeatTimeout {
-		return keyrange.HeartbeatReply{}, heartbeatRecord{}, errors.Wrap(ErrUnavailable, "this host was suspended")
-	}
-	coordinator := h.leading.coordinator
-	reply := coordinator.Heartbeat(clock.Now(), hb)
-	reply.HeartbeatAddress = h.settings.ControlListen
-	toRecord := heartbeatRecord{grants: coordinator.TakePendingGrants()}
-	if hb.Server.Draining && !coordinator.KnowsDeparture(hb.Server) {
-		toRecord.draining = &keyrange.Leave{ID: hb.Server.ID, StartMillis: hb.Server.StartMillis}
-	}
-	return reply, toRecord, nil
-}
-
-// maxLeaveAge is the age up to which a leave that names no process counts: a later process of the server may have started
-// since, and the caller has repeated the call elsewhere.
-const maxLeaveAge = evacuation.CallerPatience
-
-// Leave records that a backend server leaves. The record is committed to the log before the call is
-// acknowledged, so that a new leader has it. received is when the call arrived at this host, by package clock.
-func (h *Host) Leave(ctx context.Context, leave keyrange.Leave, received time.Duration) error {
-	if err := leave.Validate(time.Now()); err != nil {
-		return err
-	}
-	if leave.StartMillis == 0 {
-		now := clock.Now()
-		age := now - min(received, h.pauses.EarliestArrival(now))
-		if age > maxLeaveAge {
-			return errors.Wrapf(ErrUnavailable, "the call is %v old and names no process", age)
-		}
-		leave.ReceivedMillis = time.Now().Add(-age).UnixMilli()
-	}
-	return h.recordLeave(ctx, leave)
-}
-
-// recordLeave has the leader commit a leave to the log.
-func (h *Host) recordLeave(ctx context.Context, leave keyrange.Leave) error {
-	if !h.Leads() {
-		return h.forwardToLeader(ctx, wire.KindServerLeave, leave, nil)
-	}
-	leave = h.nameProcess(leave)
-	log.WithFields(log.Fields{"server": leave.ID, "start_ms": leave.StartMillis}).Info("backend server is leaving")
-	_, err := h.propose(ctx, command{Leave: &leave})
-	h.requestPublish()
-	return err
-}
-
-// nameProcess completes a leave that names no process, if the leader knows it.
-func (h *Host) nameProcess(leave keyrange.Leave) keyrange.Leave {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.leading == nil {
-		return leave
-	}
-	return h.leading.coordinator.NameProcess(leave)
-}
-
 // Put requests to replace the configuration. It returns once the new one is in force on every gateway
 // in contact, and the others stop using older ones within the configured time: see package rollout.
 func (h *Host) Put(ctx context.Context, put routes.Put) (routes.PutReply, error) {
@@ -300,8 +161,5 @@
 	}
 }
 
-// heartbeatTimeout limits the processing of a heartbeat. The sender gives up after 1 s.
-const heartbeatTimeout = 900 * time.Millisecond
-
 // callTimeout limits the processing of a call from a peer, and the recording of the lease.
 const callTimeout = 3 * time.Second
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -195,3 +195,33 @@
 	defer s.mu.Unlock()
 	return append([]keyrange.Leave(nil), s.leaves...)
 }
+
+// applyEvacuation calls apply, and records a new revision. It must be called with s.mu held.
+func (s *fleetState) applyEvacuation(apply func() evacuation.ChangeReply) evacuation.ChangeReply {
+	before := s.evacuations.Set().Revision
+	reply := apply()
+	if s.evacuations.Set().Revision != before {
+		s.traceEvacuations()
+	}
+	return reply
+}
+
+// traceEvacuations records that this host has the set. It must be called with s.mu held.
+func (s *fleetState) traceEvacuations() {
+	set := s.evacuations.Set()
+	s.evacuationTrace.Add(time.Now(), trace.Evacuation{Revision: set.Revision, Domains: set.Names()})
+}
+
+// evacuationSet returns the evacuated failure domains. They must not be modified.
+func (s *fleetState) evacuationSet() evacuation.Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations.Set()
+}
+
+// evacuationSequence returns the sequence number of a failure domain.
+func (s *fleetState) evacuationSequence(domain string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations.Sequence(domain)
+}
--- a/slotqueue/pool.go
+++ b/slotqueue/pool.go
@@ -22,6 +22,9 @@
 	minThroughputPart = 0.25
 	// equalPart is the difference of expected finish, as a part of the work, up to which the nearer server is chosen.
 	equalPart = 0.1
+	// grantedPart is added to the expected finish if all slots of a server are granted, as a part of the work, so that the
+	// least loaded one of several equal servers is chosen.
+	grantedPart = 0.1
 )
 
 // Server is a server that may get requests.
@@ -162,7 +165,7 @@
 	rate := p.rate(s)
 	atServer := float64(s.granted) - rate*p.overhead.Seconds()
 	wait := max(atServer-float64(s.Slots)+1, 0) / rate * float64(time.Second)
-	return wait + float64(p.work)/s.Speed + equalPart*float64(p.work)*float64(s.granted)/float64(s.Slots)
+	return wait + float64(p.work)/s.Speed + grantedPart*float64(p.work)*float64(s.granted)/float64(s.Slots)
 }
 
 // observeWork records the expected work of a request.
