--- a/internal/fleet/evacuationmetrics.go
+++ b/internal/fleet/evacuationmetrics.go
@@ -18,7 +18,7 @@
 func newEvacuationMetrics() *evacuationMetrics {
 	return &evacuationMetrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "galenalug_fleet_evacuation_calls_total", Help: "Calls that start or end evacuations, at the leader, by change and outcome.",
+			Name: "galenalug_fleet_evacuation_calls_total", Help: "Calls that start or end evacuations, by change and outcome; too_old at the host that was called, others at the leader.",
 		}, []string{"change", "outcome"}),
 		acknowledgeSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "galenalug_fleet_evacuation_acknowledge_seconds", Help: "Time until a call that starts or ends an evacuation is acknowledged, by change.",
