--- a/evacuation/call.go
+++ b/evacuation/call.go
@@ -16,8 +16,8 @@
 	sequence uint64 // as far as the host knows
 }
 
-// NewCall returns a call. received is the latest time at which it can have arrived for certain, and sequence a sequence
-// number that the failure domain has had; it may be outdated.
+// NewCall returns a call. received is when it arrived, or the earliest time possible if that is not certain. sequence is the
+// sequence number that the failure domain had when the host last heard of it; it may be outdated.
 func NewCall(change Change, received time.Duration, sequence uint64) Call {
 	return Call{change: change, giveUpAt: received + CallerPatience, sequence: sequence}
 }
--- a/internal/gateway/pipeline_large.go
+++ b/internal/gateway/pipeline_large.go
@@ -83,8 +83,8 @@
 	if err != nil || body.Data == nil {
 		return err
 	}
-	releaseStart := r.releaseBody
-	r.body, r.releaseBody = body.Data, func() { body.Release(); releaseStart() }
+	r.releaseBody() // the start is a part of the whole now
+	r.body, r.releaseBody = body.Data, body.Release
 	if body.Complete {
 		r.rest = nil
 	}
--- a/routes/identity.go
+++ b/routes/identity.go
@@ -58,13 +58,21 @@
 
 // matches compares a change to an accepted one of the same version and base.
 func (id identity) matches(a Accepted) match {
-	switch {
-	case id.sent != 0 && a.Sent != 0 && id.sent == a.Sent:
-		return sameChange
-	case id.sent != 0 && a.Sent != 0 || id.digest != a.Digest:
-		return otherChange
-	case id.sent != 0:
+	if id.sent != 0 && a.Sent != 0 {
+		return sameIf(id.sent == a.Sent)
+	}
+	if id.sent == 0 { // an entry in the log of an earlier release, which compared what was decoded
+		return sameIf(id.digest == a.Digest)
+	}
+	if id.digest == a.Digest {
 		return maybeSameChange
 	}
-	return sameChange // a repeated entry in a log of an earlier release
+	return otherChange
+}
+
+func sameIf(equal bool) match {
+	if equal {
+		return sameChange
+	}
+	return otherChange
 }
