--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -97,7 +97,7 @@
 	now     time.Duration
 	tracker *rollout.Tracker
 	state   State
-	copies  []ConditionalChange // of changes that the operator has repeated or given up
+	copies  []ConditionalChange      // of changes that the operator has repeated or given up
 	acked   map[string]time.Duration // time of the first acknowledgement of a start that is in force
 	hosts   map[string]*modelHost
 	names   []string
--- a/keyrange/admit.go
+++ b/keyrange/admit.go
@@ -34,7 +34,9 @@
 }
 
 // continuedBy reports whether a heartbeat is a newer one of the same process.
-func (s *server) continuedBy(hb Heartbeat) bool { return s.isProcess(hb.Server) && hb.Sequence > s.sequence }
+func (s *server) continuedBy(hb Heartbeat) bool {
+	return s.isProcess(hb.Server) && hb.Sequence > s.sequence
+}
 
 // admitProcess adds the entry of a process whose first heartbeat has arrived, and ends the processes of whose end
 // that is proof. It returns nil if the configuration does not have the service, or if the heartbeat is a delayed one
